--- a/src/control.rs
+++ b/src/control.rs
@@ -6,6 +6,7 @@
 
 pub mod command;
 pub mod configuration;
+pub mod document;
 pub mod entry;
 pub mod ledger;
 pub mod message;
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::ids::{
-        AttemptId, DigestHex, FencingNumber, IdempotencyKey, Incarnation, ModelId, OperationId,
-        OrganisationId, Revision, ServerId, VmId, WeightsVersion,
+        AttemptId, DigestHex, DocumentNumber, FencingNumber, IdempotencyKey, Incarnation, ModelId, OperationId,
+        OrganisationId, Revision, ServerId, VmId, WeightsNumber, WeightsVersion,
     },
     displaydoc::Display,
     serde::{Deserialize, Serialize},
@@ -128,6 +128,20 @@
         /// The VM.
         vm: VmId,
     },
+    /// Put an operator's document in force unless one with this number or a higher one is.
+    PutDocument {
+        /// The number that the operator chose.
+        number: DocumentNumber,
+        /// The document exactly as the operator wrote it.
+        body: String,
+    },
+    /// Name the version that all servers of a model should come to, unless a later one is named.
+    NameWeights {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        version: WeightsNumber,
+    },
 }
 
 /// The answer of a non-repeatable call, kept for resends.
@@ -194,6 +208,11 @@
         /// Why, and what to do.
         reason: String,
     },
+    /// The document that is in force now has this number; it is the proposed one or a later one.
+    DocumentHeld {
+        /// The number.
+        number: DocumentNumber,
+    },
 }
 
 /// Why a proposal has no outcome.
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -5,6 +5,7 @@
         control::{
             command::{Command, CommandOutcome},
             configuration::{ConfigPart, ConfigRequest, ConfigState},
+            document::DocumentState,
             ledger::{ClaimHolder, ClaimRequest, IdempotencyLedger},
             orders::{SuspectTable, WeightOrders},
         },
@@ -15,7 +16,9 @@
 };
 
 /// The version of the snapshot's encoding; an unknown one is refused.
-const STATE_VERSION: u32 = 1;
+const STATE_VERSION: u32 = 2;
+/// The version before documents were kept; still read, so that an upgrade loses nothing.
+const VERSION_WITHOUT_DOCUMENTS: u32 = 1;
 const HOUR_MS: u64 = 3_600_000;
 
 /// The state that all replicas agree on. The same commands in the same order make the same state.
@@ -25,6 +28,8 @@
     ledger: IdempotencyLedger,
     orders: WeightOrders,
     suspects: SuspectTable,
+    /// Last, so that a snapshot without it is a prefix of one with it.
+    documents: DocumentState,
 }
 
 /// Why a snapshot cannot be read.
@@ -59,6 +64,11 @@
         &self.suspects
     }
 
+    /// The operators' numbered document and the versions of weights they named.
+    pub fn documents(&self) -> &DocumentState {
+        &self.documents
+    }
+
     /// Carries out a committed command; `number` is its place in the log.
     pub fn apply(&mut self, number: FencingNumber, command: &Command) -> CommandOutcome {
         match command {
@@ -85,6 +95,8 @@
             Command::NoteSuspect { fingerprint, strikes } => {
                 self.suspects.note(*fingerprint, *strikes, number.index)
             }
+            Command::PutDocument { number, body } => self.documents.put(*number, body),
+            Command::NameWeights { model, version } => self.documents.name(model, *version),
             Command::ReplaceReplica { .. } | Command::RemoveReplica { .. } => {
                 let reason = "the leader writes the membership itself; propose it at the leader";
                 CommandOutcome::Refused { reason: reason.to_owned() }
@@ -120,10 +132,16 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, StateError> {
         let damaged = |error: postcard::Error| StateError::Damaged(error.to_string());
         let (version, rest) = postcard::take_from_bytes::<u32>(bytes).map_err(damaged)?;
-        if version != STATE_VERSION {
-            return Err(StateError::UnknownVersion(version));
-        }
-        let mut state: ControlState = postcard::from_bytes(rest).map_err(damaged)?;
+        let mut state = match version {
+            STATE_VERSION => postcard::from_bytes(rest).map_err(damaged)?,
+            VERSION_WITHOUT_DOCUMENTS => {
+                let (configuration, ledger, orders, suspects) =
+                    postcard::from_bytes(rest).map_err(damaged)?;
+                let documents = DocumentState::default();
+                ControlState { configuration, ledger, orders, suspects, documents }
+            }
+            unknown => return Err(StateError::UnknownVersion(unknown)),
+        };
         state.configuration.restore().map_err(StateError::Damaged)?;
         Ok(state)
     }
--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -5,6 +5,7 @@
         control::{
             Command, CommandOutcome, PersistBatch, ProposeError, ReplicaMessage, SavedState,
             configuration::ConfigChange,
+            document::DocumentState,
             orders::{DesiredWeights, SuspectStrikes},
             replica::{
                 ProposalId, Replica, ReplicaAction, ReplicaInput, ReplicaLimits, ReplicaSettings,
@@ -222,6 +223,7 @@
     weights: watch::Sender<Arc<DesiredWeights>>,
     suspects: watch::Sender<Arc<SuspectStrikes>>,
     history: watch::Sender<Arc<Vec<ConfigChange>>>,
+    documents: watch::Sender<Arc<DocumentState>>,
 }
 
 /// Where handles see it.
@@ -232,6 +234,7 @@
     weights: watch::Receiver<Arc<DesiredWeights>>,
     suspects: watch::Receiver<Arc<SuspectStrikes>>,
     history: watch::Receiver<Arc<Vec<ConfigChange>>>,
+    documents: watch::Receiver<Arc<DocumentState>>,
 }
 
 fn status_feeds(replica: &Replica) -> (StatusFeeds, StatusWatches) {
@@ -241,14 +244,16 @@
     let (weights_feed, weights) = watch::channel(Arc::new(state.orders().desired().clone()));
     let (suspects_feed, suspects) = watch::channel(Arc::new(state.suspects().strikes()));
     let (history_feed, history) = watch::channel(Arc::new(latest_changes(state)));
+    let (documents_feed, documents) = watch::channel(Arc::new(state.documents().clone()));
     let feeds = StatusFeeds {
         config: config_feed,
         status: status_feed,
         weights: weights_feed,
         suspects: suspects_feed,
         history: history_feed,
+        documents: documents_feed,
     };
-    (feeds, StatusWatches { config, status, weights, suspects, history })
+    (feeds, StatusWatches { config, status, weights, suspects, history, documents })
 }
 
 /// The latest accepted changes, the newest first.
@@ -359,6 +364,10 @@
             feeds.config.send_replace(config.clone());
             feeds.history.send_replace(Arc::new(latest_changes(state)));
         }
+        // Before the status: who sees there that a command is applied must find what it changed.
+        if **feeds.documents.borrow() != *state.documents() {
+            feeds.documents.send_replace(Arc::new(state.documents().clone()));
+        }
         let status = self.replica.status(Instant::now());
         if **feeds.status.borrow() == status {
             return;
@@ -463,6 +472,11 @@
         self.watches.history.borrow().clone()
     }
 
+    /// The operators' document and named weights, as far as this replica has applied them.
+    pub fn documents(&self) -> watch::Receiver<Arc<DocumentState>> {
+        self.watches.documents.clone()
+    }
+
     /// The suspects, as far as this replica has applied them.
     pub fn suspects(&self) -> watch::Receiver<Arc<SuspectStrikes>> {
         self.watches.suspects.clone()
--- a/src/daemon/peer_desk.rs
+++ b/src/daemon/peer_desk.rs
@@ -98,6 +98,9 @@
                 self.core.gate.begin();
                 PeerReply::Draining
             }
+            PeerRequest::Follow(_) => {
+                PeerReply::Refused("this daemon serves no followers; ask a control VM".to_owned())
+            }
         }
     }
 
--- a/src/daemon/weight_orders.rs
+++ b/src/daemon/weight_orders.rs
@@ -3,7 +3,7 @@
 pub mod order_core;
 
 use {
-    self::order_core::{OrderAction, OrderCore, OrderInput, OrderPlan, OrderResult, WeightOrder},
+    self::order_core::{OrderAction, OrderCore, OrderInput, OrderPlan, OrderResult, OrderTiming, WeightOrder},
     crate::{
         control::{Command, CommandOutcome, ProposeError, orders::DesiredWeights},
         daemon::{ConfigWatch, ControlPort, control_driver::ControlHandle},
@@ -79,6 +79,11 @@
         Self { core: OrderCore::default(), lease, port, config, desired }
     }
 
+    /// The same with its own timing.
+    pub fn timed(self, timing: OrderTiming) -> Self {
+        Self { core: OrderCore::with_timing(timing), ..self }
+    }
+
     /// Runs until the replica is gone.
     pub async fn run(mut self) {
         let (results, mut queue) = mpsc::channel(QUEUE_LENGTH);
--- a/src/daemon/weight_orders/order_core.rs
+++ b/src/daemon/weight_orders/order_core.rs
@@ -21,18 +21,37 @@
 pub const ORDER_LIFE: Duration = Duration::from_secs(2);
 /// The longest lease that a former leader can still hold when a new one is elected.
 pub const OLD_LEASE: Duration = Duration::from_secs(1);
-/// How long a server may report other weights after an accepted order before it is ordered again:
-/// a load takes 0.6 s, several times that beside others, and reports lag.
-const LOAD_LIMIT: Duration = Duration::from_secs(10);
-/// After an order that did not arrive.
-const RETRY_WAIT: Duration = Duration::from_secs(1);
-/// How long a server is given to finish its work before it loads anyway.
-const DRAIN_LIMIT: Duration = Duration::from_secs(10);
-/// Between two looks at a server that is not as desired.
-const BUSY_LOOK: Duration = Duration::from_millis(250);
-/// Between two looks at a server that is as desired, at least.
-const IDLE_LOOK: Duration = Duration::from_secs(2);
-/// The same for each server there is: the leader looks at 30 a second at most.
+/// When orders are given and servers looked at.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderTiming {
+    /// How long a server may report other weights after an accepted order before it is ordered
+    /// again.
+    pub load_limit: Duration,
+    /// After an order that did not arrive.
+    pub retry_wait: Duration,
+    /// How long a server is given to finish its work before it loads anyway.
+    pub drain_limit: Duration,
+    /// Between two looks at a server that is not as desired.
+    pub busy_look: Duration,
+    /// Between two looks at a server that is as desired, at least.
+    pub idle_look: Duration,
+}
+
+impl Default for OrderTiming {
+    /// A load takes 0.6 s, several times that beside others, and reports lag.
+    fn default() -> Self {
+        OrderTiming {
+            load_limit: Duration::from_secs(10),
+            retry_wait: Duration::from_secs(1),
+            drain_limit: Duration::from_secs(10),
+            busy_look: Duration::from_millis(250),
+            idle_look: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Between two looks at a server that is as desired, for each server there is: the leader looks at
+/// 30 a second at most.
 const IDLE_LOOK_EACH: Duration = Duration::from_millis(35);
 /// Looks under way at once.
 const MOST_LOOKS: usize = 32;
@@ -158,6 +177,7 @@
 /// The state of the weight orders at one replica; all of it is dropped with the lease.
 #[derive(Default)]
 pub struct OrderCore {
+    timing: OrderTiming,
     plan: OrderPlan,
     desired: Arc<DesiredWeights>,
     lease: Option<(Term, Instant)>,
@@ -171,9 +191,14 @@
 }
 
 impl OrderCore {
+    /// A core with its own timing.
+    pub fn with_timing(timing: OrderTiming) -> Self {
+        OrderCore { timing, ..OrderCore::default() }
+    }
+
     /// When `Wake` is wanted next; a replica that does not lead wants none.
     pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
-        self.lease.map(|_| now + BUSY_LOOK)
+        self.lease.map(|_| now + self.timing.busy_look)
     }
 
     /// Takes one input.
@@ -188,7 +213,7 @@
                     && order.number == number
                     && result == OrderResult::NotTaken
                 {
-                    order.until = now + RETRY_WAIT;
+                    order.until = now + self.timing.retry_wait;
                 }
             }
             OrderInput::Proposed { place } => {
@@ -243,12 +268,12 @@
         }
         let settled = self.is_settled(server);
         let count = u32::try_from(self.sights.len()).unwrap_or(u32::MAX);
-        let idle = IDLE_LOOK.max(IDLE_LOOK_EACH.saturating_mul(count));
+        let idle = self.timing.idle_look.max(IDLE_LOOK_EACH.saturating_mul(count));
         let Some(sight) = self.sights.get_mut(server) else { return };
         if settled {
             sight.draining_since = None;
         }
-        sight.next_look = Some(now + if settled { idle } else { BUSY_LOOK });
+        sight.next_look = Some(now + if settled { idle } else { self.timing.busy_look });
     }
 
     fn is_settled(&self, server: &ServerId) -> bool {
@@ -328,7 +353,7 @@
         noted
             .filter_map(|(place, version)| {
                 let sight = self.sights.get(&place.0)?;
-                let drained = sight.draining_since.is_some_and(|since| now >= since + DRAIN_LIMIT);
+                let drained = sight.draining_since.is_some_and(|since| now >= since + self.timing.drain_limit);
                 let running = sight.report.as_ref().map_or(0, |report| report.running);
                 let server = RolloutServer {
                     desired: version.clone(),
@@ -347,7 +372,7 @@
         let (weights, fencing) = self.desired.get(&place)?.clone();
         self.next_number += 1;
         let number = self.next_number;
-        let given = GivenOrder { number, weights: weights.clone(), until: now + LOAD_LIMIT };
+        let given = GivenOrder { number, weights: weights.clone(), until: now + self.timing.load_limit };
         self.given.insert(place.clone(), given);
         let (server, model) = place;
         let send_before = now + ORDER_LIFE;
--- /dev/null
+++ b/src/edge/exchange.rs
@@ -0,0 +1,418 @@
+//! Runs one request: follows the dispatcher's decisions until there is an answer.
+
+use {
+    super::{
+        answer::{AnswerBody, Outcome, refusal_of},
+        core::EdgeCore,
+        dialect::{AnswerHead, AnswerVerdict, BackendCall, EdgeRefusal},
+        guard::ConnectionPhase,
+        headers::strip_connection,
+        pool::{LeasedConnection, PoolError},
+        relay::{RelayedStream, StreamStart},
+        request::WholeRequest,
+    },
+    crate::{
+        ids::AttemptId,
+        observe::metrics::refusal,
+        pipeline::{
+            Directive,
+            dispatch::RequestRoute,
+            drain::OpenRequest,
+        },
+        policy::{
+            AttemptFailure, DidRun, PolicyInput, RefusalReason, SendOrder, ServerHealth,
+            prefix::cache_salt,
+        },
+    },
+    bytes::Bytes,
+    http::{Request, Response, StatusCode, response},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::body::Incoming,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep_until,
+};
+
+/// The longest answer that is held back until it is whole; only streams may be longer.
+const WHOLE_ANSWER_BYTES: usize = 4 << 20;
+/// The longest body of a refusal that is read so that its connection can be kept.
+const REFUSAL_BYTES: usize = 4 << 10;
+/// When a request is placed anew after all connections to a server were in use: about the time that
+/// one token takes.
+const FULL_PAUSE: Duration = Duration::from_millis(30);
+
+/// One request on its way.
+pub struct Exchange {
+    pub(super) core: Arc<EdgeCore>,
+    pub(super) request: WholeRequest,
+    pub(super) route: RequestRoute,
+    /// Servers that may have begun to run it.
+    pub(super) runs: u32,
+    /// A server's own failure, passed on if nobody does better.
+    failure: Option<(response::Parts, Bytes)>,
+}
+
+/// An answer whose head has arrived.
+pub(super) struct BegunAnswer {
+    pub parts: response::Parts,
+    pub head: AnswerHead,
+    pub body: Incoming,
+    pub leased: LeasedConnection,
+}
+
+/// Where a stream goes on.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ResumeFrom {
+    pub event: Option<String>,
+    pub weights: Option<u64>,
+    pub events: u32,
+}
+
+/// What one step came to.
+enum Step {
+    Answer(Box<Response<AnswerBody>>),
+    Stream(Box<StreamStart>),
+    Again,
+    Refused(EdgeRefusal),
+}
+
+/// Runs a request to the beginning of its answer; a stream goes on in the answer's body.
+pub async fn run(
+    core: Arc<EdgeCore>,
+    request: WholeRequest,
+    phase: ConnectionPhase,
+    open: OpenRequest,
+) -> Outcome {
+    let route = core.port.submit(request.ticket());
+    let mut exchange = Exchange { core, request, route, runs: 0, failure: None };
+    loop {
+        let ends = exchange.request.ends;
+        let directive = tokio::select! {
+            directive = exchange.route.next() => directive,
+            () = sleep_until(ends.into()) => return exchange.give_up(phase, open),
+        };
+        let step = match directive {
+            Directive::Cancel(_) => Step::Again,
+            Directive::Refuse { reason, retry_after, did_run } => {
+                return exchange.refused(reason, retry_after, did_run, phase, open);
+            }
+            Directive::Send(order) => exchange.attempt(*order).await,
+        };
+        match step {
+            Step::Again => {}
+            Step::Refused(refusal) => return Err(refusal),
+            Step::Answer(response) => {
+                let (parts, body) = response.into_parts();
+                let body = body.held_by(phase, open);
+                return Ok(Response::from_parts(parts, body));
+            }
+            Step::Stream(start) => {
+                let parts = start.parts.clone();
+                let pieces = RelayedStream::new(exchange, *start).into_pieces();
+                return Ok(Response::from_parts(parts, AnswerBody::stream(pieces, phase, Some(open))));
+            }
+        }
+    }
+}
+
+impl Exchange {
+    /// The time for the request is over.
+    fn give_up(self, phase: ConnectionPhase, open: OpenRequest) -> Outcome {
+        let did_run = if self.runs == 0 { DidRun::No } else { DidRun::Unknown };
+        self.refused(RefusalReason::DeadlinePassed, None, did_run, phase, open)
+    }
+
+    fn refused(
+        mut self,
+        reason: RefusalReason,
+        retry_after: Option<Duration>,
+        did_run: DidRun,
+        phase: ConnectionPhase,
+        open: OpenRequest,
+    ) -> Outcome {
+        if let Some((parts, body)) = self.failure.take() {
+            return Ok(Response::from_parts(parts, AnswerBody::whole(body, phase, Some(open))));
+        }
+        // Whatever the dispatcher was told, a request that may have run is never said not to have.
+        let did_run = if self.runs > 0 { DidRun::Unknown } else { did_run };
+        log::info!(
+            request_id = self.request.caller.id.as_str(),
+            reason = reason.as_str(),
+            organisation = self.request.caller.organisation.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            sent_to = self.runs,
+            waited_ms = self.request.arrived.elapsed().as_millis() as u64,
+            retry_after_ms = retry_after.map(|pause| pause.as_millis() as u64);
+            "request refused"
+        );
+        Err(refusal_of(reason, retry_after, did_run))
+    }
+
+    async fn attempt(&mut self, order: SendOrder) -> Step {
+        match self.begin(&order, &ResumeFrom::default()).await {
+            Ok(answer) => self.take_answer(&order, answer).await,
+            Err(failure) => self.after_failure(failure),
+        }
+    }
+
+    /// Sends the request and reads the answer's head. A failure has been reported.
+    pub(super) async fn begin(
+        &mut self,
+        order: &SendOrder,
+        from: &ResumeFrom,
+    ) -> Result<BegunAnswer, AttemptFailure> {
+        let view = self.core.view();
+        let Some(listed) = view.servers.get(&order.server) else {
+            return Err(self.report(order, AttemptFailure::Stale, from, None));
+        };
+        // After a pause of this process the decision may be long out of date.
+        if Instant::now() >= order.send_before {
+            return Err(self.report(order, AttemptFailure::Stale, from, None));
+        }
+        let request = self.backend_request(order, from);
+        let once = !self.request.caller.route.kind.is_repeatable();
+        let most = view.connections(&listed.service);
+        let sent = tokio::select! {
+            sent = self.core.pool.send(listed.address, request, once, most) => sent,
+            () = withdrawn(&mut self.route, order.attempt) => {
+                // The dispatcher knows; its next directive says how it ends.
+                self.runs += 1;
+                return Err(AttemptFailure::TimedOut);
+            }
+            () = sleep_until(self.request.ends.into()) => {
+                self.runs += 1;
+                return Err(self.report(order, AttemptFailure::TimedOut, from, None));
+            }
+        };
+        match sent {
+            Ok((response, leased)) => self.judge_head(order, from, response, leased).await,
+            Err(error) => Err(self.connection_failed(order, from, error)),
+        }
+    }
+
+    fn connection_failed(
+        &mut self,
+        order: &SendOrder,
+        from: &ResumeFrom,
+        error: PoolError,
+    ) -> AttemptFailure {
+        match error {
+            PoolError::Full => {
+                self.report(order, AttemptFailure::Declined, from, Some(FULL_PAUSE))
+            }
+            PoolError::NotConnected => {
+                self.core.recheck(&order.server);
+                self.report(order, AttemptFailure::NotConnected, from, None)
+            }
+            PoolError::Broken => {
+                self.runs += 1;
+                self.core.recheck(&order.server);
+                self.report(order, AttemptFailure::Broken, from, None)
+            }
+        }
+    }
+
+    async fn judge_head(
+        &mut self,
+        order: &SendOrder,
+        from: &ResumeFrom,
+        response: Response<Incoming>,
+        leased: LeasedConnection,
+    ) -> Result<BegunAnswer, AttemptFailure> {
+        let (mut parts, body) = response.into_parts();
+        let head = self.core.dialect.read_answer(&parts, &self.request.caller.id);
+        let model = self.request.caller.work.as_ref().map(|work| &work.model);
+        match head.verdict {
+            AnswerVerdict::Ran => {
+                self.runs += 1;
+                self.core.note_answer(&order.server, model, &head);
+                strip_connection(&mut parts.headers);
+                Ok(BegunAnswer { parts, head, body, leased })
+            }
+            AnswerVerdict::NotRun => {
+                self.core.note_answer(&order.server, model, &head);
+                if Limited::new(body, REFUSAL_BYTES).collect().await.is_ok() {
+                    leased.keep(head.idle_limit);
+                }
+                Err(self.report(order, AttemptFailure::Declined, from, head.retry_after))
+            }
+            AnswerVerdict::OtherServer => {
+                // Where weights were asked for, it may be the right server with others.
+                if from.weights.is_none() {
+                    log::info!(server = order.server.as_str();
+                        "another server answers at this address; the listed one is gone");
+                    let (server, health) = (order.server.clone(), ServerHealth::Dead);
+                    self.route.tell(PolicyInput::Health { server, health });
+                }
+                Err(self.report(order, AttemptFailure::Declined, from, None))
+            }
+            AnswerVerdict::Foreign => {
+                crate::pipeline::counters::count_crossed();
+                self.runs += 1;
+                self.core.recheck(&order.server);
+                Err(self.report(order, AttemptFailure::Broken, from, None))
+            }
+        }
+    }
+
+    fn backend_request(&self, order: &SendOrder, from: &ResumeFrom) -> Request<Full<Bytes>> {
+        let WholeRequest { caller, head, body, service, ends, .. } = &self.request;
+        let model = caller.work.as_ref().map(|work| &work.model);
+        let weights = self.core.weights_of(&order.server, service, model);
+        let salt = model.map(|model| {
+            let weights = weights.map(|version| version.to_string()).unwrap_or_default();
+            cache_salt(self.request.cache_owner(), model, None, &weights)
+        });
+        let call = BackendCall {
+            request: caller,
+            server: &order.server,
+            time_left: ends.saturating_duration_since(Instant::now()),
+            cache_salt: salt,
+            priority: order.priority,
+            resume_after: from.event.clone(),
+            weights: from.weights,
+        };
+        let mut headers = head.headers.clone();
+        strip_connection(&mut headers);
+        headers.remove(http::header::CONTENT_LENGTH);
+        headers.remove(http::header::EXPECT);
+        let mut request = Request::new(Full::new(body.clone()));
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = origin_form(&head.uri);
+        *request.headers_mut() = self.core.dialect.backend_headers(&headers, &call);
+        request
+    }
+
+    /// Tells the dispatcher how an attempt failed.
+    pub(super) fn report(
+        &self,
+        order: &SendOrder,
+        failure: AttemptFailure,
+        from: &ResumeFrom,
+        retry_after: Option<Duration>,
+    ) -> AttemptFailure {
+        log::info!(
+            request_id = self.request.caller.id.as_str(),
+            server = order.server.as_str(),
+            failure:? = failure,
+            relayed_events = from.events;
+            "attempt failed"
+        );
+        self.route.tell(PolicyInput::Failed {
+            attempt: order.attempt,
+            failure,
+            relayed_tokens: from.events,
+            retry_after,
+        });
+        failure
+    }
+
+    /// Whether another server may begin to run the request.
+    pub(super) fn may_run_again(&self) -> bool {
+        let route = &self.request.caller.route;
+        route.kind.is_repeatable() && self.runs < route.attempts
+    }
+
+    /// A failed attempt was reported; the dispatcher says how it goes on, unless the route allows
+    /// no more runs.
+    fn after_failure(&mut self, failure: AttemptFailure) -> Step {
+        let unsent = matches!(
+            failure,
+            AttemptFailure::NotConnected | AttemptFailure::Declined | AttemptFailure::Stale
+        );
+        if unsent || self.may_run_again() || failure == AttemptFailure::TimedOut {
+            return Step::Again;
+        }
+        if let Some((parts, body)) = self.failure.take() {
+            let body = AnswerBody::whole(body, ConnectionPhase::default(), None);
+            return Step::Answer(Box::new(Response::from_parts(parts, body)));
+        }
+        crate::pipeline::counters::count_refusal(refusal::BACKEND_FAILED);
+        Step::Refused(EdgeRefusal::new(StatusCode::BAD_GATEWAY, refusal::BACKEND_FAILED))
+    }
+
+    async fn take_answer(&mut self, order: &SendOrder, answer: BegunAnswer) -> Step {
+        if self.request.caller.route.kind.is_stream() && answer.parts.status.is_success() {
+            return self.take_stream(order, answer).await;
+        }
+        let BegunAnswer { mut parts, head, body, leased } = answer;
+        let none = ResumeFrom::default();
+        let collected = tokio::select! {
+            collected = Limited::new(body, WHOLE_ANSWER_BYTES).collect() => collected,
+            () = withdrawn(&mut self.route, order.attempt) => return Step::Again,
+            () = sleep_until(self.request.ends.into()) => return Step::Again,
+        };
+        let Ok(collected) = collected else {
+            self.core.recheck(&order.server);
+            let failure = self.report(order, AttemptFailure::Broken, &none, None);
+            return self.after_failure(failure);
+        };
+        leased.keep(head.idle_limit);
+        let body = collected.to_bytes();
+        if parts.status.is_server_error() && self.may_run_again() {
+            self.failure = Some((parts, body));
+            let failure = self.report(order, AttemptFailure::ServerError, &none, None);
+            return self.after_failure(failure);
+        }
+        self.finish(order.attempt, 0);
+        // The library frames the answer anew.
+        parts.headers.remove(http::header::CONTENT_LENGTH);
+        let body = AnswerBody::whole(body, ConnectionPhase::default(), None);
+        Step::Answer(Box::new(Response::from_parts(parts, body)))
+    }
+
+    /// A stream's answer begins with its first bytes: until then another server can still serve it.
+    async fn take_stream(&mut self, order: &SendOrder, mut answer: BegunAnswer) -> Step {
+        let none = ResumeFrom::default();
+        let first = tokio::select! {
+            first = answer.body.frame() => first,
+            () = withdrawn(&mut self.route, order.attempt) => return Step::Again,
+            () = sleep_until(self.request.ends.into()) => return Step::Again,
+        };
+        match first {
+            Some(Ok(frame)) => {
+                answer.parts.headers.remove(http::header::CONTENT_LENGTH);
+                let first = frame.into_data().unwrap_or_default();
+                let BegunAnswer { parts, head, body, leased } = answer;
+                let order = order.clone();
+                Step::Stream(Box::new(StreamStart { parts, head, body, leased, first, order }))
+            }
+            Some(Err(_)) => {
+                self.core.recheck(&order.server);
+                let failure = self.report(order, AttemptFailure::Broken, &none, None);
+                self.after_failure(failure)
+            }
+            None => {
+                self.finish(order.attempt, 0);
+                answer.leased.keep(answer.head.idle_limit);
+                let body = AnswerBody::whole(Bytes::new(), ConnectionPhase::default(), None);
+                Step::Answer(Box::new(Response::from_parts(answer.parts, body)))
+            }
+        }
+    }
+
+    /// Tells the dispatcher that an attempt ended whole.
+    pub(super) fn finish(&self, attempt: AttemptId, output_tokens: u32) {
+        self.route.tell(PolicyInput::Finished { attempt, cached_tokens: None, output_tokens });
+    }
+}
+
+/// Ends when the dispatcher withdraws an attempt.
+async fn withdrawn(route: &mut RequestRoute, attempt: AttemptId) {
+    loop {
+        if let Directive::Cancel(cancelled) = route.next().await
+            && cancelled == attempt
+        {
+            return;
+        }
+    }
+}
+
+/// The path and query alone, as requests to a server carry them.
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    uri.path_and_query()
+        .and_then(|path| path.as_str().parse().ok())
+        .unwrap_or_else(|| http::Uri::from_static("/"))
+}
--- /dev/null
+++ b/src/edge/port.rs
@@ -0,0 +1,195 @@
+//! Accepts callers' connections and answers on them.
+
+use {
+    super::{
+        answer::AnswerBody,
+        core::EdgeCore,
+        dialect::EdgeRefusal,
+        exchange,
+        guard::{ConnectionPhase, GuardLimits, GuardedStream},
+        request::read_whole,
+    },
+    crate::{
+        observe::metrics::{CONNECTIONS, refusal},
+        pipeline::{counters::count_refusal, drain::GateClosed},
+        routing::CallerLimits,
+    },
+    bytes::Bytes,
+    http::{HeaderValue, Request, Response, StatusCode, header},
+    hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
+    metrics::gauge,
+    std::{
+        convert::Infallible,
+        io,
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::{OwnedSemaphorePermit, Semaphore, watch},
+        task::JoinHandle,
+        time::sleep,
+    },
+};
+
+/// The least room for a head; the library takes no less.
+const LEAST_HEAD_BYTES: usize = 8192;
+/// Pause after an accept that failed for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// When to come back to another entry while this one stops.
+const STOPPING_PAUSE: Duration = Duration::from_millis(100);
+
+/// What a port tells its connections to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum PortPhase {
+    /// Go on.
+    Serving,
+    /// End each connection with its next answer; idle ones may still be used.
+    Closing,
+    /// End idle connections now.
+    Ending,
+}
+
+/// The port for callers.
+pub struct CallerPort {
+    phase: watch::Sender<PortPhase>,
+    task: JoinHandle<()>,
+}
+
+impl CallerPort {
+    /// Listens on `address`; at most `connections` are open at a time.
+    ///
+    /// # Errors
+    /// When the address cannot be listened on.
+    pub async fn start(
+        address: SocketAddr,
+        core: Arc<EdgeCore>,
+        connections: usize,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let (phase, phases) = watch::channel(PortPhase::Serving);
+        let task = tokio::spawn(accept(listener, core, phases, Arc::new(Semaphore::new(connections))));
+        Ok(CallerPort { phase, task })
+    }
+
+    /// Ends each connection with its next answer. New ones are still taken: whoever sends callers
+    /// here learns only after a while that it should not.
+    pub fn begin_closing(&self) {
+        self.phase.send_replace(PortPhase::Closing);
+    }
+
+    /// Ends idle connections.
+    pub fn end_idle(&self) {
+        self.phase.send_replace(PortPhase::Ending);
+    }
+
+    /// Takes no more connections.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    core: Arc<EdgeCore>,
+    phase: watch::Receiver<PortPhase>,
+    permits: Arc<Semaphore>,
+) {
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                tokio::spawn(serve(stream, Arc::clone(&core), phase.clone(), permit));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "a connection was not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    core: Arc<EdgeCore>,
+    mut phase: watch::Receiver<PortPhase>,
+    _permit: OwnedSemaphorePermit,
+) {
+    // Events are small writes; waiting to join them would delay each. Failure costs latency only.
+    let _ = stream.set_nodelay(true);
+    let limits = core.view().index.as_ref().map(|index| index.table.limits).unwrap_or_default();
+    let between = ConnectionPhase::default();
+    let guard = GuardLimits { head: limits.head_time, idle: limits.idle_time };
+    let guarded = GuardedStream::wrap(stream, between.clone(), guard);
+    let phases = phase.clone();
+    let service = service_fn(move |request| {
+        between.begin_request();
+        answer(Arc::clone(&core), request, limits, between.clone(), phases.clone())
+    });
+    let mut builder = Builder::new();
+    builder.max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES));
+    let connection = builder.serve_connection(guarded, service);
+    tokio::pin!(connection);
+    gauge!(CONNECTIONS).increment(1.0);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = ending(&mut phase) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "a caller's connection ended with an error");
+    }
+    gauge!(CONNECTIONS).decrement(1.0);
+}
+
+async fn ending(phase: &mut watch::Receiver<PortPhase>) {
+    // A port that is gone ends its connections as well.
+    let _ = phase.wait_for(|phase| *phase >= PortPhase::Ending).await;
+}
+
+async fn answer(
+    core: Arc<EdgeCore>,
+    request: Request<Incoming>,
+    limits: CallerLimits,
+    between: ConnectionPhase,
+    phase: watch::Receiver<PortPhase>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let (head, body) = request.into_parts();
+    let outcome = async {
+        let open = core.gate.enter().map_err(|closed| match closed {
+            GateClosed::Draining => stopping(refusal::DRAINING),
+            GateClosed::Full => stopping(refusal::TOO_MANY_OPEN),
+        })?;
+        let whole = read_whole(&core, head, body, limits).await.inspect_err(|refusal| {
+            count_refusal(refusal.code);
+        })?;
+        exchange::run(Arc::clone(&core), whole, between.clone(), open).await
+    };
+    let mut response = outcome.await.unwrap_or_else(|refusal| refused(&core, &refusal, between));
+    if *phase.borrow() >= PortPhase::Closing {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+fn stopping(code: &'static str) -> EdgeRefusal {
+    count_refusal(code);
+    EdgeRefusal::new(StatusCode::SERVICE_UNAVAILABLE, code).after(STOPPING_PAUSE)
+}
+
+fn refused(
+    core: &EdgeCore,
+    refusal: &EdgeRefusal,
+    between: ConnectionPhase,
+) -> Response<AnswerBody> {
+    let response = core.dialect.refusal(refusal);
+    let (mut parts, text) = response.into_parts();
+    if matches!(refusal.status.as_u16(), 400 | 408 | 413) {
+        // What is left of the request must not be taken for the next one.
+        parts.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Response::from_parts(parts, AnswerBody::whole(Bytes::from(text), between, None))
+}
--- /dev/null
+++ b/src/edge/relay.rs
@@ -0,0 +1,228 @@
+//! Passes a stream of events on as it arrives, and goes on at another server where it may.
+//!
+//! Where another server can go on after a given event, only whole events are passed on, so that the
+//! two parts fit together without a gap or a piece sent twice. Other streams pass as bytes.
+
+use {
+    super::{
+        answer::AnswerCut,
+        dialect::AnswerHead,
+        exchange::{Exchange, ResumeFrom},
+        pool::LeasedConnection,
+    },
+    crate::{
+        pipeline::Directive,
+        policy::{AttemptFailure, PolicyInput, SendOrder},
+    },
+    bytes::{Bytes, BytesMut},
+    futures::stream::{self, BoxStream, StreamExt},
+    http::response,
+    http_body_util::BodyExt,
+    hyper::body::Incoming,
+    tokio::time::sleep_until,
+};
+
+/// The longest event; a longer one is passed on in pieces and the stream is not resumed.
+const EVENT_BYTES: usize = 256 * 1024;
+
+/// A stream whose first bytes have arrived.
+pub(super) struct StreamStart {
+    pub parts: response::Parts,
+    pub head: AnswerHead,
+    pub body: Incoming,
+    pub leased: LeasedConnection,
+    pub first: Bytes,
+    pub order: SendOrder,
+}
+
+/// A stream on its way to the caller.
+pub(super) struct RelayedStream {
+    exchange: Exchange,
+    order: SendOrder,
+    /// The server's answer; `None` once it has ended.
+    source: Option<(Incoming, LeasedConnection)>,
+    head: AnswerHead,
+    /// Bytes that wait to be passed on.
+    arrived: Option<Bytes>,
+    /// An event that has not ended; only where the stream can be resumed, and within bounds.
+    partial: BytesMut,
+    resumable: bool,
+    from: ResumeFrom,
+    is_over: bool,
+}
+
+impl RelayedStream {
+    pub(super) fn new(exchange: Exchange, start: StreamStart) -> Self {
+        let StreamStart { head, body, leased, first, order, .. } = start;
+        exchange.route.tell(PolicyInput::FirstToken { attempt: order.attempt, cached_tokens: None });
+        RelayedStream {
+            resumable: exchange.request.caller.route.kind.is_repeatable(),
+            from: ResumeFrom { weights: head.weights, ..ResumeFrom::default() },
+            exchange,
+            order,
+            source: Some((body, leased)),
+            head,
+            arrived: Some(first),
+            partial: BytesMut::new(),
+            is_over: false,
+        }
+    }
+
+    /// The stream in the form of a body. Dropping it ends the request: the caller has left.
+    pub(super) fn into_pieces(self) -> BoxStream<'static, Result<Bytes, AnswerCut>> {
+        stream::unfold(self, |mut relay| async move {
+            let piece = relay.next().await?;
+            Some((piece, relay))
+        })
+        .boxed()
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, AnswerCut>> {
+        loop {
+            if self.is_over {
+                return None;
+            }
+            if let Some(bytes) = self.arrived.take() {
+                let ready = self.whole_events(bytes);
+                if !ready.is_empty() {
+                    return Some(Ok(ready));
+                }
+            }
+            match self.read().await {
+                Ok(Some(bytes)) => self.arrived = Some(bytes),
+                Ok(None) => {
+                    self.is_over = true;
+                    let rest = std::mem::take(&mut self.partial).freeze();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Err(cut) => {
+                    self.is_over = true;
+                    return Some(Err(cut));
+                }
+            }
+        }
+    }
+
+    /// The next bytes of the present server, or of the one that goes on for it.
+    async fn read(&mut self) -> Result<Option<Bytes>, AnswerCut> {
+        let ends = self.exchange.request.ends;
+        let Some((body, _)) = &mut self.source else { return Ok(None) };
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = sleep_until(ends.into()) => {
+                log::info!(request_id = self.exchange.request.caller.id.as_str(),
+                    relayed_events = self.from.events; "stream cut at the end of its time");
+                return Err(AnswerCut::TimeOver);
+            }
+        };
+        match frame {
+            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+            None => {
+                let ended = self.source.take();
+                self.exchange.finish(self.order.attempt, self.from.events);
+                ended.into_iter().for_each(|(_, leased)| leased.keep(self.head.idle_limit));
+                Ok(None)
+            }
+            Some(Err(error)) => {
+                log::debug!(error:% = error; "a stream broke");
+                self.source = None;
+                self.partial.clear();
+                self.go_on().await.map(Some)
+            }
+        }
+    }
+
+    /// Lets another server go on after the last event that was passed on.
+    async fn go_on(&mut self) -> Result<Bytes, AnswerCut> {
+        let exchange = &mut self.exchange;
+        exchange.core.recheck(&self.order.server);
+        exchange.report(&self.order, AttemptFailure::Broken, &self.from, None);
+        if !self.resumable || !exchange.may_run_again() || self.from.event.is_none() {
+            return Err(AnswerCut::BackendFailed);
+        }
+        loop {
+            let directive = tokio::select! {
+                directive = exchange.route.next() => directive,
+                () = sleep_until(exchange.request.ends.into()) => return Err(AnswerCut::TimeOver),
+            };
+            let order = match directive {
+                Directive::Send(order) => *order,
+                Directive::Cancel(_) => continue,
+                Directive::Refuse { reason, .. } => {
+                    log::info!(request_id = exchange.request.caller.id.as_str(),
+                        reason = reason.as_str(), relayed_events = self.from.events;
+                        "stream cut");
+                    return Err(AnswerCut::BackendFailed);
+                }
+            };
+            let begun = exchange.begin(&order, &self.from).await;
+            let answer = match begun {
+                Ok(answer) if answer.parts.status.is_success() => answer,
+                Ok(_) => {
+                    exchange.report(&order, AttemptFailure::ServerError, &self.from, None);
+                    return Err(AnswerCut::BackendFailed);
+                }
+                Err(AttemptFailure::Declined | AttemptFailure::NotConnected | AttemptFailure::Stale) => {
+                    continue;
+                }
+                Err(_) if exchange.may_run_again() => continue,
+                Err(_) => return Err(AnswerCut::BackendFailed),
+            };
+            log::info!(request_id = exchange.request.caller.id.as_str(),
+                server = order.server.as_str(), relayed_events = self.from.events;
+                "stream resumed");
+            let attempt = order.attempt;
+            exchange.route.tell(PolicyInput::FirstToken { attempt, cached_tokens: None });
+            self.head = answer.head;
+            self.source = Some((answer.body, answer.leased));
+            self.order = order;
+            return Ok(Bytes::new());
+        }
+    }
+
+    /// The whole events among what has arrived; the rest waits for its end.
+    fn whole_events(&mut self, bytes: Bytes) -> Bytes {
+        if !self.resumable {
+            self.from.events += 1;
+            return bytes;
+        }
+        self.partial.extend_from_slice(&bytes);
+        let Some(end) = last_event_end(&self.partial) else {
+            if self.partial.len() > EVENT_BYTES {
+                self.resumable = false;
+                return std::mem::take(&mut self.partial).freeze();
+            }
+            return Bytes::new();
+        };
+        let whole = self.partial.split_to(end).freeze();
+        for event in split_events(&whole) {
+            let (id, weights) = self.exchange.core.dialect.read_event(event);
+            self.from.events += 1;
+            self.from.event = id.or(self.from.event.take());
+            self.from.weights = weights.or(self.from.weights);
+        }
+        whole
+    }
+}
+
+/// Where the last whole event ends: after an empty line.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let plain = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
+    let returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
+    plain.max(returns)
+}
+
+fn split_events(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = bytes;
+    std::iter::from_fn(move || {
+        let plain = rest.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
+        let returns = rest.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
+        let end = match (plain, returns) {
+            (Some(plain), Some(returns)) => plain.min(returns),
+            (found, None) | (None, found) => found?,
+        };
+        let (event, after) = rest.split_at(end);
+        rest = after;
+        Some(event)
+    })
+}
--- /dev/null
+++ b/src/edge/view.rs
@@ -0,0 +1,164 @@
+//! What requests and the dispatcher need of the shared state, made once for each change of it.
+
+use {
+    crate::{
+        fleet::{FleetSnapshot, ListedServer, ServerPhase},
+        ids::{ModelId, ServerId, ServiceId, VmId, WeightsNumber},
+        inventory::{DecisionObjective, ServerKind},
+        policy::{LoadReport, PolicyInput, PolicyView, ServerHealth, ServerView},
+        routing::RouteIndex,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// The part of a service's connections that all daemons together use; the rest is for probes, and
+/// for connections that a server has not yet noticed to be closed.
+const CONNECTION_PART: f64 = 0.9;
+/// A daemon may always open so many connections to a server.
+const LEAST_CONNECTIONS: u32 = 2;
+
+/// The shared state as one entry serves by it.
+#[derive(Clone, Debug, Default)]
+pub struct EdgeView {
+    /// The routes; `None` until a table is known.
+    pub index: Option<Arc<RouteIndex>>,
+    /// The backend servers that routes lead to, by name.
+    pub servers: BTreeMap<ServerId, ListedServer>,
+    /// Named weights by model as the dispatcher knows it.
+    pub weights: BTreeMap<ModelId, WeightsNumber>,
+    /// Entries that share the servers; at least 1.
+    pub entries: u32,
+}
+
+/// The name of a model's pool: a service's servers never serve another service's requests, not even
+/// for a model of the same name.
+pub fn pool_model(service: &ServiceId, model: &ModelId) -> ModelId {
+    format!("{service}/{model}")
+}
+
+impl EdgeView {
+    /// The view of a table, a list of servers and the named weights.
+    pub fn new(
+        index: Option<Arc<RouteIndex>>,
+        fleet: &FleetSnapshot,
+        named: &BTreeMap<ModelId, WeightsNumber>,
+        entries: u32,
+    ) -> Self {
+        let Some(index) = index else { return EdgeView { entries, ..EdgeView::default() } };
+        let services = &index.table.services;
+        let routed: BTreeSet<&ServiceId> = index
+            .table
+            .routes
+            .iter()
+            .flat_map(|route| route.services.iter().map(|(service, _)| service))
+            .collect();
+        let servers: BTreeMap<ServerId, ListedServer> = fleet
+            .servers
+            .iter()
+            .filter(|server| routed.contains(&server.service))
+            .map(|server| (server.id.clone(), server.clone()))
+            .collect();
+        let engines = services.iter().filter_map(|(id, rule)| Some((id, rule.engine.as_ref()?)));
+        let weights = engines
+            .flat_map(|(service, engine)| engine.models.iter().map(move |model| (service, model)))
+            .filter_map(|(service, model)| Some((pool_model(service, model), *named.get(model)?)))
+            .collect();
+        EdgeView { index: Some(index), servers, weights, entries: entries.max(1) }
+    }
+
+    /// Whether the service's servers run models.
+    pub fn is_engine(&self, service: &ServiceId) -> bool {
+        let rule = self.index.as_ref().and_then(|index| index.table.services.get(service));
+        rule.is_some_and(|rule| rule.engine.is_some())
+    }
+
+    /// Connections that this daemon may hold open to one server of a service.
+    pub fn connections(&self, service: &ServiceId) -> u32 {
+        let rule = self.index.as_ref().and_then(|index| index.table.services.get(service));
+        let Some(all) = rule.and_then(|rule| rule.connections) else { return u32::MAX };
+        let part = f64::from(all) * CONNECTION_PART / f64::from(self.entries.max(1));
+        (part as u32).max(LEAST_CONNECTIONS)
+    }
+
+    /// What the dispatcher is told when this view comes into force; `former` is the one before.
+    pub fn inputs(
+        &self,
+        vm: &VmId,
+        objective: DecisionObjective,
+        former: &EdgeView,
+    ) -> Vec<PolicyInput> {
+        let mut inputs = vec![PolicyInput::Configure(Arc::new(self.policy_view(vm, objective)))];
+        for server in self.servers.values() {
+            let known = former.servers.get(&server.id);
+            if known == Some(server) {
+                continue;
+            }
+            let reborn = known.is_none_or(|known| known.life != server.life);
+            inputs.push(health_of(server));
+            if reborn || known.is_none_or(|known| known.weights != server.weights) {
+                inputs.push(self.first_report(server));
+            }
+        }
+        inputs
+    }
+
+    /// What the list tells of a server's weights; of its load it tells nothing.
+    fn first_report(&self, server: &ListedServer) -> PolicyInput {
+        PolicyInput::Load(LoadReport {
+            server: server.id.clone(),
+            incarnation: server.life,
+            weights: server
+                .weights
+                .iter()
+                .map(|(model, version)| (pool_model(&server.service, model), version.to_string()))
+                .collect(),
+            running: 0,
+            waiting: 0,
+            waiting_tokens: 0,
+            cache_used: 0.0,
+            leaving: false,
+        })
+    }
+
+    fn policy_view(&self, vm: &VmId, objective: DecisionObjective) -> PolicyView {
+        let servers = self.servers.values().map(|server| {
+            let engine = self.is_engine(&server.service);
+            let models = server.weights.keys().map(|model| pool_model(&server.service, model));
+            let view = ServerView {
+                failure_domain: server.failure_domain.clone(),
+                kind: if engine { ServerKind::Engine } else { ServerKind::Service },
+                models: if engine { models.collect() } else { Vec::new() },
+                service: (!engine).then(|| server.service.clone()),
+                slots: server.slots.max(1),
+            };
+            (server.id.clone(), view)
+        });
+        // Only their number counts: the share of each server that falls to this daemon.
+        let others = (1..self.entries).map(|number| (format!("{vm}+{number}"), 1.0));
+        let daemons = others.chain([(vm.clone(), 1.0)]).collect();
+        PolicyView {
+            revision: self.index.as_ref().map_or(0, |index| index.table.number),
+            objective,
+            servers: servers.collect(),
+            shares: BTreeMap::new(),
+            daemons: [(String::new(), daemons)].into(),
+            weights: self
+                .weights
+                .iter()
+                .map(|(model, version)| (model.clone(), version.to_string()))
+                .collect(),
+        }
+    }
+}
+
+/// What membership says of a listed server.
+pub fn health_of(server: &ListedServer) -> PolicyInput {
+    let health = match server.phase {
+        ServerPhase::Ready => ServerHealth::Alive { incarnation: server.life },
+        ServerPhase::Loading | ServerPhase::Draining => ServerHealth::Leaving,
+    };
+    PolicyInput::Health { server: server.id.clone(), health }
+}
--- /dev/null
+++ b/src/fleet/watch.rs
@@ -0,0 +1,164 @@
+//! Who reads the platform's list, and how often.
+//!
+//! The leader of the control replicas reads; the others follow it. A control VM that hears nothing
+//! of the leader reads by itself, so that a failure domain that is cut off still learns which
+//! servers leave. At one reading a second a leaving server is known everywhere 1.1 s after the list
+//! shows it, within the 3 s after which it must get nothing new; each reading is priced, and twice
+//! the rate would gain half a second.
+
+use {
+    super::{FleetSnapshot, ServerPhase},
+    crate::ids::{Incarnation, ModelId, ServerId, WeightsNumber},
+    futures::future::BoxFuture,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
+};
+
+/// Between two readings of the list by the VM whose turn it is.
+pub const READ_EVERY: Duration = Duration::from_secs(1);
+/// A follower reads by itself when the leader's list was not confirmed for so long: two readings
+/// and the time that a follower waits for a change.
+pub const LEADER_SILENCE: Duration = Duration::from_millis(2_500);
+/// A server that was held back for loading is given work again after this, whatever became of it:
+/// longer than any load, short enough to lose little when the leader that held it is gone.
+const HOLD_LIMIT: Duration = Duration::from_secs(4);
+
+/// Reads the platform's list.
+pub trait FleetSource: Send + Sync {
+    /// One whole reading; `None` if the platform could not be read, with the reason in the log.
+    fn read(&self) -> BoxFuture<'_, Option<FleetSnapshot>>;
+}
+
+/// The list in force on a control VM, with the servers that the leader holds back.
+pub struct FleetBoard {
+    merged: watch::Sender<Arc<FleetSnapshot>>,
+    state: Mutex<BoardState>,
+}
+
+#[derive(Default)]
+struct BoardState {
+    listed: Arc<FleetSnapshot>,
+    confirmed: Option<Instant>,
+    /// Servers held back and since when; only of the list.
+    held: BTreeMap<ServerId, Instant>,
+    /// Weights that servers told themselves, with the life that told them; only of the list.
+    told: BTreeMap<ServerId, (Incarnation, BTreeMap<ModelId, WeightsNumber>)>,
+}
+
+impl Default for FleetBoard {
+    fn default() -> Self {
+        FleetBoard { merged: watch::channel(Arc::default()).0, state: Mutex::default() }
+    }
+}
+
+impl FleetBoard {
+    /// Follows the list.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<FleetSnapshot>> {
+        self.merged.subscribe()
+    }
+
+    /// Takes over a reading made here.
+    pub fn take_reading(&self, snapshot: FleetSnapshot) {
+        let mut state = self.lock();
+        state.listed = Arc::new(snapshot);
+        state.confirmed = Some(Instant::now());
+        self.show(&mut state);
+    }
+
+    /// Takes over the leader's list, which has its own servers held back already.
+    pub fn take_leaders(&self, snapshot: Option<FleetSnapshot>) {
+        let mut state = self.lock();
+        state.confirmed = Some(Instant::now());
+        if let Some(snapshot) = snapshot {
+            state.held.clear();
+            state.listed = Arc::new(snapshot);
+            self.show(&mut state);
+        }
+    }
+
+    /// Gives a server nothing new for now.
+    pub fn hold(&self, server: &ServerId) {
+        let mut state = self.lock();
+        state.held.insert(server.clone(), Instant::now());
+        self.show(&mut state);
+    }
+
+    /// Gives a server work again.
+    pub fn release(&self, server: &ServerId) {
+        let mut state = self.lock();
+        if state.held.remove(server).is_some() {
+            self.show(&mut state);
+        }
+    }
+
+    /// Notes the weights that a server told itself: the list lags behind it.
+    pub fn note_weights(
+        &self,
+        server: &ServerId,
+        life: Incarnation,
+        weights: BTreeMap<ModelId, WeightsNumber>,
+    ) {
+        let mut state = self.lock();
+        state.told.insert(server.clone(), (life, weights));
+        self.show(&mut state);
+    }
+
+    /// Whether the list was confirmed within the last `age`.
+    pub fn is_fresh(&self, age: Duration) -> bool {
+        self.lock().confirmed.is_some_and(|at| at.elapsed() < age)
+    }
+
+    fn show(&self, state: &mut BoardState) {
+        state.held.retain(|_, since| since.elapsed() < HOLD_LIMIT);
+        let mut merged = FleetSnapshot::clone(&state.listed);
+        let listed: BTreeSet<&ServerId> = merged.servers.iter().map(|server| &server.id).collect();
+        state.told.retain(|server, _| listed.contains(server));
+        for server in &mut merged.servers {
+            if let Some((life, told)) = state.told.get(&server.id)
+                && *life == server.life
+            {
+                for (model, version) in &mut server.weights {
+                    *version = told.get(model).copied().unwrap_or_default().max(*version);
+                }
+            }
+            if server.phase == ServerPhase::Ready && state.held.contains_key(&server.id) {
+                server.phase = ServerPhase::Loading;
+            }
+        }
+        self.merged.send_if_modified(|shown| {
+            let changed = **shown != merged;
+            if changed {
+                *shown = Arc::new(merged);
+            }
+            changed
+        });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BoardState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reads the list whenever it is this VM's turn, for ever. `leads` says whether this VM leads now.
+pub async fn read_list(
+    board: Arc<FleetBoard>,
+    source: Arc<dyn FleetSource>,
+    leads: impl Fn() -> bool,
+) {
+    loop {
+        if leads() || !board.is_fresh(LEADER_SILENCE) {
+            match source.read().await {
+                Some(snapshot) => board.take_reading(snapshot),
+                None => log::warn!("the server list could not be read; the former one stays"),
+            }
+        }
+        sleep(READ_EVERY).await;
+    }
+}
--- /dev/null
+++ b/src/follow.rs
@@ -0,0 +1,105 @@
+//! How every daemon follows the state that all share: the operators' document, the named weights
+//! and the list of backend servers.
+//!
+//! A daemon asks one control VM at a time and says what it holds; the answer waits until there is
+//! something newer, or a second has passed. So a change is on its way at once, an idle daemon costs
+//! one small message a second, and no daemon speaks to all others. Each prefers the control VM of
+//! its own failure domain, which keeps the traffic inside the domain, as long as that VM itself
+//! hears from a leader.
+
+pub mod desk;
+pub mod task;
+
+use {
+    crate::{
+        control::document::{NamedWeights, NumberedDocument},
+        fleet::FleetSnapshot,
+        ids::{DocumentNumber, FailureDomainId},
+    },
+    serde::{Deserialize, Serialize},
+    std::{sync::Arc, time::Duration},
+};
+
+/// How long an answer waits for a change.
+pub const ANSWER_WAIT: Duration = Duration::from_secs(1);
+
+/// Who follows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FollowerKind {
+    /// An entry, which needs everything.
+    #[default]
+    Entry,
+    /// Another control VM, which needs the server list alone: its replica brings the rest.
+    Control {
+        /// Entries that follow it.
+        entries: u32,
+    },
+}
+
+/// What a follower holds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FollowRequest {
+    /// The number of its document.
+    pub document: DocumentNumber,
+    /// Its named weights; few, so they go whole.
+    pub weights: NamedWeights,
+    /// The digest of its server list.
+    pub fleet: u64,
+    /// Who asks.
+    pub follower: FollowerKind,
+    /// Whether the answer may wait for a change.
+    pub wait: bool,
+}
+
+/// What has changed; `None` where the asker is up to date.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FollowReply {
+    /// The document, if a newer one is in force.
+    pub document: Option<NumberedDocument>,
+    /// All named weights, if they differ.
+    pub weights: Option<NamedWeights>,
+    /// The server list, if it differs.
+    pub fleet: Option<FleetSnapshot>,
+    /// Whether the answering VM hears from a leader: if not, others may know of later changes.
+    pub fresh: bool,
+    /// Whether its server list was read, or confirmed by who reads it, just now.
+    pub list_fresh: bool,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Entries in all, as far as it knows; at least 1.
+    pub entries: u32,
+}
+
+/// What a follower has learned; numbers never go back within a daemon's life.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SharedState {
+    /// The operators' document.
+    pub document: NumberedDocument,
+    /// The named weights.
+    pub weights: NamedWeights,
+    /// The server list; `None` before the first.
+    pub fleet: Option<Arc<FleetSnapshot>>,
+    /// Entries that share the servers; at least 1 once known.
+    pub entries: u32,
+}
+
+impl SharedState {
+    /// Takes over what is newer; true if anything was.
+    pub fn take(&mut self, reply: FollowReply) -> bool {
+        let before = self.clone();
+        if let Some(document) = reply.document
+            && document.number > self.document.number
+        {
+            self.document = document;
+        }
+        for (model, version) in reply.weights.into_iter().flatten() {
+            let known = self.weights.entry(model).or_default();
+            *known = version.max(*known);
+        }
+        if let Some(fleet) = reply.fleet {
+            self.fleet = Some(Arc::new(fleet));
+        }
+        self.entries = reply.entries.max(1);
+        *self != before
+    }
+}
--- /dev/null
+++ b/src/follow/desk.rs
@@ -0,0 +1,188 @@
+//! Answers followers at a control VM.
+
+use {
+    super::{ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind},
+    crate::{
+        control::{
+            document::DocumentState,
+            replica::{ReplicaRole, ReplicaStatus},
+        },
+        daemon::control_driver::ControlHandle,
+        fleet::{
+            FleetSnapshot,
+            watch::{FleetBoard, LEADER_SILENCE},
+        },
+        ids::{FailureDomainId, VmId},
+        transport::{PeerHandler, PeerMessage, PeerReply, PeerRequest},
+    },
+    futures::future::BoxFuture,
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::time::{Instant, timeout},
+};
+
+/// A follower that did not ask for so long is gone: three waits for an answer.
+const FOLLOWER_SILENCE: Duration = Duration::from_secs(3);
+/// Followers counted: several times the 380 daemons of the design size.
+const MAX_FOLLOWERS: usize = 2_048;
+
+/// The desk of one control VM, open once its replica runs.
+pub struct FollowDesk {
+    failure_domain: FailureDomainId,
+    board: Arc<FleetBoard>,
+    replica: std::sync::OnceLock<ControlHandle>,
+    /// When each follower last asked, and the entries it counts; at most [`MAX_FOLLOWERS`].
+    followers: Mutex<BTreeMap<VmId, (Instant, u32)>>,
+    /// Entries in all, as the leader last said.
+    told_entries: Mutex<u32>,
+}
+
+impl FollowDesk {
+    /// A desk that answers with a refusal until [`Self::open`].
+    pub fn new(failure_domain: FailureDomainId, board: Arc<FleetBoard>) -> Self {
+        FollowDesk {
+            failure_domain,
+            board,
+            replica: std::sync::OnceLock::new(),
+            followers: Mutex::default(),
+            told_entries: Mutex::default(),
+        }
+    }
+
+    /// Opens the desk; a second call changes nothing.
+    pub fn open(&self, replica: ControlHandle) {
+        if self.replica.set(replica).is_err() {
+            log::error!("the desk for followers was opened twice");
+        }
+    }
+
+    /// Notes the entries in all, as the leader counts them.
+    pub fn note_entries(&self, entries: u32) {
+        *self.told_entries.lock().unwrap_or_else(PoisonError::into_inner) = entries;
+    }
+
+    /// Entries that follow this VM.
+    pub fn own_entries(&self) -> u32 {
+        let mut followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
+        followers.retain(|_, (asked, _)| asked.elapsed() < FOLLOWER_SILENCE);
+        followers.values().map(|(_, entries)| *entries).sum()
+    }
+
+    fn entries(&self, status: &ReplicaStatus) -> u32 {
+        let told = *self.told_entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let own = self.own_entries();
+        if status.role == ReplicaRole::Leader { own } else { own.max(told) }
+    }
+
+    fn note_follower(&self, from: VmId, kind: FollowerKind) {
+        let mut followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
+        if followers.len() < MAX_FOLLOWERS || followers.contains_key(&from) {
+            let entries = match kind {
+                FollowerKind::Entry => 1,
+                FollowerKind::Control { entries } => entries,
+            };
+            followers.insert(from, (Instant::now(), entries));
+        }
+    }
+
+    async fn answer(&self, from: VmId, request: FollowRequest) -> PeerReply {
+        let Some(replica) = self.replica.get() else {
+            return PeerReply::Refused("this replica starts; ask another control VM".to_owned());
+        };
+        self.note_follower(from, request.follower);
+        let wait = if request.wait { ANSWER_WAIT } else { Duration::ZERO };
+        // After the wait the answer is that nothing has changed.
+        let _ = timeout(wait, self.changed(replica, &request)).await;
+        let status = replica.status();
+        let documents = replica.documents();
+        let state = documents.borrow().clone();
+        let fleet = self.board.subscribe();
+        let fleet = fleet.borrow().clone();
+        let mut reply = changes(&request, &state, &fleet);
+        reply.fresh = status.leader.is_some();
+        reply.list_fresh = self.board.is_fresh(LEADER_SILENCE);
+        reply.failure_domain.clone_from(&self.failure_domain);
+        reply.entries = self.entries(&status).max(1);
+        PeerReply::Followed(Box::new(reply))
+    }
+
+    /// Ends when there is something to tell.
+    async fn changed(&self, replica: &ControlHandle, request: &FollowRequest) {
+        let mut documents = replica.documents();
+        let mut fleet = self.board.subscribe();
+        let mut status = replica.status_watch();
+        loop {
+            let reply = changes(
+                request,
+                &documents.borrow_and_update().clone(),
+                &fleet.borrow_and_update().clone(),
+            );
+            let alone = status.borrow_and_update().leader.is_none();
+            if alone || reply != FollowReply::default() {
+                return;
+            }
+            // An ended channel means that the replica is gone; the wait then runs out.
+            let ended = tokio::select! {
+                changed = documents.changed() => changed.is_err(),
+                changed = fleet.changed() => changed.is_err(),
+                changed = status.changed() => changed.is_err(),
+            };
+            if ended {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
+fn changes(request: &FollowRequest, state: &DocumentState, fleet: &FleetSnapshot) -> FollowReply {
+    let document = state.document();
+    let digest = fleet.digest();
+    let entry = request.follower == FollowerKind::Entry;
+    let renamed = *state.weights() != request.weights && !state.weights().is_empty();
+    FollowReply {
+        document: (entry && document.number > request.document).then(|| document.clone()),
+        weights: (entry && renamed).then(|| state.weights().clone()),
+        fleet: (digest != 0 && digest != request.fleet).then(|| fleet.clone()),
+        ..FollowReply::default()
+    }
+}
+
+/// What a control VM takes from its peers.
+pub struct ControlHandler {
+    /// Answers followers.
+    pub desk: Arc<FollowDesk>,
+}
+
+impl PeerHandler for ControlHandler {
+    fn message(&self, from: VmId, message: PeerMessage) {
+        if let (PeerMessage::Replica(message), Some(replica)) = (message, self.desk.replica.get()) {
+            replica.deliver(from, *message);
+        }
+    }
+
+    fn request(&self, from: VmId, request: PeerRequest) -> BoxFuture<'static, PeerReply> {
+        let desk = Arc::clone(&self.desk);
+        Box::pin(async move {
+            match request {
+                PeerRequest::Follow(request) => desk.answer(from, *request).await,
+                _ => PeerReply::Refused("a control VM serves followers only".to_owned()),
+            }
+        })
+    }
+}
+
+/// What an entry takes from its peers: nothing; it only asks.
+pub struct EntryHandler;
+
+impl PeerHandler for EntryHandler {
+    fn message(&self, _from: VmId, _message: PeerMessage) {}
+
+    fn request(&self, _from: VmId, _request: PeerRequest) -> BoxFuture<'static, PeerReply> {
+        Box::pin(async {
+            PeerReply::Refused("an entry answers no peers; ask a control VM".to_owned())
+        })
+    }
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -18,6 +18,10 @@
 pub type ServiceId = String;
 /// A version of a model's weights.
 pub type WeightsVersion = String;
+/// A version of a model's weights where operators number them; a higher one is newer.
+pub type WeightsNumber = u64;
+/// The number that an operator gave a document; the highest accepted one is in force.
+pub type DocumentNumber = u64;
 /// A caller's idempotency key, unique within one organisation.
 pub type IdempotencyKey = String;
 /// An operator's identifier of one change, the same in each resend of it.
--- /dev/null
+++ b/src/node/control.rs
@@ -0,0 +1,182 @@
+//! A control VM: keeps the replicated state, reads the list of backend servers while it leads, and
+//! answers the daemons that follow it.
+
+use {
+    super::{
+        NodeError,
+        operators::OperatorDesk,
+        orders::{EngineOrders, FLEET_TIMING, FleetOrders, follow_plan},
+        random_seed,
+    },
+    crate::{
+        daemon::{
+            control_driver::{ControlDriver, ControlHandle, DriverSettings},
+            weight_orders::WeightOrders,
+        },
+        fleet::watch::{FleetBoard, FleetSource, read_list},
+        follow::{
+            FollowReply, FollowerKind, SharedState,
+            desk::{ControlHandler, FollowDesk},
+            task::{FollowTask, FollowerPort},
+        },
+        ids::{FailureDomainId, VmId},
+        transport::{OpenNetworkSettings, PeerMessage, PeerNetwork},
+    },
+    std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, sync::Arc},
+    tokio::{
+        sync::{mpsc, watch},
+        task::JoinSet,
+    },
+};
+
+/// Messages of the replica that wait for the network; further ones are lost and sent again.
+const OUTBOUND_BOUND: usize = 4096;
+
+/// What a control VM needs to start.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Where it listens for other daemons.
+    pub peer_listen: SocketAddr,
+    /// The folder that its replica alone uses.
+    pub data_dir: PathBuf,
+    /// The control VMs that found the group together, and where they listen.
+    pub founders: BTreeMap<VmId, SocketAddr>,
+}
+
+/// A running control VM.
+pub struct ControlNode {
+    /// What operators can ask.
+    pub desk: OperatorDesk,
+    network: PeerNetwork,
+    _tasks: JoinSet<()>,
+}
+
+impl ControlNode {
+    /// Starts a control VM; it waits for nobody.
+    ///
+    /// # Errors
+    /// When an address or the data folder cannot be used.
+    pub fn start(
+        settings: ControlSettings,
+        source: Arc<dyn FleetSource>,
+        engines: Arc<dyn EngineOrders>,
+    ) -> Result<Self, NodeError> {
+        let mut tasks = JoinSet::new();
+        let board = Arc::new(FleetBoard::default());
+        let desk = Arc::new(FollowDesk::new(settings.failure_domain.clone(), Arc::clone(&board)));
+        let place = OpenNetworkSettings {
+            vm: settings.vm.clone(),
+            listen: settings.peer_listen,
+            peers: settings.founders.clone(),
+        };
+        let handler = Arc::new(ControlHandler { desk: Arc::clone(&desk) });
+        let network = PeerNetwork::start_open(place, handler).map_err(NodeError::Network)?;
+        let replica = start_replica(&settings, &network, &mut tasks)?;
+        desk.open(replica.clone());
+        let leads = replica.clone();
+        tasks.spawn(read_list(Arc::clone(&board), source, move || leads.lease_valid()));
+        spawn_follower(&settings, &network, &replica, &desk, &board, &mut tasks);
+        spawn_orders(&replica, &board, engines, &mut tasks);
+        log::info!(vm = settings.vm.as_str(), founders = settings.founders.len();
+            "control VM started");
+        let desk = OperatorDesk::new(settings.vm, replica);
+        Ok(ControlNode { desk, network, _tasks: tasks })
+    }
+
+    /// Ends the connections to other daemons, so that they need not wait for their silence.
+    pub async fn stop(self) {
+        self.network.close().await;
+        log::info!("stopped");
+    }
+}
+
+fn start_replica(
+    settings: &ControlSettings,
+    network: &PeerNetwork,
+    tasks: &mut JoinSet<()>,
+) -> Result<ControlHandle, NodeError> {
+    let (outbound, mut messages) = mpsc::channel(OUTBOUND_BOUND);
+    let founders = settings.founders.keys().cloned().collect();
+    let driver = DriverSettings::new(
+        settings.vm.clone(),
+        founders,
+        settings.data_dir.clone(),
+        random_seed(),
+    );
+    let handle = ControlDriver::start(driver, outbound).map_err(NodeError::Replica)?;
+    let network = network.clone();
+    tasks.spawn(async move {
+        while let Some((to, message)) = messages.recv().await {
+            network.send(&to, PeerMessage::Replica(Box::new(message)));
+        }
+    });
+    Ok(handle)
+}
+
+/// Follows the leader for the server list and the number of entries.
+fn spawn_follower(
+    settings: &ControlSettings,
+    network: &PeerNetwork,
+    replica: &ControlHandle,
+    desk: &Arc<FollowDesk>,
+    board: &Arc<FleetBoard>,
+    tasks: &mut JoinSet<()>,
+) {
+    let (candidates, candidate_watch) = watch::channel(Vec::new());
+    let (vm, mut status) = (settings.vm.clone(), replica.status_watch());
+    tasks.spawn(async move {
+        loop {
+            let leader = status.borrow_and_update().leader.clone();
+            let others: Vec<VmId> = leader.into_iter().filter(|leader| *leader != vm).collect();
+            candidates.send_if_modified(|known| {
+                let changed = *known != others;
+                *known = others;
+                changed
+            });
+            if status.changed().await.is_err() {
+                return;
+            }
+        }
+    });
+    let port = Arc::new(ControlFollower { desk: Arc::clone(desk), board: Arc::clone(board) });
+    let (state, _) = watch::channel(SharedState::default());
+    let domain = settings.failure_domain.clone();
+    let task = FollowTask::new(network.clone(), domain, candidate_watch, state, port);
+    tasks.spawn(task.run());
+}
+
+fn spawn_orders(
+    replica: &ControlHandle,
+    board: &Arc<FleetBoard>,
+    engines: Arc<dyn EngineOrders>,
+    tasks: &mut JoinSet<()>,
+) {
+    let (plan, plans) = watch::channel(Arc::default());
+    tasks.spawn(follow_plan(board.subscribe(), replica.documents(), plan));
+    let orders = Arc::new(FleetOrders::new(Arc::clone(board), engines));
+    let desired = replica.desired_weights();
+    let orders = WeightOrders::new(Arc::new(replica.clone()), orders, plans, desired);
+    tasks.spawn(orders.timed(FLEET_TIMING).run());
+}
+
+struct ControlFollower {
+    desk: Arc<FollowDesk>,
+    board: Arc<FleetBoard>,
+}
+
+impl FollowerPort for ControlFollower {
+    fn kind(&self) -> FollowerKind {
+        FollowerKind::Control { entries: self.desk.own_entries() }
+    }
+
+    fn heard(&self, reply: &FollowReply) {
+        self.desk.note_entries(reply.entries);
+        if reply.list_fresh {
+            self.board.take_leaders(reply.fleet.clone());
+        }
+    }
+}
--- /dev/null
+++ b/src/node/entry.rs
@@ -0,0 +1,277 @@
+//! An entry: serves callers by route with what it learns from the control VMs.
+
+use {
+    super::{NodeError, health::serve_page, random_seed},
+    crate::{
+        edge::{CallerPort, EdgeCore, WireDialect, core::EdgeParts, view::EdgeView},
+        follow::{
+            FollowReply, FollowerKind, SharedState,
+            desk::EntryHandler,
+            task::{FollowTask, FollowerPort},
+        },
+        ids::{DocumentNumber, FailureDomainId, VmId},
+        inventory::DecisionObjective,
+        pipeline::{DispatchPort, TraceLog, dispatch::DispatchDuty},
+        policy::{Dispatcher, DispatcherSettings, PolicyInput},
+        routing::{RouteFault, RouteIndex, RouteTable},
+        transport::{OpenNetworkSettings, PeerNetwork},
+    },
+    http::{Method, StatusCode},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, watch},
+        task::JoinSet,
+        time::{Instant, sleep, timeout},
+    },
+};
+
+/// Duties of the dispatcher that wait; each is a hint or is given again.
+const DUTY_BOUND: usize = 256;
+/// While it stops, an entry still takes new connections for so long: the balancer asks once a
+/// second and believes the second answer.
+const LEAVING_TIME: Duration = Duration::from_millis(2_500);
+/// It goes no sooner than this, since connections made in the last moment bring requests.
+const LEAST_LEAVING: Duration = Duration::from_millis(3_500);
+/// The end of the grace that is kept for the last bytes to leave.
+const LAST_BYTES: Duration = Duration::from_millis(400);
+
+/// Reads the operators' document.
+pub trait TableReader: Send + Sync {
+    /// The route table of a document.
+    ///
+    /// # Errors
+    /// What is wrong with it, and what to do.
+    fn read(&self, document: &str) -> Result<RouteTable, RouteFault>;
+}
+
+/// What an entry needs to start.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Its VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomainId,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it tells whether it is ready.
+    pub readiness: SocketAddr,
+    /// The path that it tells it on.
+    pub readiness_path: String,
+    /// Where it listens for other daemons.
+    pub peer_listen: SocketAddr,
+    /// Callers' connections at a time.
+    pub connections: usize,
+    /// Retries in a row that all entries together may make beyond their part of the traffic.
+    pub retry_reserve: f64,
+    /// From the order to stop until the process is killed.
+    pub grace: Duration,
+    /// What placement optimises.
+    pub objective: DecisionObjective,
+}
+
+/// A running entry.
+pub struct EntryNode {
+    settings: EntrySettings,
+    core: Arc<EdgeCore>,
+    port: CallerPort,
+    leaving: Arc<AtomicBool>,
+    network: PeerNetwork,
+    candidates: watch::Sender<Vec<VmId>>,
+    _tasks: JoinSet<()>,
+}
+
+impl EntryNode {
+    /// Starts an entry; it waits for nobody, and is ready once it knows routes and servers.
+    ///
+    /// # Errors
+    /// When an address cannot be listened on.
+    pub async fn start(
+        settings: EntrySettings,
+        control: BTreeMap<VmId, SocketAddr>,
+        dialect: Arc<dyn WireDialect>,
+        reader: Arc<dyn TableReader>,
+    ) -> Result<Self, NodeError> {
+        let mut tasks = JoinSet::new();
+        let (candidates, candidate_watch) = watch::channel(control.keys().cloned().collect());
+        let place = OpenNetworkSettings {
+            vm: settings.vm.clone(),
+            listen: settings.peer_listen,
+            peers: control,
+        };
+        let network = PeerNetwork::start_open(place, Arc::new(EntryHandler))
+            .map_err(NodeError::Network)?;
+        let core = start_core(&settings, dialect, &mut tasks);
+        let (state, states) = watch::channel(SharedState::default());
+        let domain = settings.failure_domain.clone();
+        let follower = Arc::new(EntryFollower);
+        let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
+        tasks.spawn(task.run());
+        tasks.spawn(apply_states(Arc::clone(&core), states, reader, settings.retry_reserve));
+        let leaving = Arc::new(AtomicBool::new(false));
+        tasks.spawn(serve_readiness(&settings, Arc::clone(&core), Arc::clone(&leaving)).await?);
+        let port = CallerPort::start(settings.callers, Arc::clone(&core), settings.connections)
+            .await
+            .map_err(|reason| NodeError::Listen {
+                purpose: "callers",
+                address: settings.callers,
+                reason,
+            })?;
+        log::info!(vm = settings.vm.as_str(), callers:% = settings.callers; "entry started");
+        Ok(EntryNode { settings, core, port, leaving, network, candidates, _tasks: tasks })
+    }
+
+    /// Takes over where the control VMs are now; the ones known so far stay in use as well.
+    pub fn add_control(&self, mut control: BTreeMap<VmId, SocketAddr>, known: &BTreeMap<VmId, SocketAddr>) {
+        control.extend(known.iter().map(|(vm, address)| (vm.clone(), *address)));
+        self.network.set_peers(control.clone());
+        self.candidates.send_replace(control.into_keys().collect());
+    }
+
+    /// Stops without cutting anything off: first it is no longer ready, then connections end with
+    /// their answers, then idle ones, and the process goes when nothing is in flight.
+    pub async fn stop(self) {
+        let began = Instant::now();
+        self.leaving.store(true, Ordering::SeqCst);
+        self.port.begin_closing();
+        log::info!(in_flight = self.core.gate.in_flight(); "stopping: not ready any more");
+        sleep(LEAVING_TIME).await;
+        self.port.end_idle();
+        sleep(LEAST_LEAVING - LEAVING_TIME).await;
+        let left = self.settings.grace.saturating_sub(began.elapsed() + LAST_BYTES);
+        if timeout(left, self.core.gate.wait_empty()).await.is_err() {
+            log::error!(cut = self.core.gate.in_flight(); "requests are cut off: the grace is over");
+        }
+        self.port.stop();
+        log::info!("stopped");
+    }
+}
+
+struct EntryFollower;
+
+impl FollowerPort for EntryFollower {
+    fn kind(&self) -> FollowerKind {
+        FollowerKind::Entry
+    }
+
+    fn heard(&self, _reply: &FollowReply) {}
+}
+
+fn start_core(
+    settings: &EntrySettings,
+    dialect: Arc<dyn WireDialect>,
+    tasks: &mut JoinSet<()>,
+) -> Arc<EdgeCore> {
+    let dispatcher = Dispatcher::new(DispatcherSettings {
+        daemon: settings.vm.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        seed: random_seed(),
+        disabled: Default::default(),
+    });
+    let (duties, duty_queue) = mpsc::channel(DUTY_BOUND);
+    let port = DispatchPort::new(dispatcher, duties, Arc::new(TraceLog::default()));
+    let core = EdgeCore::new(EdgeParts {
+        vm: settings.vm.clone(),
+        objective: settings.objective,
+        dialect,
+        port: Arc::clone(&port),
+    });
+    tasks.spawn(async move { port.run_wakeups().await });
+    tasks.spawn(run_duties(Arc::clone(&core), duty_queue));
+    core
+}
+
+/// Carries out what the dispatcher asks for beside requests. A cancelled attempt's connection is
+/// closed already, which its server takes as the cancel.
+async fn run_duties(core: Arc<EdgeCore>, mut duties: mpsc::Receiver<DispatchDuty>) {
+    while let Some(duty) = duties.recv().await {
+        if let DispatchDuty::Probe { server } = duty {
+            let core = Arc::clone(&core);
+            tokio::spawn(async move { core.probe(server).await });
+        }
+    }
+}
+
+/// Puts what was learned in force.
+async fn apply_states(
+    core: Arc<EdgeCore>,
+    mut states: watch::Receiver<SharedState>,
+    reader: Arc<dyn TableReader>,
+    retry_reserve: f64,
+) {
+    let mut routes = RouteKeeper::default();
+    while states.changed().await.is_ok() {
+        let state = states.borrow_and_update().clone();
+        let index = routes.index_for(state.document.number, &state.document.body, &*reader);
+        let fleet = state.fleet.unwrap_or_default();
+        let entries = state.entries.max(1);
+        let retries = (retry_reserve / f64::from(entries)).max(1.0);
+        core.port.tell(PolicyInput::RetryReserve { retries });
+        core.apply(EdgeView::new(index, &fleet, &state.weights, entries));
+    }
+}
+
+/// The routes in force; a document is read once.
+#[derive(Default)]
+struct RouteKeeper {
+    number: DocumentNumber,
+    index: Option<Arc<RouteIndex>>,
+}
+
+impl RouteKeeper {
+    fn index_for(
+        &mut self,
+        number: DocumentNumber,
+        body: &str,
+        reader: &dyn TableReader,
+    ) -> Option<Arc<RouteIndex>> {
+        if number > self.number {
+            match reader.read(body) {
+                Ok(table) => {
+                    log::info!(number = number, routes = table.routes.len(); "routes in force");
+                    self.index = Some(Arc::new(RouteIndex::new(Arc::new(table))));
+                }
+                // It was checked before it was accepted: another release accepted it.
+                Err(fault) => log::error!(number = number, fault:% = fault;
+                    "an accepted document cannot be read here; the former routes stay"),
+            }
+            self.number = number;
+        }
+        self.index.clone()
+    }
+}
+
+async fn serve_readiness(
+    settings: &EntrySettings,
+    core: Arc<EdgeCore>,
+    leaving: Arc<AtomicBool>,
+) -> Result<impl Future<Output = ()> + use<>, NodeError> {
+    let path = settings.readiness_path.clone();
+    let server = serve_page(settings.readiness, move |request| {
+        if request.uri().path() != path || request.method() != Method::GET {
+            return (StatusCode::NOT_FOUND, "ask for the readiness path\n".to_owned());
+        }
+        let view = core.view();
+        let knows = view.index.is_some() && !view.servers.is_empty();
+        match knows && !leaving.load(Ordering::SeqCst) {
+            true => (StatusCode::OK, "ready\n".to_owned()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        }
+    });
+    let task = server.await.map_err(|reason| NodeError::Listen {
+        purpose: "readiness",
+        address: settings.readiness,
+        reason,
+    })?;
+    Ok(async move {
+        // It ends with the process.
+        let _ = task.await;
+    })
+}
--- /dev/null
+++ b/src/node/orders.rs
@@ -0,0 +1,182 @@
+//! Brings the listed engines to the weights that operators name.
+
+use {
+    crate::{
+        control::document::DocumentState,
+        daemon::weight_orders::{
+            OrderPort,
+            order_core::{OrderResult, OrderTiming, WeightOrder},
+        },
+        fleet::{FleetSnapshot, ServerPhase, watch::FleetBoard},
+        ids::{ModelId, ServerId, WeightsNumber},
+        inventory::{
+            ActiveConfig, AssetRegister, ModelRecord, RuleSet, ServerKind, ServerRecord,
+        },
+        policy::LoadReport,
+    },
+    futures::future::BoxFuture,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::sync::watch,
+};
+
+/// One in so many engines loads or drains at a time. With a third of them away the others still
+/// carry a quiet day, and three rounds of about 1.5 s end within the 8 s that a version may take.
+const LOADING_ONE_IN: usize = 3;
+
+/// Orders to engines that take seconds to load, with versions named every few seconds and orders
+/// that get lost: a load takes 0.4 to 0.6 s, what runs ends within about one second, and an order
+/// without an answer is repeated while it can still be in time.
+pub const FLEET_TIMING: OrderTiming = OrderTiming {
+    load_limit: Duration::from_millis(2_000),
+    retry_wait: Duration::from_millis(300),
+    drain_limit: Duration::from_millis(700),
+    busy_look: Duration::from_millis(200),
+    idle_look: Duration::from_secs(5),
+};
+
+/// The listed engines and the named weights in the form that the weight orders read.
+pub fn plan_config(
+    revision: u64,
+    fleet: &FleetSnapshot,
+    documents: &DocumentState,
+) -> ActiveConfig {
+    let named = documents.weights();
+    let engines: Vec<ServerRecord> = fleet
+        .servers
+        .iter()
+        .filter(|server| server.phase != ServerPhase::Draining && !server.weights.is_empty())
+        .map(|server| ServerRecord {
+            id: server.id.clone(),
+            failure_domain: server.failure_domain.clone(),
+            address: server.address,
+            kind: ServerKind::Engine,
+            models: server.weights.keys().cloned().collect(),
+            service: None,
+            slots: server.slots,
+            checks_fencing: true,
+        })
+        .collect();
+    let models = named.iter().map(|(model, version)| ModelRecord {
+        id: model.clone(),
+        weights: version.to_string(),
+        adapters: Vec::new(),
+    });
+    let limit = engines.len().div_ceil(LOADING_ONE_IN).max(1);
+    let rules = RuleSet { weight_loads: limit as u32, ..RuleSet::default() };
+    let register =
+        AssetRegister { servers: engines, models: models.collect(), ..AssetRegister::default() };
+    ActiveConfig { revision, register, rules }
+}
+
+/// Renews the plan with each change of the list or of the named weights.
+pub async fn follow_plan(
+    mut fleet: watch::Receiver<Arc<FleetSnapshot>>,
+    mut documents: watch::Receiver<Arc<DocumentState>>,
+    plan: watch::Sender<Arc<ActiveConfig>>,
+) {
+    for revision in 1.. {
+        let config = {
+            let (fleet, documents) = (fleet.borrow_and_update(), documents.borrow_and_update());
+            plan_config(revision, &fleet, &documents)
+        };
+        plan.send_if_modified(|shown| {
+            let changed = shown.register != config.register;
+            if changed {
+                *shown = Arc::new(config);
+            }
+            changed
+        });
+        let ended = tokio::select! {
+            changed = fleet.changed() => changed.is_err(),
+            changed = documents.changed() => changed.is_err(),
+        };
+        if ended {
+            return;
+        }
+    }
+}
+
+/// Speaks to engines in the installation's form.
+pub trait EngineOrders: Send + Sync {
+    /// Sends an order.
+    fn order(&self, address: SocketAddr, order: WeightOrder) -> BoxFuture<'_, OrderResult>;
+
+    /// Asks for the state.
+    fn look(&self, server: ServerId, address: SocketAddr) -> BoxFuture<'_, Option<LoadReport>>;
+}
+
+/// Gives orders, and holds servers back from new work while they load.
+pub struct FleetOrders {
+    board: Arc<FleetBoard>,
+    engines: Arc<dyn EngineOrders>,
+    /// The weights of each server when it was held back; only of servers that are held.
+    held: Mutex<BTreeMap<ServerId, BTreeMap<ModelId, String>>>,
+}
+
+impl FleetOrders {
+    /// Orders for the servers of `board`.
+    pub fn new(board: Arc<FleetBoard>, engines: Arc<dyn EngineOrders>) -> Self {
+        FleetOrders { board, engines, held: Mutex::default() }
+    }
+
+    fn hold(&self, server: &ServerId) {
+        let listed = self.board.subscribe().borrow().clone();
+        let listed = listed.servers.iter().find(|listed| listed.id == *server);
+        let weights = listed.map(|listed| {
+            let weights = listed.weights.iter();
+            weights.map(|(model, version)| (model.clone(), version.to_string())).collect()
+        });
+        self.lock().entry(server.clone()).or_insert(weights.unwrap_or_default());
+        self.board.hold(server);
+    }
+
+    /// A server that has loaded gets work again.
+    fn take_report(&self, report: &LoadReport) {
+        let weights: BTreeMap<ModelId, WeightsNumber> = report
+            .weights
+            .iter()
+            .filter_map(|(model, version)| Some((model.clone(), version.parse().ok()?)))
+            .collect();
+        self.board.note_weights(&report.server, report.incarnation, weights);
+        let mut held = self.lock();
+        if held.get(&report.server).is_some_and(|before| *before != report.weights) {
+            held.remove(&report.server);
+            self.board.release(&report.server);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, BTreeMap<ModelId, String>>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl OrderPort for FleetOrders {
+    fn order(&self, address: SocketAddr, order: WeightOrder) -> BoxFuture<'_, OrderResult> {
+        self.hold(&order.server);
+        Box::pin(async move {
+            let (server, model, version) =
+                (order.server.clone(), order.model.clone(), order.weights.clone());
+            let result = self.engines.order(address, order).await;
+            log::info!(server = server.as_str(), model = model.as_str(),
+                version = version.as_str(), result:? = result; "weight order sent");
+            result
+        })
+    }
+
+    fn look(&self, server: ServerId, address: SocketAddr) -> BoxFuture<'_, Option<LoadReport>> {
+        Box::pin(async move {
+            let report = self.engines.look(server, address).await?;
+            self.take_report(&report);
+            Some(report)
+        })
+    }
+
+    fn drain(&self, server: ServerId) {
+        self.hold(&server);
+    }
+}
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -89,8 +89,11 @@
     /// A broken or erroneous answer of a backend server ended the request.
     pub const BACKEND_FAILED: &str = "backend_failed";
 
+    /// No routes are known yet.
+    pub const NO_ROUTES: &str = "no_routes";
+
     /// All of them, for counters that exist from the start.
-    pub const ALL: [&str; 16] = [
+    pub const ALL: [&str; 17] = [
         BAD_REQUEST,
         NO_KEY,
         UNKNOWN_KEY,
@@ -107,6 +110,7 @@
         LEDGER_FULL,
         TOO_MANY_OPEN,
         BACKEND_FAILED,
+        NO_ROUTES,
     ];
 }
 
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -233,6 +233,7 @@
             PolicyInput::Reachable { domains } => self.note_reachable(domains),
             PolicyInput::Digest(digest) => self.hear_digest(now, digest),
             PolicyInput::Probed { server, answered } => self.note_probe(now, &server, answered),
+            PolicyInput::RetryReserve { retries } => self.budgets.bound_reserve(retries),
             PolicyInput::Wake => {}
         }
     }
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -285,7 +285,7 @@
         let at = retry::retry_at(now, tries, failed.retry_after, chance);
         let paid = !self.is_on(PolicySafeguard::RetryBudget)
             || self.budgets.withdraw(&ticket.organisation);
-        if ticket.is_status_call() {
+        if ticket.is_status_call() && (paid || !self.budgets.is_strict()) {
             let unpaid = now + UNPAID_PAUSE.mul_f64(1.0 + chance);
             return Some(if paid { at } else { at.max(unpaid) });
         }
@@ -303,7 +303,7 @@
                 server.failures.note_answer();
                 return;
             }
-            AttemptFailure::Refused => {
+            AttemptFailure::Refused | AttemptFailure::Declined => {
                 server.window.note_refused(now, failed.retry_after.unwrap_or(FAILURE_PAUSE));
                 return;
             }
--- a/src/policy/dispatcher/lifecycle.rs
+++ b/src/policy/dispatcher/lifecycle.rs
@@ -69,16 +69,20 @@
     pub stage: S,
 }
 
-/// Proof that an attempt ended before a byte left for the server.
+/// Proof that an attempt did not run: not a byte left for the server, or the server itself says so
+/// in a form that only it can give.
 #[derive(Debug)]
 pub struct NothingSent(());
 
 impl NothingSent {
-    /// The proof, if the failure is one. A server's own refusal is none: the call reached it, and
+    /// The proof, if the failure is one. A bare refusal is none: the call reached the server, and
     /// what stands between may answer 503 for a call that ran.
     pub fn shown_by(failure: AttemptFailure) -> Option<Self> {
-        matches!(failure, AttemptFailure::NotConnected | AttemptFailure::Stale)
-            .then_some(NothingSent(()))
+        matches!(
+            failure,
+            AttemptFailure::NotConnected | AttemptFailure::Stale | AttemptFailure::Declined
+        )
+        .then_some(NothingSent(()))
     }
 }
 
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -76,6 +76,12 @@
     },
     /// A digest from another daemon.
     Digest(DomainDigest),
+    /// Retries that this daemon may have saved up, where operators bound them for all daemons
+    /// together.
+    RetryReserve {
+        /// The most that can be saved; at least 1.
+        retries: f64,
+    },
     /// The probe that [`super::PolicyAction::Probe`] asked for ended.
     Probed {
         /// The server.
@@ -187,6 +193,8 @@
     TimedOut,
     /// The engine runs other weights than the attempt was made for.
     WrongWeights,
+    /// The server proved that it did not run the request and never will.
+    Declined,
     /// This daemon woke from a pause and the attempt's decision was out of date; nothing was sent.
     Stale,
 }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -54,6 +54,11 @@
         RetryBudget { balance: reserve, reserve }
     }
 
+    fn resize(&mut self, reserve: f64) {
+        self.reserve = reserve;
+        self.balance = self.balance.min(reserve);
+    }
+
     fn deposit(&mut self) {
         self.balance = (self.balance + RETRIES_PER_SEND).min(self.reserve);
     }
@@ -69,15 +74,34 @@
     daemon: RetryBudget,
     /// At most [`MAX_BUDGETS`].
     organisations: BTreeMap<OrganisationId, RetryBudget>,
+    /// Whether operators bound the retries of all daemons together.
+    shared_bound: bool,
 }
 
 impl Default for BudgetBook {
     fn default() -> Self {
-        BudgetBook { daemon: RetryBudget::new(DAEMON_RESERVE), organisations: BTreeMap::new() }
+        BudgetBook {
+            daemon: RetryBudget::new(DAEMON_RESERVE),
+            organisations: BTreeMap::new(),
+            shared_bound: false,
+        }
     }
 }
 
 impl BudgetBook {
+    /// Bounds what this daemon may save up. Where operators allow so many retries in a span of time
+    /// for all daemons together, each may save its part; more would let a crash that all of them
+    /// see at once pass the bound many times over.
+    pub fn bound_reserve(&mut self, retries: f64) {
+        self.daemon.resize(retries);
+        self.shared_bound = true;
+    }
+
+    /// Whether every retry has to be paid for, those of status calls included.
+    pub fn is_strict(&self) -> bool {
+        self.shared_bound
+    }
+
     /// Notes a first send.
     pub fn deposit(&mut self, organisation: &OrganisationId) {
         self.daemon.deposit();
@@ -123,7 +147,7 @@
     match failure {
         AttemptFailure::CallerError => None,
         AttemptFailure::NotConnected => Some(RetryReason::NotConnected),
-        AttemptFailure::Refused => Some(RetryReason::Refused),
+        AttemptFailure::Refused | AttemptFailure::Declined => Some(RetryReason::Refused),
         AttemptFailure::WrongWeights => Some(RetryReason::WrongWeights),
         AttemptFailure::Stale => Some(RetryReason::Stale),
         _ if relayed > 0 => Some(RetryReason::StreamResumed),
--- /dev/null
+++ b/src/routing/fault.rs
@@ -0,0 +1,118 @@
+//! What is wrong with a route table.
+
+use {
+    super::{RouteRule, RouteTable},
+    crate::ids::{OrganisationId, ServiceId},
+    displaydoc::Display,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Why a route table is refused as a whole.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum RouteFault {
+    /// the table cannot be read: {reason}; send it whole, in the documented form
+    Unreadable {
+        /// What the parser says.
+        reason: String,
+    },
+    /// route {route} names the unknown service {service}; list the service or correct the route
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The service.
+        service: ServiceId,
+    },
+    /// routes {first} and {second} have the same host and path prefix; remove one
+    SamePlace {
+        /// The route that came first.
+        first: String,
+        /// The other one.
+        second: String,
+    },
+    /// the weights of route {route} add up to 0; give at least one service a positive weight
+    NoWeight {
+        /// The route.
+        route: String,
+    },
+    /// the timeout of route {route} is 0; give the longest time that a caller may be kept waiting
+    NoTimeout {
+        /// The route.
+        route: String,
+    },
+    /// the path prefix {prefix} of route {route} does not begin and end with a slash; correct it
+    BadPrefix {
+        /// The route.
+        route: String,
+        /// The prefix.
+        prefix: String,
+    },
+    /// organisations {first} and {second} share a key; give each its own
+    SharedKey {
+        /// The organisation that came first.
+        first: OrganisationId,
+        /// The other one.
+        second: OrganisationId,
+    },
+}
+
+impl std::error::Error for RouteFault {}
+
+impl RouteTable {
+    /// Checks the table as a whole.
+    ///
+    /// # Errors
+    /// The first fault found; nothing of a faulty table may come into force.
+    pub fn check(&self) -> Result<(), RouteFault> {
+        self.routes.iter().try_for_each(|route| self.check_route(route))?;
+        self.check_places()?;
+        self.check_keys()
+    }
+
+    fn check_route(&self, route: &RouteRule) -> Result<(), RouteFault> {
+        let name = || route.name.clone();
+        let known = |service: &ServiceId| {
+            self.services.get(service).is_some_and(|rule| rule.cache_store.is_none())
+        };
+        if let Some((service, _)) = route.services.iter().find(|(service, _)| !known(service)) {
+            let service = service.clone();
+            return Err(RouteFault::UnknownService { route: name(), service });
+        }
+        if route.services.iter().all(|(_, weight)| *weight == 0) {
+            return Err(RouteFault::NoWeight { route: name() });
+        }
+        if route.timeout.is_zero() {
+            return Err(RouteFault::NoTimeout { route: name() });
+        }
+        if !route.path_prefix.starts_with('/') || !route.path_prefix.ends_with('/') {
+            let prefix = route.path_prefix.clone();
+            return Err(RouteFault::BadPrefix { route: name(), prefix });
+        }
+        Ok(())
+    }
+
+    fn check_places(&self) -> Result<(), RouteFault> {
+        let mut places = BTreeMap::new();
+        for route in &self.routes {
+            let place = (route.host.as_str(), route.path_prefix.as_str());
+            if let Some(first) = places.insert(place, &route.name) {
+                let (first, second) = (first.clone(), route.name.clone());
+                return Err(RouteFault::SamePlace { first, second });
+            }
+        }
+        Ok(())
+    }
+
+    fn check_keys(&self) -> Result<(), RouteFault> {
+        let mut owners = BTreeMap::new();
+        for (organisation, terms) in &self.organisations {
+            let keys: BTreeSet<&str> = terms.keys.iter().map(String::as_str).collect();
+            for key in keys {
+                if let Some(first) = owners.insert(key, organisation) {
+                    let (first, second) = (first.clone(), organisation.clone());
+                    return Err(RouteFault::SharedKey { first, second });
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod message;
 pub mod network;
+pub mod open_trust;
 pub mod reset_key;
 pub mod tls;
 
@@ -17,5 +18,5 @@
     codec::CodecError,
     keys::{KeyError, KeyFiles, KeyPairPem},
     message::{PeerMessage, PeerReply, PeerRequest},
-    network::{NetworkSettings, PeerHandler, PeerNetwork, TransportError},
+    network::{NetworkSettings, OpenNetworkSettings, PeerHandler, PeerNetwork, TransportError},
 };
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -4,6 +4,7 @@
     crate::{
         control::{Command, CommandOutcome, ProposeError, ReplicaMessage},
         ids::{RequestId, Revision, ServerId},
+        follow::{FollowReply, FollowRequest},
         policy::DomainDigest,
         transport::config_delta::ConfigDelta,
     },
@@ -53,6 +54,8 @@
     Status,
     /// Take nothing new and finish what is in flight.
     Drain,
+    /// What has changed of the state that every daemon follows; the reply may wait for a change.
+    Follow(Box<FollowRequest>),
 }
 
 /// The reply to a [`PeerRequest`].
@@ -72,4 +75,6 @@
     Draining,
     /// The peer cannot answer; the text names the remedy.
     Refused(String),
+    /// What has changed since the asker's state.
+    Followed(Box<FollowReply>),
 }
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -7,14 +7,15 @@
         keys::{self, KeyError, KeyFiles},
         link::{LinkShared, PeerLink},
         message::{PeerMessage, PeerReply, PeerRequest},
-        reset_key::endpoint_settings,
+        open_trust::{build_open_pair, own_identity},
+        reset_key::{endpoint_settings, open_endpoint_settings},
         tls::{TlsPair, build_pair},
     },
     crate::ids::VmId,
     arc_swap::ArcSwap,
     displaydoc::Display,
     futures::future::BoxFuture,
-    quinn::{Connection, Endpoint, TransportConfig, VarInt},
+    quinn::{Connection, Endpoint, EndpointConfig, TransportConfig, VarInt},
     std::{
         collections::BTreeMap,
         net::{SocketAddr, UdpSocket},
@@ -57,6 +58,18 @@
     pub peers: BTreeMap<VmId, SocketAddr>,
 }
 
+/// What a daemon's network needs to start where the network is trusted as a whole; see
+/// [`super::open_trust`].
+#[derive(Clone, Debug)]
+pub struct OpenNetworkSettings {
+    /// This daemon's VM.
+    pub vm: VmId,
+    /// The UDP address to listen on.
+    pub listen: SocketAddr,
+    /// Where peers are; this VM's own entry is ignored.
+    pub peers: BTreeMap<VmId, SocketAddr>,
+}
+
 /// Takes what peers send. Both are called on the network's tasks and must not block.
 pub trait PeerHandler: Send + Sync {
     /// Takes a message that needs no reply.
@@ -116,7 +129,8 @@
     vm: VmId,
     endpoint: Endpoint,
     address: SocketAddr,
-    keys: KeyFiles,
+    /// `None` where the network is trusted as a whole.
+    keys: Option<KeyFiles>,
     shared: Arc<LinkShared>,
     /// One entry for each peer of the last `set_peers`, at most; made when first used.
     links: Mutex<LinkTable>,
@@ -141,6 +155,35 @@
         let loaded = keys::load_keys(&settings.keys).map_err(TransportError::Keys)?;
         let endpoint_config = endpoint_settings(&loaded);
         let pair = build_pair(loaded, transport_settings()).map_err(TransportError::Keys)?;
+        let NetworkSettings { vm, listen, keys, peers } = settings;
+        let place = OpenNetworkSettings { vm, listen, peers };
+        Self::start_with(place, Some(keys), endpoint_config, pair, handler)
+    }
+
+    /// Listens and serves peers whose names nobody vouches for. Must be called within a tokio
+    /// runtime.
+    ///
+    /// # Errors
+    /// [`TransportError::Keys`] or [`TransportError::Listen`].
+    pub fn start_open(
+        settings: OpenNetworkSettings,
+        handler: Arc<dyn PeerHandler>,
+    ) -> Result<Self, TransportError> {
+        let identity = own_identity(&settings.vm).map_err(TransportError::Keys)?;
+        let endpoint_config = open_endpoint_settings(&settings.vm);
+        let pair = build_open_pair(identity, transport_settings()).map_err(TransportError::Keys)?;
+        log::warn!(vm = settings.vm.as_str();
+            "the network is trusted as a whole: peers are not asked to prove who they are");
+        Self::start_with(settings, None, endpoint_config, pair, handler)
+    }
+
+    fn start_with(
+        settings: OpenNetworkSettings,
+        keys: Option<KeyFiles>,
+        endpoint_config: EndpointConfig,
+        pair: TlsPair,
+        handler: Arc<dyn PeerHandler>,
+    ) -> Result<Self, TransportError> {
         let listen = |reason: std::io::Error| TransportError::Listen {
             address: settings.listen,
             reason: reason.to_string(),
@@ -165,7 +208,7 @@
             vm: settings.vm,
             endpoint,
             address,
-            keys: settings.keys,
+            keys,
             shared,
             links: Mutex::default(),
         };
@@ -197,7 +240,8 @@
     /// # Errors
     /// [`TransportError::Keys`]; the former keys then stay in use.
     pub fn reload_keys(&self) -> Result<(), TransportError> {
-        let pair = load_pair(&self.inner.keys)?;
+        let Some(files) = &self.inner.keys else { return Ok(()) };
+        let pair = load_pair(files)?;
         self.inner.endpoint.set_server_config(Some(pair.server));
         self.inner.shared.client.store(Arc::new(pair.client));
         Ok(())
--- a/src/transport/reset_key.rs
+++ b/src/transport/reset_key.rs
@@ -24,7 +24,17 @@
 
 /// Settings of an endpoint whose resets are believed after a restart with the same keys.
 pub fn endpoint_settings(keys: &LoadedKeys) -> EndpointConfig {
-    let digest = Sha256::new().chain_update(PURPOSE).chain_update(keys.key.secret_der());
+    settings_from(keys.key.secret_der())
+}
+
+/// Settings of an endpoint in a network that is trusted as a whole: with nothing secret that
+/// outlives the process, the VM's name has to do, and anyone there could forge a reset.
+pub fn open_endpoint_settings(vm: &str) -> EndpointConfig {
+    settings_from(vm.as_bytes())
+}
+
+fn settings_from(lasting: &[u8]) -> EndpointConfig {
+    let digest = Sha256::new().chain_update(PURPOSE).chain_update(lasting);
     let mut settings = EndpointConfig::new(Arc::new(ResetKey(digest.finalize().into())));
     settings.cid_generator(|| Box::new(PlainIds));
     settings
--- a/src/transport/tls.rs
+++ b/src/transport/tls.rs
@@ -19,7 +19,7 @@
 };
 
 /// The protocol both ends must speak; a change of the frames changes it.
-const PROTOCOL: &[u8] = b"oleandermount/1";
+pub(super) const PROTOCOL: &[u8] = b"oleandermount/1";
 
 /// TLS settings for dialling and for accepting, made from the same keys.
 pub struct TlsPair {
