Replace lost control replicas without an operator, and leave a control VM without a leader at once

Change: the leader proposes the existing membership changes itself (control::healing), daemons learn the members, and a VM that does not start with the installation founds no group. Ruled out: a replica that shows its documents late (its feed is written before its status).

--- a/examples/policy_report/baselines.rs
+++ b/examples/policy_report/baselines.rs
@@ -251,6 +251,8 @@
             PolicyInput::Progress { .. }
             | PolicyInput::Cache(_)
             | PolicyInput::Digest(_)
+            | PolicyInput::PeerFetch { .. }
+            | PolicyInput::RetryReserve { .. }
             | PolicyInput::Probed { .. } => {}
         }
         Vec::new()
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod document;
 pub mod entry;
+pub mod healing;
 pub mod ledger;
 pub mod message;
 pub mod orders;
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::ids::{
-        AttemptId, DigestHex, DocumentNumber, FencingNumber, IdempotencyKey, Incarnation, ModelId, OperationId,
-        OrganisationId, Revision, ServerId, VmId, WeightsNumber, WeightsVersion,
+        AttemptId, DigestHex, DocumentNumber, FencingNumber, IdempotencyKey, Incarnation, ModelId,
+        OperationId, OrganisationId, Revision, ServerId, VmId, WeightsNumber, WeightsVersion,
     },
     displaydoc::Display,
     serde::{Deserialize, Serialize},
--- /dev/null
+++ b/src/control/healing.rs
@@ -0,0 +1,55 @@
+//! Which membership change a leader makes by itself, so that a lost replica is replaced before the
+//! next one is lost.
+//!
+//! Where nobody mends the replicas by hand, a group of three that has lost a disk bears no second
+//! loss: its last change is then neither readable nor durable. The leader hears the probes of disks
+//! that belong to no group. An empty disk at a member's VM takes that member's place; one at another
+//! VM is taken in while a voter is silent, and the silent one goes once the new one counts. Each
+//! step is one committed change of the existing kind, which the replica refuses if the quorum after
+//! it does not answer.
+
+use {
+    super::{Command, replica::ReplicaStatus},
+    crate::ids::{Incarnation, VmId},
+    std::time::{Duration, Instant},
+};
+
+/// A voter that did not reply for so long may be gone: longer than a restart takes, and short beside
+/// the seconds after which the next loss may come.
+pub const SILENCE: Duration = Duration::from_secs(2);
+
+/// The next change, if any is due; `voters` is the number of voters wanted.
+pub fn next_repair(now: Instant, status: &ReplicaStatus, voters: usize) -> Option<Command> {
+    status.lease_until.filter(|until| now < *until)?;
+    let members = &status.members;
+    if let Some((vm, disk)) = status
+        .outsiders
+        .iter()
+        .find(|(vm, disk)| members.incarnation(vm).is_some_and(|known| known != **disk))
+    {
+        return Some(take_in(vm, *disk));
+    }
+    let silent = silent_voter(now, status);
+    if !members.learners.is_empty() {
+        return None;
+    }
+    if members.voters.len() > voters {
+        return silent.map(|vm| Command::RemoveReplica { vm });
+    }
+    if members.voters.len() < voters || silent.is_some() {
+        let stranger = status.outsiders.iter().find(|(vm, _)| members.incarnation(vm).is_none());
+        return stranger.map(|(vm, disk)| take_in(vm, *disk));
+    }
+    None
+}
+
+fn take_in(vm: &VmId, disk: Incarnation) -> Command {
+    Command::ReplaceReplica { vm: vm.clone(), incarnation: Some(disk) }
+}
+
+/// The voter that has been silent for longest, if for too long.
+fn silent_voter(now: Instant, status: &ReplicaStatus) -> Option<VmId> {
+    let voters = status.heard.iter().filter(|(vm, _)| status.members.voters.contains_key(*vm));
+    let (vm, heard) = voters.min_by_key(|(_, heard)| **heard)?;
+    (now.saturating_duration_since(*heard) > SILENCE).then(|| vm.clone())
+}
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -240,6 +240,7 @@
             members: self.log.membership().clone(),
             outsiders: self.outsiders(),
             lease_until: self.lease_until(now),
+            heard: self.lead().map(LeaderState::heard).unwrap_or_default(),
             leader_since: self.lead().map(|lead| lead.since),
             failure: None,
         }
--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -138,6 +138,14 @@
         }
     }
 
+    /// When each follower last replied, or this term began.
+    pub fn heard(&self) -> BTreeMap<VmId, Instant> {
+        let followers = self.followers.iter();
+        followers
+            .map(|(vm, progress)| (vm.clone(), progress.replied_at.unwrap_or(self.since)))
+            .collect()
+    }
+
     /// The latest time at which a quorum of `membership` is known to have followed this leader:
     /// the start of a round that a quorum replied to, never the arrival of a reply.
     pub fn quorum_at(&self, membership: &Membership, own: &VmId, now: Instant) -> Option<Instant> {
--- a/src/control/replica/types.rs
+++ b/src/control/replica/types.rs
@@ -233,6 +233,9 @@
     pub outsiders: BTreeMap<VmId, Incarnation>,
     /// Until when no other replica can lead; `None` unless this one leads.
     pub lease_until: Option<Instant>,
+    /// When each other member last replied to this leader, or this leader began; empty unless it
+    /// leads.
+    pub heard: BTreeMap<VmId, Instant>,
     /// Since when it leads; `None` unless it does.
     pub leader_since: Option<Instant>,
     /// Why it stopped, once it has: the text names the remedy.
--- a/src/daemon/weight_orders.rs
+++ b/src/daemon/weight_orders.rs
@@ -1,9 +1,11 @@
-//! Brings each engine to the weights that the register wants: desired state against observed.
+//! Brings each engine to the weights that the register wants: desired against observed.
 
 pub mod order_core;
 
 use {
-    self::order_core::{OrderAction, OrderCore, OrderInput, OrderPlan, OrderResult, OrderTiming, WeightOrder},
+    self::order_core::{
+        OrderAction, OrderCore, OrderInput, OrderPlan, OrderResult, OrderTiming, WeightOrder,
+    },
     crate::{
         control::{Command, CommandOutcome, ProposeError, orders::DesiredWeights},
         daemon::{ConfigWatch, ControlPort, control_driver::ControlHandle},
--- a/src/daemon/weight_orders/order_core.rs
+++ b/src/daemon/weight_orders/order_core.rs
@@ -364,7 +364,9 @@
         noted
             .filter_map(|(place, version)| {
                 let sight = self.sights.get(&place.0)?;
-                let drained = sight.draining_since.is_some_and(|since| now >= since + self.timing.drain_limit);
+                let drained = sight
+                    .draining_since
+                    .is_some_and(|since| now >= since + self.timing.drain_limit);
                 let running = sight.report.as_ref().map_or(0, |report| report.running);
                 let server = RolloutServer {
                     desired: version.clone(),
@@ -383,7 +385,8 @@
         let (weights, fencing) = self.desired.get(&place)?.clone();
         self.next_number += 1;
         let number = self.next_number;
-        let given = GivenOrder { number, weights: weights.clone(), until: now + self.timing.load_limit };
+        let given =
+            GivenOrder { number, weights: weights.clone(), until: now + self.timing.load_limit };
         self.given.insert(place.clone(), given);
         let (server, model) = place;
         if let Some(sight) = self.sights.get_mut(&server) {
--- a/src/edge/answer.rs
+++ b/src/edge/answer.rs
@@ -86,10 +86,12 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerCut>>> {
         match &mut self.bytes {
-            BodyBytes::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            BodyBytes::Stream(pieces) => {
-                pieces.poll_next_unpin(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            BodyBytes::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
+            BodyBytes::Stream(pieces) => pieces
+                .poll_next_unpin(context)
+                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
         }
     }
 
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -147,9 +147,7 @@
         told.max(seen)
     }
 
-    fn lock_weights(
-        &self,
-    ) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (u64, WeightsNumber)>> {
+    fn lock_weights(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (u64, WeightsNumber)>> {
         self.seen_weights.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -14,11 +14,7 @@
     crate::{
         ids::AttemptId,
         observe::metrics::refusal,
-        pipeline::{
-            Directive,
-            dispatch::RequestRoute,
-            drain::OpenRequest,
-        },
+        pipeline::{Directive, dispatch::RequestRoute, drain::OpenRequest},
         policy::{
             AttemptFailure, DidRun, PolicyInput, RefusalReason, SendOrder, ServerHealth,
             prefix::cache_salt,
@@ -111,7 +107,10 @@
             Step::Stream(start) => {
                 let parts = start.parts.clone();
                 let pieces = RelayedStream::new(exchange, *start).into_pieces();
-                return Ok(Response::from_parts(parts, AnswerBody::stream(pieces, phase, Some(open))));
+                return Ok(Response::from_parts(
+                    parts,
+                    AnswerBody::stream(pieces, phase, Some(open)),
+                ));
             }
         }
     }
@@ -199,9 +198,7 @@
         error: PoolError,
     ) -> AttemptFailure {
         match error {
-            PoolError::Full => {
-                self.report(order, AttemptFailure::Declined, from, Some(FULL_PAUSE))
-            }
+            PoolError::Full => self.report(order, AttemptFailure::Declined, from, Some(FULL_PAUSE)),
             PoolError::NotConnected => {
                 self.core.recheck(&order.server);
                 self.report(order, AttemptFailure::NotConnected, from, None)
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -220,11 +220,7 @@
         None
     }
 
-    async fn connect(
-        &self,
-        address: SocketAddr,
-        most: u32,
-    ) -> Result<LeasedConnection, PoolError> {
+    async fn connect(&self, address: SocketAddr, most: u32) -> Result<LeasedConnection, PoolError> {
         self.note_opening(address, most)?;
         match timeout(CONNECT_LIMIT, open(address)).await {
             Ok(Ok((sender, task))) => {
--- a/src/edge/port.rs
+++ b/src/edge/port.rs
@@ -18,13 +18,7 @@
     http::{HeaderValue, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     metrics::gauge,
-    std::{
-        convert::Infallible,
-        io,
-        net::SocketAddr,
-        sync::Arc,
-        time::Duration,
-    },
+    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore, watch},
@@ -69,7 +63,8 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let (phase, phases) = watch::channel(PortPhase::Serving);
-        let task = tokio::spawn(accept(listener, core, phases, Arc::new(Semaphore::new(connections))));
+        let task =
+            tokio::spawn(accept(listener, core, phases, Arc::new(Semaphore::new(connections))));
         Ok(CallerPort { phase, task })
     }
 
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -54,7 +54,9 @@
 impl RelayedStream {
     pub(super) fn new(exchange: Exchange, start: StreamStart) -> Self {
         let StreamStart { head, body, leased, first, order, .. } = start;
-        exchange.route.tell(PolicyInput::FirstToken { attempt: order.attempt, cached_tokens: None });
+        exchange
+            .route
+            .tell(PolicyInput::FirstToken { attempt: order.attempt, cached_tokens: None });
         RelayedStream {
             resumable: exchange.request.caller.route.kind.is_repeatable(),
             from: ResumeFrom { weights: head.weights, ..ResumeFrom::default() },
@@ -162,7 +164,9 @@
                     exchange.report(&order, AttemptFailure::ServerError, &self.from, None);
                     return Err(AnswerCut::BackendFailed);
                 }
-                Err(AttemptFailure::Declined | AttemptFailure::NotConnected | AttemptFailure::Stale) => {
+                Err(
+                    AttemptFailure::Declined | AttemptFailure::NotConnected | AttemptFailure::Stale,
+                ) => {
                     continue;
                 }
                 Err(_) if exchange.may_run_again() => continue,
--- a/src/edge/request.rs
+++ b/src/edge/request.rs
@@ -91,10 +91,7 @@
                 return Err(EdgeRefusal::new(StatusCode::BAD_REQUEST, refusal::BAD_REQUEST));
             }
             Err(_elapsed) => {
-                return Err(EdgeRefusal::new(
-                    StatusCode::REQUEST_TIMEOUT,
-                    refusal::BODY_TIMEOUT,
-                ));
+                return Err(EdgeRefusal::new(StatusCode::REQUEST_TIMEOUT, refusal::BODY_TIMEOUT));
             }
         };
         let Ok(data) = frame.into_data() else { continue };
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -177,9 +177,9 @@
 ) -> BTreeSet<ServerId> {
     let is_old = |server: &ListedServer| {
         let weights = server.weights.iter();
-        weights.into_iter().any(|(model, version)| {
-            required.get(model).is_some_and(|required| version < required)
-        })
+        weights
+            .into_iter()
+            .any(|(model, version)| required.get(model).is_some_and(|required| version < required))
     };
     let current: BTreeSet<&ServiceId> = servers
         .values()
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,9 +7,7 @@
 pub mod watch;
 
 use {
-    crate::ids::{
-        FailureDomainId, Incarnation, ModelId, ServerId, ServiceId, WeightsNumber,
-    },
+    crate::ids::{FailureDomainId, Incarnation, ModelId, ServerId, ServiceId, WeightsNumber},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr},
     xxhash_rust::xxh3::xxh3_64,
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -14,10 +14,11 @@
     crate::{
         control::document::{NamedWeights, NumberedDocument},
         fleet::FleetSnapshot,
-        ids::{DocumentNumber, FailureDomainId},
+        ids::{DocumentNumber, FailureDomainId, VmId},
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// How long an answer waits for a change.
@@ -45,6 +46,8 @@
     pub weights: NamedWeights,
     /// The digest of its server list.
     pub fleet: u64,
+    /// The digest of the control VMs that it knows.
+    pub control: u64,
     /// Who asks.
     pub follower: FollowerKind,
     /// Whether the answer may wait for a change.
@@ -60,6 +63,8 @@
     pub weights: Option<NamedWeights>,
     /// The server list, if it differs.
     pub fleet: Option<FleetSnapshot>,
+    /// The control VMs, if they differ.
+    pub control: Option<Vec<VmId>>,
     /// Whether the answering VM hears from a leader: if not, others may know of later changes.
     pub fresh: bool,
     /// Whether its server list was read, or confirmed by who reads it, just now.
@@ -79,10 +84,17 @@
     pub weights: NamedWeights,
     /// The server list; `None` before the first.
     pub fleet: Option<Arc<FleetSnapshot>>,
+    /// The control VMs, as the replicas' membership names them; empty before the first answer.
+    pub control: Vec<VmId>,
     /// Entries that share the servers; at least 1 once known.
     pub entries: u32,
 }
 
+/// Tells lists of control VMs apart; 0 for the empty one.
+pub fn control_digest(control: &[VmId]) -> u64 {
+    if control.is_empty() { 0 } else { xxh3_64(control.join("\n").as_bytes()).max(1) }
+}
+
 impl SharedState {
     /// Takes over what is newer; true if anything was.
     pub fn take(&mut self, reply: FollowReply) -> bool {
@@ -99,6 +111,9 @@
         if let Some(fleet) = reply.fleet {
             self.fleet = Some(Arc::new(fleet));
         }
+        if let Some(control) = reply.control {
+            self.control = control;
+        }
         self.entries = reply.entries.max(1);
         *self != before
     }
--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -1,7 +1,7 @@
 //! Answers followers at a control VM.
 
 use {
-    super::{ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind},
+    super::{ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind, control_digest},
     crate::{
         control::{
             document::DocumentState,
@@ -102,6 +102,10 @@
         let fleet = self.board.subscribe();
         let fleet = fleet.borrow().clone();
         let mut reply = changes(&request, &state, &fleet);
+        let control: Vec<VmId> = status.members.voters.keys().cloned().collect();
+        if control_digest(&control) != request.control && status.leader.is_some() {
+            reply.control = Some(control);
+        }
         reply.fresh = status.leader.is_some();
         reply.list_fresh = self.board.is_fresh(LEADER_SILENCE);
         reply.failure_domain.clone_from(&self.failure_domain);
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -1,7 +1,7 @@
 //! Follows the control VMs from an entry, or the leader from another control VM.
 
 use {
-    super::{ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind, SharedState},
+    super::{ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind, SharedState, control_digest},
     crate::{
         ids::{FailureDomainId, VmId},
         transport::{PeerNetwork, PeerReply, PeerRequest},
@@ -19,8 +19,8 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// How long the others are asked one after the other, each for an answer at once.
 const QUICK_ANSWER: Duration = Duration::from_millis(300);
-/// The pause when nobody answers.
-const PAUSE: Duration = Duration::from_millis(100);
+/// The pause when nobody answers, or nobody who hears from a leader.
+const PAUSE: Duration = Duration::from_millis(200);
 /// How often a follower that had to leave its own domain's control VM looks whether it is back.
 const HOME_LOOK: Duration = Duration::from_secs(3);
 
@@ -42,8 +42,34 @@
     port: Arc<dyn FollowerPort>,
 }
 
-/// How well a control VM suits; greater is better.
-type Suitability = (bool, bool);
+/// How well a control VM suits: whether it hears from a leader, then whether it is of the own failure
+/// domain. Greater is better.
+pub type Suitability = (bool, bool);
+
+/// What a follower does after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StayVerdict {
+    /// Asks the same VM again.
+    Stay,
+    /// Looks at all of them now.
+    LookAgain,
+    /// Looks at all of them after a pause: this answer came without a wait.
+    PauseAndLook,
+}
+
+/// Judges an answer of a VM that suited so well `before` and `now`, after `elapsed` with it.
+///
+/// While no VM hears from a leader, followers turn to that of their own domain. When a leader is
+/// back elsewhere, that VM may still be without one, because its disk was lost; a follower that
+/// stayed with it for some seconds would serve by a configuration that was replaced, and refuse
+/// callers of new routes. So without a leader it looks again at once.
+pub fn judge_stay(before: Suitability, now: Suitability, elapsed: Duration) -> StayVerdict {
+    if !now.0 {
+        return StayVerdict::PauseAndLook;
+    }
+    let away = !now.1 && elapsed > HOME_LOOK;
+    if now < before || away { StayVerdict::LookAgain } else { StayVerdict::Stay }
+}
 
 impl FollowTask {
     /// A task that asks the `candidates` and shows what it learns in `state`.
@@ -62,11 +88,20 @@
         loop {
             match self.choose().await {
                 Some((peer, suitability)) => self.stay(&peer, suitability).await,
-                None => sleep(PAUSE).await,
+                None => self.pause().await,
             }
         }
     }
 
+    /// Waits before the next look; without candidates, for the first.
+    async fn pause(&self) {
+        let mut candidates = self.candidates.clone();
+        if candidates.borrow_and_update().is_empty() && candidates.changed().await.is_ok() {
+            return;
+        }
+        sleep(PAUSE).await;
+    }
+
     /// Asks all candidates at once; the best that answers.
     async fn choose(&self) -> Option<(VmId, Suitability)> {
         let candidates = self.candidates.borrow().clone();
@@ -85,13 +120,10 @@
         log::info!(peer = peer.as_str(), fresh = suitability.0, own_domain = suitability.1;
             "following a control VM");
         while let Some(reply) = self.ask(peer, true, ANSWER_WAIT + ANSWER_SLACK).await {
-            let now = self.suitability(&reply);
-            if now < suitability || (now != (true, true) && since.elapsed() > HOME_LOOK) {
-                if !now.0 {
-                    // It hears from no leader: it answers at once, so ask it less often.
-                    sleep(PAUSE).await;
-                }
-                return;
+            match judge_stay(suitability, self.suitability(&reply), since.elapsed()) {
+                StayVerdict::Stay => {}
+                StayVerdict::LookAgain => return,
+                StayVerdict::PauseAndLook => return sleep(PAUSE).await,
             }
         }
         log::warn!(peer = peer.as_str(); "a control VM does not answer its follower");
@@ -107,6 +139,7 @@
             document: held.document.number,
             weights: held.weights,
             fleet: held.fleet.map_or(0, |fleet| fleet.digest()),
+            control: control_digest(&held.control),
             follower: self.port.kind(),
             wait,
         };
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -48,6 +48,6 @@
 pub struct FencingNumber {
     /// The term in which the order was given.
     pub term: Term,
-    /// The log index of the desired state that it carries out.
+    /// The log index of the desired weights that it carries out.
     pub index: LogIndex,
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,6 +5,7 @@
 //! [`crate::edge::dialect`], [`crate::fleet::watch::FleetSource`] and [`control::EngineOrders`].
 
 pub mod control;
+pub mod control_book;
 pub mod entry;
 pub mod health;
 pub mod named_clock;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -3,12 +3,13 @@
 
 use {
     super::{
-        NodeError,
+        NodeError, address_of,
         operators::OperatorDesk,
         orders::{EngineOrders, FLEET_TIMING, FleetOrders, follow_plan},
         random_seed,
     },
     crate::{
+        control::healing::next_repair,
         daemon::{
             control_driver::{ControlDriver, ControlHandle, DriverSettings},
             weight_orders::WeightOrders,
@@ -22,13 +23,22 @@
         ids::{FailureDomainId, VmId},
         transport::{OpenNetworkSettings, PeerMessage, PeerNetwork},
     },
-    std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, sync::Arc},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        path::PathBuf,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
+        time::sleep,
     },
 };
 
+/// How often the leader looks whether a replica is to be replaced.
+const HEAL_EVERY: Duration = Duration::from_millis(250);
 /// Messages of the replica that wait for the network; further ones are lost and sent again.
 const OUTBOUND_BOUND: usize = 4096;
 
@@ -43,8 +53,12 @@
     pub peer_listen: SocketAddr,
     /// The folder that its replica alone uses.
     pub data_dir: PathBuf,
-    /// The control VMs that found the group together, and where they listen.
+    /// The control VMs that found the group together, or are known to belong to it, and where they
+    /// listen.
     pub founders: BTreeMap<VmId, SocketAddr>,
+    /// Whether this VM may found a group: only where the whole installation starts for the first
+    /// time. An empty disk that founds one later would forget what was acknowledged.
+    pub may_found: bool,
 }
 
 /// A running control VM.
@@ -80,6 +94,10 @@
         let leads = replica.clone();
         tasks.spawn(read_list(Arc::clone(&board), source, move || leads.lease_valid()));
         spawn_follower(&settings, &network, &replica, &desk, &board, &mut tasks);
+        let peers = settings.founders.clone();
+        tasks.spawn(follow_members(network.clone(), replica.clone(), peers));
+        let wanted = settings.founders.len();
+        tasks.spawn(heal(settings.vm.clone(), replica.clone(), wanted));
         spawn_orders(&replica, &board, engines, &mut tasks);
         log::info!(vm = settings.vm.as_str(), founders = settings.founders.len();
             "control VM started");
@@ -100,7 +118,9 @@
     tasks: &mut JoinSet<()>,
 ) -> Result<ControlHandle, NodeError> {
     let (outbound, mut messages) = mpsc::channel(OUTBOUND_BOUND);
-    let founders = settings.founders.keys().cloned().collect();
+    // A replica founds nothing that it is no founder of.
+    let own = |vm: &&VmId| settings.may_found || **vm != settings.vm;
+    let founders = settings.founders.keys().filter(own).cloned().collect();
     let driver = DriverSettings::new(
         settings.vm.clone(),
         founders,
@@ -163,6 +183,49 @@
     tasks.spawn(orders.timed(FLEET_TIMING).run());
 }
 
+/// Keeps the network's peers to the members and those that ask to become one.
+async fn follow_members(
+    network: PeerNetwork,
+    replica: ControlHandle,
+    founders: BTreeMap<VmId, SocketAddr>,
+) {
+    let port = network.local_address().port();
+    let mut status = replica.status_watch();
+    let mut known = founders.clone();
+    loop {
+        let peers = {
+            let status = status.borrow_and_update();
+            let members = status.members.members().map(|(vm, _)| vm);
+            let named = members
+                .chain(status.outsiders.keys())
+                .filter_map(|vm| Some((vm.clone(), SocketAddr::new(address_of(vm)?, port))));
+            named.chain(founders.clone()).collect::<BTreeMap<_, _>>()
+        };
+        if peers != known {
+            network.set_peers(peers.clone());
+            known = peers;
+        }
+        if status.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Replaces lost replicas while this one leads.
+async fn heal(vm: VmId, replica: ControlHandle, voters: usize) {
+    loop {
+        sleep(HEAL_EVERY).await;
+        let Some(command) = next_repair(Instant::now(), &replica.status(), voters) else {
+            continue;
+        };
+        log::warn!(vm = vm.as_str(), change:? = command; "replicas are mended");
+        match replica.propose_local(command).await {
+            Ok(outcome) => log::info!(outcome:? = outcome; "replicas: change decided"),
+            Err(error) => log::info!(error:% = error; "replicas: change not decided"),
+        }
+    }
+}
+
 struct ControlFollower {
     desk: Arc<FollowDesk>,
     board: Arc<FleetBoard>,
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -1,7 +1,10 @@
 //! An entry: serves callers by route with what it learns from the control VMs.
 
 use {
-    super::{NodeError, health::serve_page, named_clock::NamedClock, random_seed},
+    super::{
+        NodeError, control_book::ControlBook, health::serve_page, named_clock::NamedClock,
+        random_seed,
+    },
     crate::{
         edge::{CallerPort, EdgeCore, WireDialect, core::EdgeParts, view::EdgeView},
         follow::{
@@ -87,8 +90,7 @@
     core: Arc<EdgeCore>,
     port: CallerPort,
     leaving: Arc<AtomicBool>,
-    network: PeerNetwork,
-    candidates: watch::Sender<Vec<VmId>>,
+    candidates: Arc<ControlBook>,
     _tasks: JoinSet<()>,
 }
 
@@ -108,16 +110,18 @@
         let place = OpenNetworkSettings {
             vm: settings.vm.clone(),
             listen: settings.peer_listen,
-            peers: control,
+            peers: control.clone(),
         };
-        let network = PeerNetwork::start_open(place, Arc::new(EntryHandler))
-            .map_err(NodeError::Network)?;
+        let network =
+            PeerNetwork::start_open(place, Arc::new(EntryHandler)).map_err(NodeError::Network)?;
         let core = start_core(&settings, dialect, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
         let follower = Arc::new(EntryFollower);
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
         tasks.spawn(task.run());
+        let candidates = Arc::new(ControlBook::new(network.clone(), control, candidates));
+        tasks.spawn(follow_control(Arc::clone(&candidates), states.clone()));
         tasks.spawn(apply_states(Arc::clone(&core), states, reader, settings.retry_reserve));
         let leaving = Arc::new(AtomicBool::new(false));
         tasks.spawn(serve_readiness(&settings, Arc::clone(&core), Arc::clone(&leaving)).await?);
@@ -129,14 +133,12 @@
                 reason,
             })?;
         log::info!(vm = settings.vm.as_str(), callers:% = settings.callers; "entry started");
-        Ok(EntryNode { settings, core, port, leaving, network, candidates, _tasks: tasks })
+        Ok(EntryNode { settings, core, port, leaving, candidates, _tasks: tasks })
     }
 
-    /// Takes over where the control VMs are now; the ones known so far stay in use as well.
-    pub fn add_control(&self, mut control: BTreeMap<VmId, SocketAddr>, known: &BTreeMap<VmId, SocketAddr>) {
-        control.extend(known.iter().map(|(vm, address)| (vm.clone(), *address)));
-        self.network.set_peers(control.clone());
-        self.candidates.send_replace(control.into_keys().collect());
+    /// Takes over where the settings say that control VMs are now; those known so far stay in use.
+    pub fn add_control(&self, control: BTreeMap<VmId, SocketAddr>) {
+        self.candidates.add(control);
     }
 
     /// Stops without cutting anything off: first it is no longer ready, then connections end with
@@ -159,6 +161,15 @@
     }
 }
 
+async fn follow_control(book: Arc<ControlBook>, mut states: watch::Receiver<SharedState>) {
+    while states.changed().await.is_ok() {
+        let control = states.borrow_and_update().control.clone();
+        book.add(
+            control.into_iter().filter_map(|vm| Some((vm.clone(), book.place(&vm)?))).collect(),
+        );
+    }
+}
+
 struct EntryFollower;
 
 impl FollowerPort for EntryFollower {
--- a/src/node/operators.rs
+++ b/src/node/operators.rs
@@ -3,8 +3,7 @@
 use {
     crate::{
         control::{
-            Command, CommandOutcome, ProposeError,
-            document::NumberedDocument,
+            Command, CommandOutcome, ProposeError, document::NumberedDocument,
             replica::LocalProposeError,
         },
         daemon::control_driver::ControlHandle,
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -9,9 +9,7 @@
         },
         fleet::{FleetSnapshot, ServerPhase, watch::FleetBoard},
         ids::{ModelId, ServerId, WeightsNumber},
-        inventory::{
-            ActiveConfig, AssetRegister, ModelRecord, RuleSet, ServerKind, ServerRecord,
-        },
+        inventory::{ActiveConfig, AssetRegister, ModelRecord, RuleSet, ServerKind, ServerRecord},
         policy::LoadReport,
     },
     futures::future::BoxFuture,
--- a/src/policy/dispatcher/fetching.rs
+++ b/src/policy/dispatcher/fetching.rs
@@ -10,8 +10,11 @@
 //! to drop what it holds. A source that holds nothing costs a millisecond, so a guess is worth it.
 
 use {
-    super::{Dispatcher, homes::HomeSet, servers::{PoolIndex, ServerState}},
-    crate::policy::{RequestWork, prefix::ServerIndex},
+    super::{
+        Dispatcher,
+        placing::{Asked, Candidate},
+    },
+    crate::policy::{PrefixLevel, RequestWork, placement, prefix::ServerIndex},
 };
 
 /// Seconds that a fetch takes beside the transfer: the question and its answer.
@@ -33,32 +36,60 @@
 }
 
 impl Dispatcher {
-    /// The best source for `target`, which holds `held` tokens of the prompt.
-    pub(super) fn offer_fetch(
-        &self,
-        pool: PoolIndex,
-        work: &RequestWork,
-        hits: &[(ServerIndex, u32)],
-        homes: &HomeSet,
-        target: ServerIndex,
-        held: u32,
-    ) -> Option<FetchOffer> {
+    /// Takes into account what the candidate can fetch.
+    pub(super) fn weigh_fetch(&self, asked: &Asked<'_>, candidate: &mut Candidate, rate: f64) {
+        let RequestWork::Model { prompt_tokens, .. } = &asked.request.ticket.work else { return };
+        let offer = self.offer_fetch(asked, candidate);
+        candidate.source = offer.map(|offer| offer.source);
+        let Some((offer, fetch_rate)) = offer.zip(self.fetch_rate) else { return };
+        let fetched = offer.tokens.min(*prompt_tokens);
+        if fetched <= candidate.hit {
+            return;
+        }
+        let computed = prompt_tokens - fetched;
+        let seconds = offer.seconds(candidate.hit, fetch_rate) + f64::from(computed) / rate;
+        if seconds < candidate.cost.prefill {
+            candidate.cost.prefill = seconds;
+            candidate.computed = computed;
+            // What can be fetched need not be sent home to be spared.
+            candidate.cost.stray = false;
+        }
+    }
+
+    /// The best source for a candidate.
+    fn offer_fetch(&self, asked: &Asked<'_>, candidate: &Candidate) -> Option<FetchOffer> {
         self.fetch_rate?;
-        let RequestWork::Model { model, levels, .. } = work else { return None };
-        let server = &self.table.servers[target];
-        let weights = server.certain_weights(model)?;
+        let RequestWork::Model { model, levels, .. } = &asked.request.ticket.work else {
+            return None;
+        };
+        let target = candidate.server;
+        let weights = self.table.servers[target].certain_weights(model)?;
         let fits = |source: ServerIndex| {
-            let from: &ServerState = &self.table.servers[source];
+            let from = &self.table.servers[source];
             source != target && from.is_usable() && from.certain_weights(model) == Some(weights)
         };
-        let known = hits.iter().find(|(source, tokens)| *tokens > held && fits(*source));
-        if let Some((source, tokens)) = known {
+        let mut known = asked.hits.iter().filter(|(_, tokens)| *tokens > candidate.hit);
+        if let Some((source, tokens)) = known.find(|(source, _)| fits(*source)) {
             return Some(FetchOffer { source: *source, tokens: *tokens });
         }
         // Its other homes hold all of it, and whoever is next for its first level likely that.
         let first = levels.first()?;
-        let mut guesses = homes.servers.iter().copied().chain(self.table.pools[pool].ring.homes(first.hash));
-        let guess = guesses.find(|source| fits(*source));
-        guess.map(|source| FetchOffer { source, tokens: 0 })
+        let next = self.table.pools[asked.pool].ring.homes(first.hash);
+        let source =
+            asked.homes.servers.iter().copied().chain(next).find(|source| fits(*source))?;
+        Some(FetchOffer { source, tokens: 0 })
+    }
+
+    /// What to import from prompt-keep, if the configuration has one.
+    pub(super) fn import(
+        &self,
+        levels: &[PrefixLevel],
+        hit: u32,
+        rate: f64,
+    ) -> Option<(PrefixLevel, f64)> {
+        if self.keeps == 0 {
+            return None;
+        }
+        placement::import_level(levels, hit, rate)
     }
 }
--- a/src/policy/dispatcher/placing.rs
+++ b/src/policy/dispatcher/placing.rs
@@ -10,7 +10,7 @@
     crate::policy::{
         PolicyAction, PrefixLevel, RefusalReason, RequestWork, SendOrder,
         fairness::QueuedWork,
-        placement::{self, CandidateCost, SMALL_POOL},
+        placement::{CandidateCost, SMALL_POOL},
         prefix::ServerIndex,
         window::WindowPart,
     },
@@ -42,18 +42,18 @@
 const LONG_PREFILL: f64 = 1.0;
 
 /// What was found best for one request.
-struct Candidate {
-    server: ServerIndex,
+pub(super) struct Candidate {
+    pub(super) server: ServerIndex,
     /// Tokens held there if the other daemons, too, send this prefix home.
-    home_tokens: u32,
-    cost: CandidateCost,
-    hit: u32,
-    computed: u32,
-    import: Option<PrefixLevel>,
+    pub(super) home_tokens: u32,
+    pub(super) cost: CandidateCost,
+    pub(super) hit: u32,
+    pub(super) computed: u32,
+    pub(super) import: Option<PrefixLevel>,
     /// Where it fetches what it lacks.
-    source: Option<ServerIndex>,
-    open: bool,
-    urgency: Urgency,
+    pub(super) source: Option<ServerIndex>,
+    pub(super) open: bool,
+    pub(super) urgency: Urgency,
 }
 
 /// What to do with one waiting request.
@@ -67,14 +67,14 @@
 }
 
 /// What is the same for all candidates of one request.
-struct Asked<'a> {
-    request: &'a LiveRequest<Admitted>,
-    pool: PoolIndex,
-    hits: Vec<(ServerIndex, u32)>,
-    homes: HomeSet,
-    suspect: bool,
-    part: WindowPart,
-    urgency: Urgency,
+pub(super) struct Asked<'a> {
+    pub(super) request: &'a LiveRequest<Admitted>,
+    pub(super) pool: PoolIndex,
+    pub(super) hits: Vec<(ServerIndex, u32)>,
+    pub(super) homes: HomeSet,
+    pub(super) suspect: bool,
+    pub(super) part: WindowPart,
+    pub(super) urgency: Urgency,
 }
 
 /// How choosy a look at the candidates is.
@@ -328,7 +328,6 @@
 
     fn weigh(&self, now: Instant, asked: &Asked<'_>, index: ServerIndex) -> Candidate {
         let server = &self.table.servers[index];
-        let pool = &self.table.pools[asked.pool];
         let open = self.is_open(now, server, asked.part);
         let mut place = server.window.slot_wait(now, server.in_flight) * server.speed.service();
         if !open {
@@ -360,56 +359,43 @@
             open,
             urgency: asked.urgency,
         };
-        if let RequestWork::Model { levels, prompt_tokens, .. } = &asked.request.ticket.work {
-            let hit = asked.hits.iter().find(|(server, _)| *server == index);
-            let hit = hit.map_or(0, |(_, tokens)| (*tokens).min(*prompt_tokens));
-            let rate = server.speed.rate(pool.typical_rate);
-            candidate.hit = hit;
-            candidate.computed = prompt_tokens - hit;
-            candidate.cost.wait += server.tokens_ahead(now, asked.urgency) / rate;
-            let at_home = asked.homes.servers.contains(&index);
-            candidate.home_tokens = if at_home { asked.homes.tokens } else { 0 };
-            // What others have sent home is likely held there, as likely as it was found to be.
-            let likely = f64::from(candidate.home_tokens.saturating_sub(hit)) * pool.home_trust;
-            candidate.cost.prefill = (f64::from(candidate.computed) - likely) / rate;
-            candidate.cost.stray = !at_home && hit < asked.homes.tokens;
-            if !at_home && !self.is_on(PolicySafeguard::HotHomes) {
-                candidate.cost.place += f64::from(u16::MAX);
+        match &asked.request.ticket.work {
+            RequestWork::Model { .. } => self.weigh_prompt(now, asked, &mut candidate),
+            RequestWork::Service { .. } => {
+                let queued = f64::from(server.in_flight);
+                candidate.cost.wait += base * queued / f64::from(server.window.slots());
             }
-            let work = &asked.request.ticket.work;
-            let offer = self.offer_fetch(asked.pool, work, &asked.hits, &asked.homes, index, hit);
-            candidate.source = offer.map(|offer| offer.source);
-            if let Some((offer, fetch_rate)) = offer.zip(self.fetch_rate)
-                && offer.tokens > hit
-            {
-                let fetched = offer.tokens.min(*prompt_tokens);
-                candidate.computed = prompt_tokens - fetched;
-                let prefill = f64::from(candidate.computed) / rate;
-                let fetching = offer.seconds(hit, fetch_rate) + prefill;
-                // What can be fetched need not be sent home to be spared.
-                if fetching < candidate.cost.prefill {
-                    candidate.cost.prefill = fetching;
-                    candidate.cost.stray = false;
-                }
-            }
-            if let Some((level, seconds)) = self.import(levels, hit, rate) {
-                let rest = f64::from(prompt_tokens.saturating_sub(level.tokens));
-                candidate.cost.prefill = seconds + rest / rate;
-                candidate.import = Some(level);
-            }
-        } else {
-            let queued = f64::from(server.in_flight);
-            candidate.cost.wait += base * queued / f64::from(server.window.slots());
         }
         candidate
     }
 
-    /// What to import from prompt-keep, if the configuration has one.
-    fn import(&self, levels: &[PrefixLevel], hit: u32, rate: f64) -> Option<(PrefixLevel, f64)> {
-        if self.keeps == 0 {
-            return None;
+    fn weigh_prompt(&self, now: Instant, asked: &Asked<'_>, candidate: &mut Candidate) {
+        let RequestWork::Model { levels, prompt_tokens, .. } = &asked.request.ticket.work else {
+            return;
+        };
+        let (index, prompt_tokens) = (candidate.server, *prompt_tokens);
+        let (server, pool) = (&self.table.servers[index], &self.table.pools[asked.pool]);
+        let hit = asked.hits.iter().find(|(server, _)| *server == index);
+        let hit = hit.map_or(0, |(_, tokens)| (*tokens).min(prompt_tokens));
+        let rate = server.speed.rate(pool.typical_rate);
+        candidate.hit = hit;
+        candidate.computed = prompt_tokens - hit;
+        candidate.cost.wait += server.tokens_ahead(now, asked.urgency) / rate;
+        let at_home = asked.homes.servers.contains(&index);
+        candidate.home_tokens = if at_home { asked.homes.tokens } else { 0 };
+        // What others have sent home is likely held there, as likely as it was found to be.
+        let likely = f64::from(candidate.home_tokens.saturating_sub(hit)) * pool.home_trust;
+        candidate.cost.prefill = (f64::from(candidate.computed) - likely) / rate;
+        candidate.cost.stray = !at_home && hit < asked.homes.tokens;
+        if !at_home && !self.is_on(PolicySafeguard::HotHomes) {
+            candidate.cost.place += f64::from(u16::MAX);
+        }
+        self.weigh_fetch(asked, candidate, rate);
+        if let Some((level, seconds)) = self.import(levels, hit, rate) {
+            let rest = f64::from(prompt_tokens.saturating_sub(level.tokens));
+            candidate.cost.prefill = seconds + rest / rate;
+            candidate.import = Some(level);
         }
-        placement::import_level(levels, hit, rate)
     }
 
     fn send(&mut self, now: Instant, number: u64, best: Candidate) {
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         control::{Command, CommandOutcome, ProposeError, ReplicaMessage},
-        ids::{RequestId, Revision, ServerId},
         follow::{FollowReply, FollowRequest},
+        ids::{RequestId, Revision, ServerId},
         policy::DomainDigest,
         transport::config_delta::ConfigDelta,
     },
--- a/src/transport/open_trust.rs
+++ b/src/transport/open_trust.rs
@@ -57,10 +57,9 @@
 /// [`KeyError::Unusable`].
 pub fn build_open_pair(keys: LoadedKeys, transport: TransportConfig) -> Result<TlsPair, KeyError> {
     let unusable = |error: Error| KeyError::Unusable { reason: error.to_string() };
-    let no_cipher =
-        |error: quinn::crypto::rustls::NoInitialCipherSuite| KeyError::Unusable {
-            reason: error.to_string(),
-        };
+    let no_cipher = |error: quinn::crypto::rustls::NoInitialCipherSuite| KeyError::Unusable {
+        reason: error.to_string(),
+    };
     let transport = Arc::new(transport);
     let provider = Arc::new(ring::default_provider());
     let verifier = Arc::new(AnyIdentity { provider: Arc::clone(&provider) });
