--- a/src/edge/port.rs
+++ b/src/edge/port.rs
@@ -47,6 +47,7 @@
 
 /// The port for callers.
 pub struct CallerPort {
+    address: SocketAddr,
     phase: watch::Sender<PortPhase>,
     task: JoinHandle<()>,
 }
@@ -62,10 +63,16 @@
         connections: usize,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
         let (phase, phases) = watch::channel(PortPhase::Serving);
         let task =
             tokio::spawn(accept(listener, core, phases, Arc::new(Semaphore::new(connections))));
-        Ok(CallerPort { phase, task })
+        Ok(CallerPort { address, phase, task })
+    }
+
+    /// Where it listens, with the port that the kernel gave.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Ends each connection with its next answer. New ones are still taken: whoever sends callers
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -114,7 +114,8 @@
         };
         let network =
             PeerNetwork::start_open(place, Arc::new(EntryHandler)).map_err(NodeError::Network)?;
-        let core = start_core(&settings, dialect, &mut tasks);
+        let (vm, domain) = (&settings.vm, &settings.failure_domain);
+        let core = start_core(vm, domain, settings.objective, dialect, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
         let follower = Arc::new(EntryFollower);
@@ -180,25 +181,25 @@
     fn heard(&self, _reply: &FollowReply) {}
 }
 
-fn start_core(
-    settings: &EntrySettings,
+/// Starts the part of an entry that serves requests, without its ports and without what it learns
+/// from others; its tasks run until `tasks` is dropped.
+pub fn start_core(
+    vm: &VmId,
+    failure_domain: &FailureDomainId,
+    objective: DecisionObjective,
     dialect: Arc<dyn WireDialect>,
     tasks: &mut JoinSet<()>,
 ) -> Arc<EdgeCore> {
     let dispatcher = Dispatcher::new(DispatcherSettings {
-        daemon: settings.vm.clone(),
-        failure_domain: settings.failure_domain.clone(),
+        daemon: vm.clone(),
+        failure_domain: failure_domain.clone(),
         seed: random_seed(),
         disabled: Default::default(),
     });
     let (duties, duty_queue) = mpsc::channel(DUTY_BOUND);
     let port = DispatchPort::new(dispatcher, duties, Arc::new(TraceLog::default()));
-    let core = EdgeCore::new(EdgeParts {
-        vm: settings.vm.clone(),
-        objective: settings.objective,
-        dialect,
-        port: Arc::clone(&port),
-    });
+    let core =
+        EdgeCore::new(EdgeParts { vm: vm.clone(), objective, dialect, port: Arc::clone(&port) });
     tasks.spawn(async move { port.run_wakeups().await });
     tasks.spawn(run_duties(Arc::clone(&core), duty_queue));
     core
