--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -332,6 +332,7 @@
     /// Applies what is committed, completes its proposals, and compacts the log when it is long.
     fn apply_committed(&mut self) {
         let revision = self.state.configuration().active().revision;
+        let document = self.state.documents().document().number;
         while self.applied < self.commit {
             self.applied += 1;
             let entry = self.log.entry(self.applied).expect("committed entries are held");
@@ -351,6 +352,9 @@
             self.save_commit();
             self.show_later();
         }
+        if self.state.documents().document().number > document {
+            self.save_commit();
+        }
         self.compact();
     }
 
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -19,6 +19,7 @@
     http::response,
     http_body_util::BodyExt,
     hyper::body::Incoming,
+    std::time::{Duration, Instant},
     tokio::time::sleep_until,
 };
 
@@ -49,6 +50,27 @@
     resumable: bool,
     from: ResumeFrom,
     is_over: bool,
+    pace: StreamPace,
+}
+
+/// When a stream's pieces came.
+struct StreamPace {
+    first: Duration,
+    latest: Instant,
+    longest_pause: Duration,
+}
+
+impl StreamPace {
+    fn begin(arrived: Instant) -> Self {
+        let latest = Instant::now();
+        StreamPace { first: latest - arrived, latest, longest_pause: Duration::ZERO }
+    }
+
+    fn note(&mut self) {
+        let now = Instant::now();
+        self.longest_pause = self.longest_pause.max(now - self.latest);
+        self.latest = now;
+    }
 }
 
 impl RelayedStream {
@@ -57,6 +79,7 @@
         exchange
             .route
             .tell(PolicyInput::FirstToken { attempt: order.attempt, cached_tokens: None });
+        let pace = StreamPace::begin(exchange.request.arrived);
         RelayedStream {
             resumable: exchange.request.caller.route.kind.is_repeatable(),
             from: ResumeFrom { weights: head.weights, ..ResumeFrom::default() },
@@ -67,6 +90,7 @@
             arrived: Some(first),
             partial: BytesMut::new(),
             is_over: false,
+            pace,
         }
     }
 
@@ -118,9 +142,13 @@
             }
         };
         match frame {
-            Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Some(Ok(frame)) => {
+                self.pace.note();
+                Ok(Some(frame.into_data().unwrap_or_default()))
+            }
             None => {
                 let ended = self.source.take();
+                self.log_end();
                 self.exchange.finish(self.order.attempt, self.from.events);
                 ended.into_iter().for_each(|(_, leased)| leased.keep(self.head.idle_limit));
                 Ok(None)
@@ -134,6 +162,22 @@
         }
     }
 
+    fn log_end(&self) {
+        let request = &self.exchange.request;
+        log::info!(
+            request_id = request.caller.id.as_str(),
+            route = request.caller.route.name.as_str(),
+            server = self.order.server.as_str(),
+            sent_to = self.exchange.runs,
+            first_event_ms = self.pace.first.as_millis() as u64,
+            longest_pause_ms = self.pace.longest_pause.as_millis() as u64,
+            total_ms = request.arrived.elapsed().as_millis() as u64,
+            expected_hit = self.order.expected_hit,
+            relayed_events = self.from.events;
+            "stream answered whole"
+        );
+    }
+
     /// Lets another server go on after the last event that was passed on.
     async fn go_on(&mut self) -> Result<Bytes, AnswerCut> {
         let exchange = &mut self.exchange;
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -30,12 +30,12 @@
 /// Orders to engines that take seconds to load, with versions named every few seconds and orders
 /// that get lost: a load takes 0.4 to 0.6 s, what runs ends within about one second, and an order
 /// without an answer is repeated while it can still be in time. A server that is held back
-/// finishes most of what it has within 0.8 s; the longest answers take 3 s, and waiting for them
+/// finishes most of what it has within a second; the longest answers take 3 s, and waiting for them
 /// cost more late answers elsewhere than it saved (worth 0.45 against 0.52 of a calm day).
 pub const FLEET_TIMING: OrderTiming = OrderTiming {
     load_limit: Duration::from_millis(4_500),
     retry_wait: Duration::from_millis(300),
-    drain_limit: Duration::from_millis(800),
+    drain_limit: Duration::from_millis(1_000),
     busy_look: Duration::from_millis(150),
     idle_look: Duration::from_secs(5),
 };
--- a/src/policy/dispatcher/fetching.rs
+++ b/src/policy/dispatcher/fetching.rs
@@ -20,6 +20,11 @@
 /// Seconds that a fetch takes beside the transfer: the question and its answer.
 const FETCH_BASE: f64 = 0.003;
 
+/// Prefixes shorter than this, in tokens, need no home: an engine computes them in 10 to 30 ms and
+/// fetches them sooner, while a chat that waits for its home behind a long prompt there waits
+/// hundreds.
+const SHORT_PREFIX: u32 = 1_024;
+
 /// What a server could fetch.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct FetchOffer {
@@ -39,6 +44,9 @@
     /// Takes into account what the candidate can fetch.
     pub(super) fn weigh_fetch(&self, asked: &Asked<'_>, candidate: &mut Candidate, rate: f64) {
         let RequestWork::Model { prompt_tokens, .. } = &asked.request.ticket.work else { return };
+        if self.fetch_rate.is_some() && asked.homes.tokens < SHORT_PREFIX {
+            candidate.cost.stray = false;
+        }
         let offer = self.offer_fetch(asked, candidate);
         candidate.source = offer.map(|offer| offer.source);
         let Some((offer, fetch_rate)) = offer.zip(self.fetch_rate) else { return };
@@ -69,15 +77,18 @@
             source != target && from.is_usable() && from.certain_weights(model) == Some(weights)
         };
         let mut known = asked.hits.iter().filter(|(_, tokens)| *tokens > candidate.hit);
-        if let Some((source, tokens)) = known.find(|(source, _)| fits(*source)) {
-            return Some(FetchOffer { source: *source, tokens: *tokens });
+        let known = known.find(|(source, _)| fits(*source));
+        let known = known.map(|(source, tokens)| FetchOffer { source: *source, tokens: *tokens });
+        if known.is_some_and(|offer| offer.tokens >= asked.homes.tokens) {
+            return known;
         }
-        // Its other homes hold all of it, and whoever is next for its first level likely that.
+        // Other daemons send the prefix home as well, so its home likely holds more than is known
+        // here; and whoever is next for its first level likely holds that.
+        let home = asked.homes.servers.iter().copied().find(|source| fits(*source));
+        let guess = |source: ServerIndex| FetchOffer { source, tokens: 0 };
         let first = levels.first()?;
-        let next = self.table.pools[asked.pool].ring.homes(first.hash);
-        let source =
-            asked.homes.servers.iter().copied().chain(next).find(|source| fits(*source))?;
-        Some(FetchOffer { source, tokens: 0 })
+        let next = || self.table.pools[asked.pool].ring.homes(first.hash).find(|one| fits(*one));
+        home.map(guess).or(known).or_else(|| next().map(guess))
     }
 
     /// What to import from prompt-keep, if the configuration has one.
--- a/src/policy/dispatcher/homes.rs
+++ b/src/policy/dispatcher/homes.rs
@@ -61,7 +61,11 @@
     /// A server's rank as a home of `hash`; a fast server is home to more prefixes.
     fn home_rank(&self, index: ServerIndex, hash: u64) -> u64 {
         let server = &self.table.servers[index];
-        placement::home_rank(server.name_hash, hash, server.speed.home_weight())
+        // Engines that can be fetched from tell nothing of their cached tokens: a speed measured from
+        // a prompt that was half cached errs twofold, and daemons that each call another server
+        // slow no longer agree on homes.
+        let weight = if self.fetch_rate.is_some() { 1.0 } else { server.speed.home_weight() };
+        placement::home_rank(server.name_hash, hash, weight)
     }
 
     fn home_width(&self, now: Instant, pool: PoolIndex, level: &PrefixLevel) -> usize {
