--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -136,7 +136,7 @@
         }
         // Whatever the dispatcher was told, a request that may have run is never said not to have.
         let did_run = if self.runs > 0 { DidRun::Unknown } else { did_run };
-        log::info!(
+        log::warn!(
             request_id = self.request.caller.id.as_str(),
             reason = reason.as_str(),
             organisation = self.request.caller.organisation.as_str(),
@@ -289,11 +289,13 @@
         from: &ResumeFrom,
         retry_after: Option<Duration>,
     ) -> AttemptFailure {
-        log::info!(
+        log::warn!(
             request_id = self.request.caller.id.as_str(),
             server = order.server.as_str(),
             failure:? = failure,
-            relayed_events = from.events;
+            relayed_events = from.events,
+            sent_to = self.runs,
+            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
             "attempt failed"
         );
         self.route.tell(PolicyInput::Failed {
@@ -353,6 +355,15 @@
             return self.after_failure(failure);
         }
         self.finish(order.attempt, 0);
+        log::info!(
+            request_id = self.request.caller.id.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            server = order.server.as_str(),
+            status = parts.status.as_u16(),
+            sent_to = self.runs,
+            total_ms = self.request.arrived.elapsed().as_millis() as u64;
+            "answered whole"
+        );
         // The library frames the answer anew.
         parts.headers.remove(http::header::CONTENT_LENGTH);
         let body = AnswerBody::whole(body, ConnectionPhase::default(), None);
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -136,7 +136,7 @@
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = sleep_until(ends.into()) => {
-                log::info!(request_id = self.exchange.request.caller.id.as_str(),
+                log::warn!(request_id = self.exchange.request.caller.id.as_str(),
                     relayed_events = self.from.events; "stream cut at the end of its time");
                 return Err(AnswerCut::TimeOver);
             }
@@ -195,7 +195,7 @@
                 Directive::Send(order) => *order,
                 Directive::Cancel(_) => continue,
                 Directive::Refuse { reason, .. } => {
-                    log::info!(request_id = exchange.request.caller.id.as_str(),
+                    log::warn!(request_id = exchange.request.caller.id.as_str(),
                         reason = reason.as_str(), relayed_events = self.from.events;
                         "stream cut");
                     return Err(AnswerCut::BackendFailed);
@@ -216,7 +216,7 @@
                 Err(_) if exchange.may_run_again() => continue,
                 Err(_) => return Err(AnswerCut::BackendFailed),
             };
-            log::info!(request_id = exchange.request.caller.id.as_str(),
+            log::warn!(request_id = exchange.request.caller.id.as_str(),
                 server = order.server.as_str(), relayed_events = self.from.events;
                 "stream resumed");
             let attempt = order.attempt;
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -1,4 +1,5 @@
 //! Metrics and JSON-lines logs.
 
+pub mod bounded_log;
 pub mod logs;
 pub mod metrics;
--- /dev/null
+++ b/src/observe/bounded_log.rs
@@ -0,0 +1,154 @@
+//! Logs that never hold up a request: a bounded queue before one thread that writes.
+//!
+//! Whoever reads standard output may stall, and a burst of refusals brings a burst of records. Without
+//! the queue each record would wait for the reader, and callers with it. Routine records have a
+//! budget, so that what failed and what changed in the daemon's belief (warnings and errors) finds
+//! room; what was left out is counted, and said with the next record that is written.
+
+use {
+    super::logs::json_line,
+    env_logger::Builder,
+    log::{Level, LevelFilter, Log, Metadata, Record},
+    std::{
+        io::Write,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+            mpsc::{Receiver, SyncSender, sync_channel},
+        },
+        thread,
+        time::{Instant, SystemTime},
+    },
+};
+
+/// How much may be logged.
+#[derive(Clone, Copy, Debug)]
+pub struct LogBudget {
+    /// Records that wait for the writer; at about 400 bytes each, 1 MB with the usual 2,048.
+    pub queue: usize,
+    /// Routine records (info and below) a second; a second's worth may be saved up. Warnings and
+    /// errors are bounded by the queue alone.
+    pub routine_per_second: f64,
+}
+
+impl Default for LogBudget {
+    /// An entry of a fifth of a core serves some 20 requests a second at its peak, with one routine
+    /// record each; ten times that leaves room, and bounds a flood to 80 KB a second.
+    fn default() -> Self {
+        LogBudget { queue: 2_048, routine_per_second: 200.0 }
+    }
+}
+
+/// Counts records that were left out.
+pub const DROPPED_RECORDS: &str = "oleandermount_log_records_dropped_total";
+
+/// A logger in front of its writer.
+pub struct BoundedLog {
+    filter: env_logger::Logger,
+    queue: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+    routine: Mutex<RoutineAllowance>,
+}
+
+struct RoutineAllowance {
+    per_second: f64,
+    left: f64,
+    at: Instant,
+}
+
+impl RoutineAllowance {
+    fn take(&mut self, now: Instant) -> bool {
+        let gained = now.saturating_duration_since(self.at).as_secs_f64() * self.per_second;
+        self.left = (self.left + gained).min(self.per_second);
+        self.at = now;
+        let granted = self.left >= 1.0;
+        if granted {
+            self.left -= 1.0;
+        }
+        granted
+    }
+}
+
+impl BoundedLog {
+    /// A logger of records of `level` and more urgent, and the queue that its writer empties.
+    pub fn new(level: LevelFilter, budget: LogBudget) -> (Self, LogDrain) {
+        let (queue, records) = sync_channel(budget.queue.max(1));
+        let dropped = Arc::new(AtomicU64::new(0));
+        let per_second = budget.routine_per_second;
+        let log = BoundedLog {
+            filter: Builder::new().filter_level(level).build(),
+            queue,
+            dropped: Arc::clone(&dropped),
+            routine: Mutex::new(RoutineAllowance {
+                per_second,
+                left: per_second,
+                at: Instant::now(),
+            }),
+        };
+        (log, LogDrain { records, dropped })
+    }
+
+    fn drop_record(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+        metrics::counter!(DROPPED_RECORDS).increment(1);
+    }
+}
+
+impl Log for BoundedLog {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.filter.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.filter.matches(record) {
+            return;
+        }
+        let routine = record.level() > Level::Warn;
+        let mut allowance = self.routine.lock().unwrap_or_else(PoisonError::into_inner);
+        if routine && !allowance.take(Instant::now()) {
+            return self.drop_record();
+        }
+        drop(allowance);
+        if self.queue.try_send(json_line(record, SystemTime::now())).is_err() {
+            self.drop_record();
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// The writer's end of the queue.
+pub struct LogDrain {
+    records: Receiver<String>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LogDrain {
+    /// Writes records until the logger is gone or nobody reads any more.
+    pub fn run(self, mut out: impl Write) {
+        while let Ok(line) = self.records.recv() {
+            let dropped = self.dropped.swap(0, Ordering::Relaxed);
+            let gap = (dropped > 0)
+                .then(|| format!("{{\"level\":\"WARN\",\"message\":\"log records left out\",\"count\":{dropped}}}\n"));
+            let written = out
+                .write_all(gap.unwrap_or_default().as_bytes())
+                .and_then(|()| writeln!(out, "{line}"));
+            if written.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Logs to standard output within `budget`. A second call changes nothing.
+pub fn install(level: LevelFilter, budget: LogBudget) {
+    let (log, drain) = BoundedLog::new(level, budget);
+    if log::set_boxed_logger(Box::new(log)).is_err() {
+        return;
+    }
+    log::set_max_level(level);
+    let writer = thread::Builder::new().name("log-writer".to_owned());
+    if let Err(error) = writer.spawn(move || drain.run(std::io::stdout())) {
+        eprintln!("the log cannot be written: {error}; allow the process more threads");
+    }
+}
