--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -283,7 +283,13 @@
         let ticket = sent.ticket();
         let tries = sent.history().tries;
         let at = retry::retry_at(now, tries, failed.retry_after, chance);
-        let paid = !self.is_on(PolicySafeguard::RetryBudget)
+        // Where operators bound the retries that reach servers, a connection that was not made is
+        // none: when a server dies, what was about to go there goes elsewhere, and the budget is left
+        // for what broke in the middle.
+        let reached = failed.failure != AttemptFailure::NotConnected;
+        let free = self.budgets.is_strict() && !reached;
+        let paid = free
+            || !self.is_on(PolicySafeguard::RetryBudget)
             || self.budgets.withdraw(&ticket.organisation);
         if ticket.is_status_call() && (paid || !self.budgets.is_strict()) {
             let unpaid = now + UNPAID_PAUSE.mul_f64(1.0 + chance);
--- a/tests/dispatch_outcomes.rs
+++ b/tests/dispatch_outcomes.rs
@@ -303,3 +303,38 @@
     assert_eq!(queued, Some(DidRun::No));
     assert!(only_send(&actions).is_none());
 }
+
+/// A server dies while callers' requests are about to go there: none of them has reached a server,
+/// and all of them are answered elsewhere, although the retries that operators allow are used up by
+/// then. Order of events: connections to one engine fail, more often than the reserve lasts; each
+/// request goes to the other engine. A break in the middle is still paid for.
+#[test]
+fn unmade_connections_cost_no_retry() {
+    let mut now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    dispatcher.handle(now, PolicyInput::RetryReserve { retries: 1.0 });
+    let mut refused = Vec::new();
+    for (failure, limit) in [(AttemptFailure::NotConnected, 6), (AttemptFailure::Broken, 6)] {
+        let mut count = 0;
+        for number in 0..limit {
+            now += Duration::from_millis(100);
+            for engine in ["engine-0", "engine-1"] {
+                dispatcher.handle(now, load(engine, 1, "w1"));
+            }
+            let ticket = chat(&format!("{failure:?}-{number}"), now + Duration::from_secs(30));
+            let ticket = RequestTicket { fingerprint: number + 100, ..ticket };
+            let first = only_send(&dispatcher.handle(now, PolicyInput::Arrive(ticket)));
+            let first = first.expect("an idle engine takes it");
+            let actions = dispatcher.handle(now, failed(first.attempt, failure, 0));
+            count += u32::from(refusal(&actions).is_some());
+            if let Some(second) = only_send(&actions) {
+                let (attempt, output_tokens) = (second.attempt, 1);
+                let ended = PolicyInput::Finished { attempt, cached_tokens: None, output_tokens };
+                dispatcher.handle(now, ended);
+            }
+        }
+        refused.push(count);
+    }
+    assert_eq!(refused[0], 0);
+    assert!(refused[1] >= 4, "breaks are paid for: {refused:?}");
+}
