Resume streams with one version for weights, salt and source

Change: one version decides weights, salt and whether a source is named. Besides, a server with older weights than the named ones is no source (prefix_fetch::due_server_is_no_source): a late order could do the same.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -255,7 +255,12 @@
     fn backend_request(&self, order: &SendOrder, from: &ResumeFrom) -> Request<Full<Bytes>> {
         let WholeRequest { caller, head, body, service, ends, .. } = &self.request;
         let model = caller.work.as_ref().map(|work| &work.model);
-        let weights = self.core.weights_of(&order.server, service, model);
+        let decided = order.weights.as_ref().and_then(|version| version.parse().ok());
+        let believed = decided.or(self.core.weights_of(&order.server, service, model));
+        // One version for all: a stream that went on under new weights resumes on those, and with
+        // the salt of the former ones it would be given cache entries of the former ones.
+        let weights = from.weights.or(believed);
+        let source = order.source.as_ref().filter(|_| weights.is_some() && weights == decided);
         let salt = model.map(|model| {
             let weights = weights.map(|version| version.to_string()).unwrap_or_default();
             cache_salt(self.request.cache_owner(), model, None, &weights)
@@ -265,10 +270,10 @@
             server: &order.server,
             time_left: ends.saturating_duration_since(Instant::now()),
             cache_salt: salt,
-            fetch_from: order.source.as_ref().and_then(|source| self.core.address(source)),
+            fetch_from: source.and_then(|source| self.core.address(source)),
             priority: order.priority,
             resume_after: from.event.clone(),
-            weights: from.weights.or(weights),
+            weights,
         };
         let mut headers = head.headers.clone();
         strip_connection(&mut headers);
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -4,7 +4,7 @@
     crate::{
         control::document::NamedWeights,
         fleet::{FleetSnapshot, ListedServer, ServerPhase},
-        ids::{ModelId, ServerId, ServiceId, VmId},
+        ids::{ModelId, ServerId, ServiceId, VmId, WeightsVersion},
         inventory::{DecisionObjective, ServerKind},
         policy::{LoadReport, PolicyInput, PolicyView, ServerHealth, ServerView},
         routing::RouteIndex,
@@ -30,6 +30,8 @@
     pub index: Option<Arc<RouteIndex>>,
     /// The backend servers that routes lead to, by name.
     pub servers: BTreeMap<ServerId, ListedServer>,
+    /// The newest weights that operators have named, by model.
+    pub named: NamedWeights,
     /// Servers whose weights are too old to begin anything on, while others have newer ones.
     pub outdated: BTreeSet<ServerId>,
     /// Entries that share the servers; at least 1.
@@ -43,10 +45,12 @@
 }
 
 impl EdgeView {
-    /// The view of a table, a list of servers, and the weights that were named so long ago that nothing may begin on older ones any more.
+    /// The view of a table, a list of servers, the named weights, and those of them that were named so
+    /// long ago that nothing may begin on older ones any more.
     pub fn new(
         index: Option<Arc<RouteIndex>>,
         fleet: &FleetSnapshot,
+        named: &NamedWeights,
         required: &NamedWeights,
         entries: u32,
     ) -> Self {
@@ -64,7 +68,13 @@
             .map(|server| (server.id.clone(), server.clone()))
             .collect();
         let outdated = outdated(&servers, required);
-        EdgeView { index: Some(index), servers, outdated, entries: entries.max(1) }
+        EdgeView {
+            index: Some(index),
+            servers,
+            named: named.clone(),
+            outdated,
+            entries: entries.max(1),
+        }
     }
 
     /// Whether the service's servers run models.
@@ -73,6 +83,18 @@
         rule.is_some_and(|rule| rule.engine.is_some())
     }
 
+    fn newest_weights(&self) -> BTreeMap<ModelId, WeightsVersion> {
+        let Some(index) = &self.index else { return BTreeMap::new() };
+        let services = index.table.services.iter();
+        let engines = services.filter_map(|(id, rule)| Some((id, rule.engine.as_ref()?)));
+        engines
+            .flat_map(|(id, engine)| engine.models.iter().map(move |model| (id, model)))
+            .filter_map(|(id, model)| {
+                Some((pool_model(id, model), self.named.get(model)?.to_string()))
+            })
+            .collect()
+    }
+
     /// Tokens a second that engines fetch from each other, between failure domains.
     fn fetch_rate(&self) -> Option<f64> {
         let services = self.index.as_ref()?.table.services.values();
@@ -97,7 +119,9 @@
     ) -> Vec<PolicyInput> {
         let view = Arc::new(self.policy_view(vm, objective));
         let rate = self.fetch_rate();
-        let mut inputs = vec![PolicyInput::Configure(view), PolicyInput::PeerFetch { rate }];
+        let newest = self.newest_weights();
+        let mut inputs =
+            vec![PolicyInput::Configure(view), PolicyInput::PeerFetch { rate, newest }];
         for server in self.servers.values() {
             let known = former.servers.get(&server.id);
             let was_outdated = former.outdated.contains(&server.id);
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -238,7 +238,7 @@
         let entries = state.entries.max(1);
         let retries = (retry_reserve / f64::from(entries)).max(1.0);
         core.port.tell(PolicyInput::RetryReserve { retries });
-        core.apply(EdgeView::new(index, &fleet, &required, entries));
+        core.apply(EdgeView::new(index, &fleet, &state.weights, &required, entries));
     }
 }
 
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -29,7 +29,7 @@
         suspect::SuspectList,
     },
     crate::{
-        ids::{AttemptId, FailureDomainId, RequestId, VmId, WeightsVersion},
+        ids::{AttemptId, FailureDomainId, ModelId, RequestId, VmId, WeightsVersion},
         inventory::ServerKind,
     },
     rand_core::{RngCore, SeedableRng},
@@ -116,6 +116,8 @@
     keeps: usize,
     /// Tokens a second that engines fetch from each other; `None` if they cannot.
     fetch_rate: Option<f64>,
+    /// The newest weights named, by model; what has others is no source.
+    newest_weights: BTreeMap<ModelId, WeightsVersion>,
     /// Servers that are ejected and wait for a probe.
     ejected: BTreeSet<ServerIndex>,
     /// When waiting requests are looked at again though nothing happened.
@@ -184,6 +186,7 @@
             peers: digests::PeerBook::default(),
             keeps: 0,
             fetch_rate: None,
+            newest_weights: BTreeMap::new(),
             ejected: BTreeSet::new(),
             look_at: None,
             actions: Vec::new(),
@@ -237,7 +240,10 @@
             PolicyInput::Reachable { domains } => self.note_reachable(domains),
             PolicyInput::Digest(digest) => self.hear_digest(now, digest),
             PolicyInput::Probed { server, answered } => self.note_probe(now, &server, answered),
-            PolicyInput::PeerFetch { rate } => self.fetch_rate = rate,
+            PolicyInput::PeerFetch { rate, newest } => {
+                self.fetch_rate = rate;
+                self.newest_weights = newest;
+            }
             PolicyInput::RetryReserve { retries } => self.budgets.bound_reserve(retries),
             PolicyInput::Wake => {}
         }
--- a/src/policy/dispatcher/fetching.rs
+++ b/src/policy/dispatcher/fetching.rs
@@ -6,8 +6,8 @@
 //! again for each version of the weights. Engines that are linked move the same tokens in 15 to
 //! 60 ms without computing.
 //!
-//! Only servers with the same weights count, and only while they take work: one that loads is about
-//! to drop what it holds. A source that holds nothing costs a millisecond, so a guess is worth it.
+//! Only servers with the same weights count, the newest named ones, and only while they take work: one
+//! that loads is about to drop what it holds. A source that holds nothing costs a millisecond, so a guess is worth it.
 
 use {
     super::{
@@ -72,6 +72,12 @@
         };
         let target = candidate.server;
         let weights = self.table.servers[target].certain_weights(model)?;
+        // A server with older weights than the named ones may load at any moment, also by an order
+        // that comes seconds late. What it still reads then is kept under the salt of its former
+        // weights, and whoever fetches it would answer on cache entries of other weights.
+        if self.newest_weights.get(model).is_some_and(|newest| newest != weights) {
+            return None;
+        }
         let fits = |source: ServerIndex| {
             let from = &self.table.servers[source];
             source != target && from.is_usable() && from.certain_weights(model) == Some(weights)
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -80,6 +80,9 @@
     PeerFetch {
         /// Tokens a second that one of them gets from another; `None` if they cannot.
         rate: Option<f64>,
+        /// The newest weights that operators have named, by model. A server with others is about
+        /// to change them.
+        newest: BTreeMap<ModelId, WeightsVersion>,
     },
     /// Retries that this daemon may have saved up, where operators bound them for all daemons
     /// together.
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -188,8 +188,8 @@
 fn returned_server_waits() {
     let old = listed("i-1", 2, ServerPhase::Ready);
     let fleet = FleetSnapshot::new(vec![old.clone(), listed("i-2", 3, ServerPhase::Ready)]);
-    let view = EdgeView::new(Some(index()), &fleet, &named(3), 1);
+    let view = EdgeView::new(Some(index()), &fleet, &named(3), &named(3), 1);
     assert_eq!(view.outdated.iter().collect::<Vec<_>>(), ["i-1"]);
     let alone = FleetSnapshot::new(vec![old, listed("i-2", 3, ServerPhase::Draining)]);
-    assert!(EdgeView::new(Some(index()), &alone, &named(3), 1).outdated.is_empty());
+    assert!(EdgeView::new(Some(index()), &alone, &named(3), &named(3), 1).outdated.is_empty());
 }
--- a/tests/prefix_fetch.rs
+++ b/tests/prefix_fetch.rs
@@ -10,7 +10,7 @@
         },
     },
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -48,7 +48,8 @@
         let now = Instant::now();
         let mut bench = FetchBench { now, dispatcher: Dispatcher::new(settings), count: 0 };
         bench.tell(PolicyInput::Configure(Arc::new(view)));
-        bench.tell(PolicyInput::PeerFetch { rate: fetch.then_some(FETCH_RATE) });
+        let rate = fetch.then_some(FETCH_RATE);
+        bench.tell(PolicyInput::PeerFetch { rate, newest: BTreeMap::new() });
         for engine in ENGINES {
             bench.weights(engine, "1");
         }
@@ -188,3 +189,24 @@
     }
     assert_ne!(bench.send(200).server, home);
 }
+
+/// A request ran on cache entries that were made under other weights than its own. Order of events:
+/// version 2 is named, and the order to load it reaches a server seconds late, at a moment when
+/// nobody holds the server back; what the server is just reading is finished under version 2 and kept
+/// under version 1's salt; another server, still on version 1, fetches it.
+#[test]
+fn due_server_is_no_source() {
+    let mut bench = FetchBench::new(true);
+    let first = bench.send(6_000);
+    bench.finish(&first);
+    let source = |bench: &mut FetchBench| {
+        let stray = (0..30).map(|_| bench.send(6_000)).find(|order| order.server != first.server);
+        stray.expect("a full home lets some go").source
+    };
+    let newest = BTreeMap::from([(MODEL.to_owned(), "2".to_owned())]);
+    bench.tell(PolicyInput::PeerFetch { rate: Some(FETCH_RATE), newest });
+    assert_eq!(source(&mut bench), None);
+    let newest = BTreeMap::from([(MODEL.to_owned(), "1".to_owned())]);
+    bench.tell(PolicyInput::PeerFetch { rate: Some(FETCH_RATE), newest });
+    assert!(source(&mut bench).is_some());
+}
