--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -31,12 +31,13 @@
     },
 };
 
-/// A server within the region accepts within a few milliseconds. A lost first packet is sent again
-/// after a second, so waiting longer than this is waiting for that.
-pub const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// A server within the region accepts within a few milliseconds, a full one within some tens. A lost
+/// first packet is sent again after a second, so waiting longer than this is waiting for that, while
+/// another server could have answered.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// Bytes that a server did not confirm for so long show that it, or the way to it, is gone: several
 /// round trips and lost packets; a server that works but is silent confirms them.
-const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(1_500);
+const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(1_000);
 /// A connection without traffic is probed after this, so that a server that fell silent while it
 /// worked is found within about two seconds.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
