--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -256,7 +256,7 @@
         let WholeRequest { caller, head, body, service, ends, .. } = &self.request;
         let model = caller.work.as_ref().map(|work| &work.model);
         let decided = order.weights.as_ref().and_then(|version| version.parse().ok());
-        let believed = decided.or(self.core.weights_of(&order.server, service, model));
+        let believed = self.core.weights_of(&order.server, service, model).or(decided);
         // One version for all: a stream that went on under new weights resumes on those, and with
         // the salt of the former ones it would be given cache entries of the former ones.
         let weights = from.weights.or(believed);
