Wait for the rest of a refusal 20 ms at most

Cause (reading): a server that hangs after the head of a refusal held the request up until its end. Change: its body is awaited 20 ms, else the connection is dropped.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -14,7 +14,12 @@
     crate::{
         ids::AttemptId,
         observe::metrics::refusal,
-        pipeline::{Directive, dispatch::RequestRoute, drain::OpenRequest},
+        pipeline::{
+            Directive,
+            counters::{count_crossed, count_refusal},
+            dispatch::RequestRoute,
+            drain::OpenRequest,
+        },
         policy::{
             AttemptFailure, DidRun, PolicyInput, RefusalReason, SendOrder, ServerHealth,
             prefix::cache_salt,
@@ -28,13 +33,15 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep_until,
+    tokio::time::{sleep_until, timeout},
 };
 
 /// The longest answer that is held back until it is whole; only streams may be longer.
 const WHOLE_ANSWER_BYTES: usize = 4 << 20;
 /// The longest body of a refusal that is read so that its connection can be kept.
 const REFUSAL_BYTES: usize = 4 << 10;
+/// How long such a body is awaited; it mostly comes with the head.
+const REFUSAL_WAIT: Duration = Duration::from_millis(20);
 /// When a request is placed anew after all connections to a server were in use: about the time that
 /// one token takes.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
@@ -230,7 +237,9 @@
             }
             AnswerVerdict::NotRun => {
                 self.core.note_answer(&order.server, model, &head);
-                if Limited::new(body, REFUSAL_BYTES).collect().await.is_ok() {
+                let rest = Limited::new(body, REFUSAL_BYTES).collect();
+                // A server that hangs after the head must not hold up the request with it.
+                if matches!(timeout(REFUSAL_WAIT, rest).await, Ok(Ok(_))) {
                     leased.keep(head.idle_limit);
                 }
                 Err(self.report(order, AttemptFailure::Declined, from, head.retry_after))
@@ -244,7 +253,7 @@
                 Err(self.report(order, AttemptFailure::Declined, from, None))
             }
             AnswerVerdict::Foreign => {
-                crate::pipeline::counters::count_crossed();
+                count_crossed();
                 self.runs += 1;
                 self.core.recheck(&order.server);
                 Err(self.report(order, AttemptFailure::Broken, from, None))
@@ -332,7 +341,7 @@
             let body = AnswerBody::whole(body, ConnectionPhase::default(), None);
             return Step::Answer(Box::new(Response::from_parts(parts, body)));
         }
-        crate::pipeline::counters::count_refusal(refusal::BACKEND_FAILED);
+        count_refusal(refusal::BACKEND_FAILED);
         Step::Refused(EdgeRefusal::new(StatusCode::BAD_GATEWAY, refusal::BACKEND_FAILED))
     }
 
