Keep a leaving server leaving when a follower is given an older list

Cause (reading): lists have no number, so an entry that turned to another control VM could take an older list, in which a leaving server was ready. Change: draining stays for a life; the digest that is asked with is that of the list as received. Test: followed_list, draining_stays fails without it.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -68,6 +68,23 @@
         FleetSnapshot { servers }
     }
 
+    /// Servers that were draining in an earlier snapshot of this life still are.
+    ///
+    /// A follower that turns to another control VM may be given an older list, in which a server that
+    /// is leaving still is ready; it would get new work again after its last seconds had begun.
+    pub fn keep_draining(&mut self, former: &FleetSnapshot) {
+        for server in &mut self.servers {
+            let known = former.servers.binary_search_by(|known| known.id.cmp(&server.id));
+            let known = known.ok().map(|index| &former.servers[index]);
+            let drains = known.is_some_and(|known| {
+                known.life == server.life && known.phase == ServerPhase::Draining
+            });
+            if drains {
+                server.phase = ServerPhase::Draining;
+            }
+        }
+    }
+
     /// Tells snapshots apart; equal for equal snapshots on every daemon, 0 for the empty one.
     pub fn digest(&self) -> u64 {
         if self.servers.is_empty() {
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -84,6 +84,9 @@
     pub weights: NamedWeights,
     /// The server list; `None` before the first.
     pub fleet: Option<Arc<FleetSnapshot>>,
+    /// The digest of the list as it was received: who sent it must not take what was kept of an
+    /// earlier one for a change, and send the same list again and again.
+    pub fleet_digest: u64,
     /// The control VMs, as the replicas' membership names them; empty before the first answer.
     pub control: Vec<VmId>,
     /// Entries that share the servers; at least 1 once known.
@@ -108,7 +111,11 @@
             let known = self.weights.entry(model).or_default();
             *known = version.max(*known);
         }
-        if let Some(fleet) = reply.fleet {
+        if let Some(mut fleet) = reply.fleet {
+            self.fleet_digest = fleet.digest();
+            if let Some(former) = &self.fleet {
+                fleet.keep_draining(former);
+            }
             self.fleet = Some(Arc::new(fleet));
         }
         if let Some(control) = reply.control {
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -138,7 +138,7 @@
         let request = FollowRequest {
             document: held.document.number,
             weights: held.weights,
-            fleet: held.fleet.map_or(0, |fleet| fleet.digest()),
+            fleet: held.fleet_digest,
             control: control_digest(&held.control),
             follower: self.port.kind(),
             wait,
