--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -53,83 +53,105 @@
     assert_eq!((step.drain, step.load), (vec!["b".to_owned()], vec![]));
 }
 
-/// The same server loaded version after version while others waited. Order of events: it is held
-/// back and loads version 2; version 3 is named meanwhile; when it has loaded it has to wait for its
-/// turn like the others, and its load is noticed at once and not only when it is looked at as one
-/// that waits.
-#[test]
-fn a_load_ends_the_turn() {
-    let mut core = OrderCore::with_timing(FLEET_TIMING);
-    let mut now = Instant::now();
-    let place = |server: &str| (server.to_owned(), "m0".to_owned());
-    let report = |server: &str, version: &str, running| LoadReport {
-        server: server.to_owned(),
-        incarnation: 1,
-        weights: [("m0".to_owned(), version.to_owned())].into(),
-        running,
-        waiting: 0,
-        waiting_tokens: 0,
-        cache_used: 0.0,
-        leaving: false,
-    };
-    let want = |version: &str, index| {
-        let servers = ["s0", "s1", "s2"];
-        let wanted = servers.map(|server| (place(server), version.to_owned())).into();
+/// Three engines of which one may load at a time; each load takes 400 ms.
+struct TurnBench {
+    core: OrderCore,
+    now: Instant,
+    versions: BTreeMap<String, String>,
+    /// The load under way: where, to which version, and until when.
+    load: Option<(String, String, Instant)>,
+    /// Orders in the order in which they were given.
+    ordered: Vec<(String, String)>,
+}
+
+impl TurnBench {
+    const SERVERS: [&str; 3] = ["s0", "s1", "s2"];
+
+    fn new() -> Self {
+        TurnBench {
+            core: OrderCore::with_timing(FLEET_TIMING),
+            now: Instant::now(),
+            versions: Self::SERVERS.map(|server| (server.to_owned(), "1".to_owned())).into(),
+            load: None,
+            ordered: Vec::new(),
+        }
+    }
+
+    fn want(&mut self, version: &str, index: u64) {
+        let place = |server: &str| (server.to_owned(), "m0".to_owned());
+        let wanted = Self::SERVERS.map(|server| (place(server), version.to_owned())).into();
         let number = FencingNumber { term: 1, index };
-        let desired = servers.map(|server| (place(server), (version.to_owned(), number))).into();
-        [
-            OrderInput::Configure(OrderPlan { limit: 1, wanted }),
-            OrderInput::Desired(Arc::new(desired)),
-        ]
-    };
-    let mut inputs = vec![OrderInput::Lease(Some((1, now)))];
-    inputs.extend(want("2", 1).into_iter().rev());
-    let mut versions = BTreeMap::from([("s0", "1"), ("s1", "1"), ("s2", "1")]);
-    let mut ordered: Vec<(String, String)> = Vec::new();
-    let mut load: Option<(&str, &str, Instant)> = None;
-    let begin = now;
-    let mut renamed = false;
-    while now < begin + Duration::from_secs(12) {
-        now += Duration::from_millis(20);
-        if !renamed && ordered.len() == 1 {
-            inputs.extend(want("3", 2).into_iter().rev());
-            renamed = true;
+        let desired =
+            Self::SERVERS.map(|server| (place(server), (version.to_owned(), number))).into();
+        self.give(OrderInput::Configure(OrderPlan { limit: 1, wanted }));
+        self.give(OrderInput::Desired(Arc::new(desired)));
+    }
+
+    fn give(&mut self, input: OrderInput) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for action in self.core.handle(self.now, input) {
+                inputs.extend(self.perform(action));
+            }
         }
-        if let Some((server, version, until)) = load
-            && now >= until
-        {
-            versions.insert(server, version);
-            load = None;
+    }
+
+    fn perform(&mut self, action: OrderAction) -> Option<OrderInput> {
+        match action {
+            OrderAction::Look { server } => {
+                let report = LoadReport {
+                    server: server.clone(),
+                    incarnation: 1,
+                    weights: [("m0".to_owned(), self.versions[&server].clone())].into(),
+                    running: 3,
+                    waiting: 0,
+                    waiting_tokens: 0,
+                    cache_used: 0.0,
+                    leaving: false,
+                };
+                Some(OrderInput::Looked { server, report: Some(report) })
+            }
+            OrderAction::Order(order) => {
+                let until = self.now + Duration::from_millis(400);
+                self.load = Some((order.server.clone(), order.weights.clone(), until));
+                self.ordered.push((order.server.clone(), order.weights));
+                let (place, number) = ((order.server, order.model), order.number);
+                Some(OrderInput::Ordered { place, number, result: OrderResult::Taken })
+            }
+            OrderAction::Drain { .. } | OrderAction::Propose { .. } => None,
         }
-        inputs.insert(0, OrderInput::Wake);
-        while let Some(input) = inputs.pop() {
-            for action in core.handle(now, input) {
-                match action {
-                    OrderAction::Look { server } => {
-                        let version = versions[server.as_str()];
-                        let report = Some(report(&server, version, 3));
-                        inputs.push(OrderInput::Looked { server, report });
-                    }
-                    OrderAction::Order(order) => {
-                        let server =
-                            ["s0", "s1", "s2"].into_iter().find(|one| *one == order.server);
-                        let version = if order.weights == "2" { "2" } else { "3" };
-                        let until = now + Duration::from_millis(400);
-                        load = Some((server.expect("it is known"), version, until));
-                        ordered.push((order.server.clone(), order.weights.clone()));
-                        let result = OrderResult::Taken;
-                        let (place, number) = ((order.server, order.model), order.number);
-                        inputs.push(OrderInput::Ordered { place, number, result });
-                    }
-                    OrderAction::Drain { .. } | OrderAction::Propose { .. } => {}
-                }
+    }
+
+    fn run(&mut self, time: Duration, until: impl Fn(&Self) -> bool) {
+        let end = self.now + time;
+        while self.now < end && !until(self) {
+            self.now += Duration::from_millis(20);
+            if let Some((server, version, _)) =
+                self.load.take_if(|(_, _, until)| self.now >= *until)
+            {
+                self.versions.insert(server, version);
             }
+            self.give(OrderInput::Wake);
         }
     }
-    let servers: Vec<&str> = ordered.iter().map(|(server, _)| server.as_str()).collect();
-    assert_eq!(ordered.len(), 4, "{ordered:?}");
-    assert_eq!(servers[3], servers[0], "who loaded version 2 comes last: {ordered:?}");
-    assert!(versions.values().all(|version| *version == "3"), "{versions:?}");
+}
+
+/// The same server loaded version after version while others waited. Order of events: it is held
+/// back and loads version 2; version 3 is named meanwhile; when it has loaded it has to wait for its
+/// turn like the others, and its load is noticed at once and not only when it is looked at as one
+/// that waits.
+#[test]
+fn a_load_ends_the_turn() {
+    let mut bench = TurnBench::new();
+    bench.give(OrderInput::Lease(Some((1, bench.now))));
+    bench.want("2", 1);
+    bench.run(Duration::from_secs(10), |bench| bench.ordered.len() == 1);
+    bench.want("3", 2);
+    bench.run(Duration::from_secs(9), |_| false);
+    let servers: Vec<&str> = bench.ordered.iter().map(|(server, _)| server.as_str()).collect();
+    assert_eq!(servers.len(), 4, "{:?}", bench.ordered);
+    assert_eq!(servers[3], servers[0], "who loaded version 2 comes last: {:?}", bench.ordered);
+    assert!(bench.versions.values().all(|version| version == "3"), "{:?}", bench.versions);
 }
 
 #[test]
