Refuse bodies framed in two ways, and take over settings that change without a signal

Cause: the HTTP library drops a Content-Length that follows a Transfer-Encoding, so such a request was framed anew and served; and the settings file was read again at SIGHUP only, on entries only, so a process whose seeds were all replaced never found the group. Ruled out: an own parser for the callers' side (a second HTTP implementation for one check); refusing by the headers alone (the library hides one of the two orders). Change: the guard below the library keeps the bytes of the head that is awaited, and the service judges them; a chunked request whose head was sent ahead is served and ends its connection. Settings are looked at once a second; a control VM takes new seeds over as well, and an empty replica asks them. Tests: platform bad_request (400 in both orders; 200 before), renewed_settings and refused_config with the real programs, introduced_replica.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -108,6 +108,9 @@
     deferred: VecDeque<DeferredMessage>,
     /// Other replicas heard in this life; bounded by `formation::SIGHTINGS`.
     sightings: BTreeMap<VmId, PeerSighting>,
+    /// VMs beside founders and members that a replica without a group makes itself known to; as
+    /// many as the settings name.
+    introduced: BTreeSet<VmId>,
     incoming: Option<IncomingSnapshot>,
     /// Collected while one input is handled.
     writes: Vec<DurableWrite>,
@@ -162,6 +165,7 @@
             durable_later: VecDeque::new(),
             deferred: VecDeque::new(),
             sightings: BTreeMap::new(),
+            introduced: BTreeSet::new(),
             incoming: None,
             writes: Vec::new(),
             replies: Vec::new(),
@@ -186,6 +190,7 @@
             ReplicaInput::Received { from, message } => self.receive(now, from, message),
             ReplicaInput::Persisted { number } => self.persisted(now, number),
             ReplicaInput::Propose { proposal, command } => self.propose(now, proposal, command),
+            ReplicaInput::Introduce { peers } => self.introduced = peers,
         }
         self.run_timers(now);
         self.hand_out()
--- a/src/control/replica/formation.rs
+++ b/src/control/replica/formation.rs
@@ -133,10 +133,11 @@
         self.probe();
     }
 
-    /// Makes itself known to the founders and the members.
+    /// Makes itself known to the founders, the members and those that the settings name now.
     pub(super) fn probe(&mut self) {
         let founders = self.founders_digest();
         let mut known = self.settings.founders.clone();
+        known.extend(self.introduced.iter().cloned());
         known.extend(self.membership().members().map(|(vm, _)| vm.clone()));
         for vm in known {
             if vm != self.settings.vm {
--- a/src/control/replica/types.rs
+++ b/src/control/replica/types.rs
@@ -126,6 +126,12 @@
         /// The command.
         command: Command,
     },
+    /// The settings name these VMs now: without a group the replica makes itself known to them as
+    /// well. They found nothing.
+    Introduce {
+        /// The VMs.
+        peers: BTreeSet<VmId>,
+    },
 }
 
 /// What a replica wants done.
--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -21,7 +21,7 @@
     displaydoc::Display,
     futures::future::BoxFuture,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         hash::{BuildHasher, RandomState},
         path::PathBuf,
         sync::Arc,
@@ -212,6 +212,7 @@
 enum DriverInput {
     Message { from: VmId, message: Box<ReplicaMessage> },
     Propose { command: Box<Command>, reply: ProposalReply },
+    Introduce { peers: BTreeSet<VmId> },
 }
 
 type ProposalReply = oneshot::Sender<Result<CommandOutcome, LocalProposeError>>;
@@ -334,6 +335,7 @@
                 self.waiting.insert(proposal, reply);
                 ReplicaInput::Propose { proposal, command: *command }
             }
+            DriverInput::Introduce { peers } => ReplicaInput::Introduce { peers },
         }
     }
 
@@ -442,6 +444,14 @@
         }
     }
 
+    /// Names VMs that a replica without a group makes itself known to, beside its founders. With a
+    /// full queue they are not noted; the caller names them again with the next change it sees.
+    pub fn introduce(&self, peers: BTreeSet<VmId>) {
+        if self.inputs.try_send(DriverInput::Introduce { peers }).is_err() {
+            log::warn!("VMs of the settings are not noted: the replica is busy or has stopped");
+        }
+    }
+
     /// The committed configuration as far as this replica has applied it.
     pub fn config(&self) -> ConfigWatch {
         self.watches.config.clone()
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -12,6 +12,7 @@
 pub mod headers;
 pub mod pool;
 pub mod port;
+pub mod raw_head;
 pub mod recheck;
 pub mod relay;
 pub mod request;
--- a/src/edge/guard.rs
+++ b/src/edge/guard.rs
@@ -5,6 +5,7 @@
 //! the time only while the library waits for a head; a request in progress is never cut here.
 
 use {
+    super::raw_head::RawHead,
     hyper_util::rt::TokioIo,
     std::{
         future::Future,
@@ -69,12 +70,15 @@
     pub head: Duration,
     /// Without a byte between two requests.
     pub idle: Duration,
+    /// The longest head, in bytes.
+    pub head_bytes: usize,
 }
 
 /// A caller's connection under guard.
 pub struct GuardedStream {
     stream: TcpStream,
     phase: ConnectionPhase,
+    raw: RawHead,
     limits: GuardLimits,
     /// Since when the present phase lasts, as far as reads have shown.
     seen: (u32, Instant),
@@ -87,10 +91,11 @@
     pub fn wrap(
         stream: TcpStream,
         phase: ConnectionPhase,
+        raw: RawHead,
         limits: GuardLimits,
     ) -> TokioIo<GuardedStream> {
         let seen = (IDLE, Instant::now());
-        TokioIo::new(GuardedStream { stream, phase, limits, seen, timer: None })
+        TokioIo::new(GuardedStream { stream, phase, raw, limits, seen, timer: None })
     }
 
     fn stream(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
@@ -108,8 +113,12 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(context, buffer);
         if let Poll::Ready(result) = polled {
-            if buffer.filled().len() > before && this.phase.get() & PHASE_MASK == IDLE {
-                this.phase.change(HEAD);
+            let arrived = &buffer.filled()[before..];
+            if !arrived.is_empty() && this.phase.get() & PHASE_MASK != BUSY {
+                if this.phase.get() & PHASE_MASK == IDLE {
+                    this.phase.change(HEAD);
+                }
+                this.raw.push(arrived, this.limits.head_bytes);
             }
             return Poll::Ready(result);
         }
--- a/src/edge/port.rs
+++ b/src/edge/port.rs
@@ -7,6 +7,7 @@
         dialect::EdgeRefusal,
         exchange,
         guard::{ConnectionPhase, GuardLimits, GuardedStream},
+        raw_head::{BodyFraming, RawHead},
         request::read_whole,
     },
     crate::{
@@ -15,7 +16,7 @@
         routing::CallerLimits,
     },
     bytes::Bytes,
-    http::{HeaderValue, Request, Response, StatusCode, header},
+    http::{HeaderValue, Request, Response, StatusCode, header, request},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     metrics::gauge,
     std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
@@ -122,15 +123,20 @@
     let _ = stream.set_nodelay(true);
     let limits = core.view().index.as_ref().map(|index| index.table.limits).unwrap_or_default();
     let between = ConnectionPhase::default();
-    let guard = GuardLimits { head: limits.head_time, idle: limits.idle_time };
-    let guarded = GuardedStream::wrap(stream, between.clone(), guard);
+    let head_bytes = limits.head_bytes.max(LEAST_HEAD_BYTES);
+    let guard = GuardLimits { head: limits.head_time, idle: limits.idle_time, head_bytes };
+    let raw = RawHead::default();
+    let guarded = GuardedStream::wrap(stream, between.clone(), raw.clone(), guard);
     let phases = phase.clone();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |request: Request<Incoming>| {
         between.begin_request();
-        answer(Arc::clone(&core), request, limits, between.clone(), phases.clone())
+        let (head, body) = request.into_parts();
+        let framing = raw.judge(&head);
+        let arrived = ArrivedRequest { head, body, framing };
+        answer(Arc::clone(&core), arrived, limits, between.clone(), phases.clone())
     });
     let mut builder = Builder::new();
-    builder.max_buf_size(limits.head_bytes.max(LEAST_HEAD_BYTES));
+    builder.max_buf_size(head_bytes);
     let connection = builder.serve_connection(guarded, service);
     tokio::pin!(connection);
     gauge!(CONNECTIONS).increment(1.0);
@@ -152,15 +158,26 @@
     let _ = phase.wait_for(|phase| *phase >= PortPhase::Ending).await;
 }
 
+/// A request as the library hands it over.
+struct ArrivedRequest {
+    head: request::Parts,
+    body: Incoming,
+    framing: BodyFraming,
+}
+
 async fn answer(
     core: Arc<EdgeCore>,
-    request: Request<Incoming>,
+    arrived: ArrivedRequest,
     limits: CallerLimits,
     between: ConnectionPhase,
     phase: watch::Receiver<PortPhase>,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let (head, body) = request.into_parts();
+    let ArrivedRequest { head, body, framing } = arrived;
     let outcome = async {
+        if framing == BodyFraming::Doubled {
+            count_refusal(refusal::BAD_REQUEST);
+            return Err(EdgeRefusal::new(StatusCode::BAD_REQUEST, refusal::BAD_REQUEST));
+        }
         let open = core.gate.enter().map_err(|closed| match closed {
             GateClosed::Draining => stopping(refusal::DRAINING),
             GateClosed::Full => stopping(refusal::TOO_MANY_OPEN),
@@ -171,7 +188,8 @@
         exchange::run(Arc::clone(&core), whole, between.clone(), open).await
     };
     let mut response = outcome.await.unwrap_or_else(|refusal| refused(&core, &refusal, between));
-    if *phase.borrow() >= PortPhase::Closing {
+    // Where the framing cannot be told, nothing that follows on the connection is believed.
+    if *phase.borrow() >= PortPhase::Closing || framing == BodyFraming::Unknown {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,6 +7,7 @@
 pub mod control;
 pub mod control_book;
 pub mod entry;
+pub mod file_watch;
 pub mod health;
 pub mod named_clock;
 pub mod operators;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -66,6 +66,7 @@
     /// What operators can ask.
     pub desk: OperatorDesk,
     network: PeerNetwork,
+    known: watch::Sender<BTreeMap<VmId, SocketAddr>>,
     _tasks: JoinSet<()>,
 }
 
@@ -94,15 +95,21 @@
         let leads = replica.clone();
         tasks.spawn(read_list(Arc::clone(&board), source, move || leads.lease_valid()));
         spawn_follower(&settings, &network, &replica, &desk, &board, &mut tasks);
-        let peers = settings.founders.clone();
-        tasks.spawn(follow_members(network.clone(), replica.clone(), peers));
+        let (known, known_watch) = watch::channel(settings.founders.clone());
+        tasks.spawn(follow_members(network.clone(), replica.clone(), known_watch));
         let wanted = settings.founders.len();
         tasks.spawn(heal(settings.vm.clone(), replica.clone(), wanted));
         spawn_orders(&replica, &board, engines, &mut tasks);
         log::info!(vm = settings.vm.as_str(), founders = settings.founders.len();
             "control VM started");
         let desk = OperatorDesk::new(settings.vm, replica);
-        Ok(ControlNode { desk, network, _tasks: tasks })
+        Ok(ControlNode { desk, network, known, _tasks: tasks })
+    }
+
+    /// Takes over where the settings say that control VMs are now. A replica of an empty disk that
+    /// was told of VMs which are gone makes itself known to these.
+    pub fn renew_known(&self, control: BTreeMap<VmId, SocketAddr>) {
+        self.known.send_replace(control);
     }
 
     /// Ends the connections to other daemons, so that they need not wait for their silence.
@@ -183,29 +190,36 @@
     tasks.spawn(orders.timed(FLEET_TIMING).run());
 }
 
-/// Keeps the network's peers to the members and those that ask to become one.
+/// Keeps the network's peers to the members, those that ask to become one, and those that the
+/// settings name.
 async fn follow_members(
     network: PeerNetwork,
     replica: ControlHandle,
-    founders: BTreeMap<VmId, SocketAddr>,
+    mut settings: watch::Receiver<BTreeMap<VmId, SocketAddr>>,
 ) {
     let port = network.local_address().port();
     let mut status = replica.status_watch();
-    let mut known = founders.clone();
+    let mut known = BTreeMap::new();
     loop {
         let peers = {
+            let named_here = settings.borrow_and_update().clone();
+            replica.introduce(named_here.keys().cloned().collect());
             let status = status.borrow_and_update();
             let members = status.members.members().map(|(vm, _)| vm);
             let named = members
                 .chain(status.outsiders.keys())
                 .filter_map(|vm| Some((vm.clone(), SocketAddr::new(address_of(vm)?, port))));
-            named.chain(founders.clone()).collect::<BTreeMap<_, _>>()
+            named.chain(named_here).collect::<BTreeMap<_, _>>()
         };
         if peers != known {
             network.set_peers(peers.clone());
             known = peers;
         }
-        if status.changed().await.is_err() {
+        let ended = tokio::select! {
+            changed = status.changed() => changed.is_err(),
+            changed = settings.changed() => changed.is_err(),
+        };
+        if ended {
             return;
         }
     }
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -84,9 +84,21 @@
     pub objective: DecisionObjective,
 }
 
+/// What a running entry takes over when its settings change.
+#[derive(Clone, Debug)]
+pub struct RenewedSettings {
+    /// Where control VMs are now; those known so far stay in use.
+    pub control: BTreeMap<VmId, SocketAddr>,
+    /// As in [`EntrySettings`].
+    pub retry_reserve: f64,
+    /// As in [`EntrySettings`].
+    pub grace: Duration,
+}
+
 /// A running entry.
 pub struct EntryNode {
     settings: EntrySettings,
+    retry_reserve: watch::Sender<f64>,
     core: Arc<EdgeCore>,
     port: CallerPort,
     leaving: Arc<AtomicBool>,
@@ -123,7 +135,8 @@
         tasks.spawn(task.run());
         let candidates = Arc::new(ControlBook::new(network.clone(), control, candidates));
         tasks.spawn(follow_control(Arc::clone(&candidates), states.clone()));
-        tasks.spawn(apply_states(Arc::clone(&core), states, reader, settings.retry_reserve));
+        let (retry_reserve, reserve_watch) = watch::channel(settings.retry_reserve);
+        tasks.spawn(apply_states(Arc::clone(&core), states, reader, reserve_watch));
         let leaving = Arc::new(AtomicBool::new(false));
         tasks.spawn(serve_readiness(&settings, Arc::clone(&core), Arc::clone(&leaving)).await?);
         let port = CallerPort::start(settings.callers, Arc::clone(&core), settings.connections)
@@ -134,11 +147,14 @@
                 reason,
             })?;
         log::info!(vm = settings.vm.as_str(), callers:% = settings.callers; "entry started");
-        Ok(EntryNode { settings, core, port, leaving, candidates, _tasks: tasks })
+        Ok(EntryNode { settings, retry_reserve, core, port, leaving, candidates, _tasks: tasks })
     }
 
-    /// Takes over where the settings say that control VMs are now; those known so far stay in use.
-    pub fn add_control(&self, control: BTreeMap<VmId, SocketAddr>) {
+    /// Takes over changed settings. Nothing that is in flight is touched.
+    pub fn renew(&mut self, renewed: RenewedSettings) {
+        let RenewedSettings { control, retry_reserve, grace } = renewed;
+        self.settings.grace = grace;
+        self.retry_reserve.send_replace(retry_reserve);
         self.candidates.add(control);
     }
 
@@ -221,7 +237,7 @@
     core: Arc<EdgeCore>,
     mut states: watch::Receiver<SharedState>,
     reader: Arc<dyn TableReader>,
-    retry_reserve: f64,
+    mut retry_reserve: watch::Receiver<f64>,
 ) {
     let mut routes = RouteKeeper::default();
     let mut clock = NamedClock::default();
@@ -229,6 +245,7 @@
         let due = clock.next_change().unwrap_or_else(|| StdInstant::now() + IDLE_LOOK);
         tokio::select! {
             changed = states.changed() => if changed.is_err() { return },
+            changed = retry_reserve.changed() => if changed.is_err() { return },
             () = sleep_until(due.into()) => {}
         }
         let state = states.borrow_and_update().clone();
@@ -236,7 +253,7 @@
         let index = routes.index_for(state.document.number, &state.document.body, &*reader);
         let fleet = state.fleet.unwrap_or_default();
         let entries = state.entries.max(1);
-        let retries = (retry_reserve / f64::from(entries)).max(1.0);
+        let retries = (*retry_reserve.borrow_and_update() / f64::from(entries)).max(1.0);
         core.port.tell(PolicyInput::RetryReserve { retries });
         core.apply(EdgeView::new(index, &fleet, &state.weights, &required, entries));
     }
