--- a/src/edge/request.rs
+++ b/src/edge/request.rs
@@ -64,11 +64,17 @@
     if head.method == Method::CONNECT {
         return Err(EdgeRefusal::new(StatusCode::BAD_REQUEST, refusal::BAD_REQUEST));
     }
-    let caller = core.dialect.read_request(&head, index)?;
+    let mut caller = core.dialect.read_request(&head, index)?;
     let service = caller.route.service(core.turn()).cloned();
     let Some(service) = service else {
         return Err(EdgeRefusal::new(StatusCode::NOT_FOUND, refusal::NOT_FOUND));
     };
+    // A route may be split between engines and a plain service, which has no prompt cache and no
+    // weights: placed as a prompt, the part of its requests that falls to that service would find no
+    // server.
+    if !view.is_engine(&service) {
+        caller.work = None;
+    }
     let body = read_body(body, limits).await?;
     let given = caller.time_left.unwrap_or(caller.route.timeout).min(caller.route.timeout);
     Ok(WholeRequest { caller, head, body, service, arrived, ends: arrived + given })
--- a/src/observe/bounded_log.rs
+++ b/src/observe/bounded_log.rs
@@ -142,13 +142,18 @@
 
 /// Logs to standard output within `budget`. A second call changes nothing.
 pub fn install(level: LevelFilter, budget: LogBudget) {
+    install_on(level, budget, std::io::stdout());
+}
+
+/// The same to `out`.
+pub fn install_on(level: LevelFilter, budget: LogBudget, out: impl Write + Send + 'static) {
     let (log, drain) = BoundedLog::new(level, budget);
     if log::set_boxed_logger(Box::new(log)).is_err() {
         return;
     }
     log::set_max_level(level);
     let writer = thread::Builder::new().name("log-writer".to_owned());
-    if let Err(error) = writer.spawn(move || drain.run(std::io::stdout())) {
+    if let Err(error) = writer.spawn(move || drain.run(out)) {
         eprintln!("the log cannot be written: {error}; allow the process more threads");
     }
 }
