Explain failed requests out of log files, with histograms of waits and answers

Cause: on-call engineers had grep alone; early refusals, callers who left and lost servers, lists and leaders had no line; no histogram told how long requests wait here.

--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -16,6 +16,7 @@
         daemon::{ConfigWatch, ControlPort},
         ids::{Incarnation, VmId},
         inventory::ActiveConfig,
+        observe::events,
         storage::{DiskFiles, FileSystem, LogStore},
     },
     displaydoc::Display,
@@ -391,7 +392,7 @@
     /// Ends the replica: it votes, acknowledges and leads no more, since nothing that it would
     /// promise would last. The daemon goes on serving with the configuration that it has.
     fn stop(self, reason: &str) {
-        log::error!(reason = reason; "the control replica stopped");
+        log::error!(reason = reason; "{}", events::DISK_LOST);
         metrics::counter!("oleandermount_control_replica_stopped_total").increment(1);
         let mut status = ReplicaStatus::clone(&self.feeds.status.borrow());
         status.lease_until = None;
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -121,6 +121,9 @@
 
 /// Translates between an installation's wire and the product's types. It decides nothing.
 pub trait WireDialect: Send + Sync {
+    /// The id that a caller gave its request, also of one that cannot be served; empty without one.
+    fn request_id<'a>(&self, headers: &'a HeaderMap) -> &'a str;
+
     /// Reads a request's head.
     ///
     /// # Errors
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -13,10 +13,13 @@
     },
     crate::{
         ids::AttemptId,
-        observe::metrics::refusal,
+        observe::{events, metrics::refusal},
         pipeline::{
             Directive,
-            counters::{count_crossed, count_refusal},
+            counters::{
+                count_answer, count_crossed, count_refusal, count_request, record_answer,
+                record_queue_wait,
+            },
             dispatch::RequestRoute,
             drain::OpenRequest,
         },
@@ -55,6 +58,23 @@
     pub(super) runs: u32,
     /// A server's own failure, passed on if nobody does better.
     failure: Option<(response::Parts, Bytes)>,
+    /// Whether how it ended is in the log; if not when it is dropped, its caller has left.
+    pub(super) is_told: bool,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.is_told {
+            let request = &self.request;
+            log::info!(
+                request_id = request.caller.id.as_str(),
+                route = request.caller.route.name.as_str(),
+                sent_to = self.runs,
+                waited_ms = request.arrived.elapsed().as_millis() as u64;
+                "{}", events::CALLER_LEFT
+            );
+        }
+    }
 }
 
 /// An answer whose head has arrived.
@@ -88,8 +108,9 @@
     phase: ConnectionPhase,
     open: OpenRequest,
 ) -> Outcome {
+    count_request(request.caller.class);
     let route = core.port.submit(request.ticket());
-    let mut exchange = Exchange { core, request, route, runs: 0, failure: None };
+    let mut exchange = Exchange { core, request, route, runs: 0, failure: None, is_told: false };
     loop {
         let ends = exchange.request.ends;
         let directive = tokio::select! {
@@ -138,7 +159,9 @@
         phase: ConnectionPhase,
         open: OpenRequest,
     ) -> Outcome {
+        self.is_told = true;
         if let Some((parts, body)) = self.failure.take() {
+            self.log_failure(&parts);
             return Ok(Response::from_parts(parts, AnswerBody::whole(body, phase, Some(open))));
         }
         // Whatever the dispatcher was told, a request that may have run is never said not to have.
@@ -148,10 +171,11 @@
             reason = reason.as_str(),
             organisation = self.request.caller.organisation.as_str(),
             route = self.request.caller.route.name.as_str(),
+            document = self.request.document,
             sent_to = self.runs,
             waited_ms = self.request.arrived.elapsed().as_millis() as u64,
             retry_after_ms = retry_after.map(|pause| pause.as_millis() as u64);
-            "request refused"
+            "{}", events::REQUEST_REFUSED
         );
         Err(refusal_of(reason, retry_after, did_run))
     }
@@ -177,6 +201,9 @@
         if Instant::now() >= order.send_before {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
+        if self.runs == 0 {
+            record_queue_wait(self.request.caller.class, self.request.arrived.elapsed());
+        }
         let request = self.backend_request(order, from);
         let once = !self.request.caller.route.kind.is_repeatable();
         let most = view.connections(&listed.service);
@@ -245,8 +272,8 @@
                 Err(self.report(order, AttemptFailure::Declined, from, head.retry_after))
             }
             AnswerVerdict::OtherServer => {
-                log::info!(server = order.server.as_str();
-                    "the server or its weights are not the listed ones; held back for a while");
+                log::warn!(server = order.server.as_str(), weights = order.weights.as_deref();
+                    "{}", events::SERVER_MISLISTED);
                 let (server, health) = (order.server.clone(), ServerHealth::Dead);
                 self.route.tell(PolicyInput::Health { server, health });
                 self.core.recheck_later(&order.server);
@@ -307,10 +334,12 @@
             request_id = self.request.caller.id.as_str(),
             server = order.server.as_str(),
             failure:? = failure,
+            expected_hit = order.expected_hit,
+            weights = order.weights.as_deref(),
             relayed_events = from.events,
             sent_to = self.runs,
             waited_ms = self.request.arrived.elapsed().as_millis() as u64;
-            "attempt failed"
+            "{}", events::ATTEMPT_FAILED
         );
         self.route.tell(PolicyInput::Failed {
             attempt: order.attempt,
@@ -337,11 +366,23 @@
         if unsent || self.may_run_again() || failure == AttemptFailure::TimedOut {
             return Step::Again;
         }
+        self.is_told = true;
         if let Some((parts, body)) = self.failure.take() {
+            self.log_failure(&parts);
             let body = AnswerBody::whole(body, ConnectionPhase::default(), None);
             return Step::Answer(Box::new(Response::from_parts(parts, body)));
         }
         count_refusal(refusal::BACKEND_FAILED);
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            reason = refusal::BACKEND_FAILED,
+            organisation = self.request.caller.organisation.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            document = self.request.document,
+            sent_to = self.runs,
+            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
+            "{}", events::REQUEST_REFUSED
+        );
         Step::Refused(EdgeRefusal::new(StatusCode::BAD_GATEWAY, refusal::BACKEND_FAILED))
     }
 
@@ -369,14 +410,18 @@
             return self.after_failure(failure);
         }
         self.finish(order.attempt, 0);
+        self.is_told = true;
+        count_answer(self.request.caller.class);
+        record_answer(self.request.caller.class, self.request.arrived.elapsed());
         log::info!(
             request_id = self.request.caller.id.as_str(),
             route = self.request.caller.route.name.as_str(),
             server = order.server.as_str(),
             status = parts.status.as_u16(),
+            document = self.request.document,
             sent_to = self.runs,
             total_ms = self.request.arrived.elapsed().as_millis() as u64;
-            "answered whole"
+            "{}", events::ANSWERED_WHOLE
         );
         // The library frames the answer anew.
         parts.headers.remove(http::header::CONTENT_LENGTH);
@@ -407,6 +452,7 @@
             }
             None => {
                 self.finish(order.attempt, 0);
+                self.is_told = true;
                 answer.leased.keep(answer.head.idle_limit);
                 let body = AnswerBody::whole(Bytes::new(), ConnectionPhase::default(), None);
                 Step::Answer(Box::new(Response::from_parts(answer.parts, body)))
@@ -414,6 +460,32 @@
         }
     }
 
+    /// Tells why a stream that has begun is not finished.
+    pub(super) fn log_cut(&mut self, order: &SendOrder, reason: RefusalReason, events: u32) {
+        self.is_told = true;
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            reason = reason.as_str(),
+            server = order.server.as_str(),
+            relayed_events = events,
+            sent_to = self.runs,
+            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
+            "{}", events::STREAM_CUT
+        );
+    }
+
+    fn log_failure(&self, parts: &response::Parts) {
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            status = parts.status.as_u16(),
+            sent_to = self.runs,
+            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
+            "{}", events::FAILURE_PASSED_ON
+        );
+    }
+
     /// Tells the dispatcher that an attempt ended whole.
     pub(super) fn finish(&self, attempt: AttemptId, output_tokens: u32) {
         self.route.tell(PolicyInput::Finished { attempt, cached_tokens: None, output_tokens });
--- a/src/edge/guard.rs
+++ b/src/edge/guard.rs
@@ -6,6 +6,10 @@
 
 use {
     super::raw_head::RawHead,
+    crate::{
+        observe::{events, metrics::refusal},
+        pipeline::counters::count_refusal,
+    },
     hyper_util::rt::TokioIo,
     std::{
         future::Future,
@@ -139,6 +143,9 @@
             return Poll::Pending;
         }
         if phase & PHASE_MASK == HEAD {
+            count_refusal(refusal::HEAD_TIMEOUT);
+            log::warn!(reason = refusal::HEAD_TIMEOUT, status = 408, sent_to = 0;
+                "{}", events::REQUEST_REFUSED);
             // A full send buffer means that the caller does not read either.
             let _ = this.stream.try_write(HEAD_TOO_SLOW);
         }
--- a/src/edge/port.rs
+++ b/src/edge/port.rs
@@ -8,11 +8,17 @@
         exchange,
         guard::{ConnectionPhase, GuardLimits, GuardedStream},
         raw_head::{BodyFraming, RawHead},
-        request::read_whole,
+        request::{WholeRequest, read_whole},
     },
     crate::{
-        observe::metrics::{CONNECTIONS, refusal},
-        pipeline::{counters::count_refusal, drain::GateClosed},
+        observe::{
+            events,
+            metrics::{CONNECTIONS, refusal},
+        },
+        pipeline::{
+            counters::count_refusal,
+            drain::{GateClosed, OpenRequest},
+        },
         routing::CallerLimits,
     },
     bytes::Bytes,
@@ -148,11 +154,25 @@
         }
     };
     if let Err(error) = ended {
-        log::debug!(error:% = error; "a caller's connection ended with an error");
+        note_end(&error);
     }
     gauge!(CONNECTIONS).decrement(1.0);
 }
 
+/// Heads that the library refuses by itself never reach the service.
+fn note_end(error: &hyper::Error) {
+    let refused = match () {
+        () if error.is_parse_too_large() => (refusal::TOO_LARGE, 431),
+        () if error.is_parse() => (refusal::BAD_REQUEST, 400),
+        () => {
+            return log::debug!(error:% = error; "a caller's connection ended with an error");
+        }
+    };
+    count_refusal(refused.0);
+    log::warn!(reason = refused.0, status = refused.1, sent_to = 0, error:% = error;
+        "{}", events::REQUEST_REFUSED);
+}
+
 async fn ending(phase: &mut watch::Receiver<PortPhase>) {
     // A port that is gone ends its connections as well.
     let _ = phase.wait_for(|phase| *phase >= PortPhase::Ending).await;
@@ -173,17 +193,13 @@
     phase: watch::Receiver<PortPhase>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let ArrivedRequest { head, body, framing } = arrived;
+    let id = core.dialect.request_id(&head.headers).to_owned();
     let outcome = async {
-        if framing == BodyFraming::Doubled {
-            count_refusal(refusal::BAD_REQUEST);
-            return Err(EdgeRefusal::new(StatusCode::BAD_REQUEST, refusal::BAD_REQUEST));
-        }
-        let open = core.gate.enter().map_err(|closed| match closed {
-            GateClosed::Draining => stopping(refusal::DRAINING),
-            GateClosed::Full => stopping(refusal::TOO_MANY_OPEN),
-        })?;
-        let whole = read_whole(&core, head, body, limits).await.inspect_err(|refusal| {
+        let admitted = admit(&core, head, body, framing, limits).await;
+        let (whole, open) = admitted.inspect_err(|refusal| {
             count_refusal(refusal.code);
+            log::warn!(request_id = id, reason = refusal.code, status = refusal.status.as_u16(),
+                sent_to = 0; "{}", events::REQUEST_REFUSED);
         })?;
         exchange::run(Arc::clone(&core), whole, between.clone(), open).await
     };
@@ -195,8 +211,25 @@
     Ok(response)
 }
 
+/// Lets a request in and reads it whole; nothing was sent to a backend server.
+async fn admit(
+    core: &EdgeCore,
+    head: request::Parts,
+    body: Incoming,
+    framing: BodyFraming,
+    limits: CallerLimits,
+) -> Result<(WholeRequest, OpenRequest), EdgeRefusal> {
+    if framing == BodyFraming::Doubled {
+        return Err(EdgeRefusal::new(StatusCode::BAD_REQUEST, refusal::BAD_REQUEST));
+    }
+    let open = core.gate.enter().map_err(|closed| match closed {
+        GateClosed::Draining => stopping(refusal::DRAINING),
+        GateClosed::Full => stopping(refusal::TOO_MANY_OPEN),
+    })?;
+    Ok((read_whole(core, head, body, limits).await?, open))
+}
+
 fn stopping(code: &'static str) -> EdgeRefusal {
-    count_refusal(code);
     EdgeRefusal::new(StatusCode::SERVICE_UNAVAILABLE, code).after(STOPPING_PAUSE)
 }
 
--- a/src/edge/recheck.rs
+++ b/src/edge/recheck.rs
@@ -6,13 +6,13 @@
 
 use {
     super::core::EdgeCore,
-    crate::{ids::ServerId, policy::PolicyInput},
+    crate::{ids::ServerId, observe::events, policy::PolicyInput},
     std::{
         collections::BTreeSet,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 /// Before the first look: a server that was restarted is not back sooner.
@@ -43,16 +43,20 @@
     fn recheck_after(self: &Arc<Self>, server: &ServerId, pause: Duration) {
         let mut servers = self.recheck.0.lock().unwrap_or_else(PoisonError::into_inner);
         if servers.insert(server.clone()) {
+            log::warn!(server = server.as_str(); "{}", events::SERVER_LOST);
             tokio::spawn(Arc::clone(self).run_recheck(server.clone(), pause));
         }
     }
 
     async fn run_recheck(self: Arc<Self>, server: ServerId, pause: Duration) {
+        let since = Instant::now();
         sleep(pause).await;
         for _ in 0..MOST_LOOKS {
             let view = self.view();
             let Some(listed) = view.servers.get(&server) else { break };
             if self.pool.reaches(listed.address).await {
+                log::info!(server = server.as_str(), away_ms = since.elapsed().as_millis() as u64;
+                    "{}", events::SERVER_BACK);
                 self.port.tell(view.health_of(listed));
                 break;
             }
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -11,8 +11,12 @@
         pool::LeasedConnection,
     },
     crate::{
-        pipeline::Directive,
-        policy::{AttemptFailure, PolicyInput, SendOrder},
+        observe::events,
+        pipeline::{
+            Directive,
+            counters::{count_answer, record_answer, record_first_token},
+        },
+        policy::{AttemptFailure, PolicyInput, RefusalReason, SendOrder},
     },
     bytes::{Bytes, BytesMut},
     futures::stream::{self, BoxStream, StreamExt},
@@ -80,6 +84,10 @@
             .route
             .tell(PolicyInput::FirstToken { attempt: order.attempt, cached_tokens: None });
         let pace = StreamPace::begin(exchange.request.arrived);
+        let caller = &exchange.request.caller;
+        if let Some(work) = &caller.work {
+            record_first_token(work.model.as_str(), caller.class, pace.first);
+        }
         RelayedStream {
             resumable: exchange.request.caller.route.kind.is_repeatable(),
             from: ResumeFrom { weights: head.weights, ..ResumeFrom::default() },
@@ -136,8 +144,7 @@
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = sleep_until(ends.into()) => {
-                log::warn!(request_id = self.exchange.request.caller.id.as_str(),
-                    relayed_events = self.from.events; "stream cut at the end of its time");
+                self.exchange.log_cut(&self.order, RefusalReason::DeadlinePassed, self.from.events);
                 return Err(AnswerCut::TimeOver);
             }
         };
@@ -148,6 +155,7 @@
             }
             None => {
                 let ended = self.source.take();
+                self.exchange.is_told = true;
                 self.log_end();
                 self.exchange.finish(self.order.attempt, self.from.events);
                 ended.into_iter().for_each(|(_, leased)| leased.keep(self.head.idle_limit));
@@ -164,17 +172,22 @@
 
     fn log_end(&self) {
         let request = &self.exchange.request;
+        let weights = self.from.weights.map(|version| version.to_string());
+        count_answer(request.caller.class);
+        record_answer(request.caller.class, request.arrived.elapsed());
         log::info!(
             request_id = request.caller.id.as_str(),
             route = request.caller.route.name.as_str(),
             server = self.order.server.as_str(),
+            document = request.document,
+            weights = weights.as_deref(),
             sent_to = self.exchange.runs,
             first_event_ms = self.pace.first.as_millis() as u64,
             longest_pause_ms = self.pace.longest_pause.as_millis() as u64,
             total_ms = request.arrived.elapsed().as_millis() as u64,
             expected_hit = self.order.expected_hit,
             relayed_events = self.from.events;
-            "stream answered whole"
+            "{}", events::STREAM_WHOLE
         );
     }
 
@@ -184,20 +197,22 @@
         exchange.core.recheck(&self.order.server);
         exchange.report(&self.order, AttemptFailure::Broken, &self.from, None);
         if !self.resumable || !exchange.may_run_again() || self.from.event.is_none() {
+            exchange.log_cut(&self.order, RefusalReason::ServerFailed, self.from.events);
             return Err(AnswerCut::BackendFailed);
         }
         loop {
             let directive = tokio::select! {
                 directive = exchange.route.next() => directive,
-                () = sleep_until(exchange.request.ends.into()) => return Err(AnswerCut::TimeOver),
+                () = sleep_until(exchange.request.ends.into()) => {
+                    exchange.log_cut(&self.order, RefusalReason::DeadlinePassed, self.from.events);
+                    return Err(AnswerCut::TimeOver);
+                }
             };
             let order = match directive {
                 Directive::Send(order) => *order,
                 Directive::Cancel(_) => continue,
                 Directive::Refuse { reason, .. } => {
-                    log::warn!(request_id = exchange.request.caller.id.as_str(),
-                        reason = reason.as_str(), relayed_events = self.from.events;
-                        "stream cut");
+                    exchange.log_cut(&self.order, reason, self.from.events);
                     return Err(AnswerCut::BackendFailed);
                 }
             };
@@ -206,6 +221,7 @@
                 Ok(answer) if answer.parts.status.is_success() => answer,
                 Ok(_) => {
                     exchange.report(&order, AttemptFailure::ServerError, &self.from, None);
+                    exchange.log_cut(&order, RefusalReason::ServerFailed, self.from.events);
                     return Err(AnswerCut::BackendFailed);
                 }
                 Err(
@@ -214,11 +230,14 @@
                     continue;
                 }
                 Err(_) if exchange.may_run_again() => continue,
-                Err(_) => return Err(AnswerCut::BackendFailed),
+                Err(_) => {
+                    exchange.log_cut(&order, RefusalReason::ServerFailed, self.from.events);
+                    return Err(AnswerCut::BackendFailed);
+                }
             };
             log::warn!(request_id = exchange.request.caller.id.as_str(),
                 server = order.server.as_str(), relayed_events = self.from.events;
-                "stream resumed");
+                "{}", events::STREAM_RESUMED);
             let attempt = order.attempt;
             exchange.route.tell(PolicyInput::FirstToken { attempt, cached_tokens: None });
             self.head = answer.head;
--- a/src/edge/request.rs
+++ b/src/edge/request.rs
@@ -7,7 +7,7 @@
         view::pool_model,
     },
     crate::{
-        ids::ServiceId,
+        ids::{DocumentNumber, ServiceId},
         observe::metrics::refusal,
         policy::{
             PrefixLevel, RequestTicket, RequestWork,
@@ -39,6 +39,8 @@
     pub body: Bytes,
     /// The service that serves it.
     pub service: ServiceId,
+    /// The number of the configuration that it is served by.
+    pub document: DocumentNumber,
     /// When its head had arrived.
     pub arrived: Instant,
     /// When it must have its whole answer, or be told that there is none.
@@ -77,7 +79,8 @@
     }
     let body = read_body(body, limits).await?;
     let given = caller.time_left.unwrap_or(caller.route.timeout).min(caller.route.timeout);
-    Ok(WholeRequest { caller, head, body, service, arrived, ends: arrived + given })
+    let document = index.table.number;
+    Ok(WholeRequest { caller, head, body, service, document, arrived, ends: arrived + given })
 }
 
 async fn read_body(mut body: Incoming, limits: CallerLimits) -> Result<Bytes, EdgeRefusal> {
--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -8,7 +8,10 @@
 
 use {
     super::{FleetSnapshot, ServerPhase},
-    crate::ids::{Incarnation, ModelId, ServerId, WeightsNumber},
+    crate::{
+        ids::{Incarnation, ModelId, ServerId, WeightsNumber},
+        observe::events,
+    },
     futures::future::BoxFuture,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -146,18 +149,48 @@
     }
 }
 
+/// Tells in the log when the list stops being confirmed, and when it is again.
+#[derive(Debug, Default)]
+pub struct ListNotice {
+    /// Since when it is not; `None` while it is.
+    lost: Option<Instant>,
+}
+
+impl ListNotice {
+    /// Takes in whether the list, which names `servers`, was confirmed just now. True if the log
+    /// was told of a change.
+    pub fn note(&mut self, confirmed: bool, servers: usize) -> bool {
+        match (confirmed, self.lost) {
+            (false, None) => {
+                self.lost = Some(Instant::now());
+                log::warn!(servers = servers; "{}", events::LIST_LOST);
+                true
+            }
+            (true, Some(since)) => {
+                self.lost = None;
+                log::info!(servers = servers, away_ms = since.elapsed().as_millis() as u64;
+                    "{}", events::LIST_BACK);
+                true
+            }
+            (false, Some(_)) | (true, None) => false,
+        }
+    }
+}
+
 /// Reads the list whenever it is this VM's turn, for ever. `leads` says whether this VM leads now.
 pub async fn read_list(
     board: Arc<FleetBoard>,
     source: Arc<dyn FleetSource>,
     leads: impl Fn() -> bool,
 ) {
+    let mut notice = ListNotice::default();
     loop {
         if leads() || !board.is_fresh(LEADER_SILENCE) {
-            match source.read().await {
-                Some(snapshot) => board.take_reading(snapshot),
-                None => log::warn!("the server list could not be read; the former one stays"),
-            }
+            let reading = source.read().await;
+            let known = board.subscribe().borrow().servers.len();
+            let servers = reading.as_ref().map_or(known, |snapshot| snapshot.servers.len());
+            notice.note(reading.is_some(), servers);
+            reading.into_iter().for_each(|snapshot| board.take_reading(snapshot));
         }
         sleep(READ_EVERY).await;
     }
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -4,6 +4,7 @@
     super::{ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind, SharedState, control_digest},
     crate::{
         ids::{FailureDomainId, VmId},
+        observe::events,
         transport::{PeerNetwork, PeerReply, PeerRequest},
     },
     std::{sync::Arc, time::Duration},
@@ -118,7 +119,7 @@
     async fn stay(&self, peer: &VmId, suitability: Suitability) {
         let since = Instant::now();
         log::info!(peer = peer.as_str(), fresh = suitability.0, own_domain = suitability.1;
-            "following a control VM");
+            "{}", events::FOLLOWING);
         while let Some(reply) = self.ask(peer, true, ANSWER_WAIT + ANSWER_SLACK).await {
             match judge_stay(suitability, self.suitability(&reply), since.elapsed()) {
                 StayVerdict::Stay => {}
@@ -126,7 +127,8 @@
                 StayVerdict::PauseAndLook => return sleep(PAUSE).await,
             }
         }
-        log::warn!(peer = peer.as_str(); "a control VM does not answer its follower");
+        log::warn!(peer = peer.as_str(), followed_ms = since.elapsed().as_millis() as u64;
+            "{}", events::FOLLOWING_LOST);
     }
 
     fn suitability(&self, reply: &FollowReply) -> Suitability {
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -21,6 +21,7 @@
             task::{FollowTask, FollowerPort},
         },
         ids::{FailureDomainId, VmId},
+        observe::events,
         transport::{OpenNetworkSettings, PeerMessage, PeerNetwork},
     },
     std::{
@@ -100,6 +101,7 @@
         let wanted = settings.founders.len();
         tasks.spawn(heal(settings.vm.clone(), replica.clone(), wanted));
         spawn_orders(&replica, &board, engines, &mut tasks);
+        tasks.spawn(tell_leaders(settings.vm.clone(), replica.clone()));
         log::info!(vm = settings.vm.as_str(), founders = settings.founders.len();
             "control VM started");
         let desk = OperatorDesk::new(settings.vm, replica);
@@ -225,6 +227,37 @@
     }
 }
 
+/// Tells in the log who leads, from when to when.
+async fn tell_leaders(vm: VmId, replica: ControlHandle) {
+    let mut status = replica.status_watch();
+    let mut known: Option<VmId> = None;
+    loop {
+        let (leader, term, commit) = {
+            let status = status.borrow_and_update();
+            (status.leader.clone(), status.term, status.commit)
+        };
+        if leader != known {
+            let leads = |name: &Option<VmId>| name.as_ref() == Some(&vm);
+            if leads(&known) {
+                log::warn!(term = term, commit = commit; "{}", events::LEADING_ENDED);
+            }
+            match &leader {
+                None => log::warn!(term = term, commit = commit, peer = known.as_deref();
+                    "{}", events::LEADER_LOST),
+                Some(_) if leads(&leader) => {
+                    log::info!(term = term, commit = commit; "{}", events::LEADING);
+                }
+                Some(peer) => log::info!(peer = peer.as_str(), term = term, commit = commit;
+                    "{}", events::LEADER_KNOWN),
+            }
+            known = leader;
+        }
+        if status.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Replaces lost replicas while this one leads.
 async fn heal(vm: VmId, replica: ControlHandle, voters: usize) {
     loop {
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         edge::{CallerPort, EdgeCore, WireDialect, core::EdgeParts, view::EdgeView},
+        fleet::watch::ListNotice,
         follow::{
             FollowReply, FollowerKind, SharedState,
             desk::EntryHandler,
@@ -14,6 +15,7 @@
         },
         ids::{DocumentNumber, FailureDomainId, VmId},
         inventory::DecisionObjective,
+        observe::events,
         pipeline::{DispatchPort, TraceLog, dispatch::DispatchDuty},
         policy::{Dispatcher, DispatcherSettings, PolicyInput},
         routing::{RouteFault, RouteIndex, RouteTable},
@@ -24,7 +26,7 @@
         collections::BTreeMap,
         net::SocketAddr,
         sync::{
-            Arc,
+            Arc, Mutex, PoisonError,
             atomic::{AtomicBool, Ordering},
         },
         time::{Duration, Instant as StdInstant},
@@ -130,7 +132,8 @@
         let core = start_core(vm, domain, settings.objective, dialect, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
-        let follower = Arc::new(EntryFollower);
+        let notice = Mutex::default();
+        let follower = Arc::new(EntryFollower { states: states.clone(), notice });
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
         tasks.spawn(task.run());
         let candidates = Arc::new(ControlBook::new(network.clone(), control, candidates));
@@ -187,14 +190,22 @@
     }
 }
 
-struct EntryFollower;
+/// Tells in the log when the control VMs lose the server list.
+struct EntryFollower {
+    states: watch::Receiver<SharedState>,
+    notice: Mutex<ListNotice>,
+}
 
 impl FollowerPort for EntryFollower {
     fn kind(&self) -> FollowerKind {
         FollowerKind::Entry
     }
 
-    fn heard(&self, _reply: &FollowReply) {}
+    fn heard(&self, reply: &FollowReply) {
+        let known = self.states.borrow().fleet.as_ref().map_or(0, |fleet| fleet.servers.len());
+        let mut notice = self.notice.lock().unwrap_or_else(PoisonError::into_inner);
+        notice.note(reply.list_fresh, known);
+    }
 }
 
 /// Starts the part of an entry that serves requests, without its ports and without what it learns
@@ -276,11 +287,12 @@
         if number > self.number {
             match reader.read(body) {
                 Ok(table) => {
-                    log::info!(number = number, routes = table.routes.len(); "routes in force");
+                    log::info!(document = number, routes = table.routes.len();
+                        "{}", events::ROUTES_IN_FORCE);
                     self.index = Some(Arc::new(RouteIndex::new(Arc::new(table))));
                 }
                 // It was checked before it was accepted: another release accepted it.
-                Err(fault) => log::error!(number = number, fault:% = fault;
+                Err(fault) => log::error!(document = number, fault:% = fault;
                     "an accepted document cannot be read here; the former routes stay"),
             }
             self.number = number;
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -10,6 +10,7 @@
         fleet::{FleetSnapshot, ServerPhase, watch::FleetBoard},
         ids::{ModelId, ServerId, WeightsNumber},
         inventory::{ActiveConfig, AssetRegister, ModelRecord, RuleSet, ServerKind, ServerRecord},
+        observe::events,
         policy::LoadReport,
     },
     futures::future::BoxFuture,
@@ -182,7 +183,7 @@
                 (order.server.clone(), order.model.clone(), order.weights.clone());
             let result = self.engines.order(address, order, RUNNING_WORK).await;
             log::info!(server = server.as_str(), model = model.as_str(),
-                version = version.as_str(), result:? = result; "weight order sent");
+                weights = version.as_str(), result:? = result; "{}", events::WEIGHTS_ORDERED);
             result
         })
     }
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -1,5 +1,7 @@
 //! Metrics and JSON-lines logs.
 
 pub mod bounded_log;
+pub mod events;
+pub mod log_files;
 pub mod logs;
 pub mod metrics;
--- a/src/observe/bounded_log.rs
+++ b/src/observe/bounded_log.rs
@@ -6,9 +6,10 @@
 //! room; what was left out is counted, and said with the next record that is written.
 
 use {
-    super::logs::json_line,
+    super::{events, logs::json_line},
     env_logger::Builder,
     log::{Level, LevelFilter, Log, Metadata, Record},
+    serde_json::json,
     std::{
         io::Write,
         sync::{
@@ -128,18 +129,23 @@
     pub fn run(self, mut out: impl Write) {
         while let Ok(line) = self.records.recv() {
             let dropped = self.dropped.swap(0, Ordering::Relaxed);
-            let gap = (dropped > 0)
-                .then(|| format!("{{\"level\":\"WARN\",\"message\":\"log records left out\",\"count\":{dropped}}}\n"));
-            let written = out
-                .write_all(gap.unwrap_or_default().as_bytes())
-                .and_then(|()| writeln!(out, "{line}"));
-            if written.is_err() {
+            let gap =
+                if dropped > 0 { gap_line(dropped, SystemTime::now()) } else { String::new() };
+            if out.write_all(gap.as_bytes()).and_then(|()| writeln!(out, "{line}")).is_err() {
                 return;
             }
         }
     }
 }
 
+/// What stands in the log in place of `count` records.
+fn gap_line(count: u64, time: SystemTime) -> String {
+    let time = humantime::format_rfc3339_millis(time).to_string();
+    let message = events::RECORDS_LEFT_OUT;
+    let line = json!({ "time": time, "level": "WARN", "message": message, "count": count });
+    format!("{line}\n")
+}
+
 /// Logs to standard output within `budget`. A second call changes nothing.
 pub fn install(level: LevelFilter, budget: LogBudget) {
     install_on(level, budget, std::io::stdout());
--- /dev/null
+++ b/src/observe/events.rs
@@ -0,0 +1,65 @@
+//! What is logged of decisions and changes of belief: each event's name once, for who writes it and
+//! for who reads it.
+//!
+//! Fields bear the same name and unit in all records: `request_id`, `server` and `peer` are names,
+//! `document` the number of the configuration that was in force, `weights` a version of weights,
+//! `sent_to` the servers that may have begun the request, `expected_hit` prompt tokens, and `…_ms`
+//! milliseconds.
+
+/// A request got its final refusal. `reason` is the one in the measures.
+pub const REQUEST_REFUSED: &str = "request refused";
+/// One sending of a request failed; `failure` says what is known of it.
+pub const ATTEMPT_FAILED: &str = "attempt failed";
+/// A whole answer was passed on.
+pub const ANSWERED_WHOLE: &str = "answered whole";
+/// A stream was passed on to its end.
+pub const STREAM_WHOLE: &str = "stream answered whole";
+/// Another server goes on with a stream.
+pub const STREAM_RESUMED: &str = "stream resumed";
+/// A stream ended before its end; the caller was told nothing false.
+pub const STREAM_CUT: &str = "stream cut";
+/// A server's own failure was passed on, since no other server may be tried or did better.
+pub const FAILURE_PASSED_ON: &str = "failure passed on";
+/// The caller closed its connection before it had its answer.
+pub const CALLER_LEFT: &str = "caller left";
+
+/// A server gets nothing until it shows a sign of life.
+pub const SERVER_LOST: &str = "backend server lost";
+/// It showed one.
+pub const SERVER_BACK: &str = "backend server back";
+/// A server contradicts the list.
+pub const SERVER_MISLISTED: &str = "backend server is not as listed";
+/// An order to load weights was sent.
+pub const WEIGHTS_ORDERED: &str = "weight order sent";
+
+/// The daemon follows a control VM.
+pub const FOLLOWING: &str = "following a control VM";
+/// That VM does not answer.
+pub const FOLLOWING_LOST: &str = "a control VM does not answer its follower";
+/// The list of backend servers is no longer confirmed; the last one stays in use.
+pub const LIST_LOST: &str = "server list lost";
+/// It is again.
+pub const LIST_BACK: &str = "server list back";
+/// No leader is known to this replica.
+pub const LEADER_LOST: &str = "control leader lost";
+/// One is.
+pub const LEADER_KNOWN: &str = "control leader known";
+/// This replica leads, with the consent of a quorum.
+pub const LEADING: &str = "leading the control replicas";
+/// It does no longer: it hears from no quorum, or of a later term.
+pub const LEADING_ENDED: &str = "no longer leading the control replicas";
+/// The replica cannot write its disk and takes part in nothing.
+pub const DISK_LOST: &str = "control replica stopped";
+/// It runs again on what its disk holds.
+pub const DISK_BACK: &str = "control replica runs again";
+
+/// A configuration is in force here.
+pub const ROUTES_IN_FORCE: &str = "routes in force";
+
+/// Records were dropped before this one because the log was over its budget; `count` of them.
+pub const RECORDS_LEFT_OUT: &str = "log records left out";
+
+/// The key of an event's name in a record.
+pub const MESSAGE: &str = "message";
+/// The key of a server's name.
+pub const SERVER: &str = "server";
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -24,6 +24,10 @@
 pub const RETRIES: &str = "oleandermount_retries_total";
 /// Seconds from a request's arrival to its first token, by `model` and `class`.
 pub const FIRST_TOKEN: &str = "oleandermount_first_token_seconds";
+/// Seconds from a request's arrival to its first sending to a backend server, by `class`.
+pub const QUEUE_WAIT: &str = "oleandermount_queue_wait_seconds";
+/// Seconds from a request's arrival to the end of its answer, by `class`.
+pub const ANSWER_TIME: &str = "oleandermount_answer_seconds";
 /// Seconds between tokens of one answer, by `model` and `class`.
 pub const INTER_TOKEN: &str = "oleandermount_inter_token_seconds";
 /// Prompt tokens sent to engines, by `model`.
@@ -117,6 +121,10 @@
 /// Bounds around the aim of half a second to the first token, in seconds.
 const FIRST_TOKEN_BUCKETS: [f64; 16] =
     [0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.18, 0.27, 0.4, 0.54, 0.8, 1.2, 2.5, 5.0, 10.0, 30.0];
+/// Bounds for waits here, which are below a millisecond or as long as a load peak, in seconds.
+const QUEUE_WAIT_BUCKETS: [f64; 10] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+/// Bounds from a lookup to the longest stream, in seconds.
+const ANSWER_BUCKETS: [f64; 12] = [0.01, 0.03, 0.06, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0, 15.0];
 /// Bounds around the aim of 31 ms between tokens, in seconds.
 const INTER_TOKEN_BUCKETS: [f64; 12] =
     [0.002, 0.005, 0.01, 0.015, 0.02, 0.025, 0.031, 0.04, 0.06, 0.1, 0.25, 1.0];
@@ -146,11 +154,16 @@
     if let Some(handle) = installed.as_ref() {
         return Ok(handle.clone());
     }
-    let handle = PrometheusBuilder::new()
-        .set_buckets_for_metric(Matcher::Full(FIRST_TOKEN.to_owned()), &FIRST_TOKEN_BUCKETS)
-        .and_then(|builder| {
-            builder
-                .set_buckets_for_metric(Matcher::Full(INTER_TOKEN.to_owned()), &INTER_TOKEN_BUCKETS)
+    let buckets: [(&str, &[f64]); 4] = [
+        (FIRST_TOKEN, &FIRST_TOKEN_BUCKETS),
+        (INTER_TOKEN, &INTER_TOKEN_BUCKETS),
+        (QUEUE_WAIT, &QUEUE_WAIT_BUCKETS),
+        (ANSWER_TIME, &ANSWER_BUCKETS),
+    ];
+    let handle = buckets
+        .into_iter()
+        .try_fold(PrometheusBuilder::new(), |builder, (name, bounds)| {
+            builder.set_buckets_for_metric(Matcher::Full(name.to_owned()), bounds)
         })
         .and_then(PrometheusBuilder::install_recorder)
         .map_err(MetricsError::Recorder)?;
@@ -175,6 +188,8 @@
     describe_counter!(REFUSALS, "Requests refused, by reason.");
     describe_counter!(RETRIES, "Requests sent again, by reason.");
     describe_histogram!(FIRST_TOKEN, "Seconds from arrival to the first token.");
+    describe_histogram!(QUEUE_WAIT, "Seconds from arrival to the first sending.");
+    describe_histogram!(ANSWER_TIME, "Seconds from arrival to the end of the answer.");
     describe_histogram!(INTER_TOKEN, "Seconds between tokens of one answer.");
     describe_counter!(PROMPT_TOKENS, "Prompt tokens sent to engines.");
     describe_counter!(HIT_TOKENS, "Prompt tokens that engines took from their caches.");
--- a/src/operator_client.rs
+++ b/src/operator_client.rs
@@ -4,6 +4,7 @@
 pub mod commands;
 pub mod connection;
 pub mod error;
+pub mod explain_log;
 pub mod local;
 pub mod questions;
 pub mod report;
@@ -62,6 +63,9 @@
         ClientCommand::KeysCreate { out, vms } => local::create_keys(&out, &vms),
         ClientCommand::KeysOrganisation => local::create_organisation_key(),
         ClientCommand::Check { file, rules } => local::check_files(&file, rules.as_deref()),
+        ClientCommand::Explain { logs, request } if !logs.is_empty() => {
+            explain_log::explain(&logs, &request)
+        }
         command => {
             let runtime = tokio::runtime::Builder::new_current_thread()
                 .enable_all()
@@ -96,7 +100,7 @@
         ClientCommand::Servers => questions::servers(connection).await,
         ClientCommand::Organisations { limit } => questions::organisations(connection, limit).await,
         ClientCommand::ReplicaList => questions::replicas(connection).await,
-        ClientCommand::Explain { request } => questions::explain(connection, request).await,
+        ClientCommand::Explain { request, .. } => questions::explain(connection, request).await,
         ClientCommand::KeysCreate { .. }
         | ClientCommand::KeysOrganisation
         | ClientCommand::Check { .. } => unreachable!("local commands are run without a daemon"),
--- a/src/operator_client/commands.rs
+++ b/src/operator_client/commands.rs
@@ -104,6 +104,8 @@
     },
     /// Tell where a request went and why.
     Explain {
+        /// Files with the daemons' logs; without any, the daemons are asked.
+        logs: Vec<PathBuf>,
         /// The request.
         request: RequestId,
     },
@@ -246,10 +248,14 @@
     );
     let request =
         positional("REQUEST-ID").help("As the answer's X-Oleandermount-Request-Id has it");
+    let logs = long("log")
+        .help("A file with a daemon's log, read in place of asking daemons; may be repeated")
+        .argument("FILE")
+        .many();
     let explain = finish(
         "explain",
         "Tell where a request went and why",
-        construct!(ClientCommand::Explain { request }),
+        construct!(ClientCommand::Explain { logs, request }),
     );
     let replica = replica_commands();
     construct!([status, servers, organisations, replica, drain, explain])
--- a/src/pipeline/counters.rs
+++ b/src/pipeline/counters.rs
@@ -4,8 +4,8 @@
     crate::{
         inventory::RequestClass,
         observe::metrics::{
-            ANSWERS, CROSSED_ANSWERS, FIRST_TOKEN, HIT_TOKENS, INTER_TOKEN, PROMPT_TOKENS,
-            RECOMPUTED_TOKENS, REFUSALS, REQUESTS, RETRIES,
+            ANSWER_TIME, ANSWERS, CROSSED_ANSWERS, FIRST_TOKEN, HIT_TOKENS, INTER_TOKEN,
+            PROMPT_TOKENS, QUEUE_WAIT, RECOMPUTED_TOKENS, REFUSALS, REQUESTS, RETRIES,
         },
         policy::RetryReason,
     },
@@ -34,6 +34,16 @@
         .record(time.as_secs_f64());
 }
 
+/// Records the time from a request's arrival to its first sending.
+pub fn record_queue_wait(class: RequestClass, time: Duration) {
+    histogram!(QUEUE_WAIT, "class" => class.as_str()).record(time.as_secs_f64());
+}
+
+/// Records the time from a request's arrival to the end of its answer.
+pub fn record_answer(class: RequestClass, time: Duration) {
+    histogram!(ANSWER_TIME, "class" => class.as_str()).record(time.as_secs_f64());
+}
+
 /// Records the time between two chunks of a stream.
 pub fn record_inter_token(model: impl Into<String>, class: RequestClass, time: Duration) {
     histogram!(INTER_TOKEN, "model" => model.into(), "class" => class.as_str())
