--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -204,6 +204,7 @@
         if self.runs == 0 {
             record_queue_wait(self.request.caller.class, self.request.arrived.elapsed());
         }
+        self.log_sending(order);
         let request = self.backend_request(order, from);
         let once = !self.request.caller.route.kind.is_repeatable();
         let most = view.connections(&listed.service);
@@ -460,6 +461,22 @@
         }
     }
 
+    /// Tells what a sending was decided by; at debug level, since each request has at least one.
+    fn log_sending(&self, order: &SendOrder) {
+        let work = self.request.caller.work.as_ref();
+        let parts = work.map(|work| work.parts.iter().map(|(id, tokens)| format!("{id}:{tokens}")));
+        log::debug!(
+            request_id = self.request.caller.id.as_str(),
+            server = order.server.as_str(),
+            source = order.source.as_deref(),
+            weights = order.weights.as_deref(),
+            expected_hit = order.expected_hit,
+            parts = parts.map(|parts| parts.collect::<Vec<_>>().join(",")).unwrap_or_default(),
+            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
+            "{}", events::REQUEST_SENT
+        );
+    }
+
     /// Tells why a stream that has begun is not finished.
     pub(super) fn log_cut(&mut self, order: &SendOrder, reason: RefusalReason, events: u32) {
         self.is_told = true;
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -8,6 +8,8 @@
 
 /// A request got its final refusal. `reason` is the one in the measures.
 pub const REQUEST_REFUSED: &str = "request refused";
+/// A request goes to a backend server, with what that was decided by.
+pub const REQUEST_SENT: &str = "request sent";
 /// One sending of a request failed; `failure` says what is known of it.
 pub const ATTEMPT_FAILED: &str = "attempt failed";
 /// A whole answer was passed on.
