--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -1,40 +1,45 @@
 //! Runs one replica on its data folder: a task for the messages, a thread for the files.
+//!
+//! A disk that refuses a write ends the replica's life, since nothing that it would promise after that
+//! would last. The thread then opens the folder anew until that succeeds, and the replica begins its
+//! next life with what the disk holds, as after a restart of the process. Without it a disk that was
+//! full for some seconds took its voter away for good, and the next loss ended the quorum.
+
+mod runner;
+mod writer;
 
 use {
+    self::{runner::ReplicaRunner, writer::WatchedFolder},
     crate::{
         control::{
-            Command, CommandOutcome, PersistBatch, ProposeError, ReplicaMessage, SavedState,
+            Command, CommandOutcome, ProposeError, ReplicaMessage, SavedState,
             configuration::ConfigChange,
             document::DocumentState,
             orders::{DesiredWeights, SuspectStrikes},
-            replica::{
-                ProposalId, Replica, ReplicaAction, ReplicaInput, ReplicaLimits, ReplicaSettings,
-                ReplicaStatus, ReplicaTiming,
-            },
+            replica::{Replica, ReplicaLimits, ReplicaSettings, ReplicaStatus, ReplicaTiming},
             state::ControlState,
         },
         daemon::{ConfigWatch, ControlPort},
-        ids::{Incarnation, VmId},
+        ids::VmId,
         inventory::ActiveConfig,
-        observe::events,
-        storage::{DiskFiles, FileSystem, LogStore},
+        storage::{DiskFiles, FileSystem},
     },
     displaydoc::Display,
     futures::future::BoxFuture,
     std::{
-        collections::{BTreeMap, BTreeSet},
-        hash::{BuildHasher, RandomState},
+        collections::BTreeSet,
         path::PathBuf,
         sync::Arc,
         thread,
-        time::{Duration, Instant, SystemTime},
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{mpsc, oneshot, watch},
-        time::{sleep_until, timeout},
+        time::timeout,
     },
 };
 
+pub use self::writer::FolderOpener;
 pub use crate::control::replica::LocalProposeError;
 
 /// Inputs that wait for the replica. Messages beyond it are lost and proposals refused as busy.
@@ -42,8 +47,9 @@
 /// Batches that wait for the disk. The replica waits for room, so that a slow disk slows down
 /// whoever sends instead of growing the memory.
 const BATCH_QUEUE: usize = 1024;
-/// Batches synced at once, so that the queue of reports to the replica stays short.
-const BATCHES_AT_ONCE: usize = 256;
+/// Between two tries to open a folder whose disk has failed: disks that are full or hang are so for
+/// seconds, and a try writes what the folder holds once more.
+const REOPEN_AFTER: Duration = Duration::from_secs(1);
 /// How long a proposal may wait: two elections.
 const PROPOSAL_WAIT: Duration = Duration::from_secs(5);
 
@@ -65,6 +71,8 @@
     pub timing: ReplicaTiming,
     /// How much the replica holds.
     pub limits: ReplicaLimits,
+    /// Between two tries to open a folder whose disk has failed.
+    pub reopen_after: Duration,
 }
 
 impl DriverSettings {
@@ -77,6 +85,7 @@
             seed,
             timing: ReplicaTiming::default(),
             limits: ReplicaLimits::default(),
+            reopen_after: REOPEN_AFTER,
         }
     }
 }
@@ -109,49 +118,48 @@
         settings: DriverSettings,
         outbound: mpsc::Sender<(VmId, ReplicaMessage)>,
     ) -> Result<ControlHandle, DriverError> {
-        let files = DiskFiles::open(&settings.data_dir)
-            .map_err(|error| storage_error(&settings, &error.to_string()))?;
-        Self::start_on(settings, Box::new(files), outbound)
+        let folder = settings.data_dir.clone();
+        let opener: FolderOpener =
+            Box::new(move || Ok(Box::new(DiskFiles::open(&folder)?) as Box<dyn FileSystem>));
+        Self::start_on(settings, opener, outbound)
     }
 
-    /// Like [`ControlDriver::start`], on files that are already open.
+    /// Like [`ControlDriver::start`], on a folder that `opener` opens, at first and after each
+    /// failure of its disk.
     ///
     /// # Errors
-    /// When they cannot be used; the text names the remedy.
+    /// When it cannot be used; the text names the remedy.
     pub fn start_on(
         settings: DriverSettings,
-        files: Box<dyn FileSystem>,
+        opener: FolderOpener,
         outbound: mpsc::Sender<(VmId, ReplicaMessage)>,
     ) -> Result<ControlHandle, DriverError> {
-        let opened = LogStore::open(files, fresh_incarnation())
-            .map_err(|error| storage_error(&settings, &error.to_string()))?;
-        if let Some(reason) = &opened.set_aside {
-            log::error!(vm = settings.vm.as_str(), reason = reason.as_str();
-                "the data folder was damaged and is set aside; this replica is empty now: \
-                 take it in again with `oleandermountctl replica replace`");
-        }
+        let mut folder = WatchedFolder::new(opener, settings.reopen_after);
+        let opened = folder.open().map_err(|reason: String| storage_error(&settings, &reason))?;
+        note_set_aside(&settings.vm, opened.set_aside.as_deref());
         let replica = open_replica(&settings, opened.state)?;
         let (inputs, queue) = mpsc::channel(INPUT_QUEUE);
         let (batches, batch_queue) = mpsc::channel(BATCH_QUEUE);
         let (reports, report_queue) = mpsc::channel(BATCH_QUEUE);
         let (feeds, watches) = status_feeds(&replica);
-        let runner = ReplicaRunner {
-            replica,
-            outbound,
-            batches,
-            waiting: BTreeMap::new(),
-            next_proposal: 0,
-            feeds,
-        };
         thread::Builder::new()
             .name("control-log".to_owned())
-            .spawn(move || run_writer(opened.store, batch_queue, reports))
+            .spawn(move || folder.run(opened.store, batch_queue, reports))
             .map_err(|error| storage_error(&settings, &error.to_string()))?;
+        let runner = ReplicaRunner::new(settings, replica, outbound, batches, feeds);
         tokio::spawn(runner.run(queue, report_queue));
         Ok(ControlHandle { inputs, watches })
     }
 }
 
+fn note_set_aside(vm: &VmId, reason: Option<&str>) {
+    if let Some(reason) = reason {
+        log::error!(vm = vm.as_str(), reason = reason;
+            "the data folder was damaged and is set aside; this replica is empty now: \
+             take it in again with `oleandermountctl replica replace`");
+    }
+}
+
 fn open_replica(settings: &DriverSettings, saved: SavedState) -> Result<Replica, DriverError> {
     let place = ReplicaSettings {
         vm: settings.vm.clone(),
@@ -169,46 +177,6 @@
     DriverError::Storage { folder, reason: reason.to_owned() }
 }
 
-/// A number that no other disk has: the time, and twenty bits of chance for two disks that are
-/// emptied in the same millisecond or under a clock that was set back.
-fn fresh_incarnation() -> Incarnation {
-    let elapsed = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-    let millis = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-    (millis << 20) | (RandomState::new().hash_one(std::process::id()) >> 44)
-}
-
-/// What the thread for the files tells the task.
-enum WriteReport {
-    /// All batches up to this number are synced.
-    Synced(u64),
-    /// Nothing is written any more.
-    Failed(String),
-}
-
-/// Writes batches until the task is gone or a write fails; what waits is synced together.
-fn run_writer(
-    mut store: LogStore,
-    mut queue: mpsc::Receiver<PersistBatch>,
-    reports: mpsc::Sender<WriteReport>,
-) {
-    while let Some(batch) = queue.blocking_recv() {
-        let PersistBatch { mut number, mut writes } = batch;
-        for _ in 1..BATCHES_AT_ONCE {
-            let Ok(next) = queue.try_recv() else { break };
-            number = next.number;
-            writes.extend(next.writes);
-        }
-        let report = match store.append(writes) {
-            Ok(()) => WriteReport::Synced(number),
-            Err(error) => WriteReport::Failed(error.to_string()),
-        };
-        let failed = matches!(report, WriteReport::Failed(_));
-        if reports.blocking_send(report).is_err() || failed {
-            return;
-        }
-    }
-}
-
 /// What reaches the task from its handles.
 enum DriverInput {
     Message { from: VmId, message: Box<ReplicaMessage> },
@@ -266,144 +234,6 @@
     changes
 }
 
-/// The thread for the files takes no more batches.
-struct FilesGone;
-
-/// What is said when that thread left no reason.
-const THREAD_ENDED: &str = "the thread for the files has ended; restart the daemon";
-
-/// Why the thread for the files ended. Its last report may still wait to be read when the next batch
-/// finds it gone, and operators need the disk's own reason.
-async fn last_failure(reports: &mut mpsc::Receiver<WriteReport>) -> String {
-    while let Some(report) = reports.recv().await {
-        if let WriteReport::Failed(reason) = report {
-            return reason;
-        }
-    }
-    THREAD_ENDED.to_owned()
-}
-
-/// The task around a replica.
-struct ReplicaRunner {
-    replica: Replica,
-    outbound: mpsc::Sender<(VmId, ReplicaMessage)>,
-    batches: mpsc::Sender<PersistBatch>,
-    /// Bounded by the replica's limit on proposals: it completes each one, at once when full.
-    waiting: BTreeMap<ProposalId, ProposalReply>,
-    next_proposal: ProposalId,
-    feeds: StatusFeeds,
-}
-
-impl ReplicaRunner {
-    async fn run(
-        mut self,
-        mut inputs: mpsc::Receiver<DriverInput>,
-        mut reports: mpsc::Receiver<WriteReport>,
-    ) {
-        loop {
-            let wakeup = self.replica.next_wakeup().unwrap_or_else(Instant::now);
-            let input = tokio::select! {
-                biased;
-                report = reports.recv() => match report {
-                    Some(WriteReport::Synced(number)) => ReplicaInput::Persisted { number },
-                    Some(WriteReport::Failed(reason)) => return self.stop(&reason),
-                    None => return self.stop(THREAD_ENDED),
-                },
-                input = inputs.recv() => match input {
-                    Some(input) => self.take_in(input),
-                    None => return,
-                },
-                () = sleep_until(wakeup.into()) => ReplicaInput::Tick,
-            };
-            let actions = self.replica.handle(Instant::now(), input);
-            for action in actions {
-                if self.carry_out(action).await.is_err() {
-                    return self.stop(&last_failure(&mut reports).await);
-                }
-            }
-            self.show();
-        }
-    }
-
-    fn take_in(&mut self, input: DriverInput) -> ReplicaInput {
-        match input {
-            DriverInput::Message { from, message } => {
-                ReplicaInput::Received { from, message: *message }
-            }
-            DriverInput::Propose { command, reply } => {
-                self.next_proposal += 1;
-                let proposal = self.next_proposal;
-                self.waiting.insert(proposal, reply);
-                ReplicaInput::Propose { proposal, command: *command }
-            }
-            DriverInput::Introduce { peers } => ReplicaInput::Introduce { peers },
-        }
-    }
-
-    async fn carry_out(&mut self, action: ReplicaAction) -> Result<(), FilesGone> {
-        match action {
-            ReplicaAction::Persist(batch) => {
-                self.batches.send(batch).await.map_err(|_| FilesGone)?;
-            }
-            ReplicaAction::Send { to, message } => {
-                if self.outbound.try_send((to, message)).is_err() {
-                    metrics::counter!("oleandermount_control_messages_lost_total").increment(1);
-                }
-            }
-            ReplicaAction::Completed { proposal, outcome } => {
-                // Whoever waited may be gone; the outcome stands in the log all the same.
-                let _ = self.waiting.remove(&proposal).map(|reply| reply.send(outcome));
-            }
-            ReplicaAction::Report(text) => log::warn!("{text}"),
-        }
-        Ok(())
-    }
-
-    fn show(&self) {
-        let state = self.replica.state();
-        let feeds = &self.feeds;
-        let config = self.replica.config();
-        if !Arc::ptr_eq(config, &feeds.config.borrow()) {
-            feeds.config.send_replace(config.clone());
-            feeds.history.send_replace(Arc::new(latest_changes(state)));
-        }
-        // Before the status: who sees there that a command is applied must find what it changed.
-        if **feeds.documents.borrow() != *state.documents() {
-            feeds.documents.send_replace(Arc::new(state.documents().clone()));
-        }
-        let status = self.replica.status(Instant::now());
-        if **feeds.status.borrow() == status {
-            return;
-        }
-        let applied = feeds.status.borrow().applied != status.applied;
-        feeds.status.send_replace(Arc::new(status));
-        if !applied {
-            return;
-        }
-        if **feeds.weights.borrow() != *state.orders().desired() {
-            feeds.weights.send_replace(Arc::new(state.orders().desired().clone()));
-        }
-        let strikes = state.suspects().strikes();
-        if **feeds.suspects.borrow() != strikes {
-            feeds.suspects.send_replace(Arc::new(strikes));
-        }
-    }
-
-    /// Ends the replica: it votes, acknowledges and leads no more, since nothing that it would
-    /// promise would last. The daemon goes on serving with the configuration that it has.
-    fn stop(self, reason: &str) {
-        log::error!(reason = reason; "{}", events::DISK_LOST);
-        metrics::counter!("oleandermount_control_replica_stopped_total").increment(1);
-        let mut status = ReplicaStatus::clone(&self.feeds.status.borrow());
-        status.lease_until = None;
-        status.leader_since = None;
-        status.leader = None;
-        status.role = Default::default();
-        status.failure = Some(reason.to_owned());
-        self.feeds.status.send_replace(Arc::new(status));
-    }
-}
-
 /// Reaches a running replica.
 #[derive(Clone)]
 pub struct ControlHandle {
--- a/tests/disk_faults.rs
+++ b/tests/disk_faults.rs
@@ -14,9 +14,9 @@
             replica::{LocalProposeError, ReplicaRole},
         },
         daemon::control_driver::{ControlDriver, DriverSettings},
-        storage::{DiskFiles, LogStore, StorageError, frame::encode_frame},
+        storage::{DiskFiles, FileSystem, LogStore, StorageError, frame::encode_frame},
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
     tokio::sync::mpsc,
 };
 
@@ -178,9 +178,11 @@
     let files = MemoryFiles::default();
     let (outbound, _peers) = mpsc::channel(16);
     let mut settings = DriverSettings::new("a".to_owned(), vec!["a".to_owned()], "memory", 1);
-    settings.timing.election = std::time::Duration::from_millis(20);
-    let handle = ControlDriver::start_on(settings, Box::new(files.clone()), outbound)
-        .expect("the folder is empty");
+    settings.timing.election = Duration::from_millis(20);
+    settings.reopen_after = Duration::from_secs(3_600);
+    let opened = files.clone();
+    let opener = Box::new(move || Ok(Box::new(opened.clone()) as Box<dyn FileSystem>));
+    let handle = ControlDriver::start_on(settings, opener, outbound).expect("the folder is empty");
     let mut status = handle.status_watch();
     let leads = status.wait_for(|status| status.role == ReplicaRole::Leader).await;
     drop(leads.expect("one replica elects itself"));
