Let the leader's repairs get past learners and strangers that are gone

Change: a silent learner is taken out; outsiders are those heard within the last four probes. Tests: healing_runs, healing_group (lost_learner_goes, unheard_disk_is_no_candidate).

--- a/src/control/healing.rs
+++ b/src/control/healing.rs
@@ -11,7 +11,10 @@
 use {
     super::{Command, replica::ReplicaStatus},
     crate::ids::{Incarnation, VmId},
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// A voter that did not reply for so long may be gone: longer than a restart takes, and short beside
@@ -29,10 +32,14 @@
     {
         return Some(take_in(vm, *disk));
     }
-    let silent = silent_voter(now, status);
+    // A learner that is lost before it has caught up would hold up every later repair.
+    if let Some(vm) = silent_among(now, status, &members.learners) {
+        return Some(Command::RemoveReplica { vm });
+    }
     if !members.learners.is_empty() {
         return None;
     }
+    let silent = silent_among(now, status, &members.voters);
     if members.voters.len() > voters {
         return silent.map(|vm| Command::RemoveReplica { vm });
     }
@@ -47,9 +54,13 @@
     Command::ReplaceReplica { vm: vm.clone(), incarnation: Some(disk) }
 }
 
-/// The voter that has been silent for longest, if for too long.
-fn silent_voter(now: Instant, status: &ReplicaStatus) -> Option<VmId> {
-    let voters = status.heard.iter().filter(|(vm, _)| status.members.voters.contains_key(*vm));
-    let (vm, heard) = voters.min_by_key(|(_, heard)| **heard)?;
+/// The one of `replicas` that has been silent for longest, if for too long.
+fn silent_among(
+    now: Instant,
+    status: &ReplicaStatus,
+    replicas: &BTreeMap<VmId, Incarnation>,
+) -> Option<VmId> {
+    let heard = status.heard.iter().filter(|(vm, _)| replicas.contains_key(*vm));
+    let (vm, heard) = heard.min_by_key(|(_, heard)| **heard)?;
     (now.saturating_duration_since(*heard) > SILENCE).then(|| vm.clone())
 }
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -243,7 +243,7 @@
             applied: self.applied,
             last: self.log.last_index(),
             members: self.log.membership().clone(),
-            outsiders: self.outsiders(),
+            outsiders: self.outsiders(now),
             lease_until: self.lease_until(now),
             heard: self.lead().map(LeaderState::heard).unwrap_or_default(),
             leader_since: self.lead().map(|lead| lead.since),
--- a/src/control/replica/formation.rs
+++ b/src/control/replica/formation.rs
@@ -19,7 +19,7 @@
 
 /// VMs remembered beside members and founders; a further one is not noted.
 const SIGHTINGS: usize = 64;
-/// A founder not heard for so many probes may have been emptied again since.
+/// A disk not heard for so many probes may be gone, or have been emptied again since.
 const FRESH_PROBES: u32 = 4;
 
 /// What was last heard from a VM.
@@ -27,6 +27,8 @@
 pub struct PeerSighting {
     /// Its disk.
     pub incarnation: Incarnation,
+    /// When it was last heard.
+    pub at: Instant,
     /// When it told this disk that its own is empty and its founders are the same.
     pub empty_at: Option<Instant>,
 }
@@ -42,8 +44,11 @@
             message.group.is_none() && message.to_incarnation == Some(self.incarnation);
         let empty = matches!(&message.body,
             MessageBody::Probe { founders } if to_this_disk && *founders == self.founders_digest());
-        let sighting =
-            PeerSighting { incarnation: message.from_incarnation, empty_at: empty.then_some(now) };
+        let sighting = PeerSighting {
+            incarnation: message.from_incarnation,
+            at: now,
+            empty_at: empty.then_some(now),
+        };
         self.sightings.insert(from.clone(), sighting);
     }
 
@@ -167,8 +172,12 @@
         Some(Membership { voters, learners: BTreeMap::new() })
     }
 
-    pub(super) fn outsiders(&self) -> BTreeMap<VmId, Incarnation> {
-        let heard = self.sightings.iter().map(|(vm, sighting)| (vm.clone(), sighting.incarnation));
+    /// Disks outside the membership that make themselves known now. One that was heard long ago may be
+    /// gone: taken in, it would be found silent and taken out again, for ever, before a sound one.
+    pub(super) fn outsiders(&self, now: Instant) -> BTreeMap<VmId, Incarnation> {
+        let life = self.settings.timing.probe * FRESH_PROBES;
+        let fresh = self.sightings.iter().filter(|(_, sighting)| now < sighting.at + life);
+        let heard = fresh.map(|(vm, sighting)| (vm.clone(), sighting.incarnation));
         heard.filter(|(vm, disk)| !self.membership().is_member(vm, *disk)).collect()
     }
 
--- a/src/control/replica/types.rs
+++ b/src/control/replica/types.rs
@@ -235,7 +235,8 @@
     pub last: LogIndex,
     /// The members, as far as it knows.
     pub members: Membership,
-    /// Disks that it has heard from and that are no members: an operator may take them in.
+    /// Disks that it has heard from within the last probes and that are no members: they may be taken
+    /// in.
     pub outsiders: BTreeMap<VmId, Incarnation>,
     /// Until when no other replica can lead; `None` unless this one leads.
     pub lease_until: Option<Instant>,
--- a/tests/fakes/replica_group.rs
+++ b/tests/fakes/replica_group.rs
@@ -61,6 +61,8 @@
     /// Pairs that do not hear each other.
     pub cut: BTreeSet<(VmId, VmId)>,
     pub outcomes: BTreeMap<u64, ProposalOutcome>,
+    /// Events carried out so far.
+    pub steps: u64,
     founders: BTreeSet<VmId>,
     seed: u64,
     limits: ReplicaLimits,
@@ -100,6 +102,7 @@
             faults: CALM,
             cut: BTreeSet::new(),
             outcomes: BTreeMap::new(),
+            steps: 0,
             founders: founders.clone(),
             seed,
             limits,
@@ -246,6 +249,7 @@
             return;
         }
         self.now = self.now.max(next);
+        self.steps += 1;
         if message == Some(next) {
             let ((_, _), (from, to, message)) = self.wire.pop_first().expect("it was seen");
             self.deliver(from, to, message);
@@ -276,7 +280,7 @@
         self.input(vm, input);
     }
 
-    fn input(&mut self, vm: &str, input: ReplicaInput) {
+    pub fn input(&mut self, vm: &str, input: ReplicaInput) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(vm) else { return };
         let Some(replica) = node.replica.as_mut().filter(|_| node.frozen_until <= now) else {
--- a/tests/healing_group.rs
+++ b/tests/healing_group.rs
@@ -5,12 +5,16 @@
 //! place of the first lost voter and nobody takes it in; the second voter is lost; one of three is
 //! no quorum.
 
+#[path = "fakes/replica_group.rs"]
+mod replica_group;
+
 use {
     oleandermount::control::{
         Command, Membership,
         healing::{SILENCE, next_repair},
         replica::ReplicaStatus,
     },
+    replica_group::ReplicaGroup,
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -65,6 +69,26 @@
     assert_eq!(next_repair(now, &status, VOTERS), removed);
 }
 
+/// What operators saw without it: a leader took in a disk that was long gone, found it silent, took it
+/// out, and so on for ever, while a sound one stood by. (Found by seed 59 of healing_runs.)
+#[test]
+fn unheard_disk_is_no_candidate() {
+    let mut group = ReplicaGroup::new(&["a", "b", "c"], 1);
+    let led = |group: &ReplicaGroup| group.leader().is_some();
+    assert!(group.run_until(Duration::from_secs(30), led), "a group forms");
+    group.lose_disk("d");
+    group.start("d");
+    group.run_for(Duration::from_secs(1));
+    let outsiders = |group: &ReplicaGroup| {
+        let leader = group.leader().and_then(|leader| group.nodes[&leader].replica.clone());
+        leader.expect("one leads").status(group.now).outsiders
+    };
+    assert!(outsiders(&group).contains_key("d"), "it makes itself known");
+    group.crash("d");
+    group.run_for(Duration::from_secs(3));
+    assert!(outsiders(&group).is_empty(), "it is not heard any more");
+}
+
 /// Without a lease another leader may exist, and two would mend different things.
 #[test]
 fn only_under_a_lease() {
@@ -75,3 +99,20 @@
         assert_eq!(next_repair(now, &status, VOTERS), None);
     }
 }
+
+/// What operators saw without it: no repair was made any more. Order of events: a stranger is taken in
+/// as a learner in place of a silent voter; its VM is lost before it has caught up; every later repair
+/// waits for it. (Found by seed 8 of healing_runs.)
+#[test]
+fn lost_learner_goes() {
+    let now = Instant::now();
+    let mut status = ReplicaStatus { outsiders: names(&[("vm-e", 5)]), ..leader(now) };
+    let long_ago = now - SILENCE - Duration::from_millis(1);
+    status.members.learners.insert("vm-d".to_owned(), 4);
+    status.heard.insert("vm-c".to_owned(), long_ago);
+    status.heard.insert("vm-d".to_owned(), now);
+    assert_eq!(next_repair(now, &status, VOTERS), None, "it is catching up");
+    status.heard.insert("vm-d".to_owned(), long_ago);
+    let removed = Some(Command::RemoveReplica { vm: "vm-d".to_owned() });
+    assert_eq!(next_repair(now, &status, VOTERS), removed);
+}
