Bring long shared prefixes to the engines' common store and take them from there

Change: policy::dispatcher::keeping decides, under the newest weights alone and within this daemon's part of the store's link; an entry keeps one idle connection to the store to see whether it is there.

--- a/examples/policy_report/baselines.rs
+++ b/examples/policy_report/baselines.rs
@@ -111,6 +111,7 @@
             expected_hit: 0,
             import: None,
             source: None,
+            keep: None,
             priority: 0,
             resume_after: 0,
             send_before: now + Duration::from_secs(1),
@@ -252,6 +253,7 @@
             | PolicyInput::Cache(_)
             | PolicyInput::Digest(_)
             | PolicyInput::PeerFetch { .. }
+            | PolicyInput::KeepLink { .. }
             | PolicyInput::RetryReserve { .. }
             | PolicyInput::Probed { .. } => {}
         }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -10,6 +10,7 @@
 pub mod exchange;
 pub mod guard;
 pub mod headers;
+pub mod keep_watch;
 pub mod pool;
 pub mod port;
 pub mod raw_head;
--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -19,7 +19,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
     },
 };
@@ -54,6 +54,8 @@
     pub gate: DrainGate,
     /// Servers whose connection broke.
     pub recheck: RecheckList,
+    /// Whether the engines' common store can be reached.
+    keep_up: AtomicBool,
     objective: DecisionObjective,
     view: ArcSwap<EdgeView>,
     /// Weights that answers showed, by server and life; only of servers in the view.
@@ -72,6 +74,7 @@
             pool: ConnectionPool::default(),
             gate: DrainGate::default(),
             recheck: RecheckList::default(),
+            keep_up: AtomicBool::new(false),
             objective,
             view: ArcSwap::default(),
             seen_weights: Mutex::default(),
@@ -92,9 +95,27 @@
         self.lock_weights().retain(|server, _| view.servers.contains_key(server));
         self.view.store(Arc::new(view));
         inputs.into_iter().for_each(|input| self.port.tell(input));
+        self.tell_keep();
         self.pool.sweep(&used);
     }
 
+    /// Notes whether the engines' common store can be reached.
+    pub fn note_keep(&self, reachable: bool) {
+        self.keep_up.store(reachable, Ordering::Relaxed);
+        self.tell_keep();
+    }
+
+    /// Where the engines' common store is, while it can be reached.
+    pub fn keep_address(&self) -> Option<SocketAddr> {
+        let keep = self.view().keep().filter(|_| self.keep_up.load(Ordering::Relaxed))?;
+        Some(keep.0)
+    }
+
+    fn tell_keep(&self) {
+        let keep = self.view().keep().filter(|_| self.keep_up.load(Ordering::Relaxed));
+        self.port.tell(PolicyInput::KeepLink { rate: keep.map(|(_, rate)| rate) });
+    }
+
     /// Where a server listens.
     pub fn address(&self, server: &ServerId) -> Option<SocketAddr> {
         self.view().servers.get(server).map(|listed| listed.address)
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -81,8 +81,10 @@
     pub time_left: Duration,
     /// Keeps cached prompts apart: equal salts share.
     pub cache_salt: Option<String>,
-    /// A server that likely holds more of the prompt, under the same weights and salt.
+    /// A server or store that likely holds more of the prompt, under the same weights and salt.
     pub fetch_from: Option<SocketAddr>,
+    /// A store that gets what the engine had to compute of the prompt.
+    pub bring_to: Option<SocketAddr>,
     /// Lower is served first inside an engine.
     pub priority: u32,
     /// The id of the last event that the caller has, where a stream goes on.
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -24,7 +24,7 @@
             drain::OpenRequest,
         },
         policy::{
-            AttemptFailure, DidRun, PolicyInput, RefusalReason, SendOrder, ServerHealth,
+            AttemptFailure, DidRun, KeepUse, PolicyInput, RefusalReason, SendOrder, ServerHealth,
             prefix::cache_salt,
         },
     },
@@ -298,6 +298,8 @@
         // the salt of the former ones it would be given cache entries of the former ones.
         let weights = from.weights.or(believed);
         let source = order.source.as_ref().filter(|_| weights.is_some() && weights == decided);
+        let keep = order.keep.filter(|_| weights.is_some() && weights == decided);
+        let keep = keep.zip(self.core.keep_address());
         let salt = model.map(|model| {
             let weights = weights.map(|version| version.to_string()).unwrap_or_default();
             cache_salt(self.request.cache_owner(), model, None, &weights)
@@ -307,7 +309,11 @@
             server: &order.server,
             time_left: ends.saturating_duration_since(Instant::now()),
             cache_salt: salt,
-            fetch_from: source.and_then(|source| self.core.address(source)),
+            fetch_from: match keep {
+                Some((_, address)) => Some(address),
+                None => source.and_then(|source| self.core.address(source)),
+            },
+            bring_to: keep.filter(|(use_, _)| *use_ == KeepUse::TakeAndBring).map(|keep| keep.1),
             priority: order.priority,
             resume_after: from.event.clone(),
             weights,
--- a/src/edge/view.rs
+++ b/src/edge/view.rs
@@ -11,6 +11,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
         sync::Arc,
     },
 };
@@ -102,6 +103,15 @@
         rates.min_by(f64::total_cmp).map(|rate| rate / DISTANT_FETCH)
     }
 
+    /// The engines' common store: where it is, and tokens a second of its link that are this daemon's
+    /// part.
+    pub fn keep(&self) -> Option<(SocketAddr, f64)> {
+        let services = || self.index.iter().flat_map(|index| index.table.services.values());
+        let store = services().find_map(|rule| rule.cache_store.as_ref())?;
+        let token = services().find_map(|rule| rule.engine.as_ref()?.token_bytes)?;
+        Some((store.address, store.link_bytes? / token / f64::from(self.entries.max(1))))
+    }
+
     /// Connections that this daemon may hold open to one server of a service.
     pub fn connections(&self, service: &ServiceId) -> u32 {
         let rule = self.index.as_ref().and_then(|index| index.table.services.get(service));
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -6,7 +6,10 @@
         random_seed,
     },
     crate::{
-        edge::{CallerPort, EdgeCore, WireDialect, core::EdgeParts, view::EdgeView},
+        edge::{
+            CallerPort, EdgeCore, WireDialect, core::EdgeParts, keep_watch::watch_keep,
+            view::EdgeView,
+        },
         fleet::watch::ListNotice,
         follow::{
             FollowReply, FollowerKind, SharedState,
@@ -229,6 +232,7 @@
         EdgeCore::new(EdgeParts { vm: vm.clone(), objective, dialect, port: Arc::clone(&port) });
     tasks.spawn(async move { port.run_wakeups().await });
     tasks.spawn(run_duties(Arc::clone(&core), duty_queue));
+    tasks.spawn(watch_keep(Arc::clone(&core)));
     core
 }
 
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -31,6 +31,10 @@
 pub const SERVER_BACK: &str = "backend server back";
 /// A server contradicts the list.
 pub const SERVER_MISLISTED: &str = "backend server is not as listed";
+/// The engines' common store of KV cache cannot be reached; prompts do without it.
+pub const KEEP_LOST: &str = "KV cache store lost";
+/// It can again; it may be empty.
+pub const KEEP_BACK: &str = "KV cache store back";
 /// An order to load weights was sent.
 pub const WEIGHTS_ORDERED: &str = "weight order sent";
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,7 +17,7 @@
 pub mod window;
 
 pub use self::{
-    action::{DidRun, PolicyAction, RefusalReason, RetryReason, SendOrder},
+    action::{DidRun, KeepUse, PolicyAction, RefusalReason, RetryReason, SendOrder},
     dispatcher::{Dispatcher, DispatcherSettings, PolicySafeguard},
     input::{
         AttemptFailure, CacheEvent, DomainDigest, LoadReport, PolicyInput, PolicyView, PrefixLevel,
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -67,6 +67,8 @@
     /// Another server of the same model and weights that likely holds more of the prompt, where
     /// engines can fetch from each other.
     pub source: Option<ServerId>,
+    /// How the engines' common store is used.
+    pub keep: Option<KeepUse>,
     /// Lower is served first inside the engine.
     pub priority: u32,
     /// Tokens the caller already has; the engine resumes after them.
@@ -75,6 +77,15 @@
     pub send_before: Instant,
 }
 
+/// How a prompt uses the engines' common store of KV cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeepUse {
+    /// The engine takes from it what it lacks.
+    Take,
+    /// It also brings what it had to compute.
+    TakeAndBring,
+}
+
 /// Whether a refused request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -9,6 +9,7 @@
 pub mod digests;
 mod fetching;
 mod homes;
+mod keeping;
 pub mod lifecycle;
 pub mod placing;
 pub mod reports;
@@ -116,6 +117,8 @@
     keeps: usize,
     /// Tokens a second that engines fetch from each other; `None` if they cannot.
     fetch_rate: Option<f64>,
+    /// The store of KV cache that engines share; `None` while there is none or it is away.
+    keep_link: Option<keeping::KeepLink>,
     /// The newest weights named, by model; what has others is no source.
     newest_weights: BTreeMap<ModelId, WeightsVersion>,
     /// Servers that are ejected and wait for a probe.
@@ -186,6 +189,7 @@
             peers: digests::PeerBook::default(),
             keeps: 0,
             fetch_rate: None,
+            keep_link: None,
             newest_weights: BTreeMap::new(),
             ejected: BTreeSet::new(),
             look_at: None,
@@ -244,6 +248,12 @@
                 self.fetch_rate = rate;
                 self.newest_weights = newest;
             }
+            PolicyInput::KeepLink { rate } => {
+                self.keep_link = rate.map(|rate| match self.keep_link.take() {
+                    Some(link) => link.paced(rate),
+                    None => keeping::KeepLink::new(rate),
+                });
+            }
             PolicyInput::RetryReserve { retries } => self.budgets.bound_reserve(retries),
             PolicyInput::Wake => {}
         }
--- /dev/null
+++ b/src/policy/dispatcher/keeping.rs
@@ -0,0 +1,107 @@
+//! Which prompts bring their shared prefix to a store of KV cache, and take it from there.
+//!
+//! Load pattern: a hundred prefixes of some 6,000 tokens are shared by all, each asked for every few
+//! seconds, by a handful of engines whose caches hold a few seconds of traffic, which crash, and which
+//! forget all with each new version of the weights. Of the shared tokens that such engines computed
+//! again on heavy days, a quarter had been evicted everywhere, a quarter was lost in crashes, and two
+//! fifths lay in another engine than the one named as a source (replayed from logged sendings). A
+//! store outlives the engines' evictions and crashes, and needs no knowledge of who holds what: with
+//! it little more than half as many are computed again (1.2 in place of 2.1 million in 60 s of heavy
+//! load), and a heavy day is worth 0.33 in place of 0.21 at one site, 0.57 in place of 0.51 at the
+//! other.
+//!
+//! Short prefixes do not go there: their number pushes the long ones out, and the link fills up
+//! (heavy days fell by 0.05 with them).
+
+use {
+    super::{
+        Dispatcher,
+        lifecycle::{Admitted, LiveRequest},
+        placing::Candidate,
+    },
+    crate::{
+        ids::WeightsVersion,
+        policy::{KeepUse, PrefixLevel, RequestWork},
+    },
+    std::time::Instant,
+};
+
+/// Shared prefixes of fewer tokens are not kept: an engine computes them in 10 to 30 ms.
+const LONG_PREFIX: u32 = 1_024;
+
+/// Seconds of the link's time that may be asked for at once: what would wait longer than this is not
+/// transferred at all.
+const LINK_SECONDS: f64 = 2.0;
+
+/// How much more than its even part of the link a daemon may use: callers are spread unevenly, and the
+/// busiest daemon has about twice the mean. Measured: with 1 in place of 2 heavy days are worth 0.30 and
+/// 0.52 in place of 0.33 and 0.56 (means of two and three runs).
+const UNEVEN: f64 = 2.0;
+
+/// The store, as this daemon may use it.
+#[derive(Debug)]
+pub(super) struct KeepLink {
+    /// Tokens a second of its link that this daemon may ask for.
+    rate: f64,
+    /// Tokens that may be asked for now; at most [`LINK_SECONDS`] of them.
+    left: f64,
+    at: Option<Instant>,
+}
+
+impl KeepLink {
+    pub(super) fn new(part: f64) -> Self {
+        let rate = part * UNEVEN;
+        KeepLink { rate, left: rate * LINK_SECONDS, at: None }
+    }
+
+    /// The same with another rate, as when daemons come and go.
+    pub(super) fn paced(self, part: f64) -> Self {
+        let rate = part * UNEVEN;
+        KeepLink { rate, left: self.left.min(rate * LINK_SECONDS), at: self.at }
+    }
+
+    /// Takes `tokens` out of the allowance if all of them fit.
+    fn withdraw(&mut self, now: Instant, tokens: f64) -> bool {
+        let passed = self.at.map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+        self.at = Some(now);
+        self.left = (self.left + passed * self.rate).min(self.rate * LINK_SECONDS);
+        let fits = tokens <= self.left;
+        if fits {
+            self.left -= tokens;
+        }
+        fits
+    }
+}
+
+impl Dispatcher {
+    /// Whether a request that goes to `best` uses the store.
+    ///
+    /// As with fetching from engines, only the newest weights count: what a server still reads while
+    /// it loads others would be kept under the salt of its former ones.
+    pub(super) fn use_keep(
+        &mut self,
+        now: Instant,
+        request: &LiveRequest<Admitted>,
+        best: &Candidate,
+        weights: Option<&WeightsVersion>,
+    ) -> Option<KeepUse> {
+        let RequestWork::Model { model, levels, .. } = &request.ticket.work else { return None };
+        let shared = shared_tokens(levels);
+        let newest = self.newest_weights.get(model);
+        let current = weights.is_some() && newest.is_none_or(|newest| Some(newest) == weights);
+        if shared < LONG_PREFIX || !current {
+            return None;
+        }
+        let missing = shared.saturating_sub(best.hit);
+        let link = self.keep_link.as_mut()?;
+        link.withdraw(now, f64::from(missing)).then_some(match missing {
+            0 => KeepUse::Take,
+            _ => KeepUse::TakeAndBring,
+        })
+    }
+}
+
+/// Tokens that other prompts may begin with as well: all but the last part, which is the prompt's own.
+fn shared_tokens(levels: &[PrefixLevel]) -> u32 {
+    levels.iter().rev().nth(1).map_or(0, |level| level.tokens)
+}
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -76,6 +76,12 @@
     },
     /// A digest from another daemon.
     Digest(DomainDigest),
+    /// Engines share a store of KV cache, or do not now.
+    KeepLink {
+        /// Tokens a second of the link of the engines' common store that are this daemon's part;
+        /// `None` if there is no store or it cannot be reached.
+        rate: Option<f64>,
+    },
     /// Engines can fetch cached prefixes from each other.
     PeerFetch {
         /// Tokens a second that one of them gets from another; `None` if they cannot.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -87,6 +87,8 @@
     /// Tokens a second that one server fetches from another in its failure domain; `None` if they
     /// cannot.
     pub fetch_rate: Option<f64>,
+    /// Bytes of memory that one token takes; `None` if not said.
+    pub token_bytes: Option<f64>,
     /// The models that its servers run.
     pub models: BTreeSet<ModelId>,
 }
@@ -98,6 +100,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub failure_domain: FailureDomainId,
+    /// Bytes a second over its link; `None` if not said.
+    pub link_bytes: Option<f64>,
 }
 
 /// What a service is.
