--- a/src/edge.rs
+++ b/src/edge.rs
@@ -4,6 +4,7 @@
 //! on unchanged. What the installation's headers are called, and what they mean, only the
 //! [`dialect::WireDialect`] knows.
 
+pub mod accept;
 pub mod answer;
 pub mod core;
 pub mod dialect;
--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -1,5 +1,7 @@
 //! Runs one request: follows the dispatcher's decisions until there is an answer.
 
+mod told;
+
 use {
     super::{
         answer::{AnswerBody, Outcome, refusal_of},
@@ -16,10 +18,7 @@
         observe::{events, metrics::refusal},
         pipeline::{
             Directive,
-            counters::{
-                count_answer, count_crossed, count_refusal, count_request, record_answer,
-                record_queue_wait,
-            },
+            counters::{count_crossed, count_refusal, count_request, record_queue_wait},
             dispatch::RequestRoute,
             drain::OpenRequest,
         },
@@ -59,22 +58,7 @@
     /// A server's own failure, passed on if nobody does better.
     failure: Option<(response::Parts, Bytes)>,
     /// Whether how it ended is in the log; if not when it is dropped, its caller has left.
-    pub(super) is_told: bool,
-}
-
-impl Drop for Exchange {
-    fn drop(&mut self) {
-        if !self.is_told {
-            let request = &self.request;
-            log::info!(
-                request_id = request.caller.id.as_str(),
-                route = request.caller.route.name.as_str(),
-                sent_to = self.runs,
-                waited_ms = request.arrived.elapsed().as_millis() as u64;
-                "{}", events::CALLER_LEFT
-            );
-        }
-    }
+    is_told: bool,
 }
 
 /// An answer whose head has arrived.
@@ -159,24 +143,13 @@
         phase: ConnectionPhase,
         open: OpenRequest,
     ) -> Outcome {
-        self.is_told = true;
         if let Some((parts, body)) = self.failure.take() {
-            self.log_failure(&parts);
+            self.tell_passed_on(parts.status);
             return Ok(Response::from_parts(parts, AnswerBody::whole(body, phase, Some(open))));
         }
         // Whatever the dispatcher was told, a request that may have run is never said not to have.
         let did_run = if self.runs > 0 { DidRun::Unknown } else { did_run };
-        log::warn!(
-            request_id = self.request.caller.id.as_str(),
-            reason = reason.as_str(),
-            organisation = self.request.caller.organisation.as_str(),
-            route = self.request.caller.route.name.as_str(),
-            document = self.request.document,
-            sent_to = self.runs,
-            waited_ms = self.request.arrived.elapsed().as_millis() as u64,
-            retry_after_ms = retry_after.map(|pause| pause.as_millis() as u64);
-            "{}", events::REQUEST_REFUSED
-        );
+        self.tell_refused(reason.as_str(), retry_after);
         Err(refusal_of(reason, retry_after, did_run))
     }
 
@@ -204,7 +177,7 @@
         if self.runs == 0 {
             record_queue_wait(self.request.caller.class, self.request.arrived.elapsed());
         }
-        self.log_sending(order);
+        self.tell_sending(order);
         let request = self.backend_request(order, from);
         let once = !self.request.caller.route.kind.is_repeatable();
         let most = view.connections(&listed.service);
@@ -313,7 +286,7 @@
                 Some((_, address)) => Some(address),
                 None => source.and_then(|source| self.core.address(source)),
             },
-            bring_to: keep.filter(|(use_, _)| *use_ == KeepUse::TakeAndBring).map(|keep| keep.1),
+            bring_to: keep.filter(|keep| keep.0 == KeepUse::TakeAndBring).map(|keep| keep.1),
             priority: order.priority,
             resume_after: from.event.clone(),
             weights,
@@ -337,17 +310,7 @@
         from: &ResumeFrom,
         retry_after: Option<Duration>,
     ) -> AttemptFailure {
-        log::warn!(
-            request_id = self.request.caller.id.as_str(),
-            server = order.server.as_str(),
-            failure:? = failure,
-            expected_hit = order.expected_hit,
-            weights = order.weights.as_deref(),
-            relayed_events = from.events,
-            sent_to = self.runs,
-            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
-            "{}", events::ATTEMPT_FAILED
-        );
+        self.tell_failed(order, failure, from.events);
         self.route.tell(PolicyInput::Failed {
             attempt: order.attempt,
             failure,
@@ -373,23 +336,13 @@
         if unsent || self.may_run_again() || failure == AttemptFailure::TimedOut {
             return Step::Again;
         }
-        self.is_told = true;
         if let Some((parts, body)) = self.failure.take() {
-            self.log_failure(&parts);
+            self.tell_passed_on(parts.status);
             let body = AnswerBody::whole(body, ConnectionPhase::default(), None);
             return Step::Answer(Box::new(Response::from_parts(parts, body)));
         }
         count_refusal(refusal::BACKEND_FAILED);
-        log::warn!(
-            request_id = self.request.caller.id.as_str(),
-            reason = refusal::BACKEND_FAILED,
-            organisation = self.request.caller.organisation.as_str(),
-            route = self.request.caller.route.name.as_str(),
-            document = self.request.document,
-            sent_to = self.runs,
-            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
-            "{}", events::REQUEST_REFUSED
-        );
+        self.tell_refused(refusal::BACKEND_FAILED, None);
         Step::Refused(EdgeRefusal::new(StatusCode::BAD_GATEWAY, refusal::BACKEND_FAILED))
     }
 
@@ -417,19 +370,7 @@
             return self.after_failure(failure);
         }
         self.finish(order.attempt, 0);
-        self.is_told = true;
-        count_answer(self.request.caller.class);
-        record_answer(self.request.caller.class, self.request.arrived.elapsed());
-        log::info!(
-            request_id = self.request.caller.id.as_str(),
-            route = self.request.caller.route.name.as_str(),
-            server = order.server.as_str(),
-            status = parts.status.as_u16(),
-            document = self.request.document,
-            sent_to = self.runs,
-            total_ms = self.request.arrived.elapsed().as_millis() as u64;
-            "{}", events::ANSWERED_WHOLE
-        );
+        self.tell_answered(&order.server, parts.status);
         // The library frames the answer anew.
         parts.headers.remove(http::header::CONTENT_LENGTH);
         let body = AnswerBody::whole(body, ConnectionPhase::default(), None);
@@ -459,7 +400,7 @@
             }
             None => {
                 self.finish(order.attempt, 0);
-                self.is_told = true;
+                self.tell_answered(&order.server, answer.parts.status);
                 answer.leased.keep(answer.head.idle_limit);
                 let body = AnswerBody::whole(Bytes::new(), ConnectionPhase::default(), None);
                 Step::Answer(Box::new(Response::from_parts(answer.parts, body)))
@@ -467,48 +408,6 @@
         }
     }
 
-    /// Tells what a sending was decided by; at debug level, since each request has at least one.
-    fn log_sending(&self, order: &SendOrder) {
-        let work = self.request.caller.work.as_ref();
-        let parts = work.map(|work| work.parts.iter().map(|(id, tokens)| format!("{id}:{tokens}")));
-        log::debug!(
-            request_id = self.request.caller.id.as_str(),
-            server = order.server.as_str(),
-            source = order.source.as_deref(),
-            weights = order.weights.as_deref(),
-            expected_hit = order.expected_hit,
-            parts = parts.map(|parts| parts.collect::<Vec<_>>().join(",")).unwrap_or_default(),
-            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
-            "{}", events::REQUEST_SENT
-        );
-    }
-
-    /// Tells why a stream that has begun is not finished.
-    pub(super) fn log_cut(&mut self, order: &SendOrder, reason: RefusalReason, events: u32) {
-        self.is_told = true;
-        log::warn!(
-            request_id = self.request.caller.id.as_str(),
-            route = self.request.caller.route.name.as_str(),
-            reason = reason.as_str(),
-            server = order.server.as_str(),
-            relayed_events = events,
-            sent_to = self.runs,
-            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
-            "{}", events::STREAM_CUT
-        );
-    }
-
-    fn log_failure(&self, parts: &response::Parts) {
-        log::warn!(
-            request_id = self.request.caller.id.as_str(),
-            route = self.request.caller.route.name.as_str(),
-            status = parts.status.as_u16(),
-            sent_to = self.runs,
-            waited_ms = self.request.arrived.elapsed().as_millis() as u64;
-            "{}", events::FAILURE_PASSED_ON
-        );
-    }
-
     /// Tells the dispatcher that an attempt ended whole.
     pub(super) fn finish(&self, attempt: AttemptId, output_tokens: u32) {
         self.route.tell(PolicyInput::Finished { attempt, cached_tokens: None, output_tokens });
--- /dev/null
+++ b/src/edge/exchange/told.rs
@@ -0,0 +1,138 @@
+//! What the log is told of a request: each sending that failed, and how the request ended.
+
+use {
+    super::Exchange,
+    crate::{
+        ids::ServerId,
+        observe::events,
+        pipeline::counters::{count_answer, record_answer},
+        policy::{AttemptFailure, RefusalReason, SendOrder},
+    },
+    http::StatusCode,
+    std::time::Duration,
+};
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.is_told {
+            log::info!(
+                request_id = self.request.caller.id.as_str(),
+                route = self.request.caller.route.name.as_str(),
+                sent_to = self.runs,
+                waited_ms = self.waited_ms();
+                "{}", events::CALLER_LEFT
+            );
+        }
+    }
+}
+
+impl Exchange {
+    /// Milliseconds since the request arrived.
+    pub(in crate::edge) fn waited_ms(&self) -> u64 {
+        self.request.arrived.elapsed().as_millis() as u64
+    }
+
+    /// What a sending was decided by; at debug level, since each request has at least one.
+    pub(super) fn tell_sending(&self, order: &SendOrder) {
+        let work = self.request.caller.work.as_ref();
+        let parts = work.map(|work| work.parts.iter().map(|(id, tokens)| format!("{id}:{tokens}")));
+        log::debug!(
+            request_id = self.request.caller.id.as_str(),
+            server = order.server.as_str(),
+            source = order.source.as_deref(),
+            keep:? = order.keep,
+            weights = order.weights.as_deref(),
+            expected_hit = order.expected_hit,
+            parts = parts.map(|parts| parts.collect::<Vec<_>>().join(",")).unwrap_or_default(),
+            waited_ms = self.waited_ms();
+            "{}", events::REQUEST_SENT
+        );
+    }
+
+    /// A sending failed after `events` were passed on.
+    pub(super) fn tell_failed(&self, order: &SendOrder, failure: AttemptFailure, events: u32) {
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            server = order.server.as_str(),
+            failure:? = failure,
+            expected_hit = order.expected_hit,
+            weights = order.weights.as_deref(),
+            relayed_events = events,
+            sent_to = self.runs,
+            waited_ms = self.waited_ms();
+            "{}", events::ATTEMPT_FAILED
+        );
+    }
+
+    /// The request is refused.
+    pub(super) fn tell_refused(&mut self, reason: &str, retry_after: Option<Duration>) {
+        self.is_told = true;
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            reason = reason,
+            organisation = self.request.caller.organisation.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            document = self.request.document,
+            sent_to = self.runs,
+            waited_ms = self.waited_ms(),
+            retry_after_ms = retry_after.map(|pause| pause.as_millis() as u64);
+            "{}", events::REQUEST_REFUSED
+        );
+    }
+
+    /// A server's own failure is passed on.
+    pub(super) fn tell_passed_on(&mut self, status: StatusCode) {
+        self.is_told = true;
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            status = status.as_u16(),
+            sent_to = self.runs,
+            waited_ms = self.waited_ms();
+            "{}", events::FAILURE_PASSED_ON
+        );
+    }
+
+    /// A whole answer is passed on.
+    pub(super) fn tell_answered(&mut self, server: &ServerId, status: StatusCode) {
+        self.count_whole();
+        log::info!(
+            request_id = self.request.caller.id.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            server = server.as_str(),
+            status = status.as_u16(),
+            document = self.request.document,
+            sent_to = self.runs,
+            total_ms = self.waited_ms();
+            "{}", events::ANSWERED_WHOLE
+        );
+    }
+
+    /// Counts an answer whose end the log is told of.
+    pub(in crate::edge) fn count_whole(&mut self) {
+        self.is_told = true;
+        let (class, elapsed) = (self.request.caller.class, self.request.arrived.elapsed());
+        count_answer(class);
+        record_answer(class, elapsed);
+    }
+
+    /// A stream that has begun is not finished.
+    pub(in crate::edge) fn tell_cut(
+        &mut self,
+        order: &SendOrder,
+        reason: RefusalReason,
+        events: u32,
+    ) {
+        self.is_told = true;
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            reason = reason.as_str(),
+            server = order.server.as_str(),
+            relayed_events = events,
+            sent_to = self.runs,
+            waited_ms = self.waited_ms();
+            "{}", events::STREAM_CUT
+        );
+    }
+}
--- a/src/edge/port.rs
+++ b/src/edge/port.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        accept::accept_one,
         answer::AnswerBody,
         core::EdgeCore,
         dialect::EdgeRefusal,
@@ -30,14 +31,11 @@
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore, watch},
         task::JoinHandle,
-        time::sleep,
     },
 };
 
 /// The least room for a head; the library takes no less.
 const LEAST_HEAD_BYTES: usize = 8192;
-/// Pause after an accept that failed for want of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When to come back to another entry while this one stops.
 const STOPPING_PAUSE: Duration = Duration::from_millis(100);
 
@@ -107,15 +105,8 @@
 ) {
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _peer)) => {
-                tokio::spawn(serve(stream, Arc::clone(&core), phase.clone(), permit));
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "a connection was not accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept_one(&listener).await;
+        tokio::spawn(serve(stream, Arc::clone(&core), phase.clone(), permit));
     }
 }
 
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -12,10 +12,7 @@
     },
     crate::{
         observe::events,
-        pipeline::{
-            Directive,
-            counters::{count_answer, record_answer, record_first_token},
-        },
+        pipeline::{Directive, counters::record_first_token},
         policy::{AttemptFailure, PolicyInput, RefusalReason, SendOrder},
     },
     bytes::{Bytes, BytesMut},
@@ -144,7 +141,7 @@
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = sleep_until(ends.into()) => {
-                self.exchange.log_cut(&self.order, RefusalReason::DeadlinePassed, self.from.events);
+                self.exchange.tell_cut(&self.order, RefusalReason::DeadlinePassed, self.from.events);
                 return Err(AnswerCut::TimeOver);
             }
         };
@@ -155,7 +152,7 @@
             }
             None => {
                 let ended = self.source.take();
-                self.exchange.is_told = true;
+                self.exchange.count_whole();
                 self.log_end();
                 self.exchange.finish(self.order.attempt, self.from.events);
                 ended.into_iter().for_each(|(_, leased)| leased.keep(self.head.idle_limit));
@@ -173,8 +170,6 @@
     fn log_end(&self) {
         let request = &self.exchange.request;
         let weights = self.from.weights.map(|version| version.to_string());
-        count_answer(request.caller.class);
-        record_answer(request.caller.class, request.arrived.elapsed());
         log::info!(
             request_id = request.caller.id.as_str(),
             route = request.caller.route.name.as_str(),
@@ -184,7 +179,7 @@
             sent_to = self.exchange.runs,
             first_event_ms = self.pace.first.as_millis() as u64,
             longest_pause_ms = self.pace.longest_pause.as_millis() as u64,
-            total_ms = request.arrived.elapsed().as_millis() as u64,
+            total_ms = self.exchange.waited_ms(),
             expected_hit = self.order.expected_hit,
             relayed_events = self.from.events;
             "{}", events::STREAM_WHOLE
@@ -197,14 +192,14 @@
         exchange.core.recheck(&self.order.server);
         exchange.report(&self.order, AttemptFailure::Broken, &self.from, None);
         if !self.resumable || !exchange.may_run_again() || self.from.event.is_none() {
-            exchange.log_cut(&self.order, RefusalReason::ServerFailed, self.from.events);
+            exchange.tell_cut(&self.order, RefusalReason::ServerFailed, self.from.events);
             return Err(AnswerCut::BackendFailed);
         }
         loop {
             let directive = tokio::select! {
                 directive = exchange.route.next() => directive,
                 () = sleep_until(exchange.request.ends.into()) => {
-                    exchange.log_cut(&self.order, RefusalReason::DeadlinePassed, self.from.events);
+                    exchange.tell_cut(&self.order, RefusalReason::DeadlinePassed, self.from.events);
                     return Err(AnswerCut::TimeOver);
                 }
             };
@@ -212,7 +207,7 @@
                 Directive::Send(order) => *order,
                 Directive::Cancel(_) => continue,
                 Directive::Refuse { reason, .. } => {
-                    exchange.log_cut(&self.order, reason, self.from.events);
+                    exchange.tell_cut(&self.order, reason, self.from.events);
                     return Err(AnswerCut::BackendFailed);
                 }
             };
@@ -221,7 +216,7 @@
                 Ok(answer) if answer.parts.status.is_success() => answer,
                 Ok(_) => {
                     exchange.report(&order, AttemptFailure::ServerError, &self.from, None);
-                    exchange.log_cut(&order, RefusalReason::ServerFailed, self.from.events);
+                    exchange.tell_cut(&order, RefusalReason::ServerFailed, self.from.events);
                     return Err(AnswerCut::BackendFailed);
                 }
                 Err(
@@ -231,7 +226,7 @@
                 }
                 Err(_) if exchange.may_run_again() => continue,
                 Err(_) => {
-                    exchange.log_cut(&order, RefusalReason::ServerFailed, self.from.events);
+                    exchange.tell_cut(&order, RefusalReason::ServerFailed, self.from.events);
                     return Err(AnswerCut::BackendFailed);
                 }
             };
