Introduce replicas once for each change of the settings, and again after their folder was opened anew

Found in the reading: the control VM told its replica of the settings' VMs with each change of its status, several times a second, and a replica whose folder was opened anew forgot them.

--- a/src/daemon/control_driver/runner.rs
+++ b/src/daemon/control_driver/runner.rs
@@ -16,7 +16,11 @@
         ids::{LogIndex, VmId},
         observe::events,
     },
-    std::{collections::BTreeMap, sync::Arc, time::Instant},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Instant,
+    },
     tokio::{sync::mpsc, time::sleep_until},
 };
 
@@ -47,6 +51,8 @@
     waiting: BTreeMap<ProposalId, ProposalReply>,
     next_proposal: ProposalId,
     feeds: StatusFeeds,
+    /// VMs that the settings name; each life of the replica is told of them.
+    introduced: BTreeSet<VmId>,
     /// The last entry that was applied when the life before ended. Until this life has caught up
     /// with it, what it holds is older than what was shown, and is not shown.
     shown_until: LogIndex,
@@ -69,6 +75,7 @@
             waiting: BTreeMap::new(),
             next_proposal: 0,
             feeds,
+            introduced: BTreeSet::new(),
             shown_until: 0,
         }
     }
@@ -87,7 +94,7 @@
             self.stop(&reason);
             let opened = self.wait_opened(&mut inputs, &mut reports).await;
             let Some((life, state)) = opened else { return };
-            if !self.begin(life, state) {
+            if !self.begin(life, state) || self.introduce().await.is_err() {
                 return;
             }
         }
@@ -114,16 +121,26 @@
                 },
                 () = sleep_until(wakeup.into()) => ReplicaInput::Tick,
             };
-            let actions = self.replica.handle(Instant::now(), input);
-            for action in actions {
-                if self.carry_out(action).await.is_err() {
-                    return LifeEnd::ThreadGone;
-                }
+            if self.carry_out_all(input).await.is_err() {
+                return LifeEnd::ThreadGone;
             }
             self.show();
         }
     }
 
+    /// Tells a new life of the replica whom the settings name.
+    async fn introduce(&mut self) -> Result<(), FilesGone> {
+        let input = ReplicaInput::Introduce { peers: self.introduced.clone() };
+        self.carry_out_all(input).await
+    }
+
+    async fn carry_out_all(&mut self, input: ReplicaInput) -> Result<(), FilesGone> {
+        for action in self.replica.handle(Instant::now(), input) {
+            self.carry_out(action).await?;
+        }
+        Ok(())
+    }
+
     fn take_in(&mut self, input: DriverInput) -> ReplicaInput {
         match input {
             DriverInput::Message { from, message } => {
@@ -135,7 +152,10 @@
                 self.waiting.insert(proposal, reply);
                 ReplicaInput::Propose { proposal, command: *command }
             }
-            DriverInput::Introduce { peers } => ReplicaInput::Introduce { peers },
+            DriverInput::Introduce { peers } => {
+                self.introduced.clone_from(&peers);
+                ReplicaInput::Introduce { peers }
+            }
         }
     }
 
@@ -230,7 +250,8 @@
                         // Whoever asked may be gone.
                         let _ = reply.send(Err(LocalProposeError::NotLeader { leader: None }));
                     }
-                    DriverInput::Message { .. } | DriverInput::Introduce { .. } => {}
+                    DriverInput::Introduce { peers } => self.introduced = peers,
+                    DriverInput::Message { .. } => {}
                 },
             }
         }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -205,11 +205,14 @@
 ) {
     let port = network.local_address().port();
     let mut status = replica.status_watch();
-    let mut known = BTreeMap::new();
+    let (mut known, mut introduced) = (BTreeMap::new(), BTreeMap::new());
     loop {
         let peers = {
             let named_here = settings.borrow_and_update().clone();
-            replica.introduce(named_here.keys().cloned().collect());
+            if named_here != introduced {
+                replica.introduce(named_here.keys().cloned().collect());
+                introduced.clone_from(&named_here);
+            }
             let status = status.borrow_and_update();
             let members = status.members.members().map(|(vm, _)| vm);
             let named = members
