--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -13,6 +13,7 @@
 pub mod lifecycle;
 pub mod placing;
 pub mod reports;
+mod sending;
 pub mod servers;
 pub mod wakeups;
 
--- a/src/policy/dispatcher/placing.rs
+++ b/src/policy/dispatcher/placing.rs
@@ -2,26 +2,22 @@
 
 use {
     super::{
-        AttemptState, Dispatcher, PolicySafeguard,
+        Dispatcher, PolicySafeguard,
         homes::HomeSet,
         lifecycle::{Admitted, LiveRequest, RequestPhase},
         servers::{PoolIndex, ServerState, Urgency},
     },
     crate::policy::{
-        PolicyAction, PrefixLevel, RefusalReason, RequestWork, SendOrder,
+        PrefixLevel, RefusalReason, RequestWork,
         fairness::QueuedWork,
         placement::{CandidateCost, SMALL_POOL},
         prefix::ServerIndex,
         window::WindowPart,
     },
     rand_core::RngCore,
-    std::time::{Duration, Instant},
+    std::time::Instant,
 };
 
-/// How long a decided sending stays valid: longer than the way to the driver's task takes on a busy
-/// VM, shorter than any change of membership that callers could notice.
-const SEND_WITHIN: Duration = Duration::from_secs(1);
-
 /// Waiting requests looked at for one place: those before it wait for a server that is better for
 /// them by more than the wait.
 const LOOK_AHEAD: usize = 16;
@@ -404,100 +400,4 @@
             candidate.import = Some(level);
         }
     }
-
-    fn send(&mut self, now: Instant, number: u64, best: Candidate) {
-        let Some((pool, cost, mut request)) = self.unqueue(now, number) else { return };
-        let attempt =
-            (u128::from(self.random.next_u64()) << 64) | u128::from(self.random.next_u64());
-        if let Some(reason) = request.stage.retry {
-            self.count_retry(&request.ticket.request, reason);
-        } else {
-            self.budgets.deposit(&request.ticket.organisation);
-        }
-        let state = self.attempt_state(now, number, pool, &request, &best);
-        self.charge(now, pool, cost, &request, &state);
-        if let Some(fingerprint) = state.suspect {
-            self.running_suspects.insert(fingerprint);
-        }
-        let keep = self.use_keep(now, &request, &best, state.weights.as_ref());
-        let order = SendOrder { keep, ..self.order(now, attempt, &request, &best, &state) };
-        self.table.servers[best.server].begin(attempt, &state);
-        if let RequestWork::Model { levels, .. } = &request.ticket.work {
-            self.holdings.note(levels, best.server, &self.table.servers[best.server].cache);
-        }
-        self.attempts.insert(attempt, state);
-        if request.ticket.repeatable && request.history.relayed == 0 {
-            self.timers.insert((request.ticket.deadline, number));
-        }
-        request.stage.retry = None;
-        let phase = RequestPhase::Running(request.send(attempt));
-        self.requests.insert(number, super::RequestEntry { pool, cost, phase });
-        self.actions.push(PolicyAction::Send(order));
-    }
-
-    fn attempt_state(
-        &self,
-        now: Instant,
-        number: u64,
-        pool: PoolIndex,
-        request: &LiveRequest<Admitted>,
-        best: &Candidate,
-    ) -> AttemptState {
-        let ticket = &request.ticket;
-        let server = &self.table.servers[best.server];
-        let strikes = self.suspects.strikes(now, ticket.fingerprint);
-        let suspect = strikes > 0 && self.is_on(PolicySafeguard::Suspect);
-        let (weights, output, age) = match &ticket.work {
-            RequestWork::Model { model, max_output_tokens, levels, .. } => (
-                server.certain_weights(model).cloned(),
-                self.expected_output(pool, *max_output_tokens),
-                self.holdings.hit_age(levels, best.server, &server.cache),
-            ),
-            RequestWork::Service { .. } => (None, 0, 0),
-        };
-        AttemptState {
-            number,
-            server: best.server,
-            sent: now,
-            predicted: Duration::from_secs_f64(best.cost.first_token().min(3_600.0)),
-            computed: best.computed,
-            urgency: best.urgency,
-            expected_hit: best.hit,
-            home_tokens: best.home_tokens,
-            hit_age: age,
-            generation: server.cache.generation(),
-            weights,
-            charged_output: output,
-            answered: false,
-            suspect: suspect.then_some(ticket.fingerprint),
-        }
-    }
-
-    fn order(
-        &self,
-        now: Instant,
-        attempt: u128,
-        request: &LiveRequest<Admitted>,
-        best: &Candidate,
-        state: &AttemptState,
-    ) -> SendOrder {
-        let ticket = &request.ticket;
-        let server = &self.table.servers[best.server];
-        let latest = now + SEND_WITHIN;
-        let fresh = request.history.relayed == 0;
-        SendOrder {
-            request: ticket.request.clone(),
-            attempt,
-            server: server.id.clone(),
-            incarnation: server.certain_incarnation(),
-            weights: state.weights.clone(),
-            expected_hit: best.hit,
-            import: best.import,
-            source: best.source.map(|source| self.table.servers[source].id.clone()),
-            keep: None,
-            priority: state.urgency as u32,
-            resume_after: request.history.relayed,
-            send_before: if fresh { latest.min(ticket.deadline) } else { latest },
-        }
-    }
 }
