Show a failed disk at once, also behind a full queue of writes

Cause (found in the reading): while the folder was being opened anew nobody emptied the queue before the disk. A replica that was waiting for room in it heard of the failure only when the disk was sound again: until then its status told what it had believed, and it refused nobody. Change: what waits is dropped when the life ends, and with each try to open the folder.

--- a/src/daemon/control_driver/writer.rs
+++ b/src/daemon/control_driver/writer.rs
@@ -71,7 +71,7 @@
                 return;
             }
             life += 1;
-            let Some(opened) = self.reopen(&reports) else { return };
+            let Some(opened) = self.reopen(&mut queue, &reports) else { return };
             store = opened.store;
             let (state, set_aside) = (opened.state, opened.set_aside);
             if reports.blocking_send(WriteReport::Opened { life, state, set_aside }).is_err() {
@@ -81,8 +81,17 @@
     }
 
     /// Opens the folder as soon as that succeeds; `None` once the task is gone.
-    fn reopen(&mut self, reports: &mpsc::Sender<WriteReport>) -> Option<OpenedStore> {
+    ///
+    /// Batches that wait are of the life that ended. They are dropped at once: a task that waits for
+    /// room in the queue would otherwise learn of the failure only when the disk is sound again, and
+    /// show until then that it leads.
+    fn reopen(
+        &mut self,
+        queue: &mut mpsc::Receiver<LifeBatch>,
+        reports: &mpsc::Sender<WriteReport>,
+    ) -> Option<OpenedStore> {
         loop {
+            while queue.try_recv().is_ok() {}
             thread::sleep(self.reopen_after);
             match self.open() {
                 Ok(opened) => return Some(opened),
--- a/tests/fakes/memory_files.rs
+++ b/tests/fakes/memory_files.rs
@@ -6,7 +6,7 @@
     std::{
         collections::BTreeMap,
         io,
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{Arc, Condvar, Mutex, MutexGuard},
     },
 };
 
@@ -21,6 +21,27 @@
     /// Bytes that still fit; a write past them is cut off and fails.
     pub space: Option<usize>,
     pub sync_fails: bool,
+    /// A sync waits here while the gate is shut.
+    pub gate: Arc<SyncGate>,
+}
+
+/// Holds up syncs, as a disk that answers nothing does.
+#[derive(Debug, Default)]
+pub struct SyncGate {
+    shut: Mutex<bool>,
+    moved: Condvar,
+}
+
+impl SyncGate {
+    pub fn set(&self, shut: bool) {
+        *self.shut.lock().expect("no test panics while it holds the gate") = shut;
+        self.moved.notify_all();
+    }
+
+    fn pass(&self) {
+        let shut = self.shut.lock().expect("no test panics while it holds the gate");
+        drop(self.moved.wait_while(shut, |shut| *shut));
+    }
 }
 
 /// A folder; its clones are the same one.
@@ -65,8 +86,10 @@
     }
 
     fn sync(&mut self) -> io::Result<()> {
-        let image = self.image.lock().expect("no test panics while it holds the image");
-        if image.sync_fails { Err(io::Error::other("the disk fails")) } else { Ok(()) }
+        let image = || self.image.lock().expect("no test panics while it holds the image");
+        let gate = image().gate.clone();
+        gate.pass();
+        if image().sync_fails { Err(io::Error::other("the disk fails")) } else { Ok(()) }
     }
 }
 
--- a/tests/reopened_folder.rs
+++ b/tests/reopened_folder.rs
@@ -19,15 +19,26 @@
         storage::FileSystem,
     },
     std::time::Duration,
-    tokio::sync::mpsc,
+    tokio::{
+        sync::mpsc,
+        task::{JoinSet, yield_now},
+        time::timeout,
+    },
 };
 
+/// A condition that does not come about in this time never will, also on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+
 /// A replica that is a group of its own, on `files`.
 fn start(files: &MemoryFiles) -> ControlHandle {
+    start_reopening(files, Duration::from_millis(10))
+}
+
+fn start_reopening(files: &MemoryFiles, reopen_after: Duration) -> ControlHandle {
     let (outbound, _peers) = mpsc::channel(16);
     let mut settings = DriverSettings::new("a".to_owned(), vec!["a".to_owned()], "memory", 1);
     settings.timing.election = Duration::from_millis(20);
-    settings.reopen_after = Duration::from_millis(10);
+    settings.reopen_after = reopen_after;
     let opened = files.clone();
     let opener = Box::new(move || Ok(Box::new(opened.clone()) as Box<dyn FileSystem>));
     ControlDriver::start_on(settings, opener, outbound).expect("the folder can be used")
@@ -94,3 +105,32 @@
     let outcome = put(&handle, 3).await;
     assert_eq!(outcome, Ok(CommandOutcome::DocumentHeld { number: 3 }));
 }
+
+/// What operators saw without it: a control VM whose disk had failed showed for as long as the disk was
+/// unsound what it had believed before, and answered nobody. Order of events: the disk answers nothing;
+/// changes go on until no more of them fit before the disk, and the replica waits for room; the disk
+/// fails, and stays so.
+#[tokio::test]
+async fn failure_shows_behind_a_full_queue() {
+    let files = MemoryFiles::default();
+    let handle = start_reopening(&files, Duration::from_secs(3_600));
+    leads(&handle).await;
+    let gate = files.image().gate.clone();
+    gate.set(true);
+    let mut changes = JoinSet::new();
+    for number in 1..=3_000 {
+        let handle = handle.clone();
+        changes.spawn(async move { put(&handle, number).await });
+    }
+    // All run on this thread: after so many turns the replica has taken in what it can.
+    for _ in 0..10_000 {
+        yield_now().await;
+    }
+    files.image().sync_fails = true;
+    gate.set(false);
+    let mut status = handle.status_watch();
+    let failed = timeout(PATIENCE, status.wait_for(|status| status.failure.is_some())).await;
+    drop(failed.expect("the failure shows").expect("the status outlives the task"));
+    let refused = put(&handle, 9_999).await;
+    assert_eq!(refused, Err(LocalProposeError::NotLeader { leader: None }));
+}
