Keep the founders reachable when the settings name other control VMs

Cause (found in the reading): settings that changed took the place of the founders among the network's peers. Before the group is founded nothing else names them, so a change that came while an installation started for the first time could keep it from ever getting a leader. Change: the settings add to the founders. Test: platform renewed_settings::founders_stay_known.

--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -69,6 +69,8 @@
     /// What operators can ask.
     pub desk: OperatorDesk,
     network: PeerNetwork,
+    founders: BTreeMap<VmId, SocketAddr>,
+    /// The founders and the VMs that the settings name now.
     known: watch::Sender<BTreeMap<VmId, SocketAddr>>,
     _tasks: JoinSet<()>,
 }
@@ -107,13 +109,20 @@
         log::info!(vm = settings.vm.as_str(), founders = settings.founders.len();
             "control VM started");
         let desk = OperatorDesk::new(settings.vm, replica);
-        Ok(ControlNode { desk, network, known, _tasks: tasks })
+        Ok(ControlNode { desk, network, founders: settings.founders, known, _tasks: tasks })
     }
 
     /// Takes over where the settings say that control VMs are now. A replica of an empty disk that
-    /// was told of VMs which are gone makes itself known to these.
+    /// was told of VMs which are gone makes itself known to these. The founders stay reachable: while
+    /// the group is not founded, each of them waits for all others.
     pub fn renew_known(&self, control: BTreeMap<VmId, SocketAddr>) {
-        self.known.send_replace(control);
+        let founders = self.founders.clone().into_iter();
+        self.known.send_replace(founders.chain(control).collect());
+    }
+
+    /// The VMs that it knows without the replicas' membership.
+    pub fn known(&self) -> BTreeMap<VmId, SocketAddr> {
+        self.known.borrow().clone()
     }
 
     /// Ends the connections to other daemons, so that they need not wait for their silence.
