Bound warnings and bytes in the log as well, and count each request's wait once

Cause (found in the reading): warnings were bounded by the queue alone, and refusals of callers' own mistakes had become warnings, so one caller of unknown paths could make an entry log as fast as it could write; and the wait of a request that was not connected at once was counted with each try. Change: budgets for warnings and for bytes, half of the bytes kept for what failed; callers' mistakes are routine; the first sending alone counts.

--- a/src/edge/exchange.rs
+++ b/src/edge/exchange.rs
@@ -57,6 +57,8 @@
     pub(super) runs: u32,
     /// A server's own failure, passed on if nobody does better.
     failure: Option<(response::Parts, Bytes)>,
+    /// Whether it was sent at least once.
+    is_sent: bool,
     /// Whether how it ended is in the log; if not when it is dropped, its caller has left.
     is_told: bool,
 }
@@ -94,7 +96,8 @@
 ) -> Outcome {
     count_request(request.caller.class);
     let route = core.port.submit(request.ticket());
-    let mut exchange = Exchange { core, request, route, runs: 0, failure: None, is_told: false };
+    let mut exchange =
+        Exchange { core, request, route, runs: 0, failure: None, is_sent: false, is_told: false };
     loop {
         let ends = exchange.request.ends;
         let directive = tokio::select! {
@@ -174,7 +177,7 @@
         if Instant::now() >= order.send_before {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
-        if self.runs == 0 {
+        if !std::mem::replace(&mut self.is_sent, true) {
             record_queue_wait(self.request.caller.class, self.request.arrived.elapsed());
         }
         self.tell_sending(order);
--- a/src/edge/guard.rs
+++ b/src/edge/guard.rs
@@ -144,7 +144,7 @@
         }
         if phase & PHASE_MASK == HEAD {
             count_refusal(refusal::HEAD_TIMEOUT);
-            log::warn!(reason = refusal::HEAD_TIMEOUT, status = 408, sent_to = 0;
+            log::info!(reason = refusal::HEAD_TIMEOUT, status = 408, sent_to = 0;
                 "{}", events::REQUEST_REFUSED);
             // A full send buffer means that the caller does not read either.
             let _ = this.stream.try_write(HEAD_TOO_SLOW);
--- a/src/edge/port.rs
+++ b/src/edge/port.rs
@@ -25,6 +25,7 @@
     bytes::Bytes,
     http::{HeaderValue, Request, Response, StatusCode, header, request},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
+    log::Level,
     metrics::gauge,
     std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -160,7 +161,7 @@
         }
     };
     count_refusal(refused.0);
-    log::warn!(reason = refused.0, status = refused.1, sent_to = 0, error:% = error;
+    log::info!(reason = refused.0, status = refused.1, sent_to = 0, error:% = error;
         "{}", events::REQUEST_REFUSED);
 }
 
@@ -189,8 +190,11 @@
         let admitted = admit(&core, head, body, framing, limits).await;
         let (whole, open) = admitted.inspect_err(|refusal| {
             count_refusal(refusal.code);
-            log::warn!(request_id = id, reason = refusal.code, status = refusal.status.as_u16(),
-                sent_to = 0; "{}", events::REQUEST_REFUSED);
+            // What the caller did wrong is routine: one that does so all day must not crowd out
+            // what failed here.
+            let level = if refusal.status.is_client_error() { Level::Info } else { Level::Warn };
+            log::log!(level, request_id = id, reason = refusal.code,
+                status = refusal.status.as_u16(), sent_to = 0; "{}", events::REQUEST_REFUSED);
         })?;
         exchange::run(Arc::clone(&core), whole, between.clone(), open).await
     };
--- a/src/observe/bounded_log.rs
+++ b/src/observe/bounded_log.rs
@@ -1,9 +1,10 @@
 //! Logs that never hold up a request: a bounded queue before one thread that writes.
 //!
 //! Whoever reads standard output may stall, and a burst of refusals brings a burst of records. Without
-//! the queue each record would wait for the reader, and callers with it. Routine records have a
-//! budget, so that what failed and what changed in the daemon's belief (warnings and errors) finds
-//! room; what was left out is counted, and said with the next record that is written.
+//! the queue each record would wait for the reader, and callers with it. Routine records have a budget
+//! of their own, so that what failed and what changed in the daemon's belief (warnings and errors)
+//! finds room; those have a larger one, and all together one in bytes. What was left out is counted,
+//! and said with the next record that is written.
 
 use {
     super::{events, logs::json_line},
@@ -27,16 +28,26 @@
 pub struct LogBudget {
     /// Records that wait for the writer; at about 400 bytes each, 1 MB with the usual 2,048.
     pub queue: usize,
-    /// Routine records (info and below) a second; a second's worth may be saved up. Warnings and
-    /// errors are bounded by the queue alone.
+    /// Routine records (info and below) a second; a second's worth of each budget may be saved up.
     pub routine_per_second: f64,
+    /// Warnings and errors a second.
+    pub failures_per_second: f64,
+    /// Bytes a second, all records together.
+    pub bytes_per_second: f64,
 }
 
 impl Default for LogBudget {
     /// An entry of a fifth of a core serves some 20 requests a second at its peak, with one routine
-    /// record each; ten times that leaves room, and bounds a flood to 80 KB a second.
+    /// record each; ten times that leaves room. In its worst seconds, with engines crashing, it logged
+    /// some 60 warnings; 500 leave room for more. A record has about 300 bytes, so all of them fit
+    /// into 256 KB a second, which bounds a flood of long ones.
     fn default() -> Self {
-        LogBudget { queue: 2_048, routine_per_second: 200.0 }
+        LogBudget {
+            queue: 2_048,
+            routine_per_second: 200.0,
+            failures_per_second: 500.0,
+            bytes_per_second: 256.0 * 1024.0,
+        }
     }
 }
 
@@ -48,25 +59,52 @@
     filter: env_logger::Logger,
     queue: SyncSender<String>,
     dropped: Arc<AtomicU64>,
-    routine: Mutex<RoutineAllowance>,
+    allowances: Mutex<LogAllowances>,
+}
+
+struct LogAllowances {
+    routine: RateAllowance,
+    failures: RateAllowance,
+    bytes: RateAllowance,
+}
+
+impl LogAllowances {
+    /// Takes one record of `bytes` out of the budgets, if it fits into all that apply.
+    fn take(&mut self, now: Instant, is_routine: bool, bytes: usize) -> bool {
+        // The second half of the bytes is for what failed.
+        let (records, kept) = match is_routine {
+            true => (&mut self.routine, self.bytes.per_second / 2.0),
+            false => (&mut self.failures, 0.0),
+        };
+        records.holds(now, 1.0) && self.bytes.holds(now, bytes as f64 + kept) && {
+            records.spend(1.0);
+            self.bytes.spend(bytes as f64);
+            true
+        }
+    }
 }
 
-struct RoutineAllowance {
+struct RateAllowance {
     per_second: f64,
     left: f64,
     at: Instant,
 }
 
-impl RoutineAllowance {
-    fn take(&mut self, now: Instant) -> bool {
+impl RateAllowance {
+    fn new(per_second: f64) -> Self {
+        RateAllowance { per_second, left: per_second, at: Instant::now() }
+    }
+
+    /// Whether `amount` is left at `now`.
+    fn holds(&mut self, now: Instant, amount: f64) -> bool {
         let gained = now.saturating_duration_since(self.at).as_secs_f64() * self.per_second;
         self.left = (self.left + gained).min(self.per_second);
         self.at = now;
-        let granted = self.left >= 1.0;
-        if granted {
-            self.left -= 1.0;
-        }
-        granted
+        self.left >= amount
+    }
+
+    fn spend(&mut self, amount: f64) {
+        self.left -= amount;
     }
 }
 
@@ -75,16 +113,16 @@
     pub fn new(level: LevelFilter, budget: LogBudget) -> (Self, LogDrain) {
         let (queue, records) = sync_channel(budget.queue.max(1));
         let dropped = Arc::new(AtomicU64::new(0));
-        let per_second = budget.routine_per_second;
+        let allowances = LogAllowances {
+            routine: RateAllowance::new(budget.routine_per_second),
+            failures: RateAllowance::new(budget.failures_per_second),
+            bytes: RateAllowance::new(budget.bytes_per_second),
+        };
         let log = BoundedLog {
             filter: Builder::new().filter_level(level).build(),
             queue,
             dropped: Arc::clone(&dropped),
-            routine: Mutex::new(RoutineAllowance {
-                per_second,
-                left: per_second,
-                at: Instant::now(),
-            }),
+            allowances: Mutex::new(allowances),
         };
         (log, LogDrain { records, dropped })
     }
@@ -104,13 +142,12 @@
         if !self.filter.matches(record) {
             return;
         }
-        let routine = record.level() > Level::Warn;
-        let mut allowance = self.routine.lock().unwrap_or_else(PoisonError::into_inner);
-        if routine && !allowance.take(Instant::now()) {
-            return self.drop_record();
-        }
-        drop(allowance);
-        if self.queue.try_send(json_line(record, SystemTime::now())).is_err() {
+        let line = json_line(record, SystemTime::now());
+        let is_routine = record.level() > Level::Warn;
+        let mut allowances = self.allowances.lock().unwrap_or_else(PoisonError::into_inner);
+        let granted = allowances.take(Instant::now(), is_routine, line.len());
+        drop(allowances);
+        if !granted || self.queue.try_send(line).is_err() {
             self.drop_record();
         }
     }
