Give back the places of bookings whose callers have left

Cause: the dispatcher kept a call that must run at most once in flight when its caller left, for a pipeline that attends it to its end. The edge does not: its exchange is dropped with the caller, no end is ever reported, and the attempt counts as running and ever more overdue. After some of these an entry refuses all bookings as not to be served in time, while the servers are idle.

--- a/src/policy/dispatcher/arrivals.rs
+++ b/src/policy/dispatcher/arrivals.rs
@@ -218,28 +218,27 @@
         }
     }
 
-    /// The caller left: what waits is dropped, what runs is cancelled, unless it must not be cut
-    /// in half: a booking in flight runs to its end, so that a resend gets its answer.
+    /// Nobody attends the request any more: what waits is dropped, what runs gives its place back.
+    ///
+    /// A call that must run at most once is not cancelled at its server, as it may be half done. Its
+    /// place is given back all the same: no end of it will be reported, so it would count as running,
+    /// and ever more overdue, until its server were refused all further work. A call whose answer is
+    /// kept for a resend is attended until it ends, whether or not its caller waits.
     pub(super) fn drop_caller(&mut self, now: Instant, request: &RequestId) {
-        let Some(number) = self.numbers.get(request).copied() else { return };
+        let Some(number) = self.numbers.remove(request) else { return };
         if self.unqueue(now, number).is_some() {
-            self.numbers.remove(request);
             return;
         }
         let Some(RequestEntry { phase: RequestPhase::Running(sent), .. }) =
-            self.requests.get(&number)
+            self.requests.remove(&number)
         else {
             return;
         };
-        if !sent.ticket().repeatable {
-            return;
-        }
-        let (attempt, deadline) = (sent.attempt(), sent.ticket().deadline);
-        self.forget_deadline(number, deadline);
-        self.numbers.remove(request);
-        self.requests.remove(&number);
-        if let Some(server) = self.end_attempt(attempt).map(|state| state.server) {
-            self.push_cancel(attempt, server);
+        let attempt = sent.attempt();
+        self.forget_deadline(number, sent.ticket().deadline);
+        let Some(state) = self.end_attempt(attempt) else { return };
+        if sent.ticket().repeatable {
+            self.push_cancel(attempt, state.server);
         }
     }
 
--- a/tests/dispatch_outcomes.rs
+++ b/tests/dispatch_outcomes.rs
@@ -338,3 +338,25 @@
     assert_eq!(refused[0], 0);
     assert!(refused[1] >= 4, "breaks are paid for: {refused:?}");
 }
+
+/// Callers who leave give back the places of what they had asked for. Without it an entry refuses
+/// bookings for as long as it lives, as not to be served in time, while the servers are idle. Order of
+/// events: callers leave bookings that their servers hold up, or that end unseen; a later caller books.
+#[test]
+fn left_bookings_free_their_places() {
+    let mut now = Instant::now();
+    let mut dispatcher = dispatcher(now);
+    for number in 0..200 {
+        let name = format!("left-{number}");
+        let deadline = now + Duration::from_secs(60);
+        let actions = dispatcher.handle(now, PolicyInput::Arrive(booking(&name, deadline)));
+        assert!(only_send(&actions).is_some(), "booking {number} is sent: {actions:?}");
+        now += Duration::from_millis(500);
+        let actions = dispatcher.handle(now, PolicyInput::CallerGone { request: name });
+        let cancelled = actions.iter().any(|action| matches!(action, PolicyAction::Cancel { .. }));
+        assert!(!cancelled, "what may be half done is not cancelled");
+    }
+    let short = now + Duration::from_millis(300);
+    let actions = dispatcher.handle(now, PolicyInput::Arrive(booking("last", short)));
+    assert!(only_send(&actions).is_some(), "{actions:?}");
+}
