Send prompts with a long shared first level to homes that its load needs

Change: a first level longer than all that follows it is at home at as many servers as its load needs (places, or prefill of what each prompt has beyond it); the prompt's own last part chooses no home. Usable servers only are counted among the first level's homes.

--- a/src/policy/dispatcher/homes.rs
+++ b/src/policy/dispatcher/homes.rs
@@ -9,9 +9,9 @@
 /// Levels whose heat is counted and that can decide the home: the shared ones come first.
 pub(super) const HOME_LEVELS: usize = 4;
 
-/// Servers among which the first level's hash lets the next levels choose. What follows the first
-/// level is mostly longer than it and evens out the better the more servers share it; beyond 16
-/// the first level itself would be computed too often.
+/// Servers among which the hash of a short first level lets the next levels choose: what follows it
+/// evens out the better the more servers share it, and beyond these the first level itself would be
+/// computed too often.
 const ROOT_HOMES: usize = 16;
 
 /// Load of a level that one home is given, as a part of a server: the rest is for others.
@@ -32,32 +32,60 @@
     /// They narrow from level to level: among the servers that the first level's hash names, the
     /// next level picks as many as its load needs, and so on until one is left. So the contracts of
     /// one organisation spread, while each of them has one home.
-    pub(super) fn homes(&self, now: Instant, pool: PoolIndex, levels: &[PrefixLevel]) -> HomeSet {
+    pub(super) fn homes(
+        &self,
+        now: Instant,
+        pool: PoolIndex,
+        levels: &[PrefixLevel],
+        prompt_tokens: u32,
+    ) -> HomeSet {
         let state = &self.table.pools[pool];
         let Some(first) = levels.first() else { return HomeSet::default() };
-        let wanted = state.members.len().min(ROOT_HOMES);
+        let wanted = self.root_width(now, pool, first, prompt_tokens);
         let (mut homes, mut tokens) = (Vec::with_capacity(wanted), first.tokens);
         for index in state.ring.homes(first.hash) {
             if homes.len() >= wanted {
                 break;
             }
-            if !homes.contains(&index) {
+            if !homes.contains(&index) && self.table.servers[index].is_usable() {
                 homes.push(index);
             }
         }
-        homes.retain(|index| self.table.servers[*index].is_usable());
         for level in levels.iter().take(HOME_LEVELS).skip(1) {
             if homes.len() <= 1 {
                 break;
             }
-            let width = self.home_width(now, pool, level);
+            let width = self.home_width(now, pool, level, prompt_tokens);
             homes.sort_by_cached_key(|index| Reverse(self.home_rank(*index, level.hash)));
-            homes.truncate(width);
-            tokens = level.tokens;
+            // What nobody else begins with has no home of its own.
+            if level.tokens < prompt_tokens {
+                homes.truncate(width);
+                tokens = level.tokens;
+            }
         }
         HomeSet { servers: homes, tokens }
     }
 
+    /// Servers that the first level is given.
+    ///
+    /// A first level that is longer than all that follows is what is worth holding: spread over many
+    /// servers its copies push each other out, and each prompt is computed whole. It is spread by its
+    /// load alone.
+    fn root_width(
+        &self,
+        now: Instant,
+        pool: PoolIndex,
+        first: &PrefixLevel,
+        prompt_tokens: u32,
+    ) -> usize {
+        let members = self.table.pools[pool].members.len();
+        let is_long = first.tokens > prompt_tokens.saturating_sub(first.tokens);
+        if is_long && first.tokens < prompt_tokens {
+            return self.home_width(now, pool, first, prompt_tokens);
+        }
+        members.min(ROOT_HOMES)
+    }
+
     /// A server's rank as a home of `hash`; a fast server is home to more prefixes.
     fn home_rank(&self, index: ServerIndex, hash: u64) -> u64 {
         let server = &self.table.servers[index];
@@ -68,7 +96,15 @@
         placement::home_rank(server.name_hash, hash, weight)
     }
 
-    fn home_width(&self, now: Instant, pool: PoolIndex, level: &PrefixLevel) -> usize {
+    /// Servers that a level's load needs: its part of their places, or of their time for what each
+    /// prompt has beyond it.
+    fn home_width(
+        &self,
+        now: Instant,
+        pool: PoolIndex,
+        level: &PrefixLevel,
+        prompt_tokens: u32,
+    ) -> usize {
         if !self.is_on(PolicySafeguard::HotHomes) {
             return 1;
         }
@@ -78,6 +114,9 @@
             state.members.first().map_or(1, |index| self.table.servers[*index].window.slots());
         let rate = self.heats.rate(now, level.hash);
         let load = placement::prefix_load(rate, state.service, slots, daemons);
-        (1 + (load / HOME_FILL) as usize).min(state.members.len())
+        let beyond = f64::from(prompt_tokens.saturating_sub(level.tokens));
+        let prefill = state.typical_rate.map_or(0.0, |speed| beyond / speed);
+        let busy = rate * daemons.max(1) as f64 * prefill;
+        (1 + (load.max(busy) / HOME_FILL) as usize).min(state.members.len())
     }
 }
--- a/src/policy/dispatcher/placing.rs
+++ b/src/policy/dispatcher/placing.rs
@@ -227,7 +227,7 @@
         suspect: bool,
     ) -> Asked<'a> {
         let (mut hits, mut homes) = (Vec::new(), HomeSet::default());
-        if let RequestWork::Model { levels, model, .. } = &request.ticket.work {
+        if let RequestWork::Model { levels, model, prompt_tokens, .. } = &request.ticket.work {
             let desired = self.view.weights.get(model);
             let checks = self.is_on(PolicySafeguard::CacheIdentity);
             hits = self.holdings.hits(levels, MAX_HITS, |holding| {
@@ -235,7 +235,7 @@
                 let sure = !server.in_doubt && server.cache.counts_for(model, desired);
                 (sure || !checks) && server.cache.holds(holding)
             });
-            homes = self.homes(now, pool, levels);
+            homes = self.homes(now, pool, levels, *prompt_tokens);
         }
         let over = self.table.pools[pool].queue.is_over_share(now, &request.ticket.organisation);
         let part = if over { WindowPart::Unreserved } else { WindowPart::Whole };
--- /dev/null
+++ b/tests/long_prefix.rs
@@ -0,0 +1,138 @@
+//! Load pattern: a hundred prefixes of 13,000 tokens, each asked for every few seconds with 3,700 tokens
+//! of the prompt's own behind it, at eighteen engines that hold a dozen of them each. The only shared
+//! level is the first one. What callers see if the prompt's own part chooses the engine: nearly every
+//! prompt is computed whole, takes four times as long, and short questions wait behind it.
+
+use {
+    oleandermount::{
+        inventory::{DecisionObjective, RequestClass, ServerKind},
+        policy::{
+            Dispatcher, DispatcherSettings, LoadReport, PolicyAction, PolicyInput, PolicyView,
+            PrefixLevel, RequestTicket, RequestWork, ServerView,
+        },
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+const MODEL: &str = "drafter";
+const ENGINES: usize = 18;
+const PREFIXES: u64 = 100;
+const DAEMONS: u64 = 3;
+
+fn dispatcher(now: Instant, number: u64) -> Dispatcher {
+    let settings = DispatcherSettings {
+        daemon: format!("vm-{number}"),
+        failure_domain: "suva".to_owned(),
+        seed: 100 + number,
+        disabled: BTreeSet::new(),
+    };
+    let engine = ServerView {
+        failure_domain: "suva".to_owned(),
+        kind: ServerKind::Engine,
+        models: vec![MODEL.to_owned()],
+        service: None,
+        slots: 64,
+    };
+    let servers = (0..ENGINES).map(|index| (format!("engine-{index}"), engine.clone())).collect();
+    let daemons = (0..DAEMONS).map(|daemon| format!("vm-{daemon}")).collect::<Vec<_>>();
+    let daemons = daemons.into_iter().map(|daemon| (daemon, Default::default())).collect();
+    let view = PolicyView {
+        revision: 1,
+        objective: DecisionObjective::FirstToken,
+        servers,
+        daemons: [("suva".to_owned(), daemons)].into(),
+        ..PolicyView::default()
+    };
+    let mut dispatcher = Dispatcher::new(settings);
+    dispatcher.handle(now, PolicyInput::Configure(Arc::new(view)));
+    for index in 0..ENGINES {
+        dispatcher.handle(
+            now,
+            PolicyInput::Load(LoadReport {
+                server: format!("engine-{index}"),
+                incarnation: 1,
+                weights: [(MODEL.to_owned(), "1".to_owned())].into(),
+                running: 0,
+                waiting: 0,
+                waiting_tokens: 0,
+                cache_used: 0.0,
+                leaving: false,
+            }),
+        );
+    }
+    dispatcher
+}
+
+/// As evenly spread as the hashes of real prompts.
+fn spread(number: u64) -> u64 {
+    xxh3_64(&number.to_le_bytes())
+}
+
+fn review(number: u64, prefix: u64, shared: u32, now: Instant) -> RequestTicket {
+    let own = PrefixLevel { hash: spread(PREFIXES + number), tokens: shared + 3_700 };
+    RequestTicket {
+        request: format!("r{number}"),
+        organisation: "naran".to_owned(),
+        class: RequestClass::Interactive,
+        deadline: now + Duration::from_secs(10),
+        repeatable: true,
+        fingerprint: number,
+        work: RequestWork::Model {
+            model: MODEL.to_owned(),
+            adapter: None,
+            levels: vec![PrefixLevel { hash: spread(prefix), tokens: shared }, own],
+            prompt_tokens: own.tokens,
+            max_output_tokens: 30,
+        },
+    }
+}
+
+/// Where all daemons together send prompts with each prefix, one prompt at a time.
+fn places(shared: u32) -> BTreeMap<u64, BTreeMap<String, u32>> {
+    let mut now = Instant::now();
+    let mut dispatchers: Vec<Dispatcher> =
+        (0..DAEMONS).map(|daemon| dispatcher(now, daemon)).collect();
+    let mut places: BTreeMap<u64, BTreeMap<String, u32>> = BTreeMap::new();
+    for number in 0..PREFIXES * 12 {
+        now += Duration::from_millis(40);
+        let prefix = number * 37 % PREFIXES;
+        let dispatcher = &mut dispatchers[(number / 5 % DAEMONS) as usize];
+        let ticket = review(number, prefix, shared, now);
+        let actions = dispatcher.handle(now, PolicyInput::Arrive(ticket));
+        let order = actions.into_iter().find_map(|action| match action {
+            PolicyAction::Send(order) => Some(order),
+            _ => None,
+        });
+        let order = order.expect("an idle engine takes it");
+        *places.entry(prefix).or_default().entry(order.server).or_default() += 1;
+        let (attempt, cached_tokens) = (order.attempt, None);
+        now += Duration::from_millis(20);
+        dispatcher.handle(now, PolicyInput::Finished { attempt, cached_tokens, output_tokens: 30 });
+    }
+    places
+}
+
+#[test]
+fn long_prefix_stays_home() {
+    let places = places(13_000);
+    let servers: usize = places.values().map(BTreeMap::len).sum();
+    assert!(servers as u64 <= PREFIXES * 2, "{servers} servers for {PREFIXES} prefixes");
+    let mut load: BTreeMap<&String, u32> = BTreeMap::new();
+    places.values().flatten().for_each(|(server, count)| *load.entry(server).or_default() += count);
+    let most = load.values().max().copied().unwrap_or_default() as usize;
+    let mean = PREFIXES as usize * 12 / ENGINES;
+    assert!(load.len() >= ENGINES - 1 && most <= mean * 3, "{load:?}");
+}
+
+/// What follows a short first level is worth more than it, and evens out over many engines.
+#[test]
+fn short_prefix_spreads() {
+    let places = places(200);
+    let servers: usize = places.values().map(BTreeMap::len).sum();
+    assert!(servers as u64 >= PREFIXES * 3, "{servers} servers for {PREFIXES} prefixes");
+}
