Let the control group grow to five voters where more control VMs stand by

At 50.05 s a document is acknowledged, the power goes everywhere and two disks come back empty: one of three voters is no quorum. No replica led from then on (the log shows no leader after the restart), so entries went on with what peers still had. Ruled out: the size of the document, the links, entries that start from a peer's older copy. A second fault on the way (same log, 33.10 s): a replica that was taken in late in a leader's term counted as silent since the term's begin, and was taken out again a quarter of a second later. Change: five voters are wanted where members and strangers are five or more; a new follower counts as heard when it is taken in; the leader logs its members. Ruled out: shrinking by itself when voters are silent, since a cut domain would then cost the very margin it needs. Tests two_disks_at_once, newcomer_has_time_to_reply, one_in_reserve_stays_out, red without the change.

--- a/src/control/healing.rs
+++ b/src/control/healing.rs
@@ -7,6 +7,9 @@
 //! VM is taken in while a voter is silent, and the silent one goes once the new one counts. Each
 //! step is one committed change of the existing kind, which the replica refuses if the quorum after
 //! it does not answer.
+//!
+//! Three voters bear one lost disk. Where more control VMs stand by, the group grows to five, so that
+//! two disks may be lost at the same moment.
 
 use {
     super::{Command, replica::ReplicaStatus},
@@ -21,6 +24,20 @@
 /// the seconds after which the next loss may come.
 pub const SILENCE: Duration = Duration::from_secs(2);
 
+/// Voters of a group that more control VMs are known to: two lost disks leave a quorum of the others,
+/// and each write still waits for no more than three disks.
+const LARGE_GROUP: usize = 5;
+
+/// Voters that a group of `founders` should have, by the control VMs that are known now.
+///
+/// Members count though they are silent: a group that shrank whenever a failure domain is cut off
+/// would bear fewer losses just then.
+pub fn wanted_voters(status: &ReplicaStatus, founders: usize) -> usize {
+    let members = status.members.members().count();
+    let strangers = status.outsiders.keys().filter(|vm| status.members.incarnation(vm).is_none());
+    if members + strangers.count() >= LARGE_GROUP { LARGE_GROUP.max(founders) } else { founders }
+}
+
 /// The next change, if any is due; `voters` is the number of voters wanted.
 pub fn next_repair(now: Instant, status: &ReplicaStatus, voters: usize) -> Option<Command> {
     status.lease_until.filter(|until| now < *until)?;
--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -55,6 +55,8 @@
     pub moved_at: Instant,
     /// The start of the latest round that it has replied to.
     pub replied_at: Option<Instant>,
+    /// Since when this leader follows it up.
+    pub since: Instant,
 }
 
 /// How entries are sent to a follower.
@@ -84,6 +86,7 @@
             in_flight: VecDeque::new(),
             moved_at: now,
             replied_at: None,
+            since: now,
         }
     }
 
@@ -138,11 +141,12 @@
         }
     }
 
-    /// When each follower last replied, or this term began.
+    /// When each follower last replied, or became one: a replica that was just taken in has had no
+    /// time to reply, and would else be taken out as silent before its first reply.
     pub fn heard(&self) -> BTreeMap<VmId, Instant> {
         let followers = self.followers.iter();
         followers
-            .map(|(vm, progress)| (vm.clone(), progress.replied_at.unwrap_or(self.since)))
+            .map(|(vm, progress)| (vm.clone(), progress.replied_at.unwrap_or(progress.since)))
             .collect()
     }
 
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -9,7 +9,10 @@
         random_seed,
     },
     crate::{
-        control::healing::next_repair,
+        control::{
+            Membership,
+            healing::{next_repair, wanted_voters},
+        },
         daemon::{
             control_driver::{ControlDriver, ControlHandle, DriverSettings},
             weight_orders::WeightOrders,
@@ -20,7 +23,7 @@
             desk::{ControlHandler, FollowDesk},
             task::{FollowTask, FollowerPort},
         },
-        ids::{FailureDomainId, VmId},
+        ids::{FailureDomainId, Incarnation, VmId},
         observe::events,
         transport::{OpenNetworkSettings, PeerMessage, PeerNetwork},
     },
@@ -102,10 +105,11 @@
         spawn_follower(&settings, &network, &replica, &desk, &board, &mut tasks);
         let (known, known_watch) = watch::channel(settings.founders.clone());
         tasks.spawn(follow_members(network.clone(), replica.clone(), known_watch));
-        let wanted = settings.founders.len();
-        tasks.spawn(heal(settings.vm.clone(), replica.clone(), wanted));
+        let founders = settings.founders.len();
+        tasks.spawn(heal(settings.vm.clone(), replica.clone(), founders));
         spawn_orders(&settings, &replica, &board, engines, &mut tasks);
         tasks.spawn(tell_leaders(settings.vm.clone(), replica.clone()));
+        tasks.spawn(tell_members(settings.vm.clone(), replica.clone()));
         log::info!(vm = settings.vm.as_str(), founders = settings.founders.len();
             "control VM started");
         let desk = OperatorDesk::new(settings.vm, replica);
@@ -274,11 +278,35 @@
     }
 }
 
+/// Tells in the log, on the leader, of which replicas the group consists.
+async fn tell_members(vm: VmId, replica: ControlHandle) {
+    let mut status = replica.status_watch();
+    let mut known = Membership::default();
+    loop {
+        {
+            let status = status.borrow_and_update();
+            if status.leader.as_ref() == Some(&vm) && status.members != known {
+                known = status.members.clone();
+                let names = |replicas: &BTreeMap<VmId, Incarnation>| {
+                    replicas.keys().cloned().collect::<Vec<_>>().join(",")
+                };
+                log::info!(voters = names(&known.voters), learners = names(&known.learners);
+                    "{}", events::MEMBERS);
+            }
+        }
+        if status.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Replaces lost replicas while this one leads.
-async fn heal(vm: VmId, replica: ControlHandle, voters: usize) {
+async fn heal(vm: VmId, replica: ControlHandle, founders: usize) {
     loop {
         sleep(HEAL_EVERY).await;
-        let Some(command) = next_repair(Instant::now(), &replica.status(), voters) else {
+        let status = replica.status();
+        let voters = wanted_voters(&status, founders);
+        let Some(command) = next_repair(Instant::now(), &status, voters) else {
             continue;
         };
         log::warn!(vm = vm.as_str(), change:? = command; "replicas are mended");
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -50,6 +50,8 @@
 pub const LEADER_LOST: &str = "control leader lost";
 /// One is.
 pub const LEADER_KNOWN: &str = "control leader known";
+/// The members of the control group changed.
+pub const MEMBERS: &str = "control replicas changed";
 /// This replica leads, with the consent of a quorum.
 pub const LEADING: &str = "leading the control replicas";
 /// It does no longer: it hears from no quorum, or of a later term.
--- a/tests/healing_group.rs
+++ b/tests/healing_group.rs
@@ -10,11 +10,11 @@
 
 use {
     oleandermount::control::{
-        Command, Membership,
-        healing::{SILENCE, next_repair},
+        Command, CommandOutcome, Membership,
+        healing::{SILENCE, next_repair, wanted_voters},
         replica::ReplicaStatus,
     },
-    replica_group::ReplicaGroup,
+    replica_group::{ReplicaGroup, WireFaults},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -116,3 +116,91 @@
     let removed = Some(Command::RemoveReplica { vm: "vm-d".to_owned() });
     assert_eq!(next_repair(now, &status, VOTERS), removed);
 }
+
+fn led_status(group: &ReplicaGroup) -> Option<ReplicaStatus> {
+    let leader = group.leader()?;
+    Some(group.nodes[&leader].replica.as_ref()?.status(group.now))
+}
+
+/// Lets time pass; the leader mends the group as control VMs do.
+fn heal_for(group: &mut ReplicaGroup, time: Duration) {
+    let end = group.now + time;
+    while group.now < end {
+        group.run_for(Duration::from_millis(250));
+        let Some(status) = led_status(group) else { continue };
+        let voters = wanted_voters(&status, VOTERS);
+        if let Some(command) = next_repair(group.now, &status, voters) {
+            let leader = group.leader().expect("it has just led");
+            group.propose(&leader, command);
+        }
+    }
+}
+
+/// Six control VMs bear the loss of two disks at the same moment. What operators saw without it: the
+/// last configuration was gone and no further one was taken, while entries served by an older one or
+/// answered 404. Order of events: three of six VMs are voters; one of them acknowledges; the power goes
+/// everywhere, and two disks that had written it come back empty; one of three is no quorum.
+#[test]
+fn two_disks_at_once() {
+    let mut group = ReplicaGroup::new(&["a", "b", "c"], 3);
+    for vm in ["d", "e", "f"] {
+        group.lose_disk(vm);
+        group.start(vm);
+    }
+    heal_for(&mut group, Duration::from_secs(10));
+    let leader = group.leader().expect("one leads");
+    let command = Command::PutDocument { number: 7, body: "routes".to_owned() };
+    let proposal = group.propose(&leader, command);
+    let held = Ok(CommandOutcome::DocumentHeld { number: 7 });
+    assert!(
+        group.run_until(Duration::from_secs(2), |group| group.outcomes.get(&proposal)
+            == Some(&held))
+    );
+    let second = ["a", "b", "c"].into_iter().find(|vm| *vm != leader).expect("there are others");
+    let vms: Vec<String> = group.nodes.keys().cloned().collect();
+    vms.iter().for_each(|vm| group.crash(vm));
+    group.lose_disk(&leader);
+    group.lose_disk(second);
+    vms.iter().for_each(|vm| group.start(vm));
+    heal_for(&mut group, Duration::from_secs(10));
+    let status = led_status(&group).expect("the group goes on");
+    let replica = group.nodes[&group.leader().expect("one leads")].replica.as_ref();
+    let number = replica.expect("it runs").state().documents().document().number;
+    assert_eq!((number, status.members.voters.len(), status.members.learners.len()), (7, 5, 0));
+}
+
+/// A group of three with one VM in reserve stays at three: four voters bear no more losses than three.
+#[test]
+fn one_in_reserve_stays_out() {
+    let now = Instant::now();
+    let status = ReplicaStatus { outsiders: names(&[("vm-d", 4)]), ..leader(now) };
+    assert_eq!(wanted_voters(&status, VOTERS), VOTERS);
+    let status = ReplicaStatus { outsiders: names(&[("vm-d", 4), ("vm-e", 5)]), ..leader(now) };
+    assert_eq!(wanted_voters(&status, VOTERS), 5);
+}
+
+/// A replica that was just taken in has had no time to reply. What operators saw without it: a lost
+/// disk's place was given to the new one and taken from it again within a quarter of a second, and the
+/// group stayed one voter short. Order of events: the leader has led for long; an empty disk comes; it
+/// is taken in; its first reply takes longer than the leader's next look.
+#[test]
+fn newcomer_has_time_to_reply() {
+    let mut group = ReplicaGroup::new(&["a", "b", "c"], 1);
+    heal_for(&mut group, SILENCE * 3);
+    let leader = group.leader().expect("one leads");
+    let lost = ["a", "b", "c"].into_iter().find(|vm| *vm != leader).expect("there are others");
+    group.crash(lost);
+    group.lose_disk(lost);
+    group.start(lost);
+    let seen =
+        |group: &ReplicaGroup| led_status(group).is_some_and(|status| !status.outsiders.is_empty());
+    assert!(group.run_until(Duration::from_secs(2), seen), "it makes itself known");
+    let status = led_status(&group).expect("one leads");
+    let command = next_repair(group.now, &status, VOTERS).expect("its place is given to it");
+    group.propose(&leader, command);
+    group.faults = WireFaults { drop: 0, double: 0, delay: Duration::from_millis(400) };
+    group.run_for(Duration::from_millis(50));
+    let status = led_status(&group).expect("one leads");
+    assert_eq!(status.members.learners.len(), 1, "it is taken in");
+    assert_eq!(next_repair(group.now, &status, VOTERS), None);
+}
