Take in a list and what it says of each server before anything is placed

Ruled out: named versions that are learned late (the version was 13 s old), the look after a broken connection, weights that the leader told. Change: inputs that belong together are taken in under one lock before any request is placed.

--- a/src/edge/core.rs
+++ b/src/edge/core.rs
@@ -94,7 +94,7 @@
         let used: BTreeSet<_> = view.servers.values().map(|server| server.address).collect();
         self.lock_weights().retain(|server, _| view.servers.contains_key(server));
         self.view.store(Arc::new(view));
-        inputs.into_iter().for_each(|input| self.port.tell(input));
+        self.port.tell_all(inputs);
         self.tell_keep();
         self.pool.sweep(&used);
     }
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -140,8 +140,13 @@
 
     /// Tells the dispatcher something and carries out what it decides.
     pub fn tell(&self, input: PolicyInput) {
+        self.tell_all([input]);
+    }
+
+    /// Tells the dispatcher what belongs together, and then carries out what it decides.
+    pub fn tell_all(&self, inputs: impl IntoIterator<Item = PolicyInput>) {
         let mut state = self.lock();
-        let actions = state.dispatcher.handle(Instant::now(), input);
+        let actions = state.dispatcher.handle_all(Instant::now(), inputs);
         actions.into_iter().for_each(|action| self.carry_out(&mut state, action));
         drop(state);
         self.moved.notify_one();
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -204,9 +204,23 @@
     /// nothing that was waiting goes out for a caller that has gone. The input comes before them,
     /// since an attempt that it ends must not be given up as well.
     pub fn handle(&mut self, now: Instant, input: PolicyInput) -> Vec<PolicyAction> {
+        self.handle_all(now, [input])
+    }
+
+    /// Takes several inputs that belong together: nothing is sent before the last of them is taken in.
+    ///
+    /// A configuration that lists a server and the word that it must get no work are two inputs. A
+    /// waiting request that was placed between them would go to that server, for it is idle.
+    pub fn handle_all(
+        &mut self,
+        now: Instant,
+        inputs: impl IntoIterator<Item = PolicyInput>,
+    ) -> Vec<PolicyAction> {
         let now = self.now.map_or(now, |latest| latest.max(now));
         self.now = Some(now);
-        self.take(now, input);
+        for input in inputs {
+            self.take(now, input);
+        }
         self.pass_time(now);
         self.place_waiting(now);
         self.publish(now);
