Give a new leader time before named weights are required

Six seconds after the naming the version is required: once the first engines have it, all others count as outdated. From 9 to 10 s five of 18 engines got all requests, 70 to 85 a second were refused as not to be served in time, 40 to 64 had used their tries. Ruled out: engines that are held back (6 at most), broken connections. Change: followers learn the leader's term; a new one postpones what is not yet required to 8 s from its election, within what operators allow. Test: new_leader_is_given_time.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -14,7 +14,7 @@
     crate::{
         control::document::{NamedWeights, NumberedDocument},
         fleet::FleetSnapshot,
-        ids::{DocumentNumber, FailureDomainId, VmId},
+        ids::{DocumentNumber, FailureDomainId, Term, VmId},
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
@@ -48,6 +48,8 @@
     pub fleet: u64,
     /// The digest of the control VMs that it knows.
     pub control: u64,
+    /// The latest term in which it heard of a leader.
+    pub term: Term,
     /// Who asks.
     pub follower: FollowerKind,
     /// Whether the answer may wait for a change.
@@ -73,6 +75,8 @@
     pub failure_domain: FailureDomainId,
     /// Entries in all, as far as it knows; at least 1.
     pub entries: u32,
+    /// The term of the leader that the answering VM hears from; 0 if it hears from none.
+    pub term: Term,
 }
 
 /// What a follower has learned; numbers never go back within a daemon's life.
@@ -91,6 +95,8 @@
     pub control: Vec<VmId>,
     /// Entries that share the servers; at least 1 once known.
     pub entries: u32,
+    /// The latest term in which a leader was heard of; it changes with each new leader.
+    pub term: Term,
 }
 
 /// Tells lists of control VMs apart; 0 for the empty one.
@@ -122,6 +128,7 @@
             self.control = control;
         }
         self.entries = reply.entries.max(1);
+        self.term = self.term.max(reply.term);
         *self != before
     }
 }
--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -12,7 +12,7 @@
             FleetSnapshot,
             watch::{FleetBoard, LEADER_SILENCE},
         },
-        ids::{FailureDomainId, VmId},
+        ids::{FailureDomainId, Term, VmId},
         transport::{PeerHandler, PeerMessage, PeerReply, PeerRequest},
     },
     futures::future::BoxFuture,
@@ -107,6 +107,7 @@
             reply.control = Some(control);
         }
         reply.fresh = status.leader.is_some();
+        reply.term = leader_term(&status);
         reply.list_fresh = self.board.is_fresh(LEADER_SILENCE);
         reply.failure_domain.clone_from(&self.failure_domain);
         reply.entries = self.entries(&status).max(1);
@@ -124,8 +125,14 @@
                 &documents.borrow_and_update().clone(),
                 &fleet.borrow_and_update().clone(),
             );
-            let alone = status.borrow_and_update().leader.is_none();
-            if alone || reply != FollowReply::default() {
+            let (alone, term) = {
+                let status = status.borrow_and_update();
+                (status.leader.is_none(), leader_term(&status))
+            };
+            // Who leads decides how long entries wait for named weights, so it is told at once.
+            let entry = request.follower == FollowerKind::Entry;
+            let another = entry && term > request.term;
+            if alone || another || reply != FollowReply::default() {
                 return;
             }
             // An ended channel means that the replica is gone; the wait then runs out.
@@ -141,6 +148,11 @@
     }
 }
 
+/// The term of the leader that a replica hears from; 0 if it hears from none.
+fn leader_term(status: &ReplicaStatus) -> Term {
+    if status.leader.is_some() { status.term } else { 0 }
+}
+
 fn changes(request: &FollowRequest, state: &DocumentState, fleet: &FleetSnapshot) -> FollowReply {
     let document = state.document();
     let digest = fleet.digest();
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -142,6 +142,7 @@
             weights: held.weights,
             fleet: held.fleet_digest,
             control: control_digest(&held.control),
+            term: held.term,
             follower: self.port.kind(),
             wait,
         };
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -264,7 +264,7 @@
             () = sleep_until(due.into()) => {}
         }
         let state = states.borrow_and_update().clone();
-        let required = clock.note(StdInstant::now(), &state.weights);
+        let required = clock.note(StdInstant::now(), &state.weights, state.term);
         let index = routes.index_for(state.document.number, &state.document.body, &*reader);
         let fleet = state.fleet.unwrap_or_default();
         let entries = state.entries.max(1);
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -11,7 +11,7 @@
         fleet::{FleetSnapshot, ListedServer, ServerPhase},
         ids::FencingNumber,
         node::{
-            named_clock::{NamedClock, REQUIRED_AFTER},
+            named_clock::{NamedClock, REQUIRED_AFTER, REQUIRED_AFTER_LEADER},
             orders::FLEET_TIMING,
         },
         policy::{
@@ -161,15 +161,38 @@
 fn required_after_a_while() {
     let mut clock = NamedClock::default();
     let begin = Instant::now();
-    assert_eq!(clock.note(begin, &named(2)), NamedWeights::new());
+    assert_eq!(clock.note(begin, &named(2), 4), NamedWeights::new());
     let later = begin + Duration::from_secs(3);
-    assert_eq!(clock.note(later, &named(3)), NamedWeights::new());
+    assert_eq!(clock.note(later, &named(3), 4), NamedWeights::new());
     assert_eq!(clock.next_change(), Some(begin + REQUIRED_AFTER));
-    assert_eq!(clock.note(begin + REQUIRED_AFTER, &named(3)), named(2));
-    assert_eq!(clock.note(later + REQUIRED_AFTER, &named(3)), named(3));
+    assert_eq!(clock.note(begin + REQUIRED_AFTER, &named(3), 4), named(2));
+    assert_eq!(clock.note(later + REQUIRED_AFTER, &named(3), 4), named(3));
     assert_eq!(clock.next_change(), None);
 }
 
+/// Callers waited for seconds, or were refused, while most servers were idle. Order of events: a version
+/// is named and the leader freezes before it has given an order; the next leader waits before its first
+/// one; the version becomes required, and the first server to load it gets the work of all.
+#[test]
+fn new_leader_is_given_time() {
+    let mut clock = NamedClock::default();
+    let begin = Instant::now();
+    clock.note(begin, &named(2), 4);
+    let elected = begin + Duration::from_secs(2);
+    assert_eq!(clock.note(elected, &named(2), 5), NamedWeights::new());
+    assert_eq!(clock.note(begin + REQUIRED_AFTER, &named(2), 5), NamedWeights::new());
+    assert_eq!(clock.next_change(), Some(elected + REQUIRED_AFTER_LEADER));
+    // What is named later is not required before what was named earlier.
+    let later = elected + Duration::from_secs(1);
+    assert_eq!(clock.note(later, &named(3), 5), NamedWeights::new());
+    assert_eq!(clock.note(elected + REQUIRED_AFTER_LEADER, &named(3), 5), named(3));
+    assert_eq!(clock.next_change(), None);
+    // The first leader that an entry hears of postpones nothing: it may have led for long.
+    let mut clock = NamedClock::default();
+    clock.note(begin, &named(2), 0);
+    assert_eq!(clock.note(begin + REQUIRED_AFTER, &named(2), 5), named(2));
+}
+
 fn listed(id: &str, version: u64, phase: ServerPhase) -> ListedServer {
     ListedServer {
         id: id.to_owned(),
