--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -23,9 +23,9 @@
     tokio::sync::watch,
 };
 
-/// The part of the engines that loads, or finishes what it has before, at a time: a third. A turn
-/// takes 1.7 s (a second of holding back, 0.4 to 0.6 s of loading), so three turns end after 5 s, within the 8 s that it may take, and the others
-/// still carry the usual load.
+/// The part of the engines that loads, or finishes what it has before, at a time. A turn takes a second
+/// of holding back and about half a second of loading, so all end within the 8 s that operators allow,
+/// and the others still carry the usual load.
 const LOADING_PART: (usize, usize) = (1, 3);
 
 /// What becomes of the answers that an engine is making when its load begins.
@@ -41,11 +41,10 @@
 /// them takes several times as long as the load.
 const RUNNING_WORK: RunningWork = RunningWork::GoOn;
 
-/// Orders to engines that take seconds to load, with versions named every few seconds and orders
-/// that get lost: a load takes 0.4 to 0.6 s, what runs ends within about one second, and an order
-/// without an answer is repeated while it can still be in time. A server that is held back
-/// finishes most of what it has within a second; the longest answers take 3 s, and waiting for them
-/// cost more late answers elsewhere than it saved (worth 0.45 against 0.52 of a calm day).
+/// Orders to engines that load within a second, with versions named every few seconds and orders that
+/// get lost: an order without an answer is repeated while it can still be in time. A server that is
+/// held back finishes most of what it has within a second; waiting for the longest answers would keep
+/// it from its work for longer than they gain.
 pub const FLEET_TIMING: OrderTiming = OrderTiming {
     load_limit: Duration::from_millis(4_500),
     retry_wait: Duration::from_millis(300),
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -15,9 +15,8 @@
 };
 
 /// The part of its time to the deadline that a request may be expected to wait, by class. Less
-/// than the whole, since the estimate errs; batch least, so that it is shed first. Measured at twice
-/// the load (docs/decisions/0032): with a half goodput falls to 0.90 of saturation's in
-/// the worst of ten seeds, with eight tenths it stays at 0.97; more would only let callers wait longer.
+/// than the whole, since the estimate errs; batch least, so that it is shed first. Smaller parts refuse
+/// what would have been served, larger ones only let callers wait longer (docs/decisions/0032).
 const WAIT_PART: [f64; 3] = [0.8, 0.8, 0.7];
 
 /// The time over which the drain rate is measured: some tens of requests at today's sizes.
--- a/src/policy/dispatcher/keeping.rs
+++ b/src/policy/dispatcher/keeping.rs
@@ -1,17 +1,12 @@
 //! Which prompts bring their shared prefix to a store of KV cache, and take it from there.
 //!
-//! Load pattern: a hundred prefixes of some 6,000 tokens are shared by all, each asked for every few
-//! seconds, by a handful of engines whose caches hold a few seconds of traffic, which crash, and which
-//! forget all with each new version of the weights. Of the shared tokens that such engines computed
-//! again on heavy days, a quarter had been evicted everywhere, a quarter was lost in crashes, and two
-//! fifths lay in another engine than the one named as a source (replayed from logged sendings). A
-//! store outlives the engines' evictions and crashes, and needs no knowledge of who holds what: with
-//! it little more than half as many are computed again (1.2 in place of 2.1 million in 60 s of heavy
-//! load), and a heavy day is worth 0.32 in place of 0.19 at one site, 0.56 in place of 0.51 at the
-//! other.
+//! Load pattern: long prefixes are shared by all, each asked for every few seconds, by engines whose
+//! caches hold a few seconds of traffic, which crash, and which forget all with each new version of the
+//! weights. What an engine computes again was evicted everywhere, lost in a crash, or lies in another
+//! engine than the one named as a source. A store outlives the engines' evictions and crashes, and needs
+//! no knowledge of who holds what (docs/decisions/0051).
 //!
-//! Short prefixes do not go there: their number pushes the long ones out, and the link fills up
-//! (heavy days fell by 0.04 to 0.06 with them).
+//! Short prefixes do not go there: their number pushes the long ones out, and the link fills up.
 
 use {
     super::{
@@ -39,9 +34,7 @@
 /// left for a prediction that errs.
 const BRING_WITHIN: f64 = 0.5;
 
-/// How much more than its even part of the link a daemon may use: callers are spread unevenly, and the
-/// busiest daemon has about twice the mean. Measured: with 1 in place of 2 heavy days are worth 0.30 and
-/// 0.52 in place of 0.33 and 0.56 (means of two and three runs).
+/// How far past its even part of the link a daemon may go, as a factor: callers are spread unevenly.
 const UNEVEN: f64 = 2.0;
 
 /// The store, as this daemon may use it.
--- a/src/policy/fairness.rs
+++ b/src/policy/fairness.rs
@@ -30,8 +30,8 @@
 /// The least cost of a request, so that a flood of tiny ones is not free.
 pub const LEAST_COST: u64 = 64;
 
-/// What a waiting class earns of the cost served before it: enough not to starve. Measured: at a
-/// quarter and a tenth, 2x overload leaves some 270 more of 5,620 chats without an answer.
+/// What a waiting class earns of the cost served before it: enough not to starve, little enough that
+/// under overload the urgent class keeps its answers.
 const CLASS_CREDIT: [f64; 3] = [1.0, 0.1, 0.04];
 
 /// Organisations remembered while idle. Beyond it the lowest counters are forgotten, which loses
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -75,13 +75,12 @@
 /// accepted to spare a third of a second of engine time.
 const REUSE_WEIGHT: f64 = 3.0;
 
-/// Seconds of waiting accepted rather than stray, beside as much as the prefill takes. Measured: at
-/// one second a hot prefix's p99 is 1.6 times what it is at a quarter.
+/// Seconds of waiting accepted rather than stray, beside as much as the prefill takes. More would let
+/// a hot prefix wait at its homes while others are idle.
 const STRAY_COST: f64 = 0.25;
 
 /// Part of the slots in use from which straying costs more, and seconds for the whole of them:
-/// beyond it there is hardly any straying. Measured at saturation: with 8 s in place of 100 the
-/// hit rate is 0.77 and the chats' goodput 0.89, with 100 they are 0.87 and 0.96.
+/// beyond it there is hardly any straying.
 const SCARCE_FROM: f64 = 0.5;
 const SCARCE_COST: f64 = 100.0;
 
--- a/src/policy/rollout.rs
+++ b/src/policy/rollout.rs
@@ -4,7 +4,7 @@
 //! servers load at once: the weight store, which serves only a few loads at full rate, slows each of
 //! them, and for that time nobody serves the model.
 //!
-//! At most as many loads run as the rule allows (2 at Tuul, 3 at Abay). A server that serves is
+//! At most as many loads run as the rule allows. A server that serves is
 //! drained first, provided that others can take its work meanwhile; idle servers come first, since
 //! they need no draining, and a server without any weights comes before all, since it serves
 //! nobody. Pure: given what is wanted and what is seen, it says what may happen next.
