Load weights on a sixth of the engines at a time, after a shorter hold

Hypothesis: with a third of the engines held back for a second and then loading together, the others cannot carry the usual load beside caches that the new version emptied. Change: a sixth at a time, held back for 0.3 s in place of 1 s. The hold was taken for what keeps reads under new weights out of the store. It is not: an engine that loads refuses what it has not begun to answer, and orders that are carried out seconds late never had a hold.

--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -23,10 +23,11 @@
     tokio::sync::watch,
 };
 
-/// The part of the engines that loads, or finishes what it has before, at a time. A turn takes a second
-/// of holding back and about half a second of loading, so all end within the 8 s that operators allow,
-/// and the others still carry the usual load.
-const LOADING_PART: (usize, usize) = (1, 3);
+/// The part of the engines that loads, or finishes what it has before, at a time. A turn takes about
+/// a second, so all of them end within the 8 s that operators allow. The others have emptied caches to
+/// fill beside their usual load: with more of them away at once they cannot carry both, and loads slow
+/// each other down.
+const LOADING_PART: (usize, usize) = (1, 6);
 
 /// What becomes of the answers that an engine is making when its load begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,12 +44,12 @@
 
 /// Orders to engines that load within a second, with versions named every few seconds and orders that
 /// get lost: an order without an answer is repeated while it can still be in time. A server that is
-/// held back finishes most of what it has within a second; waiting for the longest answers would keep
-/// it from its work for longer than they gain.
+/// held back finishes short answers at once; waiting for longer ones, which go on while it loads, would
+/// keep it from its work for longer than they gain.
 pub const FLEET_TIMING: OrderTiming = OrderTiming {
     load_limit: Duration::from_millis(4_500),
     retry_wait: Duration::from_millis(300),
-    drain_limit: Duration::from_millis(1_000),
+    drain_limit: Duration::from_millis(300),
     busy_look: Duration::from_millis(150),
     idle_look: Duration::from_secs(5),
 };
--- a/src/policy/dispatcher/keeping.rs
+++ b/src/policy/dispatcher/keeping.rs
@@ -29,9 +29,9 @@
 const LINK_SECONDS: f64 = 2.0;
 
 /// Seconds within which a prompt must be expected to be read for its parts to be brought to the store.
-/// A server is held back for a second before it loads other weights, and what it still reads while it
-/// loads would be kept, for all daemons, under the salt of the former ones; half of that second is
-/// left for a prediction that errs.
+/// What a server reads after it has changed weights must not be kept, for all daemons, under the salt of
+/// the former ones. A server that loads refuses what it has not begun to answer, so only a prompt that
+/// it takes up late could do that; what is sent to a crowded server is therefore not brought.
 const BRING_WITHIN: f64 = 0.5;
 
 /// How far past its even part of the link a daemon may go, as a factor: callers are spread unevenly.
