Let the prompt's own part choose among the homes of its prefix again

Cause: of conversations the last level is the next turn's prefix; without it as a chooser each daemon took another of the homes. Change: back to narrowing by each level; a long first level's homes are few by then. Test: hot_prefix, long_prefix.

--- a/src/policy/dispatcher/homes.rs
+++ b/src/policy/dispatcher/homes.rs
@@ -57,11 +57,8 @@
             }
             let width = self.home_width(now, pool, level, prompt_tokens);
             homes.sort_by_cached_key(|index| Reverse(self.home_rank(*index, level.hash)));
-            // What nobody else begins with has no home of its own.
-            if level.tokens < prompt_tokens {
-                homes.truncate(width);
-                tokens = level.tokens;
-            }
+            homes.truncate(width);
+            tokens = level.tokens;
         }
         HomeSet { servers: homes, tokens }
     }
