--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -200,6 +200,7 @@
     pub fn next_wakeup(&self) -> Option<Instant> {
         match &self.role {
             RoleState::Leader(lead) => Some(lead.heartbeat_at),
+            _ if self.leader.is_some() => Some(self.timeout_at.min(self.silent_at())),
             _ => Some(self.timeout_at),
         }
     }
@@ -311,11 +312,27 @@
             RoleState::Waiting => self.run_formation(now),
             RoleState::Leader(_) => self.run_leader(now),
             RoleState::Follower | RoleState::PreCandidate { .. } | RoleState::Candidate { .. } => {
+                self.forget_silent_leader(now);
                 self.run_election(now)
             }
         }
     }
 
+    /// When the leader last heard counts as unheard: its lease is over then as far as this replica
+    /// knows.
+    fn silent_at(&self) -> Instant {
+        self.heard_at + self.settings.timing.lease
+    }
+
+    /// A replica that is cut off elects nobody for up to two election timeouts. Entries that followed
+    /// it as one that hears from a leader would serve by an older configuration for as long, and refuse
+    /// callers of new routes, though others know the newest.
+    fn forget_silent_leader(&mut self, now: Instant) {
+        if now >= self.silent_at() {
+            self.leader = None;
+        }
+    }
+
     fn persisted(&mut self, now: Instant, number: u64) {
         self.synced = self.synced.max(number);
         while self.durable_later.front().is_some_and(|(batch, _)| *batch <= self.synced) {
