--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -318,21 +318,6 @@
         }
     }
 
-    /// When the leader last heard counts as unheard: its lease is over then as far as this replica
-    /// knows.
-    fn silent_at(&self) -> Instant {
-        self.heard_at + self.settings.timing.lease
-    }
-
-    /// A replica that is cut off elects nobody for up to two election timeouts. Entries that followed
-    /// it as one that hears from a leader would serve by an older configuration for as long, and refuse
-    /// callers of new routes, though others know the newest.
-    fn forget_silent_leader(&mut self, now: Instant) {
-        if now >= self.silent_at() {
-            self.leader = None;
-        }
-    }
-
     fn persisted(&mut self, now: Instant, number: u64) {
         self.synced = self.synced.max(number);
         while self.durable_later.front().is_some_and(|(batch, _)| *batch <= self.synced) {
