Tell in logs and measures what the hypotheses differ in

An incident left no trace of its cause: the leader did not say that it missed voters that it could not replace, a replica outside the group did not say whom it asked, and an entry did not say that nobody confirmed its configuration.

The leader logs what it misses and who stands by, whenever that changes; a replica without a leader logs whom it asks and whom it hears; an entry logs when for two seconds no control VM that is up to date answered, with how many it asked, and again when one does, and shows the time as a gauge. No decision changes.

--- a/src/control/healing.rs
+++ b/src/control/healing.rs
@@ -70,6 +70,36 @@
     None
 }
 
+/// Repairs that a leader would make if it could.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RepairNeed {
+    /// Voters wanted beyond those that the group has.
+    pub missing: usize,
+    /// Voters that do not reply.
+    pub silent: Vec<VmId>,
+    /// VMs outside the group that the leader hears.
+    pub standing_by: Vec<VmId>,
+}
+
+/// What the group lacks, as its leader sees it; `None` if nothing or on another replica.
+pub fn repair_need(now: Instant, status: &ReplicaStatus, voters: usize) -> Option<RepairNeed> {
+    status.leader_since?;
+    let silent = status
+        .heard
+        .iter()
+        .filter(|(vm, heard)| status.members.voters.contains_key(*vm) && is_silent(now, **heard));
+    let need = RepairNeed {
+        missing: voters.saturating_sub(status.members.voters.len()),
+        silent: silent.map(|(vm, _)| vm.clone()).collect(),
+        standing_by: status.outsiders.keys().cloned().collect(),
+    };
+    (need.missing > 0 || !need.silent.is_empty()).then_some(need)
+}
+
+fn is_silent(now: Instant, heard: Instant) -> bool {
+    now.saturating_duration_since(heard) > SILENCE
+}
+
 fn take_in(vm: &VmId, disk: Incarnation) -> Command {
     Command::ReplaceReplica { vm: vm.clone(), incarnation: Some(disk) }
 }
@@ -81,7 +111,7 @@
     replicas: &BTreeMap<VmId, Incarnation>,
 ) -> Option<VmId> {
     let (vm, heard) = longest_unheard(status, replicas)?;
-    (now.saturating_duration_since(heard) > SILENCE).then_some(vm)
+    is_silent(now, heard).then_some(vm)
 }
 
 /// The one of `replicas` that the leader has not heard for longest, and since when; never the leader.
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -7,6 +7,7 @@
 //! its own failure domain, which keeps the traffic inside the domain, as long as that VM itself
 //! hears from a leader.
 
+pub mod confirmation;
 pub mod desk;
 pub mod task;
 
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -1,13 +1,21 @@
 //! Follows the control VMs from an entry, or the leader from another control VM.
 
 use {
-    super::{ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind, SharedState, control_digest},
+    super::{
+        ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind, SharedState,
+        confirmation::{AskedPeers, ConfirmationWatch},
+        control_digest,
+    },
     crate::{
         ids::{FailureDomainId, VmId},
         observe::events,
         transport::{PeerNetwork, PeerReply, PeerRequest},
     },
-    std::{sync::Arc, time::Duration},
+    futures::future::join_all,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant as StdInstant},
+    },
     tokio::{
         sync::watch,
         time::{Instant, sleep},
@@ -41,6 +49,8 @@
     candidates: watch::Receiver<Vec<VmId>>,
     state: watch::Sender<SharedState>,
     port: Arc<dyn FollowerPort>,
+    /// `None` for a control VM, whose replica brings its configuration.
+    confirmation: Option<ConfirmationWatch>,
 }
 
 /// How well a control VM suits: whether it hears from a leader, then whether it is of the own failure
@@ -81,11 +91,13 @@
         state: watch::Sender<SharedState>,
         port: Arc<dyn FollowerPort>,
     ) -> Self {
-        FollowTask { network, failure_domain, candidates, state, port }
+        let is_entry = port.kind() == FollowerKind::Entry;
+        let confirmation = is_entry.then(|| ConfirmationWatch::new(StdInstant::now()));
+        FollowTask { network, failure_domain, candidates, state, port, confirmation }
     }
 
     /// Follows for ever.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         loop {
             match self.choose().await {
                 Some((peer, suitability)) => self.stay(&peer, suitability).await,
@@ -104,23 +116,28 @@
     }
 
     /// Asks all candidates at once; the best that answers.
-    async fn choose(&self) -> Option<(VmId, Suitability)> {
+    async fn choose(&mut self) -> Option<(VmId, Suitability)> {
         let candidates = self.candidates.borrow().clone();
+        let task = &*self;
         let asked = candidates.iter().map(|peer| async move {
-            let reply = self.ask(peer, false, QUICK_ANSWER).await?;
-            Some((self.suitability(&reply), peer.clone()))
+            let reply = task.ask(peer, false, QUICK_ANSWER).await?;
+            Some((task.suitability(&reply), peer.clone()))
         });
-        let answers = futures::future::join_all(asked).await;
-        let best = answers.into_iter().flatten().max_by_key(|(suits, _)| *suits)?;
-        Some((best.1, best.0))
+        let answers: Vec<(Suitability, VmId)> =
+            join_all(asked).await.into_iter().flatten().collect();
+        let peers = AskedPeers { asked: candidates.len(), answered: answers.len() };
+        let best = answers.into_iter().max_by_key(|(suits, _)| *suits);
+        self.note_confirmation(best.as_ref().is_some_and(|(suits, _)| suits.0), peers);
+        best.map(|(suits, peer)| (peer, suits))
     }
 
     /// Follows one VM until it fails or another may suit better.
-    async fn stay(&self, peer: &VmId, suitability: Suitability) {
+    async fn stay(&mut self, peer: &VmId, suitability: Suitability) {
         let since = Instant::now();
         log::info!(peer = peer.as_str(), fresh = suitability.0, own_domain = suitability.1;
             "{}", events::FOLLOWING);
         while let Some(reply) = self.ask(peer, true, ANSWER_WAIT + ANSWER_SLACK).await {
+            self.note_confirmation(reply.fresh, AskedPeers { asked: 1, answered: 1 });
             match judge_stay(suitability, self.suitability(&reply), since.elapsed()) {
                 StayVerdict::Stay => {}
                 StayVerdict::LookAgain => return,
@@ -131,6 +148,12 @@
             "{}", events::FOLLOWING_LOST);
     }
 
+    fn note_confirmation(&mut self, confirmed: bool, peers: AskedPeers) {
+        if let Some(confirmation) = &mut self.confirmation {
+            confirmation.note(StdInstant::now(), confirmed, peers);
+        }
+    }
+
     fn suitability(&self, reply: &FollowReply) -> Suitability {
         (reply.fresh, reply.failure_domain == self.failure_domain)
     }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -11,7 +11,7 @@
     crate::{
         control::{
             Membership,
-            healing::{next_repair, wanted_voters},
+            healing::{RepairNeed, next_repair, repair_need, wanted_voters},
         },
         daemon::{
             control_driver::{ControlDriver, ControlHandle, DriverSettings},
@@ -28,7 +28,7 @@
         transport::{OpenNetworkSettings, PeerMessage, PeerNetwork},
     },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         path::PathBuf,
         sync::Arc,
@@ -43,6 +43,8 @@
 
 /// How often the leader looks whether a replica is to be replaced.
 const HEAL_EVERY: Duration = Duration::from_millis(250);
+/// How often a replica without a leader looks whether its search is to be told of.
+const SEARCH_LOOK: Duration = Duration::from_secs(1);
 /// Messages of the replica that wait for the network; further ones are lost and sent again.
 const OUTBOUND_BOUND: usize = 4096;
 
@@ -104,6 +106,7 @@
         tasks.spawn(read_list(Arc::clone(&board), source, move || leads.lease_valid()));
         spawn_follower(&settings, &network, &replica, &desk, &board, &mut tasks);
         let (known, known_watch) = watch::channel(settings.founders.clone());
+        tasks.spawn(tell_search(replica.clone(), known_watch.clone()));
         tasks.spawn(follow_members(network.clone(), replica.clone(), known_watch));
         let founders = settings.founders.len();
         tasks.spawn(heal(settings.vm.clone(), replica.clone(), founders));
@@ -302,10 +305,12 @@
 
 /// Replaces lost replicas while this one leads.
 async fn heal(vm: VmId, replica: ControlHandle, founders: usize) {
+    let mut told = None;
     loop {
         sleep(HEAL_EVERY).await;
         let status = replica.status();
         let voters = wanted_voters(&status, founders);
+        tell_need(&mut told, repair_need(Instant::now(), &status, voters));
         let Some(command) = next_repair(Instant::now(), &status, voters) else {
             continue;
         };
@@ -317,6 +322,42 @@
     }
 }
 
+/// Tells in the log what the leader misses whenever that changes.
+fn tell_need(told: &mut Option<RepairNeed>, need: Option<RepairNeed>) {
+    if *told == need {
+        return;
+    }
+    match &need {
+        Some(need) => log::warn!(missing = need.missing, silent = need.silent.join(","),
+            standing_by = need.standing_by.join(","); "{}", events::REPAIR_NEEDED),
+        None => log::info!("{}", events::REPAIR_DONE),
+    }
+    *told = need;
+}
+
+/// Tells in the log, while no leader is known, whom this replica asks and whom it hears.
+async fn tell_search(replica: ControlHandle, known: watch::Receiver<BTreeMap<VmId, SocketAddr>>) {
+    let mut told = None;
+    loop {
+        sleep(SEARCH_LOOK).await;
+        let status = replica.status();
+        let search = status.leader.is_none().then(|| {
+            let members = status.members.members().map(|(vm, _)| vm);
+            let asked: BTreeSet<VmId> = members.chain(known.borrow().keys()).cloned().collect();
+            let heard: BTreeSet<VmId> = status.outsiders.keys().cloned().collect();
+            (asked, heard)
+        });
+        if search != told {
+            if let Some((asked, heard)) = &search {
+                let names =
+                    |vms: &BTreeSet<VmId>| vms.iter().cloned().collect::<Vec<_>>().join(",");
+                log::info!(asked = names(asked), heard = names(heard); "{}", events::PLACE_SOUGHT);
+            }
+            told = search;
+        }
+    }
+}
+
 struct ControlFollower {
     desk: Arc<FollowDesk>,
     board: Arc<FleetBoard>,
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -40,6 +40,10 @@
 
 /// The daemon follows a control VM.
 pub const FOLLOWING: &str = "following a control VM";
+/// None of the control VMs that were asked is up to date; the configuration held stays in force.
+pub const CONFIG_UNCONFIRMED: &str = "configuration not confirmed";
+/// One of them is.
+pub const CONFIG_CONFIRMED: &str = "configuration confirmed";
 /// That VM does not answer.
 pub const FOLLOWING_LOST: &str = "a control VM does not answer its follower";
 /// The list of backend servers is no longer confirmed; the last one stays in use.
@@ -52,6 +56,12 @@
 pub const LEADER_KNOWN: &str = "control leader known";
 /// The members of the control group changed.
 pub const MEMBERS: &str = "control replicas changed";
+/// The leader misses voters; `standing_by` are the VMs that it could take in.
+pub const REPAIR_NEEDED: &str = "control replicas need repair";
+/// It misses none any more.
+pub const REPAIR_DONE: &str = "control replicas need no repair";
+/// A replica without a leader asks for a place in the group; `heard` are the VMs that it hears.
+pub const PLACE_SOUGHT: &str = "looking for the control group";
 /// This replica leads, with the consent of a quorum.
 pub const LEADING: &str = "leading the control replicas";
 /// It does no longer: it hears from no quorum, or of a later term.
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -43,6 +43,8 @@
 pub const IN_FLIGHT: &str = "oleandermount_in_flight_requests";
 /// The configuration revision in force at this daemon.
 pub const CONFIG_REVISION: &str = "oleandermount_config_revision";
+/// Seconds since this entry last heard from a control VM that is up to date; 0 while it does.
+pub const CONFIG_UNCONFIRMED: &str = "oleandermount_config_unconfirmed_seconds";
 /// Connections of other daemons refused for their keys.
 pub const PEERS_REFUSED: &str = "oleandermount_peers_refused_total";
 /// Connections of callers and operators that are open.
@@ -197,6 +199,7 @@
     describe_gauge!(QUEUE, "Requests that wait in this daemon.");
     describe_gauge!(IN_FLIGHT, "Requests in flight from this daemon, by server.");
     describe_gauge!(CONFIG_REVISION, "Configuration revision in force at this daemon.");
+    describe_gauge!(CONFIG_UNCONFIRMED, "Seconds since a control VM that is up to date answered.");
     describe_counter!(DUTIES_DROPPED, "Cancel calls, probes and digests that were dropped.");
     describe_counter!(CROSSED_ANSWERS, "Answers that belonged to another attempt.");
     describe_counter!(PEERS_REFUSED, "Daemons refused for their keys.");
@@ -222,6 +225,7 @@
     counter!(PEERS_REFUSED).increment(0);
     counter!(CUT_REQUESTS).increment(0);
     gauge!(CONFIG_REVISION).set(0.0);
+    gauge!(CONFIG_UNCONFIRMED).set(0.0);
     gauge!(DRAINING).set(0.0);
     gauge!(CONNECTIONS).set(0.0);
 }
