--- a/tests/fakes/replica_group.rs
+++ b/tests/fakes/replica_group.rs
@@ -9,9 +9,10 @@
             Command, CommandOutcome, DurableWrite, LogEntry, Membership, PersistBatch,
             ReplicaMessage, SavedState,
             entry::EntryPayload,
+            healing::{next_repair, wanted_voters},
             replica::{
                 LocalProposeError, Replica, ReplicaAction, ReplicaInput, ReplicaLimits,
-                ReplicaRole, ReplicaSettings, ReplicaTiming,
+                ReplicaRole, ReplicaSettings, ReplicaStatus, ReplicaTiming,
             },
         },
         ids::{Incarnation, LogIndex, Revision, Term, VmId},
@@ -25,6 +26,8 @@
 };
 
 const USUAL_SYNC: Duration = Duration::from_millis(5);
+/// How often the leader looks whether a replica is to be replaced, as on the control VMs.
+pub const HEAL_EVERY: Duration = Duration::from_millis(250);
 const FIRST_INCARNATION: Incarnation = 100;
 
 pub type ProposalOutcome = Result<CommandOutcome, LocalProposeError>;
@@ -192,6 +195,26 @@
         self.nodes.iter().find(|(_, node)| leads(node)).map(|(vm, _)| vm.clone())
     }
 
+    /// What the leader says of itself.
+    pub fn led_status(&self) -> Option<ReplicaStatus> {
+        let leader = self.leader()?;
+        Some(self.nodes[&leader].replica.as_ref()?.status(self.now))
+    }
+
+    /// Lets time pass; the leader repairs a group of `founders` as control VMs do.
+    pub fn heal_for(&mut self, time: Duration, founders: usize) {
+        let end = self.now + time;
+        while self.now < end {
+            self.run_for(HEAL_EVERY);
+            let Some(status) = self.led_status() else { continue };
+            let voters = wanted_voters(&status, founders);
+            if let Some(command) = next_repair(self.now, &status, voters) {
+                let leader = self.leader().expect("it has just led");
+                self.propose(&leader, command);
+            }
+        }
+    }
+
     /// The newest membership among committed entries.
     pub fn membership(&self) -> Option<Membership> {
         self.committed.values().rev().find_map(|(entry, _)| match &entry.payload {
--- a/tests/healing_group.rs
+++ b/tests/healing_group.rs
@@ -117,25 +117,6 @@
     assert_eq!(next_repair(now, &status, VOTERS), removed);
 }
 
-fn led_status(group: &ReplicaGroup) -> Option<ReplicaStatus> {
-    let leader = group.leader()?;
-    Some(group.nodes[&leader].replica.as_ref()?.status(group.now))
-}
-
-/// Lets time pass; the leader mends the group as control VMs do.
-fn heal_for(group: &mut ReplicaGroup, time: Duration) {
-    let end = group.now + time;
-    while group.now < end {
-        group.run_for(Duration::from_millis(250));
-        let Some(status) = led_status(group) else { continue };
-        let voters = wanted_voters(&status, VOTERS);
-        if let Some(command) = next_repair(group.now, &status, voters) {
-            let leader = group.leader().expect("it has just led");
-            group.propose(&leader, command);
-        }
-    }
-}
-
 /// Six control VMs bear the loss of two disks at the same moment. What operators saw without it: the
 /// last configuration was gone and no further one was taken, while entries served by an older one or
 /// answered 404. Order of events: three of six VMs are voters; one of them acknowledges; the power goes
@@ -147,7 +128,7 @@
         group.lose_disk(vm);
         group.start(vm);
     }
-    heal_for(&mut group, Duration::from_secs(10));
+    group.heal_for(Duration::from_secs(10), VOTERS);
     let leader = group.leader().expect("one leads");
     let command = Command::PutDocument { number: 7, body: "routes".to_owned() };
     let proposal = group.propose(&leader, command);
@@ -162,8 +143,8 @@
     group.lose_disk(&leader);
     group.lose_disk(second);
     vms.iter().for_each(|vm| group.start(vm));
-    heal_for(&mut group, Duration::from_secs(10));
-    let status = led_status(&group).expect("the group goes on");
+    group.heal_for(Duration::from_secs(10), VOTERS);
+    let status = group.led_status().expect("the group goes on");
     let replica = group.nodes[&group.leader().expect("one leads")].replica.as_ref();
     let number = replica.expect("it runs").state().documents().document().number;
     assert_eq!((number, status.members.voters.len(), status.members.learners.len()), (7, 5, 0));
@@ -186,21 +167,22 @@
 #[test]
 fn newcomer_has_time_to_reply() {
     let mut group = ReplicaGroup::new(&["a", "b", "c"], 1);
-    heal_for(&mut group, SILENCE * 3);
+    group.heal_for(SILENCE * 3, VOTERS);
     let leader = group.leader().expect("one leads");
     let lost = ["a", "b", "c"].into_iter().find(|vm| *vm != leader).expect("there are others");
     group.crash(lost);
     group.lose_disk(lost);
     group.start(lost);
-    let seen =
-        |group: &ReplicaGroup| led_status(group).is_some_and(|status| !status.outsiders.is_empty());
+    let seen = |group: &ReplicaGroup| {
+        group.led_status().is_some_and(|status| !status.outsiders.is_empty())
+    };
     assert!(group.run_until(Duration::from_secs(2), seen), "it makes itself known");
-    let status = led_status(&group).expect("one leads");
+    let status = group.led_status().expect("one leads");
     let command = next_repair(group.now, &status, VOTERS).expect("its place is given to it");
     group.propose(&leader, command);
     group.faults = WireFaults { drop: 0, double: 0, delay: Duration::from_millis(400) };
     group.run_for(Duration::from_millis(50));
-    let status = led_status(&group).expect("one leads");
+    let status = group.led_status().expect("one leads");
     assert_eq!(status.members.learners.len(), 1, "it is taken in");
     assert_eq!(next_repair(group.now, &status, VOTERS), None);
 }
--- a/tests/healing_runs.rs
+++ b/tests/healing_runs.rs
@@ -18,7 +18,7 @@
         },
         ids::{DocumentNumber, VmId},
     },
-    replica_group::{CALM, ReplicaGroup, WireFaults},
+    replica_group::{CALM, HEAL_EVERY, ReplicaGroup, WireFaults},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -33,8 +33,6 @@
 /// VMs of the runs in which the group grows, and their voters.
 const LARGE_VMS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
 const LARGE_VOTERS: usize = 5;
-/// How often the leader looks whether a replica is to be replaced, as on the control VMs.
-const HEAL_EVERY: Duration = Duration::from_millis(250);
 /// Within this, once all faults have ended, the group is whole: several repairs, each after the
 /// silence that makes a voter missed.
 const WHOLE_WITHIN: Duration = Duration::from_secs(120);
