Name control VMs to entries also where no leader is heard

What callers saw: 404 for routes acknowledged seconds before, and requests served by a document 27 numbers older.

Cause: an entry starts with the control VMs of its settings, and learned of others only from one that hears a leader. Where those VMs had left the group or lost their disks it asked them for ever, and served by the document that one of them had kept.

A control VM without a leader names the members that it last knew and the VMs that were named to it, so the entry's next look, 0.2 s later, reaches the group.

--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -17,7 +17,7 @@
     },
     futures::future::BoxFuture,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
@@ -102,8 +102,8 @@
         let fleet = self.board.subscribe();
         let fleet = fleet.borrow().clone();
         let mut reply = changes(&request, &state, &fleet);
-        let control: Vec<VmId> = status.members.voters.keys().cloned().collect();
-        if control_digest(&control) != request.control && status.leader.is_some() {
+        let control = control_vms(&status);
+        if !control.is_empty() && control_digest(&control) != request.control {
             reply.control = Some(control);
         }
         reply.fresh = status.leader.is_some();
@@ -148,6 +148,16 @@
     }
 }
 
+/// The control VMs that a replica names to its followers. One without a leader names whatever may
+/// lead to the group: its followers may know no other VM.
+pub fn control_vms(status: &ReplicaStatus) -> Vec<VmId> {
+    let mut vms: BTreeSet<&VmId> = status.members.voters.keys().collect();
+    if status.leader.is_none() {
+        vms.extend(&status.contacts);
+    }
+    vms.into_iter().cloned().collect()
+}
+
 /// The term of the leader that a replica hears from; 0 if it hears from none.
 fn leader_term(status: &ReplicaStatus) -> Term {
     if status.leader.is_some() { status.term } else { 0 }
