Count documents in what an append carries and a log takes

What callers would see: an older document for good at a failure domain whose control VM was away while documents of some size were accepted.

Cause: the size of an entry counted registers, rules and answers, but not operators' documents. All documents that a replica lacked went into one append; past 8 MiB the transport drops such a message, the leader sends it again, and the replica hears heartbeats and never catches up. The bound on the log's bytes did not see documents either, so a control VM kept up to 4,096 of them in memory.

--- a/src/control/replica/log.rs
+++ b/src/control/replica/log.rs
@@ -145,7 +145,9 @@
 fn entry_bytes(entry: &LogEntry) -> usize {
     let body = match &entry.payload {
         EntryPayload::Command(
-            Command::ApplyRegister { body, .. } | Command::ApplyRules { body, .. },
+            Command::ApplyRegister { body, .. }
+            | Command::ApplyRules { body, .. }
+            | Command::PutDocument { body, .. },
         ) => body.len(),
         EntryPayload::Command(Command::Finish { answer, .. }) => answer.body.len(),
         _ => 0,
