Call a control VM up to date only with what its leader has committed

What callers would see: 404 for routes acknowledged long ago, in the failure domain of a control VM whose disk hangs or is being filled.

Cause: a replica that heard a leader counted as up to date. One whose disk hangs acknowledges nothing, so the leader's window to it stays shut, while heartbeats go on; a learner hears the leader before it has anything; a new leader may not know yet what the former one committed. Entries that follow such a replica stay with it.

Heartbeats and appends now say what must be applied to be up to date: the commit index, or the entry that opens the leader's term until that is committed. Control VMs are upgraded together for it. A replica lacking it for longer than the lease says so, and its entries turn to another one.

hanging_disk_shows and learner_shows failed before (document 7 of 12 held, and a learner with none, both called up to date). sound_followers_stay_fresh holds that changes alone make nobody leave.

--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -77,6 +77,8 @@
         round: RoundNumber,
         /// What the receiver may commit: never past what the leader knows it to hold.
         commit: LogIndex,
+        /// What the receiver must have applied to be up to date.
+        target: LogIndex,
     },
     /// Replies to a heartbeat.
     HeartbeatReply {
@@ -95,6 +97,8 @@
         entries: Vec<LogEntry>,
         /// The leader's commit index.
         commit: LogIndex,
+        /// What the receiver must have applied to be up to date.
+        target: LogIndex,
     },
     /// The receiver holds the leader's log up to `matched`, synced.
     AppendReply {
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -8,6 +8,7 @@
 pub mod election;
 pub mod follow;
 pub mod formation;
+pub mod freshness;
 pub mod lead;
 pub mod log;
 pub mod progress;
@@ -115,6 +116,8 @@
     introduced: BTreeSet<VmId>,
     /// VMs that other control VMs have named in this life.
     contacts: ContactList,
+    /// When a follower last had applied what its leader told it to; `None` before the first time.
+    fresh_at: Option<Instant>,
     incoming: Option<IncomingSnapshot>,
     /// Collected while one input is handled.
     writes: Vec<DurableWrite>,
@@ -171,6 +174,7 @@
             sightings: BTreeMap::new(),
             introduced: BTreeSet::new(),
             contacts: ContactList::default(),
+            fresh_at: None,
             incoming: None,
             writes: Vec::new(),
             replies: Vec::new(),
@@ -245,6 +249,7 @@
             incarnation: self.incarnation,
             term: self.hard.term,
             leader: self.leader.clone(),
+            is_fresh: self.is_fresh(now),
             commit: self.commit,
             applied: self.applied,
             last: self.log.last_index(),
--- a/src/control/replica/follow.rs
+++ b/src/control/replica/follow.rs
@@ -65,13 +65,15 @@
         self.heard_at = now;
         self.reset_timeout(now);
         match message.body {
-            MessageBody::Heartbeat { commit, .. } => {
+            MessageBody::Heartbeat { commit, target, .. } => {
                 self.commit_to(commit);
+                self.note_target(now, target);
                 self.reply(&address, MessageBody::HeartbeatReply { round });
             }
-            MessageBody::Append { prev_index, prev_term, entries, commit, .. } => {
+            MessageBody::Append { prev_index, prev_term, entries, commit, target, .. } => {
                 let appended = AppendedEntries { prev_index, prev_term, entries, commit };
                 self.receive_entries(&address, appended);
+                self.note_target(now, target);
             }
             MessageBody::SnapshotChunk { head, offset, total, data, .. } => {
                 self.receive_chunk(&address, head, (offset, total), &data);
--- a/src/control/replica/lead.rs
+++ b/src/control/replica/lead.rs
@@ -66,6 +66,7 @@
     fn next_append(&mut self, now: Instant, vm: &VmId) -> Option<MessageBody> {
         let limits = self.settings.limits;
         let (base, last, commit) = (self.log.base(), self.log.last_index(), self.commit);
+        let target = self.follower_target();
         let lead = match &mut self.role {
             RoleState::Leader(lead) => lead,
             _ => return None,
@@ -92,7 +93,7 @@
         progress.in_flight.push_back(sent);
         progress.next = sent + 1;
         let prev_term = self.log.term(prev_index).expect("the entry before a held one is known");
-        Some(MessageBody::Append { round, prev_index, prev_term, entries, commit })
+        Some(MessageBody::Append { round, prev_index, prev_term, entries, commit, target })
     }
 
     fn begin_snapshot(&mut self, now: Instant, vm: &VmId) -> Option<MessageBody> {
@@ -121,6 +122,7 @@
 
     pub(super) fn run_leader(&mut self, now: Instant) {
         let (heartbeat, commit) = (self.settings.timing.heartbeat, self.commit);
+        let target = self.follower_target();
         let Some(lead) = self.lead_mut() else { return };
         if now < lead.heartbeat_at {
             return;
@@ -139,7 +141,7 @@
             due.push((vm.clone(), progress.incarnation, commit, stuck));
         }
         for (vm, incarnation, commit, stuck) in due {
-            self.send(&vm, Some(incarnation), MessageBody::Heartbeat { round, commit });
+            self.send(&vm, Some(incarnation), MessageBody::Heartbeat { round, commit, target });
             if let Some(body) = self.next_chunk(&vm).filter(|_| stuck) {
                 self.send(&vm, Some(incarnation), body);
             }
--- a/src/control/replica/types.rs
+++ b/src/control/replica/types.rs
@@ -227,6 +227,8 @@
     pub term: Term,
     /// The leader it knows.
     pub leader: Option<VmId>,
+    /// Whether all that was committed until a moment ago is applied here.
+    pub is_fresh: bool,
     /// The last entry known to be committed.
     pub commit: LogIndex,
     /// The last entry applied to the state machine.
--- a/src/daemon/control_driver/runner.rs
+++ b/src/daemon/control_driver/runner.rs
@@ -222,6 +222,7 @@
         status.lease_until = None;
         status.leader_since = None;
         status.leader = None;
+        status.is_fresh = false;
         status.role = Default::default();
         status.failure = Some(reason.to_owned());
         self.feeds.status.send_replace(Arc::new(status));
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -68,7 +68,8 @@
     pub fleet: Option<FleetSnapshot>,
     /// The control VMs, if they differ.
     pub control: Option<Vec<VmId>>,
-    /// Whether the answering VM hears from a leader: if not, others may know of later changes.
+    /// Whether the answering VM has what the leader has committed: if not, others may know of later
+    /// changes.
     pub fresh: bool,
     /// Whether its server list was read, or confirmed by who reads it, just now.
     pub list_fresh: bool,
--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -106,7 +106,7 @@
         if !control.is_empty() && control_digest(&control) != request.control {
             reply.control = Some(control);
         }
-        reply.fresh = status.leader.is_some();
+        reply.fresh = status.is_fresh;
         reply.term = leader_term(&status);
         reply.list_fresh = self.board.is_fresh(LEADER_SILENCE);
         reply.failure_domain.clone_from(&self.failure_domain);
@@ -125,14 +125,14 @@
                 &documents.borrow_and_update().clone(),
                 &fleet.borrow_and_update().clone(),
             );
-            let (alone, term) = {
+            let (behind, term) = {
                 let status = status.borrow_and_update();
-                (status.leader.is_none(), leader_term(&status))
+                (!status.is_fresh, leader_term(&status))
             };
             // Who leads decides how long entries wait for named weights, so it is told at once.
             let entry = request.follower == FollowerKind::Entry;
             let another = entry && term > request.term;
-            if alone || another || reply != FollowReply::default() {
+            if behind || another || reply != FollowReply::default() {
                 return;
             }
             // An ended channel means that the replica is gone; the wait then runs out.
@@ -148,11 +148,11 @@
     }
 }
 
-/// The control VMs that a replica names to its followers. One without a leader names whatever may
-/// lead to the group: its followers may know no other VM.
+/// The control VMs that a replica names to its followers. One that is not up to date names whatever
+/// may lead to the group: its followers may know no other VM.
 pub fn control_vms(status: &ReplicaStatus) -> Vec<VmId> {
     let mut vms: BTreeSet<&VmId> = status.members.voters.keys().collect();
-    if status.leader.is_none() {
+    if !status.is_fresh {
         vms.extend(&status.contacts);
     }
     vms.into_iter().cloned().collect()
--- a/tests/fakes/replica_group.rs
+++ b/tests/fakes/replica_group.rs
@@ -205,7 +205,7 @@
     pub fn heal_for(&mut self, time: Duration, founders: usize) {
         let end = self.now + time;
         while self.now < end {
-            self.run_for(HEAL_EVERY);
+            self.run_for(HEAL_EVERY.min(end - self.now));
             let Some(status) = self.led_status() else { continue };
             let voters = wanted_voters(&status, founders);
             if let Some(command) = next_repair(self.now, &status, voters) {
