--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -12,6 +12,7 @@
 pub mod lead;
 pub mod log;
 pub mod progress;
+mod receive;
 pub mod types;
 
 pub use self::types::{
@@ -292,44 +293,6 @@
         self.log.membership().is_voter(&self.settings.vm, self.incarnation)
     }
 
-    fn receive(&mut self, now: Instant, from: VmId, message: ReplicaMessage) {
-        let meant_for_another =
-            message.to_incarnation.is_some_and(|incarnation| incarnation != self.incarnation);
-        if from == self.settings.vm {
-            return;
-        }
-        if meant_for_another {
-            // Whoever knows the former disk of this VM knows the group.
-            return self.note_contacts(message.group, BTreeSet::from([from]));
-        }
-        if let MessageBody::Contacts { vms } = message.body {
-            return self.note_contacts(message.group, vms);
-        }
-        self.note_sighting(now, &from, &message);
-        if matches!(message.body, MessageBody::Probe { .. }) {
-            self.name_contacts(&from, message.from_incarnation);
-        }
-        if !self.is_in_group(now, &from, &message) {
-            return;
-        }
-        match message.body {
-            MessageBody::Probe { .. }
-            | MessageBody::Founding { .. }
-            | MessageBody::Contacts { .. } => {}
-            MessageBody::PreVote { .. }
-            | MessageBody::PreVoteReply { .. }
-            | MessageBody::Vote { .. }
-            | MessageBody::VoteReply { .. } => self.receive_vote(now, from, message),
-            MessageBody::Heartbeat { .. }
-            | MessageBody::Append { .. }
-            | MessageBody::SnapshotChunk { .. } => self.receive_lead(now, from, message),
-            MessageBody::HeartbeatReply { .. }
-            | MessageBody::AppendReply { .. }
-            | MessageBody::AppendRejected { .. }
-            | MessageBody::SnapshotReply { .. } => self.receive_reply(now, from, message),
-        }
-    }
-
     fn run_timers(&mut self, now: Instant) {
         match &self.role {
             RoleState::Waiting => self.run_formation(now),
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -5,7 +5,7 @@
 //! something newer, or a second has passed. So a change is on its way at once, an idle daemon costs
 //! one small message a second, and no daemon speaks to all others. Each prefers the control VM of
 //! its own failure domain, which keeps the traffic inside the domain, as long as that VM itself
-//! hears from a leader.
+//! is up to date.
 
 pub mod confirmation;
 pub mod desk;
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -28,7 +28,7 @@
 const ANSWER_SLACK: Duration = Duration::from_millis(400);
 /// How long the others are asked one after the other, each for an answer at once.
 const QUICK_ANSWER: Duration = Duration::from_millis(300);
-/// The pause when nobody answers, or nobody who hears from a leader.
+/// The pause when nobody answers, or nobody who is up to date.
 const PAUSE: Duration = Duration::from_millis(200);
 /// How often a follower that had to leave its own domain's control VM looks whether it is back.
 const HOME_LOOK: Duration = Duration::from_secs(3);
@@ -53,7 +53,7 @@
     confirmation: Option<ConfirmationWatch>,
 }
 
-/// How well a control VM suits: whether it hears from a leader, then whether it is of the own failure
+/// How well a control VM suits: whether it is up to date, then whether it is of the own failure
 /// domain. Greater is better.
 pub type Suitability = (bool, bool);
 
@@ -70,10 +70,9 @@
 
 /// Judges an answer of a VM that suited so well `before` and `now`, after `elapsed` with it.
 ///
-/// While no VM hears from a leader, followers turn to that of their own domain. When a leader is
-/// back elsewhere, that VM may still be without one, because its disk was lost; a follower that
-/// stayed with it for some seconds would serve by a configuration that was replaced, and refuse
-/// callers of new routes. So without a leader it looks again at once.
+/// While no VM is up to date, followers turn to that of their own domain. When others are again, that
+/// VM may still not be, because its disk was lost; a follower that stayed with it for some seconds
+/// would serve by a configuration that was replaced. So it looks again at once.
 pub fn judge_stay(before: Suitability, now: Suitability, elapsed: Duration) -> StayVerdict {
     if !now.0 {
         return StayVerdict::PauseAndLook;
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -12,6 +12,7 @@
         control::{
             Membership,
             healing::{RepairNeed, next_repair, repair_need, wanted_voters},
+            replica::ReplicaStatus,
         },
         daemon::{
             control_driver::{ControlDriver, ControlHandle, DriverSettings},
@@ -336,27 +337,41 @@
     *told = need;
 }
 
-/// Tells in the log, while no leader is known, whom this replica asks and whom it hears.
+/// Whom a replica without a leader asks for a place in the group, and whom it hears.
+#[derive(Debug, PartialEq, Eq)]
+struct GroupSearch {
+    asked: BTreeSet<VmId>,
+    heard: BTreeSet<VmId>,
+}
+
+impl GroupSearch {
+    /// `None` while a leader is known.
+    fn of(status: &ReplicaStatus, named: &BTreeMap<VmId, SocketAddr>) -> Option<Self> {
+        if status.leader.is_some() {
+            return None;
+        }
+        let mut asked: BTreeSet<VmId> = named.keys().cloned().collect();
+        asked.extend(status.members.members().map(|(vm, _)| vm.clone()));
+        asked.extend(status.contacts.iter().cloned());
+        Some(GroupSearch { asked, heard: status.outsiders.keys().cloned().collect() })
+    }
+}
+
+/// Tells in the log of the search for the group whenever it changes.
 async fn tell_search(replica: ControlHandle, known: watch::Receiver<BTreeMap<VmId, SocketAddr>>) {
     let mut told = None;
     loop {
         sleep(SEARCH_LOOK).await;
-        let status = replica.status();
-        let search = status.leader.is_none().then(|| {
-            let mut asked: BTreeSet<VmId> = known.borrow().keys().cloned().collect();
-            asked.extend(status.members.members().map(|(vm, _)| vm.clone()));
-            asked.extend(status.contacts.iter().cloned());
-            let heard: BTreeSet<VmId> = status.outsiders.keys().cloned().collect();
-            (asked, heard)
-        });
-        if search != told {
-            if let Some((asked, heard)) = &search {
-                let names =
-                    |vms: &BTreeSet<VmId>| vms.iter().cloned().collect::<Vec<_>>().join(",");
-                log::info!(asked = names(asked), heard = names(heard); "{}", events::PLACE_SOUGHT);
-            }
-            told = search;
+        let search = GroupSearch::of(&replica.status(), &known.borrow());
+        if search == told {
+            continue;
+        }
+        if let Some(search) = &search {
+            let names = |vms: &BTreeSet<VmId>| vms.iter().cloned().collect::<Vec<_>>().join(",");
+            log::info!(asked = names(&search.asked), heard = names(&search.heard);
+                "{}", events::PLACE_SOUGHT);
         }
+        told = search;
     }
 }
 
