--- a/tests/unnamed_leader.rs
+++ b/tests/unnamed_leader.rs
@@ -21,7 +21,7 @@
 /// An election, with room for one that nobody wins.
 const ELECTION_TIME: Duration = Duration::from_secs(6);
 
-/// A group of five voters, two of them founders no more than the VMs that stand by.
+/// A group of five voters: the founders and two of `others`; the rest of these stand by.
 fn large_group(others: &[&str]) -> ReplicaGroup {
     let mut group = ReplicaGroup::new(&FOUNDERS, SEED);
     for vm in others {
