--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -99,7 +99,7 @@
         /// Milliseconds since the Unix epoch at the proposer, for retention only.
         now_ms: u64,
     },
-    /// Note the weights a server should load, under a new fencing number.
+    /// The same as [`Command::DesireModel`]: logs of earlier releases hold one for each server.
     DesireWeights {
         /// The server.
         server: ServerId,
@@ -142,6 +142,13 @@
         /// The version.
         version: WeightsNumber,
     },
+    /// Note the weights that all servers of a model should load, under a new fencing number.
+    DesireModel {
+        /// The model.
+        model: ModelId,
+        /// The version.
+        weights: WeightsVersion,
+    },
 }
 
 /// The answer of a non-repeatable call, kept for resends.
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -9,23 +9,43 @@
     std::collections::BTreeMap,
 };
 
-/// Desired versions by server and model: 870 servers with 15 models each fit.
-pub const DESIRED_WEIGHTS: usize = 16_384;
+/// Models with a desired version: many times the 15 of the design size.
+pub const DESIRED_MODELS: usize = 1_024;
 /// Suspects kept; the one with the fewest strikes, then the oldest, falls out.
 pub const SUSPECTS: usize = 1024;
 
-/// The desired weights by server and model, each with the number that orders its changes.
-pub type DesiredWeights = BTreeMap<(ServerId, ModelId), (WeightsVersion, FencingNumber)>;
+/// The desired version of each model, with the number that orders its changes. All servers of a model
+/// are to have the same one, so a change costs one log entry however many servers there are.
+pub type DesiredWeights = BTreeMap<ModelId, (WeightsVersion, FencingNumber)>;
 /// Strikes by fingerprint of requests that crash backend servers.
 pub type SuspectStrikes = BTreeMap<u64, u32>;
 
-/// The weights that each server should load.
+/// The weights that servers should load.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct WeightOrders {
-    /// At most [`DESIRED_WEIGHTS`]; further ones are refused.
+    /// At most [`DESIRED_MODELS`]; further ones are refused.
     desired: DesiredWeights,
 }
 
+/// The desired weights in the form of earlier snapshots: for each server by itself.
+#[derive(Debug, Default, Deserialize)]
+pub struct ServerWeightOrders {
+    desired: BTreeMap<(ServerId, ModelId), (WeightsVersion, FencingNumber)>,
+}
+
+impl From<ServerWeightOrders> for WeightOrders {
+    /// Keeps the version that was noted last, under the number of its first note.
+    fn from(former: ServerWeightOrders) -> Self {
+        let mut noted: Vec<_> = former.desired.into_iter().collect();
+        noted.sort_by_key(|(_, (_, number))| *number);
+        let mut orders = WeightOrders::default();
+        for ((_server, model), (weights, number)) in noted {
+            orders.desire(&model, &weights, number);
+        }
+        orders
+    }
+}
+
 impl WeightOrders {
     /// The desired weights.
     pub fn desired(&self) -> &DesiredWeights {
@@ -36,21 +56,21 @@
     /// its number, so that a resend does not make a server load twice.
     pub fn desire(
         &mut self,
-        place: (ServerId, ModelId),
+        model: &ModelId,
         weights: &WeightsVersion,
         number: FencingNumber,
     ) -> CommandOutcome {
-        match self.desired.get(&place) {
+        match self.desired.get(model) {
             Some((known, fencing)) if known == weights => {
                 return CommandOutcome::Desired { fencing: *fencing };
             }
-            None if self.desired.len() >= DESIRED_WEIGHTS => {
-                let reason = "too many servers have desired weights; list fewer servers or models";
+            None if self.desired.len() >= DESIRED_MODELS => {
+                let reason = "too many models have desired weights; list fewer models";
                 return CommandOutcome::Refused { reason: reason.to_owned() };
             }
             _ => {}
         }
-        self.desired.insert(place, (weights.clone(), number));
+        self.desired.insert(model.clone(), (weights.clone(), number));
         CommandOutcome::Desired { fencing: number }
     }
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -7,7 +7,7 @@
             configuration::{ConfigPart, ConfigRequest, ConfigState},
             document::DocumentState,
             ledger::{ClaimHolder, ClaimRequest, IdempotencyLedger},
-            orders::{SuspectTable, WeightOrders},
+            orders::{ServerWeightOrders, SuspectTable, WeightOrders},
         },
         ids::FencingNumber,
     },
@@ -16,8 +16,10 @@
 };
 
 /// The version of the snapshot's encoding; an unknown one is refused.
-const STATE_VERSION: u32 = 2;
-/// The version before documents were kept; still read, so that an upgrade loses nothing.
+const STATE_VERSION: u32 = 3;
+/// The version that kept desired weights for each server; still read, so that an upgrade loses nothing.
+const VERSION_BY_SERVER: u32 = 2;
+/// The version before documents were kept; still read as well.
 const VERSION_WITHOUT_DOCUMENTS: u32 = 1;
 const HOUR_MS: u64 = 3_600_000;
 
@@ -32,6 +34,22 @@
     documents: DocumentState,
 }
 
+/// What snapshots of earlier versions have in common.
+#[derive(Deserialize)]
+struct FormerState {
+    configuration: ConfigState,
+    ledger: IdempotencyLedger,
+    orders: ServerWeightOrders,
+    suspects: SuspectTable,
+}
+
+impl FormerState {
+    fn upgrade(self, documents: DocumentState) -> ControlState {
+        let FormerState { configuration, ledger, orders, suspects } = self;
+        ControlState { configuration, ledger, orders: orders.into(), suspects, documents }
+    }
+}
+
 /// Why a snapshot cannot be read.
 #[derive(Clone, Debug, Display, PartialEq)]
 pub enum StateError {
@@ -89,9 +107,8 @@
             Command::NoteLife { vm, incarnation, now_ms } => {
                 self.ledger.note_life(vm, *incarnation, *now_ms)
             }
-            Command::DesireWeights { server, model, weights } => {
-                self.orders.desire((server.clone(), model.clone()), weights, number)
-            }
+            Command::DesireWeights { model, weights, .. }
+            | Command::DesireModel { model, weights } => self.orders.desire(model, weights, number),
             Command::NoteSuspect { fingerprint, strikes } => {
                 self.suspects.note(*fingerprint, *strikes, number.index)
             }
@@ -134,11 +151,13 @@
         let (version, rest) = postcard::take_from_bytes::<u32>(bytes).map_err(damaged)?;
         let mut state = match version {
             STATE_VERSION => postcard::from_bytes(rest).map_err(damaged)?,
+            VERSION_BY_SERVER => {
+                let (former, documents) = postcard::from_bytes(rest).map_err(damaged)?;
+                FormerState::upgrade(former, documents)
+            }
             VERSION_WITHOUT_DOCUMENTS => {
-                let (configuration, ledger, orders, suspects) =
-                    postcard::from_bytes(rest).map_err(damaged)?;
-                let documents = DocumentState::default();
-                ControlState { configuration, ledger, orders, suspects, documents }
+                let former = postcard::from_bytes(rest).map_err(damaged)?;
+                FormerState::upgrade(former, DocumentState::default())
             }
             unknown => return Err(StateError::UnknownVersion(unknown)),
         };
--- a/src/daemon/weight_orders.rs
+++ b/src/daemon/weight_orders.rs
@@ -9,12 +9,12 @@
     crate::{
         control::{Command, CommandOutcome, ProposeError, orders::DesiredWeights},
         daemon::{ConfigWatch, ControlPort, control_driver::ControlHandle},
-        ids::{ServerId, Term},
+        ids::{ModelId, ServerId, Term, WeightsVersion},
         inventory::{ActiveConfig, ServerKind},
         policy::LoadReport,
     },
     futures::future::BoxFuture,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         time::{Instant, sleep_until, timeout, timeout_at},
@@ -128,11 +128,11 @@
         };
         match action {
             OrderAction::Drain { server } => port.drain(server),
-            OrderAction::Propose { place, command } => drop(tokio::spawn(async move {
+            OrderAction::Propose { model, command } => drop(tokio::spawn(async move {
                 if let Err(error) = lease.propose(command).await {
-                    log::debug!(server = place.0.as_str(); "weights are not noted yet: {error}");
+                    log::debug!(model = model.as_str(); "weights are not noted yet: {error}");
                 }
-                let _ = results.send(OrderInput::Proposed { place }).await;
+                let _ = results.send(OrderInput::Proposed { model }).await;
             })),
             OrderAction::Look { server } => {
                 let address = address(&server);
@@ -189,9 +189,12 @@
     let register = &config.register;
     let engines = || register.servers.iter().filter(|server| server.kind == ServerKind::Engine);
     let fenced = engines().all(|server| server.checks_fencing);
-    let wanted = engines().flat_map(|server| {
-        let models = register.models.iter().filter(|model| server.models.contains(&model.id));
-        models.map(|model| ((server.id.clone(), model.id.clone()), model.weights.clone()))
+    let weights: BTreeMap<ModelId, WeightsVersion> =
+        register.models.iter().map(|model| (model.id.clone(), model.weights.clone())).collect();
+    let servers = engines().map(|server| {
+        let models = server.models.iter().filter(|model| weights.contains_key(*model));
+        (server.id.clone(), models.cloned().collect())
     });
-    OrderPlan { limit: config.rules.weight_loads, wanted: wanted.collect(), fenced }
+    let servers = servers.collect();
+    OrderPlan { limit: config.rules.weight_loads, weights, servers, fenced }
 }
--- a/src/daemon/weight_orders/order_core.rs
+++ b/src/daemon/weight_orders/order_core.rs
@@ -66,8 +66,10 @@
 pub struct OrderPlan {
     /// Loads that may run at the same time.
     pub limit: u32,
-    /// The version for each model at each server that may run it.
-    pub wanted: BTreeMap<OrderPlace, WeightsVersion>,
+    /// The version of each model.
+    pub weights: BTreeMap<ModelId, WeightsVersion>,
+    /// The models that each server may run; each of them has a version.
+    pub servers: BTreeMap<ServerId, BTreeSet<ModelId>>,
     /// Whether all these servers refuse orders with a lower number than one that they have seen.
     pub fenced: bool,
 }
@@ -127,8 +129,8 @@
     },
     /// A proposal ended, whatever came of it; the state tells.
     Proposed {
-        /// What it was for.
-        place: OrderPlace,
+        /// The model that it was for.
+        model: ModelId,
     },
     /// Time passed.
     Wake,
@@ -139,8 +141,8 @@
 pub enum OrderAction {
     /// Propose a command; exactly one `Proposed` follows.
     Propose {
-        /// What it is for.
-        place: OrderPlace,
+        /// The model that it is for.
+        model: ModelId,
         /// The command.
         command: Command,
     },
@@ -188,7 +190,7 @@
     /// One entry for each place of the plan, at most.
     given: BTreeMap<OrderPlace, GivenOrder>,
     /// Proposals under way; at most [`MOST_PROPOSALS`].
-    proposing: BTreeSet<OrderPlace>,
+    proposing: BTreeSet<ModelId>,
     next_number: u64,
 }
 
@@ -221,8 +223,8 @@
                     order.until = now + self.timing.retry_wait;
                 }
             }
-            OrderInput::Proposed { place } => {
-                self.proposing.remove(&place);
+            OrderInput::Proposed { model } => {
+                self.proposing.remove(&model);
             }
             OrderInput::Wake => {}
         }
@@ -243,9 +245,11 @@
     }
 
     fn configure(&mut self, plan: OrderPlan) {
-        self.sights.retain(|server, _| plan.wanted.keys().any(|(known, _)| known == server));
-        self.given.retain(|place, _| plan.wanted.contains_key(place));
-        for (server, _) in plan.wanted.keys() {
+        self.sights.retain(|server, _| plan.servers.contains_key(server));
+        self.given.retain(|(server, model), _| {
+            plan.servers.get(server).is_some_and(|models| models.contains(model))
+        });
+        for server in plan.servers.keys() {
             self.sights.entry(server.clone()).or_default();
         }
         self.plan = plan;
@@ -292,31 +296,30 @@
     }
 
     fn is_settled(&self, server: &ServerId) -> bool {
-        self.places_of(server).all(|(place, version)| self.observed(place) == Some(version))
+        let models = self.plan.servers.get(server).into_iter().flatten();
+        models.into_iter().all(|model| self.observed(server, model) == self.plan.weights.get(model))
     }
 
-    fn places_of(&self, server: &ServerId) -> impl Iterator<Item = (&OrderPlace, &WeightsVersion)> {
-        self.plan.wanted.iter().filter(move |((known, _), _)| known == server)
+    fn observed(&self, server: &ServerId, model: &ModelId) -> Option<&WeightsVersion> {
+        self.sights.get(server)?.report.as_ref()?.weights.get(model)
     }
 
-    fn observed(&self, (server, model): &OrderPlace) -> Option<&WeightsVersion> {
-        self.sights.get(server)?.report.as_ref()?.weights.get(model)
+    fn is_noted(&self, model: &ModelId, version: &WeightsVersion) -> bool {
+        self.desired.get(model).is_some_and(|(known, _)| known == version)
     }
 
-    /// Notes in the replicated state what the register wants: that gives each change its number.
+    /// Notes in the replicated state what is wanted: that gives each change its number.
     fn propose(&mut self, actions: &mut Vec<OrderAction>) {
-        for (place, version) in &self.plan.wanted {
-            let noted = self.desired.get(place).is_some_and(|(known, _)| known == version);
-            if noted || self.proposing.contains(place) {
+        for (model, version) in &self.plan.weights {
+            if self.is_noted(model, version) || self.proposing.contains(model) {
                 continue;
             }
             if self.proposing.len() >= MOST_PROPOSALS {
                 return;
             }
-            self.proposing.insert(place.clone());
-            let (server, model) = place.clone();
-            let command = Command::DesireWeights { server, model, weights: version.clone() };
-            actions.push(OrderAction::Propose { place: place.clone(), command });
+            self.proposing.insert(model.clone());
+            let command = Command::DesireModel { model: model.clone(), weights: version.clone() };
+            actions.push(OrderAction::Propose { model: model.clone(), command });
         }
     }
 
@@ -333,8 +336,7 @@
 
     /// Orders what is desired and not observed, a model after the other, within the limit.
     fn order(&mut self, now: Instant, term: Term, actions: &mut Vec<OrderAction>) {
-        let models: BTreeSet<ModelId> =
-            self.plan.wanted.keys().map(|(_, model)| model.clone()).collect();
+        let models: Vec<ModelId> = self.plan.weights.keys().cloned().collect();
         for model in models {
             let elsewhere = self.loads(now, |known| *known != model);
             let Some(limit) = self.plan.limit.max(1).checked_sub(elsewhere) else { return };
@@ -359,34 +361,36 @@
         running.filter(|(_, order)| now < order.until).count() as u32
     }
 
-    /// The servers of a model whose desired version the replicated state has noted already.
+    /// The servers of a model, once the replicated state has noted its version; none before.
     fn rollout(&self, now: Instant, model: &ModelId) -> BTreeMap<ServerId, RolloutServer> {
-        let places = self.plan.wanted.iter().filter(|((_, known), _)| known == model);
-        let noted = places.filter(|(place, version)| {
-            self.desired.get(*place).is_some_and(|(known, _)| known == *version)
-        });
-        noted
-            .filter_map(|(place, version)| {
-                let sight = self.sights.get(&place.0)?;
+        let noted = self.plan.weights.get(model).filter(|version| self.is_noted(model, version));
+        let Some(version) = noted else { return BTreeMap::new() };
+        let servers = self.plan.servers.iter().filter(|(_, models)| models.contains(model));
+        servers
+            .filter_map(|(server, _)| {
+                let sight = self.sights.get(server)?;
+                let place = (server.clone(), model.clone());
                 let drained = sight
                     .draining_since
                     .is_some_and(|since| now >= since + self.timing.drain_limit);
                 let running = sight.report.as_ref().map_or(0, |report| report.running);
-                let server = RolloutServer {
+                let rollout = RolloutServer {
                     desired: version.clone(),
-                    observed: self.observed(place).cloned(),
-                    loading: self.given.get(place).is_some_and(|order| now < order.until),
+                    observed: self.observed(server, model).cloned(),
+                    loading: self.given.get(&place).is_some_and(|order| now < order.until),
                     draining: sight.draining_since.is_some(),
                     alive: sight.alive,
                     in_flight: if drained { 0 } else { running },
                 };
-                Some((place.0.clone(), server))
+                Some((server.clone(), rollout))
             })
             .collect()
     }
 
     fn give(&mut self, now: Instant, term: Term, place: OrderPlace) -> Option<OrderAction> {
-        let (weights, fencing) = self.desired.get(&place)?.clone();
+        let (weights, _) = self.desired.get(&place.1)?.clone();
+        // A server compares the numbers of all models: the latest change's is never below another.
+        let fencing = self.desired.values().map(|(_, number)| *number).max()?;
         self.next_number += 1;
         let number = self.next_number;
         let given =
--- /dev/null
+++ b/tests/desired_weights.rs
@@ -0,0 +1,61 @@
+//! The desired weights in the replicated state.
+
+use {
+    oleandermount::{
+        control::{Command, CommandOutcome, state::ControlState},
+        ids::{FencingNumber, LogIndex},
+    },
+    std::collections::BTreeMap,
+};
+
+const MODEL: &str = "basket-llm";
+
+fn number(index: LogIndex) -> FencingNumber {
+    FencingNumber { term: 1, index }
+}
+
+fn desire(state: &mut ControlState, index: LogIndex, weights: &str) -> CommandOutcome {
+    let command = Command::DesireModel { model: MODEL.to_owned(), weights: weights.to_owned() };
+    state.apply(number(index), &command)
+}
+
+#[test]
+fn resend_keeps_number() {
+    let mut state = ControlState::default();
+    let first = CommandOutcome::Desired { fencing: number(1) };
+    assert_eq!(desire(&mut state, 1, "2"), first);
+    assert_eq!(desire(&mut state, 2, "2"), first);
+    assert_eq!(desire(&mut state, 3, "3"), CommandOutcome::Desired { fencing: number(3) });
+}
+
+/// Guards against an upgrade that loses the desired weights: earlier releases kept them by server.
+#[test]
+fn former_snapshot_read() {
+    let empty = ControlState::default().encode();
+    // The version is the first byte. Empty weights and suspects take one byte each, an empty document
+    // and no named weights three.
+    let (head, tail) = (&empty[1..empty.len() - 5], &empty[empty.len() - 4..]);
+    let place = |server: &str| (server.to_owned(), MODEL.to_owned());
+    let desired = BTreeMap::from([
+        (place("s0"), ("3".to_owned(), number(8))),
+        (place("s1"), ("2".to_owned(), number(5))),
+        (place("s2"), ("3".to_owned(), number(7))),
+    ]);
+    let desired = postcard::to_stdvec(&desired).expect("a map encodes");
+    let former = [&[2], head, &desired, tail].concat();
+    let state = ControlState::decode(&former).expect("it is read");
+    let expected = BTreeMap::from([(MODEL.to_owned(), ("3".to_owned(), number(7)))]);
+    assert_eq!(*state.orders().desired(), expected);
+}
+
+/// Guards against a log that cannot be read after an upgrade: earlier releases noted each server.
+#[test]
+fn former_log_read() {
+    let mut state = ControlState::default();
+    for (index, server) in [(4, "s0"), (5, "s1")] {
+        let (server, model) = (server.to_owned(), MODEL.to_owned());
+        let command = Command::DesireWeights { server, model, weights: "2".to_owned() };
+        let outcome = state.apply(number(index), &command);
+        assert_eq!(outcome, CommandOutcome::Desired { fencing: number(4) });
+    }
+}
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -81,12 +81,13 @@
     }
 
     fn want(&mut self, version: &str, index: u64) {
-        let place = |server: &str| (server.to_owned(), "m0".to_owned());
-        let wanted = Self::SERVERS.map(|server| (place(server), version.to_owned())).into();
+        let model = "m0".to_owned();
+        let weights = [(model.clone(), version.to_owned())].into();
+        let servers = Self::SERVERS.map(|server| (server.to_owned(), [model.clone()].into()));
         let number = FencingNumber { term: 1, index };
-        let desired =
-            Self::SERVERS.map(|server| (place(server), (version.to_owned(), number))).into();
-        self.give(OrderInput::Configure(OrderPlan { limit: 1, wanted, fenced: self.fenced }));
+        let desired = [(model, (version.to_owned(), number))].into();
+        let (servers, fenced) = (servers.into(), self.fenced);
+        self.give(OrderInput::Configure(OrderPlan { limit: 1, weights, servers, fenced }));
         self.give(OrderInput::Desired(Arc::new(desired)));
     }
 
--- a/tests/rolling_weights.rs
+++ b/tests/rolling_weights.rs
@@ -46,8 +46,9 @@
             most_loads: 0,
             orders: 0,
         };
-        let wanted = ids.into_iter().map(|id| ((id, MODEL.to_owned()), "v2".to_owned())).collect();
-        bench.give(OrderInput::Configure(OrderPlan { limit, wanted, fenced: false }));
+        let weights = [(MODEL.to_owned(), "v2".to_owned())].into();
+        let servers = ids.into_iter().map(|id| (id, [MODEL.to_owned()].into())).collect();
+        bench.give(OrderInput::Configure(OrderPlan { limit, weights, servers, fenced: false }));
         bench
     }
 
@@ -62,14 +63,12 @@
 
     fn perform(&mut self, action: OrderAction) -> Vec<OrderInput> {
         match action {
-            OrderAction::Propose { place, command } => {
-                let Command::DesireWeights { weights, .. } = command else {
-                    panic!("weights only")
-                };
+            OrderAction::Propose { model, command } => {
+                let Command::DesireModel { weights, .. } = command else { panic!("weights only") };
                 let index = self.desired.len() as u64 + 1;
-                self.desired.insert(place.clone(), (weights, FencingNumber { term: 1, index }));
+                self.desired.insert(model.clone(), (weights, FencingNumber { term: 1, index }));
                 let desired = Arc::new(self.desired.clone());
-                vec![OrderInput::Proposed { place }, OrderInput::Desired(desired)]
+                vec![OrderInput::Proposed { model }, OrderInput::Desired(desired)]
             }
             OrderAction::Look { server } => {
                 let (weights, _) = &self.engines[&server];
--- /dev/null
+++ b/tests/weight_turns.rs
@@ -0,0 +1,203 @@
+//! Weights that operators name faster than the servers of a large installation can load them: which
+//! servers have their turn, in virtual time and without a network.
+
+use {
+    oleandermount::{
+        control::{Command, orders::DesiredWeights},
+        daemon::weight_orders::order_core::*,
+        ids::{FencingNumber, ServerId, WeightsNumber},
+        node::orders::FLEET_TIMING,
+        policy::LoadReport,
+    },
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+const MODEL: &str = "basket-llm";
+const STEP: Duration = Duration::from_millis(10);
+/// From a proposal to its commit while the control VMs are busy.
+const COMMIT_TIME: Duration = Duration::from_millis(250);
+const LOAD_TIME: Duration = Duration::from_millis(400);
+/// How old a server's report is.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+/// How long operators allow a server to stay on weights after newer ones were named.
+const AGE_ALLOWED: Duration = Duration::from_secs(8);
+
+struct BusyEngine {
+    /// The versions that it had, with the moment from which it had them; the last is its present one.
+    versions: Vec<(Instant, WeightsNumber)>,
+    load: Option<(WeightsNumber, Instant)>,
+}
+
+impl BusyEngine {
+    fn version_at(&self, moment: Instant) -> WeightsNumber {
+        let had = self.versions.iter().rev().find(|(since, _)| *since <= moment);
+        had.unwrap_or(&self.versions[0]).1
+    }
+}
+
+/// A leader's orders to engines that always have work.
+struct TurnBench {
+    now: Instant,
+    core: OrderCore,
+    desired: DesiredWeights,
+    log_index: u64,
+    engines: BTreeMap<ServerId, BusyEngine>,
+    commits: Vec<(Instant, OrderInput, Command)>,
+    named: Vec<(Instant, WeightsNumber)>,
+    /// Orders of a version that their server had accepted before.
+    repeated: usize,
+}
+
+impl TurnBench {
+    fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let engine = |number| {
+            let versions = vec![(now, 1)];
+            (format!("i-{number:04}"), BusyEngine { versions, load: None })
+        };
+        let mut bench = TurnBench {
+            now,
+            core: OrderCore::with_timing(FLEET_TIMING),
+            desired: DesiredWeights::new(),
+            log_index: 0,
+            engines: (0..count).map(engine).collect(),
+            commits: Vec::new(),
+            named: vec![(now, 1)],
+            repeated: 0,
+        };
+        bench.give(OrderInput::Lease(Some((1, now))));
+        bench
+    }
+
+    fn name(&mut self, version: WeightsNumber) {
+        self.named.push((self.now, version));
+        let limit = u32::try_from(self.engines.len().div_ceil(6)).expect("it is small");
+        let weights = [(MODEL.to_owned(), version.to_string())].into();
+        let servers = self.engines.keys().map(|id| (id.clone(), [MODEL.to_owned()].into()));
+        let plan = OrderPlan { limit, weights, servers: servers.collect(), fenced: true };
+        self.give(OrderInput::Configure(plan));
+    }
+
+    fn give(&mut self, input: OrderInput) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for action in self.core.handle(self.now, input) {
+                inputs.extend(self.perform(action));
+            }
+        }
+    }
+
+    fn perform(&mut self, action: OrderAction) -> Option<OrderInput> {
+        match action {
+            OrderAction::Propose { model, command } => {
+                let input = OrderInput::Proposed { model };
+                self.commits.push((self.now + COMMIT_TIME, input, command));
+                None
+            }
+            OrderAction::Look { server } => {
+                let version = self.engines[&server].version_at(self.now - REPORT_LAG);
+                let report = LoadReport {
+                    server: server.clone(),
+                    incarnation: 1,
+                    weights: [(MODEL.to_owned(), version.to_string())].into(),
+                    running: 5,
+                    waiting: 0,
+                    waiting_tokens: 0,
+                    cache_used: 0.0,
+                    leaving: false,
+                };
+                Some(OrderInput::Looked { server, report: Some(report) })
+            }
+            OrderAction::Drain { .. } => None,
+            OrderAction::Order(order) => Some(self.accept(order)),
+        }
+    }
+
+    fn accept(&mut self, order: WeightOrder) -> OrderInput {
+        let version: WeightsNumber = order.weights.parse().expect("versions are numbers");
+        let engine = self.engines.get_mut(&order.server).expect("it is known");
+        let loading = engine.load.map(|(version, _)| version);
+        let newest = loading.or(engine.versions.last().map(|(_, version)| *version));
+        let mut result = OrderResult::NotTaken;
+        if newest == Some(version) {
+            self.repeated += 1;
+            result = OrderResult::Taken;
+        } else if loading.is_none() {
+            engine.load = Some((version, self.now + LOAD_TIME));
+            result = OrderResult::Taken;
+        }
+        OrderInput::Ordered { place: (order.server, order.model), number: order.number, result }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        for engine in self.engines.values_mut() {
+            if let Some((version, _)) = engine.load.take_if(|(_, until)| now >= *until) {
+                engine.versions.push((now, version));
+            }
+        }
+        let (due, later) = self.commits.drain(..).partition(|(at, ..)| now >= *at);
+        self.commits = later;
+        for (_, input, command) in due {
+            let Command::DesireModel { model, weights } = command else { panic!("weights only") };
+            self.log_index += 1;
+            let number = FencingNumber { term: 1, index: self.log_index };
+            self.desired.insert(model, (weights, number));
+            self.give(OrderInput::Desired(Arc::new(self.desired.clone())));
+            self.give(input);
+        }
+        self.give(OrderInput::Wake);
+    }
+
+    /// How long the server that waited longest has been on weights after newer ones were named.
+    fn greatest_age(&self) -> Duration {
+        let age = |engine: &BusyEngine| {
+            let version = engine.version_at(self.now);
+            let newer = self.named.iter().find(|(_, named)| *named > version);
+            newer.map_or(Duration::ZERO, |(at, _)| self.now - *at)
+        };
+        self.engines.values().map(age).max().unwrap_or_default()
+    }
+}
+
+/// Guards against answers on weights that were replaced long ago: the servers listed last never had
+/// their turn while newer versions kept coming.
+#[test]
+fn everyone_has_a_turn() {
+    for count in [320, 870] {
+        let mut bench = TurnBench::new(count);
+        let begin = bench.now;
+        let mut moments = [2_000, 5_100, 9_000, 13_000].map(Duration::from_millis).into_iter();
+        let mut next = moments.next();
+        for version in 2.. {
+            while bench.now - begin < next.unwrap_or(Duration::from_secs(30)) {
+                bench.step();
+                let age = bench.greatest_age();
+                let at = bench.now - begin;
+                assert!(age <= AGE_ALLOWED, "{count} servers: weights {age:?} old at {at:?}");
+            }
+            let Some(_) = next else { break };
+            bench.name(version);
+            next = moments.next();
+        }
+        assert_eq!(bench.greatest_age(), Duration::ZERO, "all have the last version");
+    }
+}
+
+/// Guards against turns lost to orders of weights that a server has accepted already.
+#[test]
+fn accepted_once() {
+    let mut bench = TurnBench::new(60);
+    for version in 2..6 {
+        bench.name(version);
+        for _ in 0..400 {
+            bench.step();
+        }
+    }
+    assert_eq!(bench.repeated, 0);
+}
