--- a/src/daemon/weight_orders.rs
+++ b/src/daemon/weight_orders.rs
@@ -1,10 +1,14 @@
 //! Brings each engine to the weights that the register wants: desired against observed.
 
+pub mod notice;
 pub mod order_core;
 
 use {
-    self::order_core::{
-        OrderAction, OrderCore, OrderInput, OrderPlan, OrderResult, OrderTiming, WeightOrder,
+    self::{
+        notice::RolloutNotice,
+        order_core::{
+            OrderAction, OrderCore, OrderInput, OrderPlan, OrderResult, OrderTiming, WeightOrder,
+        },
     },
     crate::{
         control::{Command, CommandOutcome, ProposeError, orders::DesiredWeights},
@@ -68,6 +72,7 @@
     port: Arc<dyn OrderPort>,
     config: ConfigWatch,
     desired: watch::Receiver<Arc<DesiredWeights>>,
+    notice: RolloutNotice,
 }
 
 impl WeightOrders {
@@ -78,7 +83,8 @@
         config: ConfigWatch,
         desired: watch::Receiver<Arc<DesiredWeights>>,
     ) -> Self {
-        Self { core: OrderCore::default(), lease, port, config, desired }
+        let notice = RolloutNotice::default();
+        Self { core: OrderCore::default(), lease, port, config, desired, notice }
     }
 
     /// The same with its own timing.
@@ -112,8 +118,10 @@
 
     fn take(&mut self, input: OrderInput, results: &mpsc::Sender<OrderInput>) {
         let now = Instant::now().into_std();
-        let mut actions = self.core.handle(now, OrderInput::Lease(self.lease.lease()));
+        let lease = self.lease.lease();
+        let mut actions = self.core.handle(now, OrderInput::Lease(lease));
         actions.extend(self.core.handle(now, input));
+        self.notice.note(now, lease.map(|(term, _)| term), &self.core);
         for action in actions {
             self.perform(action, results.clone());
         }
--- a/src/daemon/weight_orders/order_core.rs
+++ b/src/daemon/weight_orders/order_core.rs
@@ -74,6 +74,28 @@
     pub fenced: bool,
 }
 
+/// What an order was decided by, for the log.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OrderGrounds {
+    /// The version that the server reported last.
+    pub observed: Option<WeightsVersion>,
+    /// How long the ordered version has been wanted here.
+    pub wanted_for: Duration,
+    /// Orders of this version that the server was given before, in this term.
+    pub given_before: u32,
+}
+
+/// How many servers do not have the version that is wanted of a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PendingServers {
+    /// The version.
+    pub weights: WeightsVersion,
+    /// Since when it has been wanted here.
+    pub since: Instant,
+    /// Servers that answer and report another one, or have not answered yet.
+    pub servers: usize,
+}
+
 /// An order to load weights.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WeightOrder {
@@ -91,6 +113,8 @@
     pub send_before: Instant,
     /// Tells this order from others.
     pub number: u64,
+    /// What it was decided by.
+    pub grounds: OrderGrounds,
 }
 
 /// What became of an order.
@@ -168,6 +192,8 @@
     looking: bool,
     next_look: Option<Instant>,
     draining_since: Option<Instant>,
+    /// The version last ordered of each model, and how often; only of the server's models.
+    ordered: BTreeMap<ModelId, (WeightsVersion, u32)>,
 }
 
 /// An order that was given.
@@ -183,6 +209,8 @@
 pub struct OrderCore {
     timing: OrderTiming,
     plan: OrderPlan,
+    /// Since when the plan has the version of each of its models.
+    wanted_since: BTreeMap<ModelId, Instant>,
     desired: Arc<DesiredWeights>,
     lease: Option<(Term, Instant)>,
     /// One entry for each server of the plan, at most.
@@ -211,7 +239,7 @@
     /// Takes one input.
     pub fn handle(&mut self, now: Instant, input: OrderInput) -> Vec<OrderAction> {
         match input {
-            OrderInput::Configure(plan) => self.configure(plan),
+            OrderInput::Configure(plan) => self.configure(now, plan),
             OrderInput::Desired(desired) => self.desired = desired,
             OrderInput::Lease(lease) => self.take_lease(lease),
             OrderInput::Looked { server, report } => self.take_report(now, &server, report),
@@ -244,7 +272,30 @@
         actions
     }
 
-    fn configure(&mut self, plan: OrderPlan) {
+    /// What is still to do, by model of the plan.
+    pub fn pending(&self) -> BTreeMap<ModelId, PendingServers> {
+        let pending = self.plan.weights.iter().map(|(model, weights)| {
+            let servers = self.plan.servers.iter().filter(|(_, models)| models.contains(model));
+            let behind = servers.filter(|(server, _)| {
+                let answers = self.sights.get(*server).is_some_and(|sight| {
+                    sight.alive || (sight.report.is_none() && sight.next_look.is_none())
+                });
+                answers && self.observed(server, model) != Some(weights)
+            });
+            let since = self.wanted_since[model];
+            let pending =
+                PendingServers { weights: weights.clone(), since, servers: behind.count() };
+            (model.clone(), pending)
+        });
+        pending.collect()
+    }
+
+    fn configure(&mut self, now: Instant, plan: OrderPlan) {
+        self.wanted_since
+            .retain(|model, _| plan.weights.get(model) == self.plan.weights.get(model));
+        for model in plan.weights.keys() {
+            self.wanted_since.entry(model.clone()).or_insert(now);
+        }
         self.sights.retain(|server, _| plan.servers.contains_key(server));
         self.given.retain(|(server, model), _| {
             plan.servers.get(server).is_some_and(|models| models.contains(model))
@@ -397,12 +448,29 @@
             GivenOrder { number, weights: weights.clone(), until: now + self.timing.load_limit };
         self.given.insert(place.clone(), given);
         let (server, model) = place;
-        if let Some(sight) = self.sights.get_mut(&server) {
-            // Until the load was ordered it was looked at as one that waits, which is seldom.
-            sight.next_look = Some(now + self.timing.busy_look);
+        let sight = self.sights.get_mut(&server)?;
+        // Until the load was ordered it was looked at as one that waits, which is seldom.
+        sight.next_look = Some(now + self.timing.busy_look);
+        let ordered = sight.ordered.entry(model.clone()).or_default();
+        if ordered.0 != weights {
+            *ordered = (weights.clone(), 0);
         }
+        let grounds = OrderGrounds {
+            observed: sight.report.as_ref().and_then(|report| report.weights.get(&model).cloned()),
+            wanted_for: self.wanted_since.get(&model).map_or(Duration::ZERO, |since| now - *since),
+            given_before: ordered.1,
+        };
+        ordered.1 += 1;
         let send_before = now + ORDER_LIFE;
-        let order = WeightOrder { server, model, weights, fencing, term, send_before, number };
-        Some(OrderAction::Order(order))
+        Some(OrderAction::Order(WeightOrder {
+            server,
+            model,
+            weights,
+            fencing,
+            term,
+            send_before,
+            number,
+            grounds,
+        }))
     }
 }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -5,7 +5,7 @@
         control::document::DocumentState,
         daemon::weight_orders::{
             OrderPort,
-            order_core::{OrderResult, OrderTiming, WeightOrder},
+            order_core::{OrderGrounds, OrderResult, OrderTiming, WeightOrder},
         },
         fleet::{FleetSnapshot, ServerPhase, watch::FleetBoard},
         ids::{ModelId, ServerId, WeightsNumber},
@@ -182,11 +182,12 @@
     fn order(&self, address: SocketAddr, order: WeightOrder) -> BoxFuture<'_, OrderResult> {
         self.hold(&order.server);
         Box::pin(async move {
-            let (server, model, version) =
-                (order.server.clone(), order.model.clone(), order.weights.clone());
-            let result = self.engines.order(address, order, RUNNING_WORK).await;
-            log::info!(server = server.as_str(), model = model.as_str(),
-                weights = version.as_str(), result:? = result; "{}", events::WEIGHTS_ORDERED);
+            let result = self.engines.order(address, order.clone(), RUNNING_WORK).await;
+            let OrderGrounds { observed, wanted_for, given_before } = order.grounds;
+            log::info!(server = order.server.as_str(), model = order.model.as_str(),
+                weights = order.weights.as_str(), result:? = result, observed = observed.as_deref(),
+                wanted_ms = wanted_for.as_millis() as u64, given_before = given_before;
+                "{}", events::WEIGHTS_ORDERED);
             result
         })
     }
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -35,8 +35,15 @@
 pub const KEEP_LOST: &str = "KV cache store lost";
 /// It can again; it may be empty.
 pub const KEEP_BACK: &str = "KV cache store back";
-/// An order to load weights was sent.
+/// An order to load weights was sent, with the version that the server had, how long the ordered one
+/// has been wanted, and how often the server was given it before.
 pub const WEIGHTS_ORDERED: &str = "weight order sent";
+/// This replica holds a lease and orders weights.
+pub const ORDERS_BEGIN: &str = "weight orders begin";
+/// Its lease is over; `pending` servers do not have their weights yet.
+pub const ORDERS_END: &str = "weight orders end";
+/// All servers that answer have a version; `took_ms` since it was wanted here.
+pub const WEIGHTS_IN_FORCE: &str = "weights in force";
 
 /// The daemon follows a control VM.
 pub const FOLLOWING: &str = "following a control VM";
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -45,6 +45,8 @@
 pub const CONFIG_REVISION: &str = "oleandermount_config_revision";
 /// Seconds since this entry last heard from a control VM that is up to date; 0 while it does.
 pub const CONFIG_UNCONFIRMED: &str = "oleandermount_config_unconfirmed_seconds";
+/// Backend servers that do not have the wanted weights yet, by `model`; on the leader alone.
+pub const WEIGHTS_PENDING: &str = "oleandermount_weights_pending_servers";
 /// Connections of other daemons refused for their keys.
 pub const PEERS_REFUSED: &str = "oleandermount_peers_refused_total";
 /// Connections of callers and operators that are open.
@@ -200,6 +202,7 @@
     describe_gauge!(IN_FLIGHT, "Requests in flight from this daemon, by server.");
     describe_gauge!(CONFIG_REVISION, "Configuration revision in force at this daemon.");
     describe_gauge!(CONFIG_UNCONFIRMED, "Seconds since a control VM that is up to date answered.");
+    describe_gauge!(WEIGHTS_PENDING, "Backend servers without the wanted weights, on the leader.");
     describe_counter!(DUTIES_DROPPED, "Cancel calls, probes and digests that were dropped.");
     describe_counter!(CROSSED_ANSWERS, "Answers that belonged to another attempt.");
     describe_counter!(PEERS_REFUSED, "Daemons refused for their keys.");
--- a/tests/rolling_weights.rs
+++ b/tests/rolling_weights.rs
@@ -203,6 +203,7 @@
         term: 1,
         send_before: now + ORDER_LIFE,
         number: 1,
+        grounds: OrderGrounds::default(),
     };
     let send = |order| send_order(&ports, &ports, address, order);
     assert_eq!(send(order.clone()).await, OrderResult::Taken);
