--- a/src/daemon/weight_orders.rs
+++ b/src/daemon/weight_orders.rs
@@ -2,6 +2,7 @@
 
 pub mod notice;
 pub mod order_core;
+mod order_types;
 
 use {
     self::{
@@ -29,7 +30,7 @@
 const QUEUE_LENGTH: usize = 128;
 /// A server that does not tell its state for so long counts as away.
 const LOOK_LIMIT: Duration = Duration::from_secs(1);
-/// How often a replica that does not lead looks whether it does.
+/// How often it is looked whether this replica leads.
 const LEASE_LOOK: Duration = Duration::from_millis(250);
 
 /// Speaks to engines.
@@ -99,7 +100,7 @@
         self.desired.mark_changed();
         loop {
             let now = Instant::now();
-            let wakeup = self.core.next_wakeup(now.into_std()).map(Instant::from_std);
+            let wakeup = self.core.next_wakeup().map_or(now + LEASE_LOOK, Instant::from_std);
             let input = tokio::select! {
                 Some(input) = queue.recv() => input,
                 changed = self.config.changed() => match changed {
@@ -110,7 +111,7 @@
                     Ok(()) => OrderInput::Desired(self.desired.borrow_and_update().clone()),
                     Err(_gone) => return,
                 },
-                () = sleep_until(wakeup.unwrap_or(now + LEASE_LOOK)) => OrderInput::Wake,
+                () = sleep_until(wakeup.min(now + LEASE_LOOK)) => OrderInput::Wake,
             };
             self.take(input, &results);
         }
--- a/src/daemon/weight_orders/order_core.rs
+++ b/src/daemon/weight_orders/order_core.rs
@@ -1,10 +1,15 @@
 //! Decides which weights to note, which servers to look at and which loads to order: without a
 //! network.
 
+pub use super::order_types::{
+    OrderAction, OrderGrounds, OrderInput, OrderPlace, OrderPlan, OrderResult, OrderTiming,
+    PendingServers, WeightOrder,
+};
+
 use {
     crate::{
         control::{Command, orders::DesiredWeights},
-        ids::{FencingNumber, ModelId, ServerId, Term, WeightsVersion},
+        ids::{ModelId, ServerId, Term, WeightsVersion},
         policy::{
             LoadReport,
             rollout::{RolloutServer, next_step},
@@ -21,35 +26,6 @@
 pub const ORDER_LIFE: Duration = Duration::from_secs(2);
 /// The longest lease that a former leader can still hold when a new one is elected.
 pub const OLD_LEASE: Duration = Duration::from_secs(1);
-/// When orders are given and servers looked at.
-#[derive(Clone, Copy, Debug)]
-pub struct OrderTiming {
-    /// How long a server may report other weights after an accepted order before it is ordered
-    /// again.
-    pub load_limit: Duration,
-    /// After an order that did not arrive.
-    pub retry_wait: Duration,
-    /// How long a server is given to finish its work before it loads anyway.
-    pub drain_limit: Duration,
-    /// Between two looks at a server that is not as desired.
-    pub busy_look: Duration,
-    /// Between two looks at a server that is as desired, at least.
-    pub idle_look: Duration,
-}
-
-impl Default for OrderTiming {
-    /// A load takes 0.6 s, several times that beside others, and reports lag.
-    fn default() -> Self {
-        OrderTiming {
-            load_limit: Duration::from_secs(10),
-            retry_wait: Duration::from_secs(1),
-            drain_limit: Duration::from_secs(10),
-            busy_look: Duration::from_millis(250),
-            idle_look: Duration::from_secs(2),
-        }
-    }
-}
-
 /// Between two looks at a server that is as desired, for each server there is: the leader looks at
 /// 30 a second at most.
 const IDLE_LOOK_EACH: Duration = Duration::from_millis(35);
@@ -57,132 +33,8 @@
 const MOST_LOOKS: usize = 32;
 /// Proposals under way at once.
 const MOST_PROPOSALS: usize = 16;
-
-/// A server and one model that it runs.
-pub type OrderPlace = (ServerId, ModelId);
-
-/// What the register and the rules want.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct OrderPlan {
-    /// Loads that may run at the same time.
-    pub limit: u32,
-    /// The version of each model.
-    pub weights: BTreeMap<ModelId, WeightsVersion>,
-    /// The models that each server may run; each of them has a version.
-    pub servers: BTreeMap<ServerId, BTreeSet<ModelId>>,
-    /// Whether all these servers refuse orders with a lower number than one that they have seen.
-    pub fenced: bool,
-}
-
-/// What an order was decided by, for the log.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct OrderGrounds {
-    /// The version that the server reported last.
-    pub observed: Option<WeightsVersion>,
-    /// How long the ordered version has been wanted here.
-    pub wanted_for: Duration,
-    /// Orders of this version that the server was given before, in this term.
-    pub given_before: u32,
-}
-
-/// How many servers do not have the version that is wanted of a model.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PendingServers {
-    /// The version.
-    pub weights: WeightsVersion,
-    /// Since when it has been wanted here.
-    pub since: Instant,
-    /// Servers that answer and report another one, or have not answered yet.
-    pub servers: usize,
-}
-
-/// An order to load weights.
-#[derive(Clone, Debug, PartialEq)]
-pub struct WeightOrder {
-    /// The server.
-    pub server: ServerId,
-    /// The model.
-    pub model: ModelId,
-    /// The version.
-    pub weights: WeightsVersion,
-    /// The number that servers compare, where they do.
-    pub fencing: FencingNumber,
-    /// The leader's term at the decision; in another term the order must not be sent.
-    pub term: Term,
-    /// After this the order must not be sent.
-    pub send_before: Instant,
-    /// Tells this order from others.
-    pub number: u64,
-    /// What it was decided by.
-    pub grounds: OrderGrounds,
-}
-
-/// What became of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderResult {
-    /// The server took it, or may have.
-    Taken,
-    /// It surely did not: not sent, or refused.
-    NotTaken,
-}
-
-/// What can happen.
-#[derive(Clone, Debug)]
-pub enum OrderInput {
-    /// The configuration changed.
-    Configure(OrderPlan),
-    /// The replicated state changed.
-    Desired(Arc<DesiredWeights>),
-    /// This replica leads under a lease in this term since this time, or does not.
-    Lease(Option<(Term, Instant)>),
-    /// A look at a server ended, with a report if it answered.
-    Looked {
-        /// The server.
-        server: ServerId,
-        /// Its report.
-        report: Option<LoadReport>,
-    },
-    /// An order ended.
-    Ordered {
-        /// Where.
-        place: OrderPlace,
-        /// Its number.
-        number: u64,
-        /// What became of it.
-        result: OrderResult,
-    },
-    /// A proposal ended, whatever came of it; the state tells.
-    Proposed {
-        /// The model that it was for.
-        model: ModelId,
-    },
-    /// Time passed.
-    Wake,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum OrderAction {
-    /// Propose a command; exactly one `Proposed` follows.
-    Propose {
-        /// The model that it is for.
-        model: ModelId,
-        /// The command.
-        command: Command,
-    },
-    /// Ask a server for its report; exactly one `Looked` follows.
-    Look {
-        /// The server.
-        server: ServerId,
-    },
-    /// Give a server no new work for now.
-    Drain {
-        /// The server.
-        server: ServerId,
-    },
-    /// Send an order if the lease still holds; exactly one `Ordered` follows.
-    Order(WeightOrder),
-}
+/// Between two decisions, which each go over all servers.
+const DECIDE_EVERY: Duration = Duration::from_millis(10);
 
 /// What is known of one server.
 #[derive(Default)]
@@ -192,10 +44,22 @@
     looking: bool,
     next_look: Option<Instant>,
     draining_since: Option<Instant>,
+    /// Orders whose end is not seen yet; at most one for each model of the server.
+    given: BTreeMap<ModelId, GivenOrder>,
     /// The version last ordered of each model, and how often; only of the server's models.
     ordered: BTreeMap<ModelId, (WeightsVersion, u32)>,
 }
 
+impl ServerSight {
+    fn observed(&self, model: &ModelId) -> Option<&WeightsVersion> {
+        self.report.as_ref()?.weights.get(model)
+    }
+
+    fn is_loading(&self, model: &ModelId, now: Instant) -> bool {
+        self.given.get(model).is_some_and(|order| now < order.until)
+    }
+}
+
 /// An order that was given.
 struct GivenOrder {
     number: u64,
@@ -204,7 +68,7 @@
     until: Instant,
 }
 
-/// The state of the weight orders at one replica; all of it is dropped with the lease.
+/// The state of the weight orders at one replica; what is seen and given is dropped with the term.
 #[derive(Default)]
 pub struct OrderCore {
     timing: OrderTiming,
@@ -213,13 +77,17 @@
     wanted_since: BTreeMap<ModelId, Instant>,
     desired: Arc<DesiredWeights>,
     lease: Option<(Term, Instant)>,
-    /// One entry for each server of the plan, at most.
+    /// The last term in which there was a lease.
+    term: Term,
+    /// One entry for each server of the plan.
     sights: BTreeMap<ServerId, ServerSight>,
-    /// One entry for each place of the plan, at most.
-    given: BTreeMap<OrderPlace, GivenOrder>,
     /// Proposals under way; at most [`MOST_PROPOSALS`].
     proposing: BTreeSet<ModelId>,
     next_number: u64,
+    /// The last decision.
+    decided: Option<Instant>,
+    /// When the next one is wanted; never earlier than [`DECIDE_EVERY`] after the last.
+    due: Option<Instant>,
 }
 
 impl OrderCore {
@@ -229,22 +97,32 @@
     }
 
     /// When `Wake` is wanted next; a replica that does not lead wants none.
-    pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
-        let draining = self.sights.values().any(|sight| sight.draining_since.is_some());
-        let pause = self.timing.busy_look;
-        let pause = if draining { pause.min(self.timing.drain_limit) } else { pause };
-        self.lease.map(|_| now + pause)
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        self.lease.and(self.due)
     }
 
     /// Takes one input.
     pub fn handle(&mut self, now: Instant, input: OrderInput) -> Vec<OrderAction> {
+        if self.take(now, input) {
+            let earliest = self.decided.map_or(now, |at| (at + DECIDE_EVERY).max(now));
+            self.due = Some(self.due.map_or(earliest, |due| due.min(earliest)));
+        }
+        match (self.lease, self.due) {
+            (Some((term, since)), Some(due)) if now >= due => self.decide(now, term, since),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes one input; true if there may be something to do that time alone does not bring.
+    fn take(&mut self, now: Instant, input: OrderInput) -> bool {
         match input {
             OrderInput::Configure(plan) => self.configure(now, plan),
             OrderInput::Desired(desired) => self.desired = desired,
-            OrderInput::Lease(lease) => self.take_lease(lease),
-            OrderInput::Looked { server, report } => self.take_report(now, &server, report),
-            OrderInput::Ordered { place, number, result } => {
-                if let Some(order) = self.given.get_mut(&place)
+            OrderInput::Lease(lease) => return self.take_lease(lease),
+            OrderInput::Looked { server, report } => return self.take_report(now, &server, report),
+            OrderInput::Ordered { place: (server, model), number, result } => {
+                let sight = self.sights.get_mut(&server);
+                if let Some(order) = sight.and_then(|sight| sight.given.get_mut(&model))
                     && order.number == number
                     && result == OrderResult::NotTaken
                 {
@@ -254,24 +132,42 @@
             OrderInput::Proposed { model } => {
                 self.proposing.remove(&model);
             }
-            OrderInput::Wake => {}
+            OrderInput::Wake => return false,
         }
+        true
+    }
+
+    fn decide(&mut self, now: Instant, term: Term, since: Instant) -> Vec<OrderAction> {
         let mut actions = Vec::new();
-        if let Some((term, since)) = self.lease {
-            self.propose(&mut actions);
-            self.look(now, &mut actions);
-            // A former leader may send under its lease until that ends, and what it sent may be
-            // under way for an order's life. An order given before could be overtaken by one of
-            // those at a server that does not check numbers, and the older version would stay. Servers
-            // that do check refuse the former leader's, so the 3 s of waiting would only keep them
-            // on replaced weights for longer.
-            if self.plan.fenced || now >= since + OLD_LEASE + ORDER_LIFE {
-                self.order(now, term, &mut actions);
-            }
+        self.propose(&mut actions);
+        self.look(now, &mut actions);
+        // A former leader may send under its lease until that ends, and what it sent may be under way
+        // for an order's life. An order given before could be overtaken by one of those at a server
+        // that does not check numbers, and the older version would stay. Servers that do check refuse
+        // the former leader's, so the 3 s of waiting would only keep them on replaced weights for
+        // longer.
+        let unfenced_from = since + OLD_LEASE + ORDER_LIFE;
+        if self.plan.fenced || now >= unfenced_from {
+            self.order(now, term, &mut actions);
         }
+        let waits = (!self.plan.fenced && now < unfenced_from).then_some(unfenced_from);
+        let due = self.next_change(now).into_iter().chain(waits).min();
+        self.decided = Some(now);
+        self.due = due.map(|due| due.max(now + DECIDE_EVERY));
         actions
     }
 
+    /// When time alone makes something to do.
+    fn next_change(&self, now: Instant) -> Option<Instant> {
+        let changes = self.sights.values().flat_map(|sight| {
+            let look = (!sight.looking).then_some(sight.next_look.unwrap_or(now));
+            let drained = sight.draining_since.map(|since| since + self.timing.drain_limit);
+            let ends = sight.given.values().map(|order| order.until);
+            look.into_iter().chain(drained.into_iter().chain(ends).filter(move |at| *at > now))
+        });
+        changes.min()
+    }
+
     /// What is still to do, by model of the plan.
     pub fn pending(&self) -> BTreeMap<ModelId, PendingServers> {
         let pending = self.plan.weights.iter().map(|(model, weights)| {
@@ -296,9 +192,10 @@
         for model in plan.weights.keys() {
             self.wanted_since.entry(model.clone()).or_insert(now);
         }
-        self.sights.retain(|server, _| plan.servers.contains_key(server));
-        self.given.retain(|(server, model), _| {
-            plan.servers.get(server).is_some_and(|models| models.contains(model))
+        self.sights.retain(|server, sight| {
+            let models = plan.servers.get(server);
+            sight.given.retain(|model, _| models.is_some_and(|models| models.contains(model)));
+            models.is_some()
         });
         for server in plan.servers.keys() {
             self.sights.entry(server.clone()).or_default();
@@ -306,44 +203,51 @@
         self.plan = plan;
     }
 
-    fn take_lease(&mut self, lease: Option<(Term, Instant)>) {
-        let same = |(term, _): (Term, Instant)| self.lease.is_some_and(|held| held.0 == term);
-        if !lease.is_some_and(same) {
-            self.given.clear();
+    /// True if the lease is another one than before.
+    ///
+    /// A lease that lapsed and came back in its term was nobody else's meanwhile, so what was seen and
+    /// given still holds.
+    fn take_lease(&mut self, lease: Option<(Term, Instant)>) -> bool {
+        if let Some((term, _)) = lease
+            && term != self.term
+        {
+            self.term = term;
             for sight in self.sights.values_mut() {
                 *sight = ServerSight { looking: sight.looking, ..ServerSight::default() };
             }
         }
+        let changed = self.lease != lease;
         self.lease = lease;
+        changed
     }
 
-    fn take_report(&mut self, now: Instant, server: &ServerId, report: Option<LoadReport>) {
-        let Some(sight) = self.sights.get_mut(server) else { return };
+    /// True if the server may need something now.
+    fn take_report(&mut self, now: Instant, server: &ServerId, report: Option<LoadReport>) -> bool {
+        let count = u32::try_from(self.sights.len()).unwrap_or(u32::MAX);
+        let idle = self.timing.idle_look.max(IDLE_LOOK_EACH.saturating_mul(count));
+        let Some(sight) = self.sights.get_mut(server) else { return false };
         sight.looking = false;
         sight.alive = report.as_ref().is_some_and(|report| !report.leaving);
         if let Some(report) = report {
             // A load is over when the server says so, which frees a place for the next. If a later
             // version is wanted by then, the server waits for its turn like all others.
-            let before = self.given.len();
-            self.given.retain(|(ordered, model), order| {
-                ordered != server || report.weights.get(model) != Some(&order.weights)
-            });
-            if self.given.len() < before {
+            let before = sight.given.len();
+            sight.given.retain(|model, order| report.weights.get(model) != Some(&order.weights));
+            if sight.given.len() < before {
                 sight.draining_since = None;
             }
             sight.report = Some(report);
         }
         let settled = self.is_settled(server);
-        let count = u32::try_from(self.sights.len()).unwrap_or(u32::MAX);
-        let idle = self.timing.idle_look.max(IDLE_LOOK_EACH.saturating_mul(count));
-        let busy = self.given.keys().any(|(ordered, _)| ordered == server);
-        let Some(sight) = self.sights.get_mut(server) else { return };
+        let Some(sight) = self.sights.get_mut(server) else { return false };
         if settled {
             sight.draining_since = None;
         }
         // A server that waits for its turn does not change by itself.
-        let quick = busy || sight.draining_since.is_some() || (!settled && !sight.alive);
+        let quick =
+            !sight.given.is_empty() || sight.draining_since.is_some() || (!settled && !sight.alive);
         sight.next_look = Some(now + if quick { self.timing.busy_look } else { idle });
+        true
     }
 
     fn is_settled(&self, server: &ServerId) -> bool {
@@ -352,7 +256,7 @@
     }
 
     fn observed(&self, server: &ServerId, model: &ModelId) -> Option<&WeightsVersion> {
-        self.sights.get(server)?.report.as_ref()?.weights.get(model)
+        self.sights.get(server)?.observed(model)
     }
 
     fn is_noted(&self, model: &ModelId, version: &WeightsVersion) -> bool {
@@ -402,14 +306,14 @@
                 actions.push(OrderAction::Drain { server });
             }
             for server in step.load {
-                actions.extend(self.give(now, term, (server, model.clone())));
+                actions.extend(self.give(now, term, server, model.clone()));
             }
         }
     }
 
     fn loads(&self, now: Instant, of: impl Fn(&ModelId) -> bool) -> u32 {
-        let running = self.given.iter().filter(|((_, model), _)| of(model));
-        running.filter(|(_, order)| now < order.until).count() as u32
+        let given = self.sights.values().flat_map(|sight| &sight.given);
+        given.filter(|(model, order)| of(model) && now < order.until).count() as u32
     }
 
     /// The servers of a model, once the replicated state has noted its version; none before.
@@ -420,15 +324,14 @@
         servers
             .filter_map(|(server, _)| {
                 let sight = self.sights.get(server)?;
-                let place = (server.clone(), model.clone());
                 let drained = sight
                     .draining_since
                     .is_some_and(|since| now >= since + self.timing.drain_limit);
                 let running = sight.report.as_ref().map_or(0, |report| report.running);
                 let rollout = RolloutServer {
                     desired: version.clone(),
-                    observed: self.observed(server, model).cloned(),
-                    loading: self.given.get(&place).is_some_and(|order| now < order.until),
+                    observed: sight.observed(model).cloned(),
+                    loading: sight.is_loading(model, now),
                     draining: sight.draining_since.is_some(),
                     alive: sight.alive,
                     in_flight: if drained { 0 } else { running },
@@ -438,29 +341,32 @@
             .collect()
     }
 
-    fn give(&mut self, now: Instant, term: Term, place: OrderPlace) -> Option<OrderAction> {
-        let (weights, _) = self.desired.get(&place.1)?.clone();
+    fn give(
+        &mut self,
+        now: Instant,
+        term: Term,
+        server: ServerId,
+        model: ModelId,
+    ) -> Option<OrderAction> {
+        let (weights, _) = self.desired.get(&model)?.clone();
         // A server compares the numbers of all models: the latest change's is never below another.
         let fencing = self.desired.values().map(|(_, number)| *number).max()?;
+        let sight = self.sights.get_mut(&server)?;
         self.next_number += 1;
         let number = self.next_number;
-        let given =
-            GivenOrder { number, weights: weights.clone(), until: now + self.timing.load_limit };
-        self.given.insert(place.clone(), given);
-        let (server, model) = place;
-        let sight = self.sights.get_mut(&server)?;
+        let until = now + self.timing.load_limit;
+        sight.given.insert(model.clone(), GivenOrder { number, weights: weights.clone(), until });
         // Until the load was ordered it was looked at as one that waits, which is seldom.
         sight.next_look = Some(now + self.timing.busy_look);
+        let observed = sight.observed(&model).cloned();
         let ordered = sight.ordered.entry(model.clone()).or_default();
         if ordered.0 != weights {
             *ordered = (weights.clone(), 0);
         }
-        let grounds = OrderGrounds {
-            observed: sight.report.as_ref().and_then(|report| report.weights.get(&model).cloned()),
-            wanted_for: self.wanted_since.get(&model).map_or(Duration::ZERO, |since| now - *since),
-            given_before: ordered.1,
-        };
+        let given_before = ordered.1;
         ordered.1 += 1;
+        let wanted_for = self.wanted_since.get(&model).map_or(Duration::ZERO, |since| now - *since);
+        let grounds = OrderGrounds { observed, wanted_for, given_before };
         let send_before = now + ORDER_LIFE;
         Some(OrderAction::Order(WeightOrder {
             server,
--- a/tests/weight_turns.rs
+++ b/tests/weight_turns.rs
@@ -201,3 +201,21 @@
     }
     assert_eq!(bench.repeated, 0);
 }
+
+/// Guards against accepted orders given again, and all servers looked at anew, after a lease that
+/// lapsed for a moment and came back in its term.
+#[test]
+fn lapse_forgets_nothing() {
+    let mut bench = TurnBench::new(60);
+    let lease = Some((1, bench.now));
+    bench.name(2);
+    for tick in 0..1_000 {
+        bench.step();
+        if tick % 50 == 0 {
+            bench.give(OrderInput::Lease(None));
+            bench.give(OrderInput::Lease(lease));
+        }
+    }
+    assert_eq!(bench.repeated, 0);
+    assert_eq!(bench.greatest_age(), Duration::ZERO, "all have the last version");
+}
