--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,6 +4,7 @@
 //! One control VM reads the feed and all daemons follow it, so the platform is asked once for all of
 //! them; see [`watch`] for who reads when that VM is away.
 
+pub mod history;
 pub mod watch;
 
 use {
--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -7,7 +7,10 @@
 //! the rate would gain half a second.
 
 use {
-    super::{FleetSnapshot, ServerPhase},
+    super::{
+        FleetSnapshot, ServerPhase,
+        history::{FleetChange, FleetHistory},
+    },
     crate::{
         ids::{Incarnation, ModelId, ServerId, WeightsNumber},
         observe::events,
@@ -43,6 +46,7 @@
 pub struct FleetBoard {
     merged: watch::Sender<Arc<FleetSnapshot>>,
     state: Mutex<BoardState>,
+    history: Mutex<FleetHistory>,
 }
 
 #[derive(Default)]
@@ -57,7 +61,11 @@
 
 impl Default for FleetBoard {
     fn default() -> Self {
-        FleetBoard { merged: watch::channel(Arc::default()).0, state: Mutex::default() }
+        FleetBoard {
+            merged: watch::channel(Arc::default()).0,
+            state: Mutex::default(),
+            history: Mutex::default(),
+        }
     }
 }
 
@@ -67,6 +75,13 @@
         self.merged.subscribe()
     }
 
+    /// What a follower that holds the list of digest `held` lacks; `None` if nothing.
+    pub fn change_since(&self, held: u64) -> Option<FleetChange> {
+        let present = self.merged.borrow().clone();
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        history.change_since(held, &present)
+    }
+
     /// Takes over a reading made here.
     pub fn take_reading(&self, snapshot: FleetSnapshot) {
         let mut state = self.lock();
@@ -76,12 +91,14 @@
     }
 
     /// Takes over the leader's list, which has its own servers held back already.
-    pub fn take_leaders(&self, snapshot: Option<FleetSnapshot>) {
+    pub fn take_leaders(&self, snapshot: Option<Arc<FleetSnapshot>>) {
         let mut state = self.lock();
         state.confirmed = Some(Instant::now());
-        if let Some(snapshot) = snapshot {
+        if let Some(snapshot) = snapshot
+            && !Arc::ptr_eq(&snapshot, &state.listed)
+        {
             state.held.clear();
-            state.listed = Arc::new(snapshot);
+            state.listed = snapshot;
             self.show(&mut state);
         }
     }
@@ -109,8 +126,11 @@
         weights: BTreeMap<ModelId, WeightsNumber>,
     ) {
         let mut state = self.lock();
-        state.told.insert(server.clone(), (life, weights));
-        self.show(&mut state);
+        let told = (life, weights);
+        if state.told.get(server) != Some(&told) {
+            state.told.insert(server.clone(), told);
+            self.show(&mut state);
+        }
     }
 
     /// Whether the list was confirmed within the last `age`.
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -14,7 +14,7 @@
 use {
     crate::{
         control::document::{NamedWeights, NumberedDocument},
-        fleet::FleetSnapshot,
+        fleet::{FleetSnapshot, history::FleetDelta},
         ids::{DocumentNumber, FailureDomainId, Term, VmId},
     },
     serde::{Deserialize, Serialize},
@@ -38,6 +38,18 @@
     },
 }
 
+/// What a follower asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnswerMode {
+    /// Only how well the VM suits: many are asked at once, and one of them is followed.
+    #[default]
+    Suitability,
+    /// What has changed, at once.
+    Now,
+    /// What has changed, as soon as something has.
+    Wait,
+}
+
 /// What a follower holds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct FollowRequest {
@@ -53,8 +65,8 @@
     pub term: Term,
     /// Who asks.
     pub follower: FollowerKind,
-    /// Whether the answer may wait for a change.
-    pub wait: bool,
+    /// What it asks for.
+    pub mode: AnswerMode,
 }
 
 /// What has changed; `None` where the asker is up to date.
@@ -64,8 +76,10 @@
     pub document: Option<NumberedDocument>,
     /// All named weights, if they differ.
     pub weights: Option<NamedWeights>,
-    /// The server list, if it differs.
+    /// The server list, if it differs and the asker's is not known.
     pub fleet: Option<FleetSnapshot>,
+    /// What has changed of the asker's server list, if that is known.
+    pub fleet_delta: Option<FleetDelta>,
     /// The control VMs, if they differ.
     pub control: Option<Vec<VmId>>,
     /// Whether the answering VM has what the leader has committed: if not, others may know of later
@@ -79,6 +93,8 @@
     pub entries: u32,
     /// The term of the leader that the answering VM hears from; 0 if it hears from none.
     pub term: Term,
+    /// The number of the document that the answering VM holds.
+    pub held: DocumentNumber,
 }
 
 /// What a follower has learned; numbers never go back within a daemon's life.
@@ -119,12 +135,15 @@
             let known = self.weights.entry(model).or_default();
             *known = version.max(*known);
         }
-        if let Some(mut fleet) = reply.fleet {
-            self.fleet_digest = fleet.digest();
-            if let Some(former) = &self.fleet {
-                fleet.keep_draining(former);
-            }
-            self.fleet = Some(Arc::new(fleet));
+        if let Some(fleet) = reply.fleet {
+            let digest = fleet.digest();
+            self.take_fleet(fleet, digest);
+        }
+        if let Some(delta) = reply.fleet_delta
+            && delta.base == self.fleet_digest
+        {
+            let former = self.fleet.clone().unwrap_or_default();
+            self.take_fleet(former.with(&delta), delta.digest);
         }
         if let Some(control) = reply.control {
             self.control = control;
@@ -133,4 +152,12 @@
         self.term = self.term.max(reply.term);
         *self != before
     }
+
+    fn take_fleet(&mut self, mut fleet: FleetSnapshot, digest: u64) {
+        self.fleet_digest = digest;
+        if let Some(former) = &self.fleet {
+            fleet.keep_draining(former);
+        }
+        self.fleet = Some(Arc::new(fleet));
+    }
 }
--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -1,7 +1,7 @@
 //! Answers followers at a control VM.
 
 use {
-    super::{ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind, control_digest},
+    super::{ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, control_digest},
     crate::{
         control::{
             document::DocumentState,
@@ -10,6 +10,7 @@
         daemon::control_driver::ControlHandle,
         fleet::{
             FleetSnapshot,
+            history::{FleetChange, FleetDelta},
             watch::{FleetBoard, LEADER_SILENCE},
         },
         ids::{FailureDomainId, Term, VmId},
@@ -21,11 +22,14 @@
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::time::{Instant, timeout},
+    tokio::time::{Instant, sleep_until, timeout},
 };
 
 /// A follower that did not ask for so long is gone: three waits for an answer.
 const FOLLOWER_SILENCE: Duration = Duration::from_secs(3);
+/// A changed list alone is given no sooner than this after it was asked for: while new weights are
+/// loaded it changes with each server, and each answer costs both ends about the same.
+const LIST_PACE: Duration = Duration::from_millis(100);
 /// Followers counted: several times the 380 daemons of the design size.
 const MAX_FOLLOWERS: usize = 2_048;
 
@@ -92,19 +96,24 @@
         let Some(replica) = self.replica.get() else {
             return PeerReply::Refused("this replica starts; ask another control VM".to_owned());
         };
-        self.note_follower(from, request.follower);
-        let wait = if request.wait { ANSWER_WAIT } else { Duration::ZERO };
-        // After the wait the answer is that nothing has changed.
-        let _ = timeout(wait, self.changed(replica, &request)).await;
+        if request.mode != AnswerMode::Suitability {
+            self.note_follower(from, request.follower);
+        }
+        if request.mode == AnswerMode::Wait {
+            // After the wait the answer is that nothing has changed.
+            let _ = timeout(ANSWER_WAIT, self.changed(replica, &request)).await;
+        }
         let status = replica.status();
         let documents = replica.documents();
         let state = documents.borrow().clone();
-        let fleet = self.board.subscribe();
-        let fleet = fleet.borrow().clone();
-        let mut reply = changes(&request, &state, &fleet);
-        let control = control_vms(&status);
-        if !control.is_empty() && control_digest(&control) != request.control {
-            reply.control = Some(control);
+        let mut reply = FollowReply { held: state.document().number, ..FollowReply::default() };
+        if request.mode != AnswerMode::Suitability {
+            reply = changes(&request, &state);
+            self.add_list(&request, &mut reply);
+            let control = control_vms(&status);
+            if !control.is_empty() && control_digest(&control) != request.control {
+                reply.control = Some(control);
+            }
         }
         reply.fresh = status.is_fresh;
         reply.term = leader_term(&status);
@@ -119,12 +128,11 @@
         let mut documents = replica.documents();
         let mut fleet = self.board.subscribe();
         let mut status = replica.status_watch();
+        let list_due = Instant::now() + LIST_PACE;
         loop {
-            let reply = changes(
-                request,
-                &documents.borrow_and_update().clone(),
-                &fleet.borrow_and_update().clone(),
-            );
+            fleet.mark_unchanged();
+            let relisted = self.board.change_since(request.fleet).is_some();
+            let changed = has_changed(request, &documents.borrow_and_update());
             let (behind, term) = {
                 let status = status.borrow_and_update();
                 (!status.is_fresh, leader_term(&status))
@@ -132,20 +140,31 @@
             // Who leads decides how long entries wait for named weights, so it is told at once.
             let entry = request.follower == FollowerKind::Entry;
             let another = entry && term > request.term;
-            if behind || another || reply != FollowReply::default() {
+            if behind || another || changed || (relisted && Instant::now() >= list_due) {
                 return;
             }
             // An ended channel means that the replica is gone; the wait then runs out.
             let ended = tokio::select! {
                 changed = documents.changed() => changed.is_err(),
-                changed = fleet.changed() => changed.is_err(),
+                changed = fleet.changed(), if !relisted => changed.is_err(),
                 changed = status.changed() => changed.is_err(),
+                () = sleep_until(list_due), if relisted => false,
             };
             if ended {
                 std::future::pending::<()>().await;
             }
         }
     }
+
+    fn add_list(&self, request: &FollowRequest, reply: &mut FollowReply) {
+        match self.board.change_since(request.fleet) {
+            Some(FleetChange::Delta(delta)) => {
+                reply.fleet_delta = Some(FleetDelta::clone(&delta));
+            }
+            Some(FleetChange::Whole(fleet)) => reply.fleet = Some(FleetSnapshot::clone(&fleet)),
+            None => {}
+        }
+    }
 }
 
 /// The control VMs that a replica names to its followers. One that is not up to date names whatever
@@ -163,15 +182,23 @@
     if status.leader.is_some() { status.term } else { 0 }
 }
 
-fn changes(request: &FollowRequest, state: &DocumentState, fleet: &FleetSnapshot) -> FollowReply {
+/// Whether an entry lacks something other than the list; a control VM's replica brings the rest.
+fn has_changed(request: &FollowRequest, state: &DocumentState) -> bool {
+    request.follower == FollowerKind::Entry
+        && (state.document().number > request.document || is_renamed(request, state))
+}
+
+fn is_renamed(request: &FollowRequest, state: &DocumentState) -> bool {
+    *state.weights() != request.weights && !state.weights().is_empty()
+}
+
+fn changes(request: &FollowRequest, state: &DocumentState) -> FollowReply {
     let document = state.document();
-    let digest = fleet.digest();
     let entry = request.follower == FollowerKind::Entry;
-    let renamed = *state.weights() != request.weights && !state.weights().is_empty();
     FollowReply {
         document: (entry && document.number > request.document).then(|| document.clone()),
-        weights: (entry && renamed).then(|| state.weights().clone()),
-        fleet: (digest != 0 && digest != request.fleet).then(|| fleet.clone()),
+        weights: (entry && is_renamed(request, state)).then(|| state.weights().clone()),
+        held: document.number,
         ..FollowReply::default()
     }
 }
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        ANSWER_WAIT, FollowReply, FollowRequest, FollowerKind, SharedState,
+        ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, SharedState,
         confirmation::{AskedPeers, ConfirmationWatch},
         control_digest,
     },
     crate::{
-        ids::{FailureDomainId, VmId},
+        ids::{DocumentNumber, FailureDomainId, VmId},
         observe::events,
         transport::{PeerNetwork, PeerReply, PeerRequest},
     },
@@ -20,6 +20,7 @@
         sync::watch,
         time::{Instant, sleep},
     },
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 /// A waiting answer that is so much late is not awaited any longer: the VM or the way to it is gone.
@@ -38,8 +39,8 @@
     /// Who follows.
     fn kind(&self) -> FollowerKind;
 
-    /// An answer came, with or without news.
-    fn heard(&self, reply: &FollowReply);
+    /// An answer came, with or without news; `state` has taken it in.
+    fn heard(&self, reply: &FollowReply, state: &SharedState);
 }
 
 /// A follower of the control VMs.
@@ -114,20 +115,41 @@
         sleep(PAUSE).await;
     }
 
-    /// Asks all candidates at once; the best that answers.
+    /// Asks all candidates at once how well they suit; the best that answers.
     async fn choose(&mut self) -> Option<(VmId, Suitability)> {
         let candidates = self.candidates.borrow().clone();
         let task = &*self;
         let asked = candidates.iter().map(|peer| async move {
-            let reply = task.ask(peer, false, QUICK_ANSWER).await?;
-            Some((task.suitability(&reply), peer.clone()))
+            let reply = task.ask(peer, AnswerMode::Suitability, QUICK_ANSWER).await?;
+            Some((task.suitability(&reply), peer.clone(), reply.held))
         });
-        let answers: Vec<(Suitability, VmId)> =
-            join_all(asked).await.into_iter().flatten().collect();
+        let answers: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
         let peers = AskedPeers { asked: candidates.len(), answered: answers.len() };
-        let best = answers.into_iter().max_by_key(|(suits, _)| *suits);
-        self.note_confirmation(best.as_ref().is_some_and(|(suits, _)| suits.0), peers);
-        best.map(|(suits, peer)| (peer, suits))
+        let best = answers.iter().max_by_key(|(suits, peer, _)| (*suits, self.preference(peer)));
+        let confirmed = best.is_some_and(|(suits, ..)| suits.0);
+        let chosen = best.map(|(suits, peer, _)| (peer.clone(), *suits));
+        if !confirmed {
+            self.take_newest(&answers).await;
+        }
+        self.note_confirmation(confirmed, peers);
+        chosen
+    }
+
+    /// Where nobody is up to date, takes the newest document that anybody holds: the VM that is
+    /// followed may hold an older one.
+    async fn take_newest(&self, answers: &[(Suitability, VmId, DocumentNumber)]) {
+        let newest = answers.iter().max_by_key(|(_, _, held)| *held);
+        if let Some((_, peer, held)) = newest
+            && *held > self.state.borrow().document.number
+        {
+            self.ask(peer, AnswerMode::Now, ANSWER_WAIT).await;
+        }
+    }
+
+    /// Among VMs that suit equally well each follower prefers another: else all that have lost theirs
+    /// would follow the same one.
+    fn preference(&self, peer: &VmId) -> u64 {
+        xxh3_64_with_seed(peer.as_bytes(), xxh3_64(self.network.vm().as_bytes()))
     }
 
     /// Follows one VM until it fails or another may suit better.
@@ -135,7 +157,7 @@
         let since = Instant::now();
         log::info!(peer = peer.as_str(), fresh = suitability.0, own_domain = suitability.1;
             "{}", events::FOLLOWING);
-        while let Some(reply) = self.ask(peer, true, ANSWER_WAIT + ANSWER_SLACK).await {
+        while let Some(reply) = self.ask(peer, AnswerMode::Wait, ANSWER_WAIT + ANSWER_SLACK).await {
             self.note_confirmation(reply.fresh, AskedPeers { asked: 1, answered: 1 });
             match judge_stay(suitability, self.suitability(&reply), since.elapsed()) {
                 StayVerdict::Stay => {}
@@ -157,7 +179,7 @@
         (reply.fresh, reply.failure_domain == self.failure_domain)
     }
 
-    async fn ask(&self, peer: &VmId, wait: bool, limit: Duration) -> Option<FollowReply> {
+    async fn ask(&self, peer: &VmId, mode: AnswerMode, limit: Duration) -> Option<FollowReply> {
         let held = self.state.borrow().clone();
         let request = FollowRequest {
             document: held.document.number,
@@ -166,14 +188,14 @@
             control: control_digest(&held.control),
             term: held.term,
             follower: self.port.kind(),
-            wait,
+            mode,
         };
         let reply = self.network.call(peer, PeerRequest::Follow(Box::new(request)), limit).await;
         match reply {
             Ok(PeerReply::Followed(reply)) => {
-                self.port.heard(&reply);
                 let learned = FollowReply::clone(&reply);
                 self.state.send_if_modified(|state| state.take(learned));
+                self.port.heard(&reply, &self.state.borrow());
                 Some(*reply)
             }
             Ok(_) => None,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -385,10 +385,10 @@
         FollowerKind::Control { entries: self.desk.own_entries() }
     }
 
-    fn heard(&self, reply: &FollowReply) {
+    fn heard(&self, reply: &FollowReply, state: &SharedState) {
         self.desk.note_entries(reply.entries);
         if reply.list_fresh {
-            self.board.take_leaders(reply.fleet.clone());
+            self.board.take_leaders(state.fleet.clone());
         }
     }
 }
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -135,8 +135,7 @@
         let core = start_core(vm, domain, settings.objective, dialect, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
-        let notice = Mutex::default();
-        let follower = Arc::new(EntryFollower { states: states.clone(), notice });
+        let follower = Arc::new(EntryFollower { notice: Mutex::default() });
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
         tasks.spawn(task.run());
         let candidates = Arc::new(ControlBook::new(network.clone(), control, candidates));
@@ -195,7 +194,6 @@
 
 /// Tells in the log when the control VMs lose the server list.
 struct EntryFollower {
-    states: watch::Receiver<SharedState>,
     notice: Mutex<ListNotice>,
 }
 
@@ -204,8 +202,8 @@
         FollowerKind::Entry
     }
 
-    fn heard(&self, reply: &FollowReply) {
-        let known = self.states.borrow().fleet.as_ref().map_or(0, |fleet| fleet.servers.len());
+    fn heard(&self, reply: &FollowReply, state: &SharedState) {
+        let known = state.fleet.as_ref().map_or(0, |fleet| fleet.servers.len());
         let mut notice = self.notice.lock().unwrap_or_else(PoisonError::into_inner);
         notice.note(reply.list_fresh, known);
     }
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -230,6 +230,11 @@
         table.addresses.remove(&self.inner.vm);
     }
 
+    /// This daemon's VM.
+    pub fn vm(&self) -> &VmId {
+        &self.inner.vm
+    }
+
     /// The peers known now, without this daemon.
     pub fn peers(&self) -> Vec<VmId> {
         self.table().addresses.keys().cloned().collect()
--- a/tests/followed_list.rs
+++ b/tests/followed_list.rs
@@ -3,10 +3,13 @@
 use {
     oleandermount::{
         control::document::NumberedDocument,
-        fleet::{FleetSnapshot, ListedServer, ServerPhase},
+        fleet::{
+            FleetSnapshot, ListedServer, ServerPhase,
+            history::{FleetChange, FleetDelta, FleetHistory},
+        },
         follow::{FollowReply, SharedState},
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 fn list(phase: ServerPhase, life: u64) -> FleetSnapshot {
@@ -60,3 +63,83 @@
         assert_eq!((state.document.number, state.weights["m0"]), held);
     }
 }
+
+fn fleet_of(count: u64, phase_of: impl Fn(u64) -> ServerPhase) -> Arc<FleetSnapshot> {
+    let servers = (0..count).map(|number| {
+        let mut server = list(phase_of(number), 1).servers.remove(0);
+        server.id = format!("i-{number:04}");
+        server.weights = [("m0".to_owned(), 1)].into();
+        server
+    });
+    Arc::new(FleetSnapshot::new(servers.collect()))
+}
+
+/// Guards against control VMs that cannot lead for all the lists they send: each server that loads new
+/// weights changes the list, and every daemon was sent all of it each time.
+#[test]
+fn followers_get_differences() {
+    let mut history = FleetHistory::default();
+    let mut state = SharedState::default();
+    for loading in 0..100 {
+        let phase =
+            |number| if number == loading { ServerPhase::Loading } else { ServerPhase::Ready };
+        let present = fleet_of(870, phase);
+        let change = history.change_since(state.fleet_digest, &present).expect("it changed");
+        let reply = match change {
+            FleetChange::Whole(fleet) => {
+                assert_eq!(loading, 0, "the first list alone is sent whole");
+                FollowReply { fleet: Some(FleetSnapshot::clone(&fleet)), ..FollowReply::default() }
+            }
+            FleetChange::Delta(delta) => FollowReply {
+                fleet_delta: Some(FleetDelta::clone(&delta)),
+                ..FollowReply::default()
+            },
+        };
+        let length = postcard::to_stdvec(&reply).expect("it encodes").len();
+        assert!(loading == 0 || length < 512, "{length} bytes for two servers that changed");
+        state.take(reply);
+        assert_eq!(state.fleet.as_ref(), Some(&present));
+        assert_eq!(history.change_since(state.fleet_digest, &present), None);
+    }
+}
+
+#[test]
+fn differences_end_alike() {
+    let one = fleet_of(5, |_| ServerPhase::Ready);
+    let other = fleet_of(7, |number| match number {
+        2 => ServerPhase::Draining,
+        _ => ServerPhase::Ready,
+    });
+    for (former, present) in [(&one, &other), (&other, &one)] {
+        let mut history = FleetHistory::default();
+        history.change_since(0, former);
+        let Some(FleetChange::Delta(delta)) = history.change_since(former.digest(), present) else {
+            panic!("the former list is known");
+        };
+        assert_eq!(former.with(&delta), **present);
+        assert_eq!(delta.digest, present.digest());
+    }
+}
+
+/// Guards against a list put together from two others: a difference applies to its own base alone.
+#[test]
+fn other_base_ignored() {
+    let (one, other) = (fleet_of(3, |_| ServerPhase::Ready), fleet_of(3, |_| ServerPhase::Loading));
+    let mut history = FleetHistory::default();
+    history.change_since(0, &one);
+    let Some(FleetChange::Delta(delta)) = history.change_since(one.digest(), &other) else {
+        panic!("the former list is known");
+    };
+    let mut state = SharedState::default();
+    state.take(FollowReply {
+        fleet_delta: Some(FleetDelta::clone(&delta)),
+        ..FollowReply::default()
+    });
+    assert_eq!((state.fleet, state.fleet_digest), (None, 0));
+    let whole = history.change_since(77, &other);
+    assert_eq!(
+        whole,
+        Some(FleetChange::Whole(other)),
+        "a list that is not known is replaced whole"
+    );
+}
