--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -14,6 +14,7 @@
             watch::{FleetBoard, LEADER_SILENCE},
         },
         ids::{FailureDomainId, Term, VmId},
+        observe::metrics::{FOLLOW_DOCUMENTS, FOLLOW_LISTS, FOLLOWERS},
         transport::{PeerHandler, PeerMessage, PeerReply, PeerRequest},
     },
     futures::future::BoxFuture,
@@ -89,6 +90,7 @@
                 FollowerKind::Control { entries } => entries,
             };
             followers.insert(from, (Instant::now(), entries));
+            metrics::gauge!(FOLLOWERS).set(followers.len() as f64);
         }
     }
 
@@ -109,6 +111,7 @@
         let mut reply = FollowReply { held: state.document().number, ..FollowReply::default() };
         if request.mode != AnswerMode::Suitability {
             reply = changes(&request, &state);
+            metrics::counter!(FOLLOW_DOCUMENTS).increment(reply.document.iter().len() as u64);
             self.add_list(&request, &mut reply);
             let control = control_vms(&status);
             if !control.is_empty() && control_digest(&control) != request.control {
@@ -159,9 +162,13 @@
     fn add_list(&self, request: &FollowRequest, reply: &mut FollowReply) {
         match self.board.change_since(request.fleet) {
             Some(FleetChange::Delta(delta)) => {
+                metrics::counter!(FOLLOW_LISTS, "kind" => "difference").increment(1);
                 reply.fleet_delta = Some(FleetDelta::clone(&delta));
             }
-            Some(FleetChange::Whole(fleet)) => reply.fleet = Some(FleetSnapshot::clone(&fleet)),
+            Some(FleetChange::Whole(fleet)) => {
+                metrics::counter!(FOLLOW_LISTS, "kind" => "whole").increment(1);
+                reply.fleet = Some(FleetSnapshot::clone(&fleet));
+            }
             None => {}
         }
     }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -47,6 +47,12 @@
 pub const CONFIG_UNCONFIRMED: &str = "oleandermount_config_unconfirmed_seconds";
 /// Backend servers that do not have the wanted weights yet, by `model`; on the leader alone.
 pub const WEIGHTS_PENDING: &str = "oleandermount_weights_pending_servers";
+/// Documents handed to followers.
+pub const FOLLOW_DOCUMENTS: &str = "oleandermount_follow_documents_total";
+/// Server lists handed to followers, by `kind`: `whole`, or the `difference` to the last one.
+pub const FOLLOW_LISTS: &str = "oleandermount_follow_lists_total";
+/// Daemons that follow this control VM.
+pub const FOLLOWERS: &str = "oleandermount_followers";
 /// Connections of other daemons refused for their keys.
 pub const PEERS_REFUSED: &str = "oleandermount_peers_refused_total";
 /// Connections of callers and operators that are open.
@@ -202,6 +208,9 @@
     describe_gauge!(IN_FLIGHT, "Requests in flight from this daemon, by server.");
     describe_gauge!(CONFIG_REVISION, "Configuration revision in force at this daemon.");
     describe_gauge!(CONFIG_UNCONFIRMED, "Seconds since a control VM that is up to date answered.");
+    describe_counter!(FOLLOW_DOCUMENTS, "Documents handed to followers.");
+    describe_counter!(FOLLOW_LISTS, "Server lists handed to followers, by kind.");
+    describe_gauge!(FOLLOWERS, "Daemons that follow this control VM.");
     describe_gauge!(WEIGHTS_PENDING, "Backend servers without the wanted weights, on the leader.");
     describe_counter!(DUTIES_DROPPED, "Cancel calls, probes and digests that were dropped.");
     describe_counter!(CROSSED_ANSWERS, "Answers that belonged to another attempt.");
@@ -223,6 +232,10 @@
         counter!(REQUESTS, "class" => class).increment(0);
         counter!(ANSWERS, "class" => class).increment(0);
     }
+    counter!(FOLLOW_DOCUMENTS).increment(0);
+    for kind in ["whole", "difference"] {
+        counter!(FOLLOW_LISTS, "kind" => kind).increment(0);
+    }
     counter!(CROSSED_ANSWERS).increment(0);
     counter!(DUTIES_DROPPED).increment(0);
     counter!(PEERS_REFUSED).increment(0);
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -3,6 +3,7 @@
 //! Each daemon dials the peers that it has something to tell. A connection that carries nothing
 //! closes after [`network::IDLE_LIMIT`], so an idle peer costs no bytes.
 
+pub mod attachment;
 pub mod codec;
 pub mod config_delta;
 pub mod inbound;
--- a/src/transport/codec.rs
+++ b/src/transport/codec.rs
@@ -39,13 +39,20 @@
 }
 
 fn write_length(mut frame: Vec<u8>) -> Result<Vec<u8>, CodecError> {
-    let length = frame.len() - HEADER_LENGTH;
+    let header = frame_header(frame.len() - HEADER_LENGTH)?;
+    frame[..HEADER_LENGTH].copy_from_slice(&header);
+    Ok(frame)
+}
+
+/// The header of a frame whose body has this length.
+///
+/// # Errors
+/// [`CodecError::Oversize`] when that does not fit one frame.
+pub fn frame_header(length: usize) -> Result<[u8; HEADER_LENGTH], CodecError> {
     if length > MAX_FRAME {
         return Err(CodecError::Oversize { length });
     }
-    let header = u32::try_from(length).expect("the limit is below 4 GiB").to_be_bytes();
-    frame[..HEADER_LENGTH].copy_from_slice(&header);
-    Ok(frame)
+    Ok(u32::try_from(length).expect("the limit is below 4 GiB").to_be_bytes())
 }
 
 /// The length that a header announces.
@@ -73,11 +80,19 @@
 /// # Errors
 /// Any [`CodecError`]; after one the stream is of no more use.
 pub async fn read_frame<T: DeserializeOwned>(stream: &mut RecvStream) -> Result<T, CodecError> {
+    decode(&read_body(stream).await?)
+}
+
+/// Reads the body of one frame as it is.
+///
+/// # Errors
+/// As [`read_frame`], but for [`CodecError::Malformed`].
+pub async fn read_body(stream: &mut RecvStream) -> Result<Vec<u8>, CodecError> {
     let mut header = [0; HEADER_LENGTH];
     stream.read_exact(&mut header).await.map_err(cut)?;
     let mut body = vec![0; frame_length(header)?];
     stream.read_exact(&mut body).await.map_err(cut)?;
-    decode(&body)
+    Ok(body)
 }
 
 fn cut(_error: ReadExactError) -> CodecError {
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        codec,
+        attachment, codec,
         message::{PeerMessage, PeerRequest},
         network::{PeerHandler, REFUSED_COUNTER, count_refusal, refuse_name},
         tls::names_peer,
@@ -99,11 +99,15 @@
             return;
         }
     };
-    let reply = handler.request(peer, request).await;
+    let mut reply = handler.request(peer, request).await;
+    let body = attachment::detach(&mut reply);
     let frame = codec::encode(&reply)
         .or_else(|error| codec::encode(&super::message::PeerReply::Refused(error.to_string())));
     if let Ok(frame) = frame {
         // A peer that no longer waits has given up on the reply.
-        let _ = codec::write_frame(&mut sender, &frame).await;
+        let written = codec::write_frame(&mut sender, &frame).await;
+        if let (Ok(()), Some(body)) = (written, body) {
+            let _ = attachment::write(&mut sender, body).await;
+        }
     }
 }
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        codec,
+        attachment, codec,
         inbound::accept_peers,
         keys::{self, KeyError, KeyFiles},
         link::{LinkShared, PeerLink},
@@ -321,7 +321,9 @@
     codec::write_frame(&mut sender, frame).await.map_err(|error| error.to_string())?;
     // A failed finish shows as a failed read.
     let _ = sender.finish();
-    codec::read_frame(&mut receiver).await.map_err(|error| error.to_string())
+    let mut reply = codec::read_frame(&mut receiver).await.map_err(|error| error.to_string())?;
+    attachment::attach(&mut reply, &mut receiver).await.map_err(|error| error.to_string())?;
+    Ok(reply)
 }
 
 fn load_pair(files: &KeyFiles) -> Result<TlsPair, TransportError> {
