--- a/src/daemon/weight_orders/order_core.rs
+++ b/src/daemon/weight_orders/order_core.rs
@@ -283,7 +283,10 @@
         let free = MOST_LOOKS.saturating_sub(looking);
         let due = |sight: &ServerSight| sight.next_look.is_none_or(|at| now >= at);
         let servers = self.sights.iter_mut().filter(|(_, sight)| !sight.looking && due(sight));
-        for (server, sight) in servers.take(free) {
+        let mut servers: Vec<_> = servers.collect();
+        // In the order of their names, silent servers listed first would take all looks.
+        servers.sort_by_key(|(_, sight)| sight.next_look);
+        for (server, sight) in servers.into_iter().take(free) {
             sight.looking = true;
             actions.push(OrderAction::Look { server: server.clone() });
         }
--- a/tests/weight_turns.rs
+++ b/tests/weight_turns.rs
@@ -50,6 +50,9 @@
     named: Vec<(Instant, WeightsNumber)>,
     /// Orders of a version that their server had accepted before.
     repeated: usize,
+    /// Servers, from the first, that do not answer; a look at one of them ends after a second.
+    silent: usize,
+    waiting_looks: Vec<(Instant, ServerId)>,
 }
 
 impl TurnBench {
@@ -68,6 +71,8 @@
             commits: Vec::new(),
             named: vec![(now, 1)],
             repeated: 0,
+            silent: 0,
+            waiting_looks: Vec::new(),
         };
         bench.give(OrderInput::Lease(Some((1, now))));
         bench
@@ -98,6 +103,10 @@
                 self.commits.push((self.now + COMMIT_TIME, input, command));
                 None
             }
+            OrderAction::Look { server } if server < format!("i-{:04}", self.silent) => {
+                self.waiting_looks.push((self.now + Duration::from_secs(1), server));
+                None
+            }
             OrderAction::Look { server } => {
                 let version = self.engines[&server].version_at(self.now - REPORT_LAG);
                 let report = LoadReport {
@@ -151,6 +160,11 @@
             self.give(OrderInput::Desired(Arc::new(self.desired.clone())));
             self.give(input);
         }
+        let (ended, waiting) = self.waiting_looks.drain(..).partition(|(at, _)| now >= *at);
+        self.waiting_looks = waiting;
+        for (_, server) in ended {
+            self.give(OrderInput::Looked { server, report: None });
+        }
         self.give(OrderInput::Wake);
     }
 
@@ -219,3 +233,18 @@
     assert_eq!(bench.repeated, 0);
     assert_eq!(bench.greatest_age(), Duration::ZERO, "all have the last version");
 }
+
+/// Guards against servers that never load because others, listed before them, do not answer: looks at
+/// those took all places.
+#[test]
+fn silent_ones_wait() {
+    let mut bench = TurnBench::new(320);
+    bench.silent = 100;
+    bench.name(2);
+    for _ in 0..2_000 {
+        bench.step();
+    }
+    let answering = bench.engines.values().skip(bench.silent);
+    let behind = answering.filter(|engine| engine.version_at(bench.now) < 2).count();
+    assert_eq!(behind, 0, "servers that answer have the last version after 20 s");
+}
