--- a/src/daemon/weight_orders/order_core.rs
+++ b/src/daemon/weight_orders/order_core.rs
@@ -119,7 +119,7 @@
             OrderInput::Configure(plan) => self.configure(now, plan),
             OrderInput::Desired(desired) => self.desired = desired,
             OrderInput::Lease(lease) => return self.take_lease(lease),
-            OrderInput::Looked { server, report } => return self.take_report(now, &server, report),
+            OrderInput::Looked { server, report } => self.take_report(now, &server, report),
             OrderInput::Ordered { place: (server, model), number, result } => {
                 let sight = self.sights.get_mut(&server);
                 if let Some(order) = sight.and_then(|sight| sight.given.get_mut(&model))
@@ -172,11 +172,10 @@
     pub fn pending(&self) -> BTreeMap<ModelId, PendingServers> {
         let pending = self.plan.weights.iter().map(|(model, weights)| {
             let servers = self.plan.servers.iter().filter(|(_, models)| models.contains(model));
-            let behind = servers.filter(|(server, _)| {
-                let answers = self.sights.get(*server).is_some_and(|sight| {
-                    sight.alive || (sight.report.is_none() && sight.next_look.is_none())
-                });
-                answers && self.observed(server, model) != Some(weights)
+            let sights = servers.filter_map(|(server, _)| self.sights.get(server));
+            let behind = sights.filter(|sight| {
+                let is_new = sight.next_look.is_none();
+                (sight.alive || is_new) && sight.observed(model) != Some(weights)
             });
             let since = self.wanted_since[model];
             let pending =
@@ -221,11 +220,10 @@
         changed
     }
 
-    /// True if the server may need something now.
-    fn take_report(&mut self, now: Instant, server: &ServerId, report: Option<LoadReport>) -> bool {
+    fn take_report(&mut self, now: Instant, server: &ServerId, report: Option<LoadReport>) {
         let count = u32::try_from(self.sights.len()).unwrap_or(u32::MAX);
         let idle = self.timing.idle_look.max(IDLE_LOOK_EACH.saturating_mul(count));
-        let Some(sight) = self.sights.get_mut(server) else { return false };
+        let Some(sight) = self.sights.get_mut(server) else { return };
         sight.looking = false;
         sight.alive = report.as_ref().is_some_and(|report| !report.leaving);
         if let Some(report) = report {
@@ -239,7 +237,7 @@
             sight.report = Some(report);
         }
         let settled = self.is_settled(server);
-        let Some(sight) = self.sights.get_mut(server) else { return false };
+        let Some(sight) = self.sights.get_mut(server) else { return };
         if settled {
             sight.draining_since = None;
         }
@@ -247,7 +245,6 @@
         let quick =
             !sight.given.is_empty() || sight.draining_since.is_some() || (!settled && !sight.alive);
         sight.next_look = Some(now + if quick { self.timing.busy_look } else { idle });
-        true
     }
 
     fn is_settled(&self, server: &ServerId) -> bool {
--- a/src/fleet/history.rs
+++ b/src/fleet/history.rs
@@ -1,8 +1,8 @@
 //! The latest lists that followers were given, so that they are told differences.
 //!
-//! Load pattern: new weights change hundreds of servers within seconds, one after the other, while each
-//! of hundreds of daemons follows the list. The whole list to each of them at each change would take a
-//! control VM's processor and the daemons' links; what changes is a few servers at a time.
+//! Load pattern: new weights change hundreds of servers within seconds, one after the other, while
+//! hundreds of daemons follow the list. Sent whole to each of them at each change, it takes so much of a
+//! control VM's processor that the leader's heartbeats come too late.
 
 use {
     super::{FleetSnapshot, ListedServer},
--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -42,9 +42,15 @@
     fn read(&self) -> BoxFuture<'_, Option<FleetSnapshot>>;
 }
 
+/// Between two lists that followers are shown. While new weights are loaded the list changes with each
+/// server, and each showing costs every follower about the same.
+const SHOW_EVERY: Duration = Duration::from_millis(100);
+
 /// The list in force on a control VM, with the servers that the leader holds back.
 pub struct FleetBoard {
     merged: watch::Sender<Arc<FleetSnapshot>>,
+    /// The merged list as followers are shown it, a moment later.
+    shown: watch::Sender<Arc<FleetSnapshot>>,
     state: Mutex<BoardState>,
     history: Mutex<FleetHistory>,
 }
@@ -63,6 +69,7 @@
     fn default() -> Self {
         FleetBoard {
             merged: watch::channel(Arc::default()).0,
+            shown: watch::channel(Arc::default()).0,
             state: Mutex::default(),
             history: Mutex::default(),
         }
@@ -75,9 +82,15 @@
         self.merged.subscribe()
     }
 
-    /// What a follower that holds the list of digest `held` lacks; `None` if nothing.
+    /// Follows the list that followers are shown.
+    pub fn subscribe_shown(&self) -> watch::Receiver<Arc<FleetSnapshot>> {
+        self.shown.subscribe()
+    }
+
+    /// What a follower that holds the list of digest `held` lacks of the one that is shown; `None` if
+    /// nothing.
     pub fn change_since(&self, held: u64) -> Option<FleetChange> {
-        let present = self.merged.borrow().clone();
+        let present = self.shown.borrow().clone();
         let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
         history.change_since(held, &present)
     }
@@ -169,6 +182,15 @@
     }
 }
 
+/// Shows followers the list whenever it changes, but not more often than every [`SHOW_EVERY`]; for ever.
+pub async fn show_list(board: Arc<FleetBoard>) {
+    let mut merged = board.subscribe();
+    while merged.changed().await.is_ok() {
+        board.shown.send_replace(merged.borrow_and_update().clone());
+        sleep(SHOW_EVERY).await;
+    }
+}
+
 /// Tells in the log when the list stops being confirmed, and when it is again.
 #[derive(Debug, Default)]
 pub struct ListNotice {
--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -23,14 +23,11 @@
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
-    tokio::time::{Instant, sleep_until, timeout},
+    tokio::time::{Instant, timeout},
 };
 
 /// A follower that did not ask for so long is gone: three waits for an answer.
 const FOLLOWER_SILENCE: Duration = Duration::from_secs(3);
-/// A changed list alone is given no sooner than this after it was asked for: while new weights are
-/// loaded it changes with each server, and each answer costs both ends about the same.
-const LIST_PACE: Duration = Duration::from_millis(100);
 /// Followers counted: several times the 380 daemons of the design size.
 const MAX_FOLLOWERS: usize = 2_048;
 
@@ -108,16 +105,11 @@
         let status = replica.status();
         let documents = replica.documents();
         let state = documents.borrow().clone();
-        let mut reply = FollowReply { held: state.document().number, ..FollowReply::default() };
-        if request.mode != AnswerMode::Suitability {
-            reply = changes(&request, &state);
-            metrics::counter!(FOLLOW_DOCUMENTS).increment(reply.document.iter().len() as u64);
-            self.add_list(&request, &mut reply);
-            let control = control_vms(&status);
-            if !control.is_empty() && control_digest(&control) != request.control {
-                reply.control = Some(control);
-            }
-        }
+        let mut reply = match request.mode {
+            AnswerMode::Suitability => FollowReply::default(),
+            AnswerMode::Now | AnswerMode::Wait => self.changes(&request, &state, &status),
+        };
+        reply.held = state.document().number;
         reply.fresh = status.is_fresh;
         reply.term = leader_term(&status);
         reply.list_fresh = self.board.is_fresh(LEADER_SILENCE);
@@ -129,13 +121,15 @@
     /// Ends when there is something to tell.
     async fn changed(&self, replica: &ControlHandle, request: &FollowRequest) {
         let mut documents = replica.documents();
-        let mut fleet = self.board.subscribe();
+        let mut fleet = self.board.subscribe_shown();
         let mut status = replica.status_watch();
-        let list_due = Instant::now() + LIST_PACE;
         loop {
             fleet.mark_unchanged();
             let relisted = self.board.change_since(request.fleet).is_some();
-            let changed = has_changed(request, &documents.borrow_and_update());
+            let changed = {
+                let state = documents.borrow_and_update();
+                is_outdated(request, &state) || is_renamed(request, &state)
+            };
             let (behind, term) = {
                 let status = status.borrow_and_update();
                 (!status.is_fresh, leader_term(&status))
@@ -143,15 +137,14 @@
             // Who leads decides how long entries wait for named weights, so it is told at once.
             let entry = request.follower == FollowerKind::Entry;
             let another = entry && term > request.term;
-            if behind || another || changed || (relisted && Instant::now() >= list_due) {
+            if behind || another || changed || relisted {
                 return;
             }
             // An ended channel means that the replica is gone; the wait then runs out.
             let ended = tokio::select! {
                 changed = documents.changed() => changed.is_err(),
-                changed = fleet.changed(), if !relisted => changed.is_err(),
+                changed = fleet.changed() => changed.is_err(),
                 changed = status.changed() => changed.is_err(),
-                () = sleep_until(list_due), if relisted => false,
             };
             if ended {
                 std::future::pending::<()>().await;
@@ -159,6 +152,28 @@
         }
     }
 
+    fn changes(
+        &self,
+        request: &FollowRequest,
+        state: &DocumentState,
+        status: &ReplicaStatus,
+    ) -> FollowReply {
+        let mut reply = FollowReply::default();
+        if is_outdated(request, state) {
+            metrics::counter!(FOLLOW_DOCUMENTS).increment(1);
+            reply.document = Some(state.document().clone());
+        }
+        if is_renamed(request, state) {
+            reply.weights = Some(state.weights().clone());
+        }
+        let control = control_vms(status);
+        if !control.is_empty() && control_digest(&control) != request.control {
+            reply.control = Some(control);
+        }
+        self.add_list(request, &mut reply);
+        reply
+    }
+
     fn add_list(&self, request: &FollowRequest, reply: &mut FollowReply) {
         match self.board.change_since(request.fleet) {
             Some(FleetChange::Delta(delta)) => {
@@ -189,25 +204,16 @@
     if status.leader.is_some() { status.term } else { 0 }
 }
 
-/// Whether an entry lacks something other than the list; a control VM's replica brings the rest.
-fn has_changed(request: &FollowRequest, state: &DocumentState) -> bool {
-    request.follower == FollowerKind::Entry
-        && (state.document().number > request.document || is_renamed(request, state))
+/// Whether an entry lacks the document; a control VM's replica brings its own.
+fn is_outdated(request: &FollowRequest, state: &DocumentState) -> bool {
+    request.follower == FollowerKind::Entry && state.document().number > request.document
 }
 
+/// Whether an entry lacks named weights.
 fn is_renamed(request: &FollowRequest, state: &DocumentState) -> bool {
-    *state.weights() != request.weights && !state.weights().is_empty()
-}
-
-fn changes(request: &FollowRequest, state: &DocumentState) -> FollowReply {
-    let document = state.document();
-    let entry = request.follower == FollowerKind::Entry;
-    FollowReply {
-        document: (entry && document.number > request.document).then(|| document.clone()),
-        weights: (entry && is_renamed(request, state)).then(|| state.weights().clone()),
-        held: document.number,
-        ..FollowReply::default()
-    }
+    request.follower == FollowerKind::Entry
+        && *state.weights() != request.weights
+        && !state.weights().is_empty()
 }
 
 /// What a control VM takes from its peers.
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -18,7 +18,7 @@
             control_driver::{ControlDriver, ControlHandle, DriverSettings},
             weight_orders::WeightOrders,
         },
-        fleet::watch::{FleetBoard, FleetSource, read_list},
+        fleet::watch::{FleetBoard, FleetSource, read_list, show_list},
         follow::{
             FollowReply, FollowerKind, SharedState,
             desk::{ControlHandler, FollowDesk},
@@ -105,6 +105,7 @@
         desk.open(replica.clone());
         let leads = replica.clone();
         tasks.spawn(read_list(Arc::clone(&board), source, move || leads.lease_valid()));
+        tasks.spawn(show_list(Arc::clone(&board)));
         spawn_follower(&settings, &network, &replica, &desk, &board, &mut tasks);
         let (known, known_watch) = watch::channel(settings.founders.clone());
         tasks.spawn(tell_search(replica.clone(), known_watch.clone()));
--- a/tests/followed_list.rs
+++ b/tests/followed_list.rs
@@ -6,10 +6,12 @@
         fleet::{
             FleetSnapshot, ListedServer, ServerPhase,
             history::{FleetChange, FleetDelta, FleetHistory},
+            watch::{FleetBoard, show_list},
         },
         follow::{FollowReply, SharedState},
     },
-    std::{collections::BTreeMap, sync::Arc},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    tokio::time::sleep,
 };
 
 fn list(phase: ServerPhase, life: u64) -> FleetSnapshot {
@@ -143,3 +145,22 @@
         "a list that is not known is replaced whole"
     );
 }
+
+/// Guards against followers that are shown each change by itself while hundreds of servers load.
+#[tokio::test(start_paused = true)]
+async fn changes_shown_together() {
+    let board = Arc::new(FleetBoard::default());
+    tokio::spawn(show_list(Arc::clone(&board)));
+    let mut shown = board.subscribe_shown();
+    let mut times = 0;
+    board.take_reading(FleetSnapshot::clone(&fleet_of(100, |_| ServerPhase::Ready)));
+    for number in 0..100 {
+        board.hold(&format!("i-{number:04}"));
+        sleep(Duration::from_millis(10)).await;
+        times += usize::from(shown.has_changed().expect("the board is there"));
+        shown.mark_unchanged();
+    }
+    assert!(times <= 11, "{times} lists in a second");
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(*shown.borrow(), fleet_of(100, |_| ServerPhase::Loading), "the last one is shown");
+}
