--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -185,6 +185,7 @@
 /// Shows followers the list whenever it changes, but not more often than every [`SHOW_EVERY`]; for ever.
 pub async fn show_list(board: Arc<FleetBoard>) {
     let mut merged = board.subscribe();
+    merged.mark_changed();
     while merged.changed().await.is_ok() {
         board.shown.send_replace(merged.borrow_and_update().clone());
         sleep(SHOW_EVERY).await;
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -39,7 +39,8 @@
     /// Who follows.
     fn kind(&self) -> FollowerKind;
 
-    /// An answer came, with or without news; `state` has taken it in.
+    /// The VM that is followed answered, with or without news; `state` has taken it in. What others say
+    /// of themselves is not told: `state` lacks what they know.
     fn heard(&self, reply: &FollowReply, state: &SharedState);
 }
 
@@ -195,7 +196,9 @@
             Ok(PeerReply::Followed(reply)) => {
                 let learned = FollowReply::clone(&reply);
                 self.state.send_if_modified(|state| state.take(learned));
-                self.port.heard(&reply, &self.state.borrow());
+                if mode == AnswerMode::Wait {
+                    self.port.heard(&reply, &self.state.borrow());
+                }
                 Some(*reply)
             }
             Ok(_) => None,
--- a/tests/followed_list.rs
+++ b/tests/followed_list.rs
@@ -11,7 +11,7 @@
         follow::{FollowReply, SharedState},
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 fn list(phase: ServerPhase, life: u64) -> FleetSnapshot {
@@ -150,10 +150,14 @@
 #[tokio::test(start_paused = true)]
 async fn changes_shown_together() {
     let board = Arc::new(FleetBoard::default());
-    tokio::spawn(show_list(Arc::clone(&board)));
+    let ready = fleet_of(100, |_| ServerPhase::Ready);
+    board.take_reading(FleetSnapshot::clone(&ready));
     let mut shown = board.subscribe_shown();
+    tokio::spawn(show_list(Arc::clone(&board)));
+    let first = timeout(Duration::from_secs(1), shown.changed()).await;
+    assert!(first.is_ok(), "a list is shown");
+    assert_eq!(*shown.borrow_and_update(), ready, "what was read before is shown");
     let mut times = 0;
-    board.take_reading(FleetSnapshot::clone(&fleet_of(100, |_| ServerPhase::Ready)));
     for number in 0..100 {
         board.hold(&format!("i-{number:04}"));
         sleep(Duration::from_millis(10)).await;
