--- a/src/daemon/weight_orders/order_core.rs
+++ b/src/daemon/weight_orders/order_core.rs
@@ -238,7 +238,8 @@
         }
         let settled = self.is_settled(server);
         let Some(sight) = self.sights.get_mut(server) else { return };
-        if settled {
+        // A server that is silent would hold its place for as long as it is.
+        if settled || !sight.alive {
             sight.draining_since = None;
         }
         // A server that waits for its turn does not change by itself.
--- a/tests/weight_turns.rs
+++ b/tests/weight_turns.rs
@@ -248,3 +248,20 @@
     let behind = answering.filter(|engine| engine.version_at(bench.now) < 2).count();
     assert_eq!(behind, 0, "servers that answer have the last version after 20 s");
 }
+
+/// Guards against places that are held by servers which fell silent while they were drained.
+#[test]
+fn silent_ones_free_places() {
+    let mut bench = TurnBench::new(60);
+    bench.name(2);
+    for _ in 0..40 {
+        bench.step();
+    }
+    bench.silent = 10;
+    for _ in 0..1_500 {
+        bench.step();
+    }
+    let answering = bench.engines.values().skip(bench.silent);
+    let behind = answering.filter(|engine| engine.version_at(bench.now) < 2).count();
+    assert_eq!(behind, 0, "servers that answer have the last version after 15 s");
+}
