--- a/tests/followed_list.rs
+++ b/tests/followed_list.rs
@@ -11,7 +11,7 @@
         follow::{FollowReply, SharedState},
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
-    tokio::time::{sleep, timeout},
+    tokio::time::{interval, timeout},
 };
 
 fn list(phase: ServerPhase, life: u64) -> FleetSnapshot {
@@ -158,13 +158,15 @@
     assert!(first.is_ok(), "a list is shown");
     assert_eq!(*shown.borrow_and_update(), ready, "what was read before is shown");
     let mut times = 0;
+    let mut ticks = interval(Duration::from_millis(10));
     for number in 0..100 {
         board.hold(&format!("i-{number:04}"));
-        sleep(Duration::from_millis(10)).await;
+        ticks.tick().await;
         times += usize::from(shown.has_changed().expect("the board is there"));
         shown.mark_unchanged();
     }
     assert!(times <= 11, "{times} lists in a second");
-    sleep(Duration::from_millis(100)).await;
-    assert_eq!(*shown.borrow(), fleet_of(100, |_| ServerPhase::Loading), "the last one is shown");
+    let last = fleet_of(100, |_| ServerPhase::Loading);
+    let seen = timeout(Duration::from_secs(1), shown.wait_for(|list| **list == *last)).await;
+    assert!(seen.is_ok(), "the last one is shown");
 }
