--- a/src/daemon/weight_orders/notice.rs
+++ b/src/daemon/weight_orders/notice.rs
@@ -38,6 +38,9 @@
             let count: usize = pending.values().map(|pending| pending.servers).sum();
             if let Some(term) = self.term {
                 log::info!(term = term, pending = count; "{}", events::ORDERS_END);
+                for model in pending.keys() {
+                    metrics::gauge!(WEIGHTS_PENDING, "model" => model.clone()).set(0.0);
+                }
             }
             if let Some(term) = term {
                 log::info!(term = term, pending = count; "{}", events::ORDERS_BEGIN);
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -41,7 +41,7 @@
 /// What a follower asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AnswerMode {
-    /// Only how well the VM suits: many are asked at once, and one of them is followed.
+    /// How well the VM suits, and short news: many are asked at once, and one of them is followed.
     #[default]
     Suitability,
     /// What has changed, at once.
--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -70,6 +70,7 @@
     pub fn own_entries(&self) -> u32 {
         let mut followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
         followers.retain(|_, (asked, _)| asked.elapsed() < FOLLOWER_SILENCE);
+        metrics::gauge!(FOLLOWERS).set(followers.len() as f64);
         followers.values().map(|(_, entries)| *entries).sum()
     }
 
@@ -87,7 +88,6 @@
                 FollowerKind::Control { entries } => entries,
             };
             followers.insert(from, (Instant::now(), entries));
-            metrics::gauge!(FOLLOWERS).set(followers.len() as f64);
         }
     }
 
@@ -105,10 +105,11 @@
         let status = replica.status();
         let documents = replica.documents();
         let state = documents.borrow().clone();
-        let mut reply = match request.mode {
-            AnswerMode::Suitability => FollowReply::default(),
-            AnswerMode::Now | AnswerMode::Wait => self.changes(&request, &state, &status),
-        };
+        let mut reply = short_changes(&request, &state, &status);
+        match request.mode {
+            AnswerMode::Suitability => {}
+            AnswerMode::Now | AnswerMode::Wait => self.add_long(&request, &state, &mut reply),
+        }
         reply.held = state.document().number;
         reply.fresh = status.is_fresh;
         reply.term = leader_term(&status);
@@ -152,29 +153,12 @@
         }
     }
 
-    fn changes(
-        &self,
-        request: &FollowRequest,
-        state: &DocumentState,
-        status: &ReplicaStatus,
-    ) -> FollowReply {
-        let mut reply = FollowReply::default();
+    /// Adds what only the VM that is followed is asked for.
+    fn add_long(&self, request: &FollowRequest, state: &DocumentState, reply: &mut FollowReply) {
         if is_outdated(request, state) {
             metrics::counter!(FOLLOW_DOCUMENTS).increment(1);
             reply.document = Some(state.document().clone());
         }
-        if is_renamed(request, state) {
-            reply.weights = Some(state.weights().clone());
-        }
-        let control = control_vms(status);
-        if !control.is_empty() && control_digest(&control) != request.control {
-            reply.control = Some(control);
-        }
-        self.add_list(request, &mut reply);
-        reply
-    }
-
-    fn add_list(&self, request: &FollowRequest, reply: &mut FollowReply) {
         match self.board.change_since(request.fleet) {
             Some(FleetChange::Delta(delta)) => {
                 metrics::counter!(FOLLOW_LISTS, "kind" => "difference").increment(1);
@@ -189,6 +173,22 @@
     }
 }
 
+/// What every VM that is asked tells, since it is short: the followed one may know neither of the group
+/// nor of the newest weights.
+fn short_changes(
+    request: &FollowRequest,
+    state: &DocumentState,
+    status: &ReplicaStatus,
+) -> FollowReply {
+    let control = control_vms(status);
+    let is_news = !control.is_empty() && control_digest(&control) != request.control;
+    FollowReply {
+        weights: is_renamed(request, state).then(|| state.weights().clone()),
+        control: is_news.then_some(control),
+        ..FollowReply::default()
+    }
+}
+
 /// The control VMs that a replica names to its followers. One that is not up to date names whatever
 /// may lead to the group: its followers may know no other VM.
 pub fn control_vms(status: &ReplicaStatus) -> Vec<VmId> {
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -83,6 +83,16 @@
     if now < before || away { StayVerdict::LookAgain } else { StayVerdict::Stay }
 }
 
+/// The VM that suits the daemon on `vm` best. Among equals each daemon prefers another one, by a hash of
+/// both names: else all that have lost theirs would follow the same one.
+pub fn best_peer(
+    vm: &VmId,
+    peers: impl Iterator<Item = (VmId, Suitability)>,
+) -> Option<(VmId, Suitability)> {
+    let seed = xxh3_64(vm.as_bytes());
+    peers.max_by_key(|(peer, suits)| (*suits, xxh3_64_with_seed(peer.as_bytes(), seed)))
+}
+
 impl FollowTask {
     /// A task that asks the `candidates` and shows what it learns in `state`.
     pub fn new(
@@ -126,14 +136,14 @@
         });
         let answers: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
         let peers = AskedPeers { asked: candidates.len(), answered: answers.len() };
-        let best = answers.iter().max_by_key(|(suits, peer, _)| (*suits, self.preference(peer)));
-        let confirmed = best.is_some_and(|(suits, ..)| suits.0);
-        let chosen = best.map(|(suits, peer, _)| (peer.clone(), *suits));
+        let suiting = answers.iter().map(|(suits, peer, _)| (peer.clone(), *suits));
+        let best = best_peer(self.network.vm(), suiting);
+        let confirmed = best.as_ref().is_some_and(|(_, suits)| suits.0);
         if !confirmed {
             self.take_newest(&answers).await;
         }
         self.note_confirmation(confirmed, peers);
-        chosen
+        best
     }
 
     /// Where nobody is up to date, takes the newest document that anybody holds: the VM that is
@@ -147,12 +157,6 @@
         }
     }
 
-    /// Among VMs that suit equally well each follower prefers another: else all that have lost theirs
-    /// would follow the same one.
-    fn preference(&self, peer: &VmId) -> u64 {
-        xxh3_64_with_seed(peer.as_bytes(), xxh3_64(self.network.vm().as_bytes()))
-    }
-
     /// Follows one VM until it fails or another may suit better.
     async fn stay(&mut self, peer: &VmId, suitability: Suitability) {
         let since = Instant::now();
--- a/tests/follow_choice.rs
+++ b/tests/follow_choice.rs
@@ -6,8 +6,8 @@
 //! and accept a change; the entry, still with the empty VM, does not hear of it for three seconds.
 
 use {
-    oleandermount::follow::task::{StayVerdict, judge_stay},
-    std::time::Duration,
+    oleandermount::follow::task::{StayVerdict, best_peer, judge_stay},
+    std::{collections::BTreeMap, time::Duration},
 };
 
 const SOON: Duration = Duration::from_millis(200);
@@ -34,3 +34,24 @@
     assert_eq!(judge_stay((true, false), (true, false), SOON), StayVerdict::Stay);
     assert_eq!(judge_stay((true, false), (true, false), LATER), StayVerdict::LookAgain);
 }
+
+/// Guards against one control VM that all followers meet at when theirs are lost.
+#[test]
+fn equals_share_followers() {
+    let mut followers: BTreeMap<String, u32> = BTreeMap::new();
+    for number in 0..300 {
+        let peers = ["c-1", "c-2", "c-3"].map(|peer| (peer.to_owned(), (true, false)));
+        let (best, _) = best_peer(&format!("entry-{number}"), peers.into_iter()).expect("one is");
+        *followers.entry(best).or_default() += 1;
+    }
+    assert!(followers.values().all(|count| (70..=130).contains(count)), "{followers:?}");
+    assert_eq!(followers.len(), 3);
+}
+
+#[test]
+fn fresh_one_first() {
+    let peers = [("c-1", (false, true)), ("c-2", (true, false)), ("c-3", (false, false))];
+    let peers = peers.map(|(peer, suits)| (peer.to_owned(), suits));
+    let best = best_peer(&"entry-1".to_owned(), peers.into_iter());
+    assert_eq!(best, Some(("c-2".to_owned(), (true, false))));
+}
