--- a/src/follow.rs
+++ b/src/follow.rs
@@ -9,9 +9,11 @@
 
 pub mod confirmation;
 pub mod desk;
+pub mod document_delta;
 pub mod task;
 
 use {
+    self::document_delta::DocumentDelta,
     crate::{
         control::document::{NamedWeights, NumberedDocument},
         fleet::{FleetSnapshot, history::FleetDelta},
@@ -67,13 +69,17 @@
     pub follower: FollowerKind,
     /// What it asks for.
     pub mode: AnswerMode,
+    /// Whether it needs the document whole: a difference did not fit.
+    pub whole: bool,
 }
 
 /// What has changed; `None` where the asker is up to date.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct FollowReply {
-    /// The document, if a newer one is in force.
+    /// The document, if a newer one is in force and the asker's is not known.
     pub document: Option<NumberedDocument>,
+    /// What makes it out of the asker's document, if that is known and much of it is kept.
+    pub document_delta: Option<DocumentDelta>,
     /// All named weights, if they differ.
     pub weights: Option<NamedWeights>,
     /// The server list, if it differs and the asker's is not known.
@@ -115,6 +121,8 @@
     pub entries: u32,
     /// The latest term in which a leader was heard of; it changes with each new leader.
     pub term: Term,
+    /// Whether a difference did not fit the document, so that the next one is needed whole.
+    pub needs_whole: bool,
 }
 
 /// Tells lists of control VMs apart; 0 for the empty one.
@@ -130,6 +138,10 @@
             && document.number > self.document.number
         {
             self.document = document;
+            self.needs_whole = false;
+        }
+        if let Some(delta) = reply.document_delta {
+            self.take_delta(&delta);
         }
         for (model, version) in reply.weights.into_iter().flatten() {
             let known = self.weights.entry(model).or_default();
@@ -153,6 +165,20 @@
         *self != before
     }
 
+    fn take_delta(&mut self, delta: &DocumentDelta) {
+        if delta.number <= self.document.number {
+            return;
+        }
+        match delta.apply(&self.document) {
+            Ok(document) => self.document = document,
+            Err(error) => {
+                log::warn!(document = self.document.number, error:% = error;
+                    "a changed document was not taken");
+                self.needs_whole = true;
+            }
+        }
+    }
+
     fn take_fleet(&mut self, mut fleet: FleetSnapshot, digest: u64) {
         self.fleet_digest = digest;
         if let Some(former) = &self.fleet {
--- a/src/follow/desk.rs
+++ b/src/follow/desk.rs
@@ -1,7 +1,10 @@
 //! Answers followers at a control VM.
 
 use {
-    super::{ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, control_digest},
+    super::{
+        ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, control_digest,
+        document_delta::{DocumentChange, DocumentDelta, DocumentHistory},
+    },
     crate::{
         control::{
             document::DocumentState,
@@ -36,6 +39,8 @@
     failure_domain: FailureDomainId,
     board: Arc<FleetBoard>,
     replica: std::sync::OnceLock<ControlHandle>,
+    /// The documents that followers may hold.
+    documents: Mutex<DocumentHistory>,
     /// When each follower last asked, and the entries it counts; at most [`MAX_FOLLOWERS`].
     followers: Mutex<BTreeMap<VmId, (Instant, u32)>>,
     /// Entries in all, as the leader last said.
@@ -49,6 +54,7 @@
             failure_domain,
             board,
             replica: std::sync::OnceLock::new(),
+            documents: Mutex::default(),
             followers: Mutex::default(),
             told_entries: Mutex::default(),
         }
@@ -153,12 +159,34 @@
         }
     }
 
+    fn add_document(
+        &self,
+        request: &FollowRequest,
+        state: &DocumentState,
+        reply: &mut FollowReply,
+    ) {
+        let mut history = self.documents.lock().unwrap_or_else(PoisonError::into_inner);
+        history.note(state.document());
+        if !is_outdated(request, state) {
+            return;
+        }
+        let held = if request.whole { 0 } else { request.document };
+        let kind = match history.change_since(held, state.document()) {
+            DocumentChange::Whole(document) => {
+                reply.document = Some(document);
+                "whole"
+            }
+            DocumentChange::Delta(delta) => {
+                reply.document_delta = Some(DocumentDelta::clone(&delta));
+                "difference"
+            }
+        };
+        metrics::counter!(FOLLOW_DOCUMENTS, "kind" => kind).increment(1);
+    }
+
     /// Adds what only the VM that is followed is asked for.
     fn add_long(&self, request: &FollowRequest, state: &DocumentState, reply: &mut FollowReply) {
-        if is_outdated(request, state) {
-            metrics::counter!(FOLLOW_DOCUMENTS).increment(1);
-            reply.document = Some(state.document().clone());
-        }
+        self.add_document(request, state, reply);
         match self.board.change_since(request.fleet) {
             Some(FleetChange::Delta(delta)) => {
                 metrics::counter!(FOLLOW_LISTS, "kind" => "difference").increment(1);
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -194,6 +194,7 @@
             term: held.term,
             follower: self.port.kind(),
             mode,
+            whole: held.needs_whole,
         };
         let reply = self.network.call(peer, PeerRequest::Follow(Box::new(request)), limit).await;
         match reply {
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -47,7 +47,7 @@
 pub const CONFIG_UNCONFIRMED: &str = "oleandermount_config_unconfirmed_seconds";
 /// Backend servers that do not have the wanted weights yet, by `model`; on the leader alone.
 pub const WEIGHTS_PENDING: &str = "oleandermount_weights_pending_servers";
-/// Documents handed to followers.
+/// Documents handed to followers, by `kind`: `whole`, or the `difference` to the last one.
 pub const FOLLOW_DOCUMENTS: &str = "oleandermount_follow_documents_total";
 /// Server lists handed to followers, by `kind`: `whole`, or the `difference` to the last one.
 pub const FOLLOW_LISTS: &str = "oleandermount_follow_lists_total";
@@ -208,7 +208,7 @@
     describe_gauge!(IN_FLIGHT, "Requests in flight from this daemon, by server.");
     describe_gauge!(CONFIG_REVISION, "Configuration revision in force at this daemon.");
     describe_gauge!(CONFIG_UNCONFIRMED, "Seconds since a control VM that is up to date answered.");
-    describe_counter!(FOLLOW_DOCUMENTS, "Documents handed to followers.");
+    describe_counter!(FOLLOW_DOCUMENTS, "Documents handed to followers, by kind.");
     describe_counter!(FOLLOW_LISTS, "Server lists handed to followers, by kind.");
     describe_gauge!(FOLLOWERS, "Daemons that follow this control VM.");
     describe_gauge!(WEIGHTS_PENDING, "Backend servers without the wanted weights, on the leader.");
@@ -232,8 +232,8 @@
         counter!(REQUESTS, "class" => class).increment(0);
         counter!(ANSWERS, "class" => class).increment(0);
     }
-    counter!(FOLLOW_DOCUMENTS).increment(0);
     for kind in ["whole", "difference"] {
+        counter!(FOLLOW_DOCUMENTS, "kind" => kind).increment(0);
         counter!(FOLLOW_LISTS, "kind" => kind).increment(0);
     }
     counter!(CROSSED_ANSWERS).increment(0);
