--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -42,9 +42,11 @@
     fn read(&self) -> BoxFuture<'_, Option<FleetSnapshot>>;
 }
 
-/// Between two lists that followers are shown. While new weights are loaded the list changes with each
-/// server, and each showing costs every follower about the same.
-const SHOW_EVERY: Duration = Duration::from_millis(100);
+/// Between two lists that followers are shown, for each listed server: while new weights are loaded the
+/// list changes with each server, and a follower goes over all of it at each showing.
+const SHOW_EVERY_EACH: Duration = Duration::from_micros(300);
+/// Between two lists that followers are shown, at most.
+pub const SHOW_EVERY: Duration = Duration::from_millis(100);
 
 /// The list in force on a control VM, with the servers that the leader holds back.
 pub struct FleetBoard {
@@ -182,13 +184,15 @@
     }
 }
 
-/// Shows followers the list whenever it changes, but not more often than every [`SHOW_EVERY`]; for ever.
+/// Shows followers the list whenever it changes, the more rarely the longer it is; for ever.
 pub async fn show_list(board: Arc<FleetBoard>) {
     let mut merged = board.subscribe();
     merged.mark_changed();
     while merged.changed().await.is_ok() {
-        board.shown.send_replace(merged.borrow_and_update().clone());
-        sleep(SHOW_EVERY).await;
+        let list = merged.borrow_and_update().clone();
+        let count = u32::try_from(list.servers.len()).unwrap_or(u32::MAX);
+        board.shown.send_replace(list);
+        sleep(SHOW_EVERY_EACH.saturating_mul(count).min(SHOW_EVERY)).await;
     }
 }
 
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -7,7 +7,10 @@
             OrderPort,
             order_core::{OrderGrounds, OrderResult, OrderTiming, WeightOrder},
         },
-        fleet::{FleetSnapshot, ServerPhase, watch::FleetBoard},
+        fleet::{
+            FleetSnapshot, ServerPhase,
+            watch::{FleetBoard, SHOW_EVERY},
+        },
         ids::{ModelId, ServerId, WeightsNumber},
         inventory::{ActiveConfig, AssetRegister, ModelRecord, RuleSet, ServerKind, ServerRecord},
         observe::events,
@@ -45,11 +48,11 @@
 /// Orders to engines that load within a second, with versions named every few seconds and orders that
 /// get lost: an order without an answer is repeated while it can still be in time. A server that is
 /// held back finishes short answers at once; waiting for longer ones, which go on while it loads, would
-/// keep it from its work for longer than they gain.
+/// keep it from its work for longer than they gain. Entries learn that it is held back a moment later.
 pub const FLEET_TIMING: OrderTiming = OrderTiming {
     load_limit: Duration::from_millis(4_500),
     retry_wait: Duration::from_millis(300),
-    drain_limit: Duration::from_millis(300),
+    drain_limit: Duration::from_millis(300).saturating_add(SHOW_EVERY),
     busy_look: Duration::from_millis(150),
     idle_look: Duration::from_secs(5),
 };
--- a/tests/followed_list.rs
+++ b/tests/followed_list.rs
@@ -150,7 +150,7 @@
 #[tokio::test(start_paused = true)]
 async fn changes_shown_together() {
     let board = Arc::new(FleetBoard::default());
-    let ready = fleet_of(100, |_| ServerPhase::Ready);
+    let ready = fleet_of(870, |_| ServerPhase::Ready);
     board.take_reading(FleetSnapshot::clone(&ready));
     let mut shown = board.subscribe_shown();
     tokio::spawn(show_list(Arc::clone(&board)));
@@ -166,7 +166,10 @@
         shown.mark_unchanged();
     }
     assert!(times <= 11, "{times} lists in a second");
-    let last = fleet_of(100, |_| ServerPhase::Loading);
+    let last = fleet_of(870, |number| match number {
+        0..100 => ServerPhase::Loading,
+        _ => ServerPhase::Ready,
+    });
     let seen = timeout(Duration::from_secs(1), shown.wait_for(|list| **list == *last)).await;
     assert!(seen.is_ok(), "the last one is shown");
 }
