Switch mechanisms of the policy off by a setting, and measure what each is worth

Operators who look for a cause could not tell which mechanism made a decision: the switches existed inside the dispatcher and only tests reached them. `--without NAMES` (OLEANDERMOUNT_WITHOUT) now switches them off for oleandermountd and for entries on the platform; a wrong name ends the start with all names, and the log says at the start what is off.

--- a/examples/capacity_slopes.rs
+++ b/examples/capacity_slopes.rs
@@ -8,11 +8,10 @@
         inventory::{DecisionObjective, RequestClass, ServerKind},
         policy::{
             Dispatcher, DispatcherSettings, LoadReport, PolicyAction, PolicyInput, PolicyView,
-            PrefixLevel, RequestTicket, RequestWork, ServerView,
+            PrefixLevel, RequestTicket, RequestWork, SafeguardSet, ServerView,
         },
     },
     std::{
-        collections::BTreeSet,
         fs,
         sync::Arc,
         time::{Duration, Instant},
@@ -95,7 +94,7 @@
         daemon: "entry-0".to_owned(),
         failure_domain: "domain-0".to_owned(),
         seed: 1,
-        disabled: BTreeSet::new(),
+        disabled: SafeguardSet::default(),
     });
     let servers = (0..case.servers).map(|index| {
         let view = ServerView {
--- a/examples/policy_report/harness.rs
+++ b/examples/policy_report/harness.rs
@@ -40,9 +40,8 @@
     baselines::{PlainRouter, PlainRule},
     fleet::run_scene,
     loads::LoadScene,
-    oleandermount::policy::{Dispatcher, DispatcherSettings, PolicySafeguard},
+    oleandermount::policy::{Dispatcher, DispatcherSettings, PolicySafeguard, SafeguardSet},
     router::{RoutePolicy, RouterSeat},
-    std::collections::BTreeSet,
     tally::RunTally,
 };
 
@@ -91,14 +90,14 @@
         daemon: seat.daemon.clone(),
         failure_domain: seat.failure_domain.clone(),
         seed: seat.seed,
-        disabled: BTreeSet::new(),
+        disabled: SafeguardSet::default(),
     }
 }
 
 /// Runs `scene` under the dispatcher with `disabled` safeguards off; none is off in a daemon.
-pub fn run_without(scene: LoadScene, seed: u64, disabled: &[PolicySafeguard]) -> RunTally {
+pub fn run_without(scene: LoadScene, seed: u64, disabled: &SafeguardSet) -> RunTally {
     run_scene(scene, seed, &|seat| {
-        let disabled = disabled.iter().copied().collect();
+        let disabled = disabled.clone();
         Box::new(Dispatcher::new(DispatcherSettings { disabled, ..settings(seat) }))
     })
 }
@@ -106,5 +105,9 @@
 /// Runs `scene` with all safeguards, and with `off` switched off: a pattern's test has to tell the
 /// two apart.
 pub fn with_and_without(scene: LoadScene, seed: u64, off: PolicySafeguard) -> (RunTally, RunTally) {
-    (run_without(scene.clone(), seed, &[]), run_without(scene, seed, &[off]))
+    let all_on = SafeguardSet::default();
+    (
+        run_without(scene.clone(), seed, &all_on),
+        run_without(scene, seed, &[off].into_iter().collect()),
+    )
 }
--- a/examples/policy_report/main.rs
+++ b/examples/policy_report/main.rs
@@ -14,7 +14,7 @@
         site::SiteName,
         tally::RunTally,
     },
-    oleandermount::policy::PolicySafeguard,
+    oleandermount::policy::SafeguardSet,
     report::RunLabel,
     std::{io::Write, time::Duration},
 };
@@ -22,22 +22,6 @@
 /// Virtual time over which sessions start, in seconds: some forty refills of an engine's cache.
 const RUN_LENGTH: u64 = 80;
 
-/// What `--without` knows.
-const SAFEGUARDS: [PolicySafeguard; 12] = [
-    PolicySafeguard::Admission,
-    PolicySafeguard::Fairness,
-    PolicySafeguard::RetryBudget,
-    PolicySafeguard::Outlier,
-    PolicySafeguard::Suspect,
-    PolicySafeguard::Window,
-    PolicySafeguard::LongJobs,
-    PolicySafeguard::HotHomes,
-    PolicySafeguard::Overdue,
-    PolicySafeguard::CacheIdentity,
-    PolicySafeguard::Reachability,
-    PolicySafeguard::Digests,
-];
-
 /// Measures the routing policy against plain routers in virtual time.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -59,9 +43,9 @@
     /// Virtual seconds over which sessions start.
     #[bpaf(argument("SECONDS"), fallback(RUN_LENGTH))]
     length: u64,
-    /// Switches a safeguard of the chosen policy off, to see what it gives; may be given again.
-    #[bpaf(argument::<String>("SAFEGUARD"), parse(parse_safeguard), many)]
-    without: Vec<PolicySafeguard>,
+    /// Switches safeguards of the chosen policy off, to see what they give; commas between them.
+    #[bpaf(argument("NAMES"), fallback(SafeguardSet::default()))]
+    without: SafeguardSet,
     /// Loses all cache events, so that the policy learns from answers alone.
     no_cache_events: bool,
     /// Digests reach the daemons of the own failure domain alone.
@@ -85,14 +69,6 @@
     }
 }
 
-fn parse_safeguard(name: String) -> Result<PolicySafeguard, String> {
-    let named = |safeguard: &PolicySafeguard| format!("{safeguard:?}") == name;
-    SAFEGUARDS
-        .into_iter()
-        .find(named)
-        .ok_or_else(|| format!("no safeguard {name}; give one of {SAFEGUARDS:?}"))
-}
-
 fn main() -> std::io::Result<()> {
     let options = report_options().run();
     let mut out = std::io::stdout().lock();
--- a/src/bin/oleandermountd.rs
+++ b/src/bin/oleandermountd.rs
@@ -20,6 +20,7 @@
         process::exit(error.report());
     });
     logs::install(options.life.log_level);
+    options.life.disabled.warn_if_any();
     let runtime = tokio::runtime::Runtime::new().unwrap_or_else(|error| {
         eprintln!("oleandermountd: no runtime: {error}; allow the process more threads");
         process::exit(START_FAILED);
--- a/src/daemon/running.rs
+++ b/src/daemon/running.rs
@@ -330,7 +330,7 @@
         daemon: options.identity.vm.clone(),
         failure_domain: options.identity.failure_domain.clone(),
         seed: random_seed(),
-        disabled: Default::default(),
+        disabled: options.life.disabled.clone(),
     });
     PipelineCore::new(CoreParts {
         vm: options.identity.vm.clone(),
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -20,7 +20,7 @@
         inventory::DecisionObjective,
         observe::events,
         pipeline::{DispatchPort, TraceLog, dispatch::DispatchDuty},
-        policy::{Dispatcher, DispatcherSettings, PolicyInput},
+        policy::{Dispatcher, DispatcherSettings, PolicyInput, SafeguardSet},
         routing::{RouteFault, RouteIndex, RouteTable},
         transport::{OpenNetworkSettings, PeerNetwork},
     },
@@ -87,6 +87,21 @@
     pub grace: Duration,
     /// What placement optimises.
     pub objective: DecisionObjective,
+    /// Mechanisms of the policy that are off; empty but while an operator looks for a cause.
+    pub disabled: SafeguardSet,
+}
+
+/// What the part of an entry that serves requests needs to start.
+#[derive(Clone, Debug)]
+pub struct CoreSettings {
+    /// As in [`EntrySettings`].
+    pub vm: VmId,
+    /// As in [`EntrySettings`].
+    pub failure_domain: FailureDomainId,
+    /// As in [`EntrySettings`].
+    pub objective: DecisionObjective,
+    /// As in [`EntrySettings`].
+    pub disabled: SafeguardSet,
 }
 
 /// What a running entry takes over when its settings change.
@@ -131,8 +146,14 @@
         };
         let network =
             PeerNetwork::start_open(place, Arc::new(EntryHandler)).map_err(NodeError::Network)?;
-        let (vm, domain) = (&settings.vm, &settings.failure_domain);
-        let core = start_core(vm, domain, settings.objective, dialect, &mut tasks);
+        settings.disabled.warn_if_any();
+        let core_settings = CoreSettings {
+            vm: settings.vm.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            objective: settings.objective,
+            disabled: settings.disabled.clone(),
+        };
+        let core = start_core(core_settings, dialect, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
         let follower = Arc::new(EntryFollower { notice: Mutex::default() });
@@ -212,22 +233,20 @@
 /// Starts the part of an entry that serves requests, without its ports and without what it learns
 /// from others; its tasks run until `tasks` is dropped.
 pub fn start_core(
-    vm: &VmId,
-    failure_domain: &FailureDomainId,
-    objective: DecisionObjective,
+    settings: CoreSettings,
     dialect: Arc<dyn WireDialect>,
     tasks: &mut JoinSet<()>,
 ) -> Arc<EdgeCore> {
+    let CoreSettings { vm, failure_domain, objective, disabled } = settings;
     let dispatcher = Dispatcher::new(DispatcherSettings {
         daemon: vm.clone(),
-        failure_domain: failure_domain.clone(),
+        failure_domain,
         seed: random_seed(),
-        disabled: Default::default(),
+        disabled,
     });
     let (duties, duty_queue) = mpsc::channel(DUTY_BOUND);
     let port = DispatchPort::new(dispatcher, duties, Arc::new(TraceLog::default()));
-    let core =
-        EdgeCore::new(EdgeParts { vm: vm.clone(), objective, dialect, port: Arc::clone(&port) });
+    let core = EdgeCore::new(EdgeParts { vm, objective, dialect, port: Arc::clone(&port) });
     tasks.spawn(async move { port.run_wakeups().await });
     tasks.spawn(run_duties(Arc::clone(&core), duty_queue));
     tasks.spawn(watch_keep(Arc::clone(&core)));
--- a/src/options/life.rs
+++ b/src/options/life.rs
@@ -1,10 +1,12 @@
-//! How a daemon logs, and how long it waits for requests in flight when it stops.
+//! How a daemon logs, what of its policy is off, and how long it waits for requests in flight when it
+//! stops.
 
 use {
     super::{
         OptionFault,
         values::{duration, text, wrong},
     },
+    crate::policy::SafeguardSet,
     bpaf::{Parser, construct},
     log::LevelFilter,
     std::time::Duration,
@@ -20,12 +22,15 @@
     pub grace: Duration,
     /// The least urgent level that is logged.
     pub log_level: LevelFilter,
+    /// Mechanisms of the policy that are off; empty but while an operator looks for a cause.
+    pub disabled: SafeguardSet,
 }
 
 #[derive(Clone, Debug)]
 pub(super) struct RawLife {
     grace: Option<String>,
     log_level: Option<String>,
+    without: Option<String>,
 }
 
 pub(super) fn parser() -> impl Parser<RawLife> {
@@ -41,7 +46,13 @@
         "LEVEL",
         "off, error, warn, info (default), debug or trace",
     );
-    construct!(RawLife { grace, log_level })
+    let without = text(
+        "without",
+        "OLEANDERMOUNT_WITHOUT",
+        "NAMES",
+        "Mechanisms of the policy to switch off while looking for a cause (default none)",
+    );
+    construct!(RawLife { grace, log_level, without })
 }
 
 pub(super) fn check(raw: RawLife, faults: &mut Vec<OptionFault>) -> LifeOptions {
@@ -53,5 +64,11 @@
             LevelFilter::Info
         })
     });
-    LifeOptions { grace, log_level }
+    let disabled = raw.without.map_or_else(SafeguardSet::default, |given| {
+        given.parse().unwrap_or_else(|error| {
+            wrong(faults, "--without", given, error);
+            SafeguardSet::default()
+        })
+    });
+    LifeOptions { grace, log_level, disabled }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,14 +13,16 @@
 pub mod prefix;
 pub mod retry;
 pub mod rollout;
+pub mod safeguard;
 pub mod suspect;
 pub mod window;
 
 pub use self::{
     action::{DidRun, KeepUse, PolicyAction, RefusalReason, RetryReason, SendOrder},
-    dispatcher::{Dispatcher, DispatcherSettings, PolicySafeguard},
+    dispatcher::{Dispatcher, DispatcherSettings},
     input::{
         AttemptFailure, CacheEvent, DomainDigest, LoadReport, PolicyInput, PolicyView, PrefixLevel,
         RequestTicket, RequestWork, ServerHealth, ServerView,
     },
+    safeguard::{PolicySafeguard, SafeguardError, SafeguardSet},
 };
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -23,7 +23,8 @@
         servers::{PoolIndex, ServerTable},
     },
     super::{
-        DidRun, PolicyAction, PolicyInput, PolicyView, RefusalReason,
+        DidRun, PolicyAction, PolicyInput, PolicySafeguard, PolicyView, RefusalReason,
+        SafeguardSet,
         fairness::FairQueue,
         placement::HeatTable,
         prefix::{HoldingTable, MAX_PREFIXES, ServerIndex},
@@ -43,35 +44,6 @@
     },
 };
 
-/// One safeguard that tests can switch off to show what happens without it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PolicySafeguard {
-    /// Refusal at once of what cannot make its deadline.
-    Admission,
-    /// Turns by tokens served instead of by arrival.
-    Fairness,
-    /// Budgets for retries.
-    RetryBudget,
-    /// Ejection of failing servers.
-    Outlier,
-    /// Isolation of requests that crash servers.
-    Suspect,
-    /// Windows that keep the queue here.
-    Window,
-    /// Urgent classes and short prompts first inside the engines.
-    LongJobs,
-    /// More servers than one for a prefix: more homes as it heats, and straying from full ones.
-    HotHomes,
-    /// Counting answers that are overdue against a server.
-    Overdue,
-    /// Trust in a held prefix only under the same life and weights of its server.
-    CacheIdentity,
-    /// Sending only to failure domains that can be reached.
-    Reachability,
-    /// What other daemons tell.
-    Digests,
-}
-
 /// What a dispatcher is made with.
 #[derive(Clone, Debug)]
 pub struct DispatcherSettings {
@@ -82,8 +54,8 @@
     /// Seeds every random choice; take it from the system's generator outside tests, since attempt
     /// ids are drawn from it.
     pub seed: u64,
-    /// Safeguards that are off; empty outside tests.
-    pub disabled: BTreeSet<PolicySafeguard>,
+    /// Safeguards that are off; empty but in tests and while an operator looks for a cause.
+    pub disabled: SafeguardSet,
 }
 
 /// Decides for one daemon which request goes where and when.
@@ -260,10 +232,11 @@
             PolicyInput::Digest(digest) => self.hear_digest(now, digest),
             PolicyInput::Probed { server, answered } => self.note_probe(now, &server, answered),
             PolicyInput::PeerFetch { rate, newest } => {
-                self.fetch_rate = rate;
+                self.fetch_rate = rate.filter(|_| self.is_on(PolicySafeguard::PeerFetch));
                 self.newest_weights = newest;
             }
             PolicyInput::KeepLink { rate } => {
+                let rate = rate.filter(|_| self.is_on(PolicySafeguard::CommonStore));
                 self.keep_link = rate.map(|rate| match self.keep_link.take() {
                     Some(link) => link.paced(rate),
                     None => keeping::KeepLink::new(rate),
@@ -275,7 +248,7 @@
     }
 
     fn is_on(&self, safeguard: PolicySafeguard) -> bool {
-        !self.settings.disabled.contains(&safeguard)
+        !self.settings.disabled.contains(safeguard)
     }
 
     /// A number in 0 to 1.
--- a/src/policy/dispatcher/arrivals.rs
+++ b/src/policy/dispatcher/arrivals.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Dispatcher, PolicySafeguard, RequestEntry,
+        Dispatcher, RequestEntry,
         homes::HOME_LEVELS,
         lifecycle::{Admitted, LiveRequest, RequestPhase},
         servers::{PoolIndex, PoolKey},
@@ -10,7 +10,7 @@
     crate::{
         ids::RequestId,
         policy::{
-            DidRun, PolicyAction, RefusalReason, RequestTicket, RequestWork,
+            DidRun, PolicyAction, PolicySafeguard, RefusalReason, RequestTicket, RequestWork,
             admission::{self, AdmissionVerdict, MAX_WAITING},
             fairness::{LEAST_COST, OUTPUT_COST, QueuePlace, QueuedWork},
             prefix::ServerIndex,
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -2,14 +2,15 @@
 
 use {
     super::{
-        AttemptState, Dispatcher, PolicySafeguard, RequestEntry,
+        AttemptState, Dispatcher, RequestEntry,
         lifecycle::{Admitted, LiveRequest, NothingSent, RequestPhase, SentRequest},
         servers::PoolIndex,
     },
     crate::{
         ids::AttemptId,
         policy::{
-            AttemptFailure, DidRun, PolicyAction, RefusalReason, RequestWork, RetryReason,
+            AttemptFailure, DidRun, PolicyAction, PolicySafeguard, RefusalReason, RequestWork,
+            RetryReason,
             fairness::{LEAST_COST, OUTPUT_COST, QueuePlace},
             outlier,
             prefix::{CacheReport, ServerIndex},
--- a/src/policy/dispatcher/digests.rs
+++ b/src/policy/dispatcher/digests.rs
@@ -5,10 +5,10 @@
 //! goes on with its own findings.
 
 use {
-    super::{Dispatcher, PolicySafeguard},
+    super::Dispatcher,
     crate::{
         ids::{ServerId, VmId},
-        policy::{DomainDigest, PolicyAction, ServerHealth},
+        policy::{DomainDigest, PolicyAction, PolicySafeguard, ServerHealth},
     },
     std::{
         collections::BTreeMap,
--- a/src/policy/dispatcher/homes.rs
+++ b/src/policy/dispatcher/homes.rs
@@ -1,8 +1,8 @@
 //! Where a prompt's prefix is at home; see [`crate::policy::placement`] for the reasons.
 
 use {
-    super::{Dispatcher, PolicySafeguard, servers::PoolIndex},
-    crate::policy::{PrefixLevel, placement, prefix::ServerIndex},
+    super::{Dispatcher, servers::PoolIndex},
+    crate::policy::{PolicySafeguard, PrefixLevel, placement, prefix::ServerIndex},
     std::{cmp::Reverse, time::Instant},
 };
 
--- a/src/policy/dispatcher/placing.rs
+++ b/src/policy/dispatcher/placing.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{
-        Dispatcher, PolicySafeguard,
+        Dispatcher,
         homes::HomeSet,
         lifecycle::{Admitted, LiveRequest, RequestPhase},
         servers::{PoolIndex, ServerState, Urgency},
     },
     crate::policy::{
-        PrefixLevel, RefusalReason, RequestWork,
+        PolicySafeguard, PrefixLevel, RefusalReason, RequestWork,
         fairness::QueuedWork,
         placement::{CandidateCost, SMALL_POOL},
         prefix::ServerIndex,
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -1,10 +1,10 @@
 //! What engines, membership and probes tell of backend servers.
 
 use {
-    super::{Dispatcher, PolicySafeguard},
+    super::Dispatcher,
     crate::{
         ids::{FailureDomainId, ServerId},
-        policy::{CacheEvent, LoadReport, ServerHealth},
+        policy::{CacheEvent, LoadReport, PolicySafeguard, ServerHealth},
     },
     std::time::Instant,
 };
@@ -83,7 +83,7 @@
 
     pub(super) fn apply_reachable(&mut self) {
         let Some(domains) = &self.reachable else { return };
-        let checks = !self.settings.disabled.contains(&PolicySafeguard::Reachability);
+        let checks = self.is_on(PolicySafeguard::Reachability);
         for server in &mut self.table.servers {
             server.reachable = !checks || domains.contains(&server.domain);
         }
--- a/src/policy/dispatcher/sending.rs
+++ b/src/policy/dispatcher/sending.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        AttemptState, Dispatcher, PolicySafeguard, RequestEntry,
+        AttemptState, Dispatcher, RequestEntry,
         lifecycle::{Admitted, LiveRequest, RequestPhase},
         placing::Candidate,
         servers::PoolIndex,
     },
-    crate::policy::{PolicyAction, RequestWork, SendOrder},
+    crate::policy::{PolicyAction, PolicySafeguard, RequestWork, SendOrder},
     rand_core::RngCore,
     std::time::{Duration, Instant},
 };
--- a/tests/cache_identity.rs
+++ b/tests/cache_identity.rs
@@ -13,7 +13,7 @@
         },
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -34,7 +34,7 @@
             daemon: "a-1".to_owned(),
             failure_domain: "a".to_owned(),
             seed: 7,
-            disabled: disabled.into_iter().collect::<BTreeSet<_>>(),
+            disabled: disabled.into_iter().collect(),
         };
         let mut bench =
             CacheBench { dispatcher: Dispatcher::new(settings), now: Instant::now(), asked: 0 };
--- a/tests/dispatch_outcomes.rs
+++ b/tests/dispatch_outcomes.rs
@@ -6,8 +6,8 @@
         inventory::{DecisionObjective, RequestClass, ServerKind},
         policy::{
             AttemptFailure, DidRun, Dispatcher, DispatcherSettings, LoadReport, PolicyAction,
-            PolicyInput, PolicyView, PrefixLevel, RequestTicket, RequestWork, SendOrder,
-            ServerHealth, ServerView,
+            PolicyInput, PolicyView, PrefixLevel, RequestTicket, RequestWork, SafeguardSet,
+            SendOrder, ServerHealth, ServerView,
         },
     },
     quickcheck::{Gen, QuickCheck},
@@ -52,7 +52,7 @@
         daemon: "vm-0".to_owned(),
         failure_domain: "ub-north".to_owned(),
         seed: 7,
-        disabled: BTreeSet::new(),
+        disabled: SafeguardSet::default(),
     });
     dispatcher.handle(now, PolicyInput::Configure(Arc::new(view())));
     for server in ["engine-0", "engine-1"] {
--- a/tests/doubtful_refusal.rs
+++ b/tests/doubtful_refusal.rs
@@ -12,10 +12,9 @@
             CoreParts, DispatchPort, DrainGate, PipelineCore, TraceLog, deduplicate::claim,
             limit::CallerTerms, send_fuse::SendFuse,
         },
-        policy::{DidRun, Dispatcher, DispatcherSettings},
+        policy::{DidRun, Dispatcher, DispatcherSettings, SafeguardSet},
     },
     std::{
-        collections::BTreeSet,
         sync::{
             Arc,
             atomic::{AtomicU32, Ordering},
@@ -47,7 +46,7 @@
         daemon: "a-1".to_owned(),
         failure_domain: "a".to_owned(),
         seed: 1,
-        disabled: BTreeSet::new(),
+        disabled: SafeguardSet::default(),
     });
     let core = PipelineCore::new(CoreParts {
         vm: "a-1".to_owned(),
--- a/tests/kept_prefix.rs
+++ b/tests/kept_prefix.rs
@@ -7,11 +7,11 @@
         inventory::{DecisionObjective, RequestClass, ServerKind},
         policy::{
             Dispatcher, DispatcherSettings, KeepUse, LoadReport, PolicyAction, PolicyInput,
-            PolicyView, PrefixLevel, RequestTicket, RequestWork, ServerView,
+            PolicyView, PrefixLevel, RequestTicket, RequestWork, SafeguardSet, ServerView,
         },
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -34,7 +34,7 @@
             daemon: "vm-0".to_owned(),
             failure_domain: "ub-north".to_owned(),
             seed: 5,
-            disabled: BTreeSet::new(),
+            disabled: SafeguardSet::default(),
         };
         let engine = ServerView {
             failure_domain: "ub-north".to_owned(),
--- a/tests/listed_server.rs
+++ b/tests/listed_server.rs
@@ -10,11 +10,10 @@
         inventory::{DecisionObjective, RequestClass, ServerKind},
         policy::{
             Dispatcher, DispatcherSettings, PolicyAction, PolicyInput, PolicyView, RequestTicket,
-            RequestWork, SendOrder, ServerHealth, ServerView,
+            RequestWork, SafeguardSet, SendOrder, ServerHealth, ServerView,
         },
     },
     std::{
-        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -67,7 +66,7 @@
         daemon: "vm-0".to_owned(),
         failure_domain: "suva".to_owned(),
         seed: 5,
-        disabled: BTreeSet::new(),
+        disabled: SafeguardSet::default(),
     });
     dispatcher.handle(now, view(&["old"]));
     let mut sent = 0;
--- a/tests/long_prefix.rs
+++ b/tests/long_prefix.rs
@@ -8,11 +8,11 @@
         inventory::{DecisionObjective, RequestClass, ServerKind},
         policy::{
             Dispatcher, DispatcherSettings, LoadReport, PolicyAction, PolicyInput, PolicyView,
-            PrefixLevel, RequestTicket, RequestWork, ServerView,
+            PrefixLevel, RequestTicket, RequestWork, SafeguardSet, ServerView,
         },
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -29,7 +29,7 @@
         daemon: format!("vm-{number}"),
         failure_domain: "suva".to_owned(),
         seed: 100 + number,
-        disabled: BTreeSet::new(),
+        disabled: SafeguardSet::default(),
     };
     let engine = ServerView {
         failure_domain: "suva".to_owned(),
--- a/tests/prefix_fetch.rs
+++ b/tests/prefix_fetch.rs
@@ -6,11 +6,12 @@
         inventory::{DecisionObjective, RequestClass, ServerKind},
         policy::{
             Dispatcher, DispatcherSettings, LoadReport, PolicyAction, PolicyInput, PolicyView,
-            PrefixLevel, RequestTicket, RequestWork, SendOrder, ServerHealth, ServerView,
+            PrefixLevel, RequestTicket, RequestWork, SafeguardSet, SendOrder, ServerHealth,
+            ServerView,
         },
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -33,7 +34,7 @@
             daemon: "vm-0".to_owned(),
             failure_domain: "ub-north".to_owned(),
             seed: 11,
-            disabled: BTreeSet::new(),
+            disabled: SafeguardSet::default(),
         };
         let engine = ServerView {
             failure_domain: "ub-north".to_owned(),
--- a/tests/reserved_engine.rs
+++ b/tests/reserved_engine.rs
@@ -8,12 +8,11 @@
         inventory::{DecisionObjective, RequestClass, ServerKind},
         policy::{
             AttemptFailure, Dispatcher, DispatcherSettings, LoadReport, PolicyAction, PolicyInput,
-            PolicyView, PrefixLevel, RefusalReason, RequestTicket, RequestWork, SendOrder,
-            ServerHealth, ServerView,
+            PolicyView, PrefixLevel, RefusalReason, RequestTicket, RequestWork, SafeguardSet,
+            SendOrder, ServerHealth, ServerView,
         },
     },
     std::{
-        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -34,7 +33,7 @@
             daemon: "vm-0".to_owned(),
             failure_domain: "ub-north".to_owned(),
             seed: 3,
-            disabled: BTreeSet::new(),
+            disabled: SafeguardSet::default(),
         };
         let engine = ServerView {
             failure_domain: "ub-north".to_owned(),
--- a/tests/settings_errors.rs
+++ b/tests/settings_errors.rs
@@ -60,6 +60,7 @@
         ("--founders", "--founders z-9", "z-9"),
         ("--grace", "--grace soon", "soon"),
         ("--log-level", "--log-level loud", "loud"),
+        ("--without", "--without windows", "windows"),
         ("--max-body-bytes", "--max-body-bytes=-1", "-1"),
         ("--max-headers", "--max-headers 0", "0"),
         ("--head-timeout", "--head-timeout 0s", "0s"),
