Let no digest stay due once there is nobody to tell

A broken attempt makes a digest due at once; where digests are off, or the list of servers is empty, the moment was never cleared, so the driver was woken again without a pause. The second case needs no switch: an entry whose last server leaves the list used all of its processor until one came back.

policy_switches::digests_that_are_off_wake_nobody and an_empty_list_wakes_nobody failed before (1,000 wakes in a second and no end), and pass now. Ruled out: probes and timers, which are cleared when they are due.

--- a/src/policy/dispatcher/digests.rs
+++ b/src/policy/dispatcher/digests.rs
@@ -69,6 +69,8 @@
     /// Sends a digest if one is due and says something new.
     pub(super) fn publish(&mut self, now: Instant) {
         if !self.is_on(PolicySafeguard::Digests) || self.view.servers.is_empty() {
+            // A moment that has passed and stays noted would wake the driver without end.
+            self.peers.publish_at = None;
             return;
         }
         if self.peers.publish_at.is_some_and(|at| at > now) {
--- a/tests/policy_switches.rs
+++ b/tests/policy_switches.rs
@@ -1,6 +1,19 @@
 //! Mechanisms of the policy are switched off by name, and a wrong name is refused.
 
-use oleandermount::policy::{PolicySafeguard, SafeguardError, SafeguardSet};
+use {
+    oleandermount::{
+        inventory::{RequestClass, ServerKind},
+        policy::{
+            AttemptFailure, Dispatcher, DispatcherSettings, PolicyAction, PolicyInput,
+            PolicySafeguard, PolicyView, PrefixLevel, RequestTicket, RequestWork, SafeguardError,
+            SafeguardSet, ServerView,
+        },
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
 
 #[test]
 fn names_read_back() {
@@ -20,3 +33,93 @@
     assert_eq!(name, "hothomes");
     assert!(PolicySafeguard::ALL.into_iter().all(|one| known.contains(one.as_str())), "{fault}");
 }
+
+const MODEL: &str = "reader";
+const ENGINE: &str = "engine-0";
+
+fn view(servers: &[&str]) -> PolicyInput {
+    let engine = ServerView {
+        failure_domain: "d1".to_owned(),
+        kind: ServerKind::Engine,
+        models: vec![MODEL.to_owned()],
+        service: None,
+        slots: 12,
+    };
+    PolicyInput::Configure(Arc::new(PolicyView {
+        revision: 1,
+        servers: servers.iter().map(|id| ((*id).to_owned(), engine.clone())).collect(),
+        ..PolicyView::default()
+    }))
+}
+
+fn prompt(now: Instant) -> RequestTicket {
+    RequestTicket {
+        request: "r1".to_owned(),
+        organisation: "naran".to_owned(),
+        class: RequestClass::Interactive,
+        deadline: now + Duration::from_secs(5),
+        repeatable: true,
+        fingerprint: 1,
+        work: RequestWork::Model {
+            model: MODEL.to_owned(),
+            adapter: None,
+            levels: vec![PrefixLevel { hash: 11, tokens: 900 }],
+            prompt_tokens: 1_000,
+            max_output_tokens: 50,
+        },
+    }
+}
+
+/// A dispatcher before one engine, on which an attempt has just broken: its peers should hear of it soon.
+fn dispatcher_after_a_break(now: Instant, disabled: SafeguardSet) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatcherSettings {
+        daemon: "vm-1".to_owned(),
+        failure_domain: "d1".to_owned(),
+        seed: 7,
+        disabled,
+    });
+    dispatcher.handle(now, view(&[ENGINE]));
+    let sent = dispatcher.handle(now, PolicyInput::Arrive(prompt(now)));
+    let attempt = sent.iter().find_map(|action| match action {
+        PolicyAction::Send(order) => Some(order.attempt),
+        _ => None,
+    });
+    let attempt = attempt.expect("an idle engine takes it");
+    let failure = AttemptFailure::Broken;
+    let broken = PolicyInput::Failed { attempt, failure, relayed_tokens: 0, retry_after: None };
+    dispatcher.handle(now, broken);
+    dispatcher
+}
+
+/// Wakes a dispatcher as its driver does, and counts how often within a second.
+fn wakes_in_a_second(dispatcher: &mut Dispatcher, start: Instant) -> u32 {
+    let mut now = start;
+    let mut wakes = 0;
+    while let Some(due) = dispatcher.next_wakeup()
+        && due < start + Duration::from_secs(1)
+        && wakes < 1_000
+    {
+        now = now.max(due);
+        dispatcher.handle(now, PolicyInput::Wake);
+        wakes += 1;
+    }
+    wakes
+}
+
+// Guards against a driver that never rests: digests that are switched off stayed due for ever.
+#[test]
+fn digests_that_are_off_wake_nobody() {
+    let now = Instant::now();
+    let disabled = [PolicySafeguard::Digests].into_iter().collect();
+    let mut dispatcher = dispatcher_after_a_break(now, disabled);
+    assert!(wakes_in_a_second(&mut dispatcher, now) < 50);
+}
+
+// Guards against a driver that never rests once the last server has left the list.
+#[test]
+fn an_empty_list_wakes_nobody() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher_after_a_break(now, SafeguardSet::default());
+    dispatcher.handle(now, view(&[]));
+    assert!(wakes_in_a_second(&mut dispatcher, now) < 50);
+}
