Give a short first level as many homes as its traffic needs, and count what one entry of many proves

Callers at a fleet of 295 entries and 320 engines waited seconds while engines idled: four first levels that begin all long prompts had 16 engines each whatever the size of the pool, so that 64 of 320 did all the reading; and one request for a rare contract at one of 295 entries, taken for that entry's part of the traffic, stood for 15 a second, so that each contract was read by two or three engines whose copies pushed others out.

A short first level now has as many homes as are each asked for it once in 3 s: sooner than a cache loses it, so that wide homes do not read it anew for each prompt; 16 at least. What makes a level hot is its count less two standard deviations (a decayed count has half of its mean as variance), and counts are divided by the time that was counted, so that entries that have just started do not wait 20 s. Choosing among hundreds of homes sorts only the best, and the ring is read without looking back.

Test: fleet_homes, 295 entries and 320 engines in virtual time, red before: 85% of first tokens later than a second from a cold start, 193 requests at the busiest engine where 18.7 are the mean, 2.05 engines a contract. After: 0 of 5,999 late, 43 at the busiest, at most 1.5 engines a contract.

Ruled out in the same test: homes by load alone (504 of 5,999 late, 112 at the busiest: each entry guesses another number of homes and speed errs with hits), all of the pool always (42 at the busiest; reads a rare first level at every engine).

--- a/src/policy/dispatcher/homes.rs
+++ b/src/policy/dispatcher/homes.rs
@@ -1,18 +1,28 @@
 //! Where a prompt's prefix is at home; see [`crate::policy::placement`] for the reasons.
 
 use {
-    super::{Dispatcher, servers::PoolIndex},
+    super::{
+        Dispatcher,
+        servers::{PoolIndex, PoolState},
+    },
     crate::policy::{PolicySafeguard, PrefixLevel, placement, prefix::ServerIndex},
-    std::{cmp::Reverse, time::Instant},
+    std::{
+        cmp::Reverse,
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Levels whose heat is counted and that can decide the home: the shared ones come first.
 pub(super) const HOME_LEVELS: usize = 4;
 
-/// Servers among which the hash of a short first level lets the next levels choose: what follows it
-/// evens out the better the more servers share it, and beyond these the first level itself would be
-/// computed too often.
-const ROOT_HOMES: usize = 16;
+/// Servers at least among which the hash of a short first level lets the next levels choose: what follows
+/// it evens out the better the more servers share it.
+const LEAST_ROOT_HOMES: usize = 16;
+
+/// How often each of more homes than these must be asked for a short first level: sooner than its cache
+/// has lost it, or each prompt there would compute the first level anew.
+const ROOT_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Load of a level that one home is given, as a part of a server: the rest is for others.
 const HOME_FILL: f64 = 0.5;
@@ -42,27 +52,58 @@
         let state = &self.table.pools[pool];
         let Some(first) = levels.first() else { return HomeSet::default() };
         let wanted = self.root_width(now, pool, first, prompt_tokens);
-        let (mut homes, mut tokens) = (Vec::with_capacity(wanted), first.tokens);
-        for index in state.ring.homes(first.hash) {
-            if homes.len() >= wanted {
-                break;
-            }
-            if !homes.contains(&index) && self.table.servers[index].is_usable() {
-                homes.push(index);
-            }
-        }
+        let mut homes = self.root_homes(state, first, wanted);
+        let mut tokens = first.tokens;
         for level in levels.iter().take(HOME_LEVELS).skip(1) {
             if homes.len() <= 1 {
                 break;
             }
             let width = self.home_width(now, pool, level, prompt_tokens);
-            homes.sort_by_cached_key(|index| Reverse(self.home_rank(*index, level.hash)));
-            homes.truncate(width);
+            homes = self.best_homes(&homes, level, width);
             tokens = level.tokens;
         }
         HomeSet { servers: homes, tokens }
     }
 
+    /// The first `wanted` usable servers of the first level on the ring.
+    fn root_homes(
+        &self,
+        state: &PoolState,
+        first: &PrefixLevel,
+        wanted: usize,
+    ) -> Vec<ServerIndex> {
+        let mut homes = Vec::with_capacity(wanted);
+        let mut seen = vec![false; self.table.servers.len()];
+        for index in state.ring.homes(first.hash) {
+            if homes.len() >= wanted {
+                break;
+            }
+            let repeated = std::mem::replace(&mut seen[index], true);
+            if !repeated && self.table.servers[index].is_usable() {
+                homes.push(index);
+            }
+        }
+        homes
+    }
+
+    /// The `width` homes that rank best for a level, the best first.
+    fn best_homes(
+        &self,
+        homes: &[ServerIndex],
+        level: &PrefixLevel,
+        width: usize,
+    ) -> Vec<ServerIndex> {
+        let rank = |index: &ServerIndex| (Reverse(self.home_rank(*index, level.hash)), *index);
+        let mut ranked: Vec<_> = homes.iter().map(rank).collect();
+        if width < ranked.len() {
+            // All but the best need no order.
+            ranked.select_nth_unstable(width);
+            ranked.truncate(width);
+        }
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, index)| index).collect()
+    }
+
     /// Servers that the first level is given.
     ///
     /// A first level that is longer than all that follows is what is worth holding: spread over many
@@ -75,12 +116,15 @@
         first: &PrefixLevel,
         prompt_tokens: u32,
     ) -> usize {
-        let members = self.table.pools[pool].members.len();
         let is_long = first.tokens > prompt_tokens.saturating_sub(first.tokens);
         if is_long && first.tokens < prompt_tokens {
             return self.home_width(now, pool, first, prompt_tokens);
         }
-        members.min(ROOT_HOMES)
+        // A rate that is too high by chance costs little here: the first level is the shorter part.
+        let rate = self.heats.mean_rate(now, first.hash) * self.daemon_count();
+        let asked = rate * ROOT_INTERVAL.as_secs_f64();
+        let members = self.table.pools[pool].members.len();
+        (asked as usize).max(LEAST_ROOT_HOMES).min(members)
     }
 
     /// A server's rank as a home of `hash`; a fast server is home to more prefixes.
@@ -106,14 +150,19 @@
             return 1;
         }
         let state = &self.table.pools[pool];
-        let daemons = self.view.daemons.values().map(|domain| domain.len()).sum();
         let slots =
             state.members.first().map_or(1, |index| self.table.servers[*index].window.slots());
-        let rate = self.heats.rate(now, level.hash);
-        let load = placement::prefix_load(rate, state.service, slots, daemons);
+        let rate = self.heats.proven_rate(now, level.hash) * self.daemon_count();
+        let load = rate * state.service / f64::from(slots.max(1));
         let beyond = f64::from(prompt_tokens.saturating_sub(level.tokens));
         let prefill = state.typical_rate.map_or(0.0, |speed| beyond / speed);
-        let busy = rate * daemons.max(1) as f64 * prefill;
+        let busy = rate * prefill;
         (1 + (load.max(busy) / HOME_FILL) as usize).min(state.members.len())
     }
+
+    /// Daemons over which the balancer spreads callers evenly, so that what one sees stands for the others.
+    fn daemon_count(&self) -> f64 {
+        let daemons: usize = self.view.daemons.values().map(BTreeMap::len).sum();
+        daemons.max(1) as f64
+    }
 }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -61,6 +61,12 @@
 /// The time over which a prefix's heat is counted: about what an engine's cache remembers.
 const HEAT_SPAN: Duration = Duration::from_secs(20);
 
+/// What was counted for less than this tells no rate.
+const LEAST_COUNTED: Duration = Duration::from_secs(1);
+
+/// Standard deviations by which a count may exceed its mean by chance.
+const SCATTER: f64 = 2.0;
+
 /// A second, shorter count that finds a prefix which has just become hot.
 const FAST_SPAN: Duration = Duration::from_secs(4);
 
@@ -279,23 +285,50 @@
         }
     }
 
-    /// Requests per second; the fast count less its own scatter, so that chance makes nothing hot.
-    fn rate(&self) -> f64 {
-        let fast = (self.fast - 2.0 * self.fast.sqrt()).max(0.0) / FAST_SPAN.as_secs_f64();
-        fast.max(self.slow / HEAT_SPAN.as_secs_f64())
+    /// Requests per second, counted for `counted` so far.
+    fn mean_rate(&self, counted: Duration) -> f64 {
+        self.slow / seen_part(HEAT_SPAN, counted)
+    }
+
+    /// Requests per second that the counts prove, so that chance makes nothing hot.
+    fn proven_rate(&self, counted: Duration) -> f64 {
+        let fast = proven_count(self.fast) / seen_part(FAST_SPAN, counted);
+        let slow = proven_count(self.slow) / seen_part(HEAT_SPAN, counted);
+        fast.max(slow)
     }
 }
 
+/// What is left of a decayed count without its own scatter.
+///
+/// One of hundreds of daemons sees a rare prefix once in a long time. Taken for this daemon's part of the
+/// traffic, that one request would stand for hundreds.
+fn proven_count(count: f64) -> f64 {
+    // A count that decays evenly has half of its mean as its variance.
+    let deviation = (count / 2.0).sqrt();
+    (count - SCATTER * deviation).max(0.0)
+}
+
+/// Seconds of requests that a count with this span holds after `counted`: a daemon that has just started
+/// has not seen a whole span yet.
+fn seen_part(span: Duration, counted: Duration) -> f64 {
+    let span = span.as_secs_f64();
+    let counted = counted.max(LEAST_COUNTED).as_secs_f64();
+    span * (1.0 - (-counted / span).exp())
+}
+
 /// How often prefixes are asked for, so that hot ones get more homes.
 #[derive(Debug, Default)]
 pub struct HeatTable {
     /// At most [`MAX_HEATS`].
     heats: BTreeMap<u64, PrefixHeat>,
+    /// When the first request was counted.
+    since: Option<Instant>,
 }
 
 impl HeatTable {
     /// Counts a request for the prefix `hash`.
     pub fn note(&mut self, now: Instant, hash: u64) {
+        self.since.get_or_insert(now);
         if self.heats.len() >= MAX_HEATS && !self.heats.contains_key(&hash) {
             self.cool(now);
         }
@@ -305,9 +338,18 @@
         *heat = PrefixHeat { slow: slow + 1.0, fast: fast + 1.0, at };
     }
 
-    /// Requests per second for the prefix `hash`.
-    pub fn rate(&self, now: Instant, hash: u64) -> f64 {
-        self.heats.get(&hash).map_or(0.0, |heat| heat.at(now).rate())
+    /// Requests per second for the prefix `hash`, chance included.
+    pub fn mean_rate(&self, now: Instant, hash: u64) -> f64 {
+        self.heats.get(&hash).map_or(0.0, |heat| heat.at(now).mean_rate(self.counted(now)))
+    }
+
+    /// Requests per second for the prefix `hash` that are not by chance.
+    pub fn proven_rate(&self, now: Instant, hash: u64) -> f64 {
+        self.heats.get(&hash).map_or(0.0, |heat| heat.at(now).proven_rate(self.counted(now)))
+    }
+
+    fn counted(&self, now: Instant) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
     /// The hottest prefixes, hottest first.
@@ -334,12 +376,6 @@
     }
 }
 
-/// The load of a prefix over all daemons, in servers' worths of slots: this daemon's part of the
-/// requests stands for the others', since the balancer spreads callers evenly.
-pub fn prefix_load(requests_per_second: f64, service: f64, slots: u32, daemons: usize) -> f64 {
-    requests_per_second * service * daemons.max(1) as f64 / f64::from(slots.max(1))
-}
-
 /// Speed at which prompt-keep delivers kept prefixes, in tokens per second, and its fixed time.
 /// Taken from the pieces of about four thousand tokens that it keeps; an import is chosen only
 /// where it is cheaper by [`IMPORT_GAIN`], so a somewhat slower keep does no harm.
--- /dev/null
+++ b/tests/fleet_homes.rs
@@ -0,0 +1,264 @@
+//! Load pattern: hundreds of entries before hundreds of engines, each entry with a few requests a second.
+//! A handful of first levels is part of all long prompts; behind each come hundreds of contracts, each
+//! asked for now and then by whichever entry. One entry's counts are a small sample of the traffic.
+
+use {
+    oleandermount::{
+        ids::AttemptId,
+        inventory::{DecisionObjective, RequestClass, ServerKind},
+        policy::{
+            Dispatcher, DispatcherSettings, LoadReport, PolicyAction, PolicyInput, PolicyView,
+            PrefixLevel, RequestTicket, RequestWork, SafeguardSet, ServerView,
+        },
+    },
+    rand_core::{RngCore, SeedableRng},
+    rand_xoshiro::Xoshiro256PlusPlus,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::{Arc, LazyLock},
+        time::{Duration, Instant},
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+const MODEL: &str = "reader";
+const FIRST_TOKENS: u32 = 2_500;
+const CONTRACT_TOKENS: u32 = 3_800;
+const SHARED_TOKENS: u32 = FIRST_TOKENS + CONTRACT_TOKENS;
+const OWN_TOKENS: u32 = 2_900;
+/// Prompt tokens that an engine reads in a millisecond, and what an answer takes beside that.
+const READ_PER_MS: u32 = 38;
+const DECODE: Duration = Duration::from_millis(60);
+const MEASURED: Duration = Duration::from_secs(10);
+
+/// A fleet and its traffic.
+#[derive(Clone, Copy)]
+struct FleetSize {
+    entries: usize,
+    engines: usize,
+    domains: usize,
+    first_levels: u64,
+    contracts: u64,
+    /// Requests a second, all entries together.
+    rate: u64,
+    /// Time in which the entries learn what is hot.
+    warm_up: Duration,
+}
+
+const LARGE: FleetSize = FleetSize {
+    entries: 295,
+    engines: 320,
+    domains: 5,
+    first_levels: 4,
+    contracts: 2_950,
+    rate: 600,
+    warm_up: Duration::from_secs(20),
+};
+
+/// Where requests went after the warm-up.
+#[derive(Default)]
+struct FleetTally {
+    by_engine: BTreeMap<String, u32>,
+    by_contract: BTreeMap<u64, BTreeSet<String>>,
+    requests: u32,
+    /// Requests whose first token came later than a second.
+    late: u32,
+}
+
+fn view(size: FleetSize) -> Arc<PolicyView> {
+    let domain = |index: usize| format!("d{}", index % size.domains);
+    let servers = (0..size.engines).map(|index| {
+        let engine = ServerView {
+            failure_domain: domain(index),
+            kind: ServerKind::Engine,
+            models: vec![MODEL.to_owned()],
+            service: None,
+            slots: 12,
+        };
+        (format!("engine-{index}"), engine)
+    });
+    let mut daemons: BTreeMap<String, BTreeMap<String, f64>> = BTreeMap::new();
+    for index in 0..size.entries {
+        daemons.entry(domain(index)).or_default().insert(format!("vm-{index}"), 1.0);
+    }
+    Arc::new(PolicyView {
+        revision: 1,
+        objective: DecisionObjective::FirstToken,
+        servers: servers.collect(),
+        daemons,
+        ..PolicyView::default()
+    })
+}
+
+fn entries(size: FleetSize, now: Instant) -> Vec<Dispatcher> {
+    let view = view(size);
+    let start = |index: usize| {
+        let mut dispatcher = Dispatcher::new(DispatcherSettings {
+            daemon: format!("vm-{index}"),
+            failure_domain: format!("d{}", index % size.domains),
+            seed: index as u64,
+            disabled: SafeguardSet::default(),
+        });
+        dispatcher.handle(now, PolicyInput::Configure(Arc::clone(&view)));
+        for server in view.servers.keys() {
+            let report = LoadReport {
+                server: server.clone(),
+                incarnation: 1,
+                weights: [(MODEL.to_owned(), "1".to_owned())].into(),
+                running: 0,
+                waiting: 0,
+                waiting_tokens: 0,
+                cache_used: 0.0,
+                leaving: false,
+            };
+            dispatcher.handle(now, PolicyInput::Load(report));
+        }
+        dispatcher
+    };
+    (0..size.entries).map(start).collect()
+}
+
+fn review(number: u64, size: FleetSize, contract: u64, now: Instant) -> RequestTicket {
+    let hash = |text: String| xxh3_64(text.as_bytes());
+    let first = PrefixLevel {
+        hash: hash(format!("first {}", contract % size.first_levels)),
+        tokens: FIRST_TOKENS,
+    };
+    let second = PrefixLevel { hash: hash(format!("contract {contract}")), tokens: SHARED_TOKENS };
+    let own =
+        PrefixLevel { hash: hash(format!("own {number}")), tokens: second.tokens + OWN_TOKENS };
+    RequestTicket {
+        request: format!("r{number}"),
+        organisation: format!("o{}", contract % 190),
+        class: RequestClass::Standard,
+        deadline: now + Duration::from_secs(5),
+        repeatable: true,
+        fingerprint: number,
+        work: RequestWork::Model {
+            model: MODEL.to_owned(),
+            adapter: None,
+            levels: vec![first, second, own],
+            prompt_tokens: own.tokens,
+            max_output_tokens: 5,
+        },
+    }
+}
+
+/// Engines that read one prompt after the other, and keep all that they have read.
+#[derive(Default)]
+struct EngineFleet {
+    held: BTreeSet<(String, u64)>,
+    busy_until: BTreeMap<String, Instant>,
+}
+
+impl EngineFleet {
+    /// When the first token of a prompt comes.
+    fn read(&mut self, now: Instant, server: &str, levels: &[PrefixLevel]) -> Instant {
+        let missing =
+            levels.iter().filter(|level| self.held.insert((server.to_owned(), level.hash)));
+        let tokens = missing.map(|level| match level.tokens {
+            FIRST_TOKENS => FIRST_TOKENS,
+            SHARED_TOKENS => CONTRACT_TOKENS,
+            _ => OWN_TOKENS,
+        });
+        let taken = Duration::from_millis(u64::from(tokens.sum::<u32>() / READ_PER_MS));
+        let busy_until = self.busy_until.entry(server.to_owned()).or_insert(now);
+        *busy_until = (*busy_until).max(now) + taken;
+        *busy_until
+    }
+}
+
+/// What an engine tells an entry of an attempt.
+enum EngineNews {
+    FirstToken(AttemptId),
+    Finished(AttemptId),
+}
+
+impl EngineNews {
+    fn into_input(self) -> PolicyInput {
+        let cached_tokens = None;
+        match self {
+            EngineNews::FirstToken(attempt) => PolicyInput::FirstToken { attempt, cached_tokens },
+            EngineNews::Finished(attempt) => {
+                PolicyInput::Finished { attempt, cached_tokens, output_tokens: 5 }
+            }
+        }
+    }
+}
+
+fn play(size: FleetSize, seed: u64) -> FleetTally {
+    let start = Instant::now();
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let mut entries = entries(size, start);
+    let mut engines = EngineFleet::default();
+    let mut news: BTreeMap<(Instant, u64, bool), (usize, EngineNews)> = BTreeMap::new();
+    let mut tally = FleetTally::default();
+    let gap = Duration::from_secs(1) / size.rate as u32;
+    let total = (size.warm_up + MEASURED).as_secs() * size.rate;
+    for number in 0..total {
+        let now = start + gap * number as u32;
+        while let Some(first) = news.first_entry()
+            && first.key().0 <= now
+        {
+            let ((at, ..), (entry, told)) = first.remove_entry();
+            entries[entry].handle(at, told.into_input());
+        }
+        let entry = (random.next_u64() % size.entries as u64) as usize;
+        let contract = random.next_u64() % size.contracts;
+        let ticket = review(number, size, contract, now);
+        let RequestWork::Model { levels, .. } = &ticket.work else { continue };
+        let levels = levels.clone();
+        for action in entries[entry].handle(now, PolicyInput::Arrive(ticket)) {
+            let PolicyAction::Send(order) = action else { continue };
+            let answered = engines.read(now, &order.server, &levels);
+            if now >= start + size.warm_up {
+                tally.requests += 1;
+                tally.late += u32::from(answered > now + Duration::from_secs(1));
+                *tally.by_engine.entry(order.server.clone()).or_default() += 1;
+                tally.by_contract.entry(contract).or_default().insert(order.server);
+            }
+            let told = EngineNews::FirstToken(order.attempt);
+            news.insert((answered, number, false), (entry, told));
+            let told = EngineNews::Finished(order.attempt);
+            news.insert((answered + DECODE, number, true), (entry, told));
+        }
+    }
+    tally
+}
+
+/// Shared by the tests, since a play takes seconds.
+static WARM_FLEET: LazyLock<FleetTally> = LazyLock::new(|| play(LARGE, 1));
+
+// Guards against a number of homes that stays the same however many engines there are: a fifth of them
+// had all the work, and callers waited there while the others were idle.
+#[test]
+fn busiest_engine_has_a_fair_share() {
+    let tally = &*WARM_FLEET;
+    let most = tally.by_engine.values().max().copied().unwrap_or_default();
+    let mean = f64::from(tally.requests) / LARGE.engines as f64;
+    assert!(f64::from(most) <= 4.0 * mean, "{most} at the busiest engine, {mean:.1} on average");
+    let used = tally.by_engine.len();
+    assert!(used >= LARGE.engines / 2, "{used} of {} engines have work", LARGE.engines);
+}
+
+// Guards against entries that have just started and take what they have counted so far for a whole span:
+// for ten seconds all work went to the few homes that everything has at least.
+#[test]
+fn a_cold_start_spreads_as_well() {
+    let tally = play(FleetSize { warm_up: Duration::from_secs(1), ..LARGE }, 3);
+    let late = f64::from(tally.late) / f64::from(tally.requests);
+    assert!(late <= 0.1, "{:.0}% of the first tokens came late", 100.0 * late);
+}
+
+// Guards against one entry's single request for a contract being taken for its part of a stream of them:
+// the contract was read by several engines, whose copies pushed others out.
+#[test]
+fn a_rare_contract_has_one_home() {
+    let tally = &*WARM_FLEET;
+    let asked: u32 = tally.requests;
+    let pairs: usize = tally.by_contract.values().map(BTreeSet::len).sum();
+    let contracts = tally.by_contract.len();
+    assert!(asked as usize >= 2 * contracts, "{asked} requests for {contracts} contracts");
+    let engines = pairs as f64 / contracts as f64;
+    assert!(engines <= 1.5, "a contract is read by {engines:.2} engines");
+}
