--- a/tests/fleet_homes.rs
+++ b/tests/fleet_homes.rs
@@ -29,6 +29,8 @@
 /// Prompt tokens that an engine reads in a millisecond, and what an answer takes beside that.
 const READ_PER_MS: u32 = 38;
 const DECODE: Duration = Duration::from_millis(60);
+/// Time in which the entries learn what is hot.
+const WARM_UP: Duration = Duration::from_secs(20);
 const MEASURED: Duration = Duration::from_secs(10);
 
 /// A fleet and its traffic.
@@ -41,8 +43,6 @@
     contracts: u64,
     /// Requests a second, all entries together.
     rate: u64,
-    /// Time in which the entries learn what is hot.
-    warm_up: Duration,
 }
 
 const LARGE: FleetSize = FleetSize {
@@ -52,10 +52,9 @@
     first_levels: 4,
     contracts: 2_950,
     rate: 600,
-    warm_up: Duration::from_secs(20),
 };
 
-/// Where requests went after the warm-up.
+/// Where requests went.
 #[derive(Default)]
 struct FleetTally {
     by_engine: BTreeMap<String, u32>,
@@ -65,9 +64,10 @@
     late: u32,
 }
 
-fn view(size: FleetSize) -> Arc<PolicyView> {
+/// The fleet with those engines that are `kept`.
+fn view(size: FleetSize, kept: impl Fn(usize) -> bool) -> Arc<PolicyView> {
     let domain = |index: usize| format!("d{}", index % size.domains);
-    let servers = (0..size.engines).map(|index| {
+    let servers = (0..size.engines).filter(|index| kept(*index)).map(|index| {
         let engine = ServerView {
             failure_domain: domain(index),
             kind: ServerKind::Engine,
@@ -91,7 +91,7 @@
 }
 
 fn entries(size: FleetSize, now: Instant) -> Vec<Dispatcher> {
-    let view = view(size);
+    let view = view(size, |_| true);
     let start = |index: usize| {
         let mut dispatcher = Dispatcher::new(DispatcherSettings {
             daemon: format!("vm-{index}"),
@@ -186,48 +186,89 @@
     }
 }
 
-fn play(size: FleetSize, seed: u64) -> FleetTally {
-    let start = Instant::now();
-    let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
-    let mut entries = entries(size, start);
-    let mut engines = EngineFleet::default();
-    let mut news: BTreeMap<(Instant, u64, bool), (usize, EngineNews)> = BTreeMap::new();
-    let mut tally = FleetTally::default();
-    let gap = Duration::from_secs(1) / size.rate as u32;
-    let total = (size.warm_up + MEASURED).as_secs() * size.rate;
-    for number in 0..total {
-        let now = start + gap * number as u32;
-        while let Some(first) = news.first_entry()
-            && first.key().0 <= now
+/// A fleet under its traffic.
+struct FleetPlay {
+    size: FleetSize,
+    random: Xoshiro256PlusPlus,
+    entries: Vec<Dispatcher>,
+    engines: EngineFleet,
+    /// By moment, request, and whether it is the end of the answer.
+    news: BTreeMap<(Instant, u64, bool), (usize, EngineNews)>,
+    now: Instant,
+    number: u64,
+}
+
+impl FleetPlay {
+    fn new(size: FleetSize, seed: u64) -> Self {
+        let now = Instant::now();
+        FleetPlay {
+            size,
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
+            entries: entries(size, now),
+            engines: EngineFleet::default(),
+            news: BTreeMap::new(),
+            now,
+            number: 0,
+        }
+    }
+
+    /// Plays on for `span` and tells where requests went.
+    fn run(&mut self, span: Duration) -> FleetTally {
+        let mut tally = FleetTally::default();
+        let gap = Duration::from_secs(1) / self.size.rate as u32;
+        for _ in 0..span.as_secs() * self.size.rate {
+            self.now += gap;
+            self.tell_news();
+            self.ask(&mut tally);
+        }
+        tally
+    }
+
+    /// Tells all entries that only `kept` of the engines are listed from now on.
+    fn list(&mut self, kept: impl Fn(usize) -> bool) {
+        let view = view(self.size, kept);
+        for entry in &mut self.entries {
+            entry.handle(self.now, PolicyInput::Configure(Arc::clone(&view)));
+        }
+    }
+
+    fn tell_news(&mut self) {
+        while let Some(first) = self.news.first_entry()
+            && first.key().0 <= self.now
         {
             let ((at, ..), (entry, told)) = first.remove_entry();
-            entries[entry].handle(at, told.into_input());
+            self.entries[entry].handle(at, told.into_input());
         }
-        let entry = (random.next_u64() % size.entries as u64) as usize;
-        let contract = random.next_u64() % size.contracts;
-        let ticket = review(number, size, contract, now);
-        let RequestWork::Model { levels, .. } = &ticket.work else { continue };
+    }
+
+    fn ask(&mut self, tally: &mut FleetTally) {
+        let entry = (self.random.next_u64() % self.size.entries as u64) as usize;
+        let contract = self.random.next_u64() % self.size.contracts;
+        self.number += 1;
+        let ticket = review(self.number, self.size, contract, self.now);
+        let RequestWork::Model { levels, .. } = &ticket.work else { return };
         let levels = levels.clone();
-        for action in entries[entry].handle(now, PolicyInput::Arrive(ticket)) {
+        for action in self.entries[entry].handle(self.now, PolicyInput::Arrive(ticket)) {
             let PolicyAction::Send(order) = action else { continue };
-            let answered = engines.read(now, &order.server, &levels);
-            if now >= start + size.warm_up {
-                tally.requests += 1;
-                tally.late += u32::from(answered > now + Duration::from_secs(1));
-                *tally.by_engine.entry(order.server.clone()).or_default() += 1;
-                tally.by_contract.entry(contract).or_default().insert(order.server);
-            }
+            let answered = self.engines.read(self.now, &order.server, &levels);
+            tally.requests += 1;
+            tally.late += u32::from(answered > self.now + Duration::from_secs(1));
+            *tally.by_engine.entry(order.server.clone()).or_default() += 1;
+            tally.by_contract.entry(contract).or_default().insert(order.server);
             let told = EngineNews::FirstToken(order.attempt);
-            news.insert((answered, number, false), (entry, told));
+            self.news.insert((answered, self.number, false), (entry, told));
             let told = EngineNews::Finished(order.attempt);
-            news.insert((answered + DECODE, number, true), (entry, told));
+            self.news.insert((answered + DECODE, self.number, true), (entry, told));
         }
     }
-    tally
 }
 
 /// Shared by the tests, since a play takes seconds.
-static WARM_FLEET: LazyLock<FleetTally> = LazyLock::new(|| play(LARGE, 1));
+static WARM_FLEET: LazyLock<FleetTally> = LazyLock::new(|| {
+    let mut play = FleetPlay::new(LARGE, 1);
+    play.run(WARM_UP);
+    play.run(MEASURED)
+});
 
 // Guards against a number of homes that stays the same however many engines there are: a fifth of them
 // had all the work, and callers waited there while the others were idle.
@@ -245,7 +286,9 @@
 // for ten seconds all work went to the few homes that everything has at least.
 #[test]
 fn a_cold_start_spreads_as_well() {
-    let tally = play(FleetSize { warm_up: Duration::from_secs(1), ..LARGE }, 3);
+    let mut play = FleetPlay::new(LARGE, 3);
+    play.run(Duration::from_secs(1));
+    let tally = play.run(MEASURED);
     let late = f64::from(tally.late) / f64::from(tally.requests);
     assert!(late <= 0.1, "{:.0}% of the first tokens came late", 100.0 * late);
 }
@@ -255,10 +298,33 @@
 #[test]
 fn a_rare_contract_has_one_home() {
     let tally = &*WARM_FLEET;
-    let asked: u32 = tally.requests;
+    let asked = tally.requests as usize;
     let pairs: usize = tally.by_contract.values().map(BTreeSet::len).sum();
     let contracts = tally.by_contract.len();
-    assert!(asked as usize >= 2 * contracts, "{asked} requests for {contracts} contracts");
+    assert!(asked >= 2 * contracts, "{asked} requests for {contracts} contracts");
     let engines = pairs as f64 / contracts as f64;
     assert!(engines <= 1.5, "a contract is read by {engines:.2} engines");
 }
+
+// Guards against homes that move when other engines leave: what they hold would be read again elsewhere.
+#[test]
+fn homes_stay_when_others_leave() {
+    const LEAVING_ONE_IN: usize = 5;
+    let mut play = FleetPlay::new(LARGE, 4);
+    play.run(WARM_UP);
+    let before = play.run(MEASURED);
+    play.list(|engine| engine % LEAVING_ONE_IN != 0);
+    let after = play.run(MEASURED);
+    let gone = |engine: &String| !after.by_engine.contains_key(engine);
+    let (mut stayed, mut moved) = (0, 0);
+    for (contract, homes) in &before.by_contract {
+        let Some(now) = after.by_contract.get(contract) else { continue };
+        // Contracts of engines that left have to move.
+        if homes.len() == 1 && !homes.iter().any(gone) {
+            let stays = homes.is_subset(now);
+            (stayed, moved) = (stayed + u32::from(stays), moved + u32::from(!stays));
+        }
+    }
+    assert!(stayed > 500, "{stayed} contracts compared");
+    assert!(moved * 10 <= stayed, "{moved} of {} contracts moved", stayed + moved);
+}
