--- a/src/policy/dispatcher/homes.rs
+++ b/src/policy/dispatcher/homes.rs
@@ -16,12 +16,12 @@
 /// Levels whose heat is counted and that can decide the home: the shared ones come first.
 pub(super) const HOME_LEVELS: usize = 4;
 
-/// Servers at least among which the hash of a short first level lets the next levels choose: what follows
-/// it evens out the better the more servers share it.
+/// Homes that a short first level has at least: the next levels choose among them, and what follows evens
+/// out the better the more there are.
 const LEAST_ROOT_HOMES: usize = 16;
 
-/// How often each of more homes than these must be asked for a short first level: sooner than its cache
-/// has lost it, or each prompt there would compute the first level anew.
+/// A short first level has no more homes than are each asked for it within this time: a home that is asked
+/// more rarely has lost it from its cache and computes it anew for each prompt.
 const ROOT_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Load of a level that one home is given, as a part of a server: the rest is for others.
