List two red tests of the ledger: a Reserve that comes late claims a call for nobody

Looked for the cause of the booking test that hung. A resend waits while the ledger says that another holder runs the call. A Release notes its holder so that its own Reserve, still on its way, claims nothing; but the note is replaced by the next holder's, and is not made at all while another holder has the call. The late Reserve is then granted to a daemon that has given up, and no end of it ever comes. Both tests fail on the code as it is, each time; that the hang had this cause no log shows. Not mended here: what the ledger keeps is replicated state.

--- a/tests/ledger_rules.rs
+++ b/tests/ledger_rules.rs
@@ -200,3 +200,24 @@
     let copy = ControlState::decode(&bench.0.encode()).expect("it decodes");
     assert_eq!(copy, bench.0, "a snapshot carries all of it");
 }
+
+// Guards against a claim that nobody holds: a `Reserve` that comes after its own `Release` and after
+// another daemon's whole claim makes every resend wait until its deadline.
+#[test]
+fn late_reserve_claims_nothing() {
+    let mut bench = LedgerBench::default();
+    assert_eq!(bench.release(&first_try()), CommandOutcome::Released);
+    assert_eq!(bench.reserve(&other_try(), 1), CommandOutcome::Reserved);
+    assert_eq!(bench.release(&other_try()), CommandOutcome::Released);
+    assert_eq!(bench.reserve(&first_try(), 2), CommandOutcome::Released);
+}
+
+// The same where the `Release` comes while the other daemon holds the call.
+#[test]
+fn late_reserve_after_a_refused_release() {
+    let mut bench = LedgerBench::default();
+    assert_eq!(bench.reserve(&other_try(), 1), CommandOutcome::Reserved);
+    bench.release(&first_try());
+    assert_eq!(bench.release(&other_try()), CommandOutcome::Released);
+    assert_eq!(bench.reserve(&first_try(), 2), CommandOutcome::Released);
+}
