--- a/tests/fleet_homes.rs
+++ b/tests/fleet_homes.rs
@@ -270,8 +270,7 @@
     play.run(MEASURED)
 });
 
-// Guards against a number of homes that stays the same however many engines there are: a fifth of them
-// had all the work, and callers waited there while the others were idle.
+// Guards against a number of homes that does not follow the size of the pool.
 #[test]
 fn busiest_engine_has_a_fair_share() {
     let tally = &*WARM_FLEET;
@@ -282,8 +281,7 @@
     assert!(used >= LARGE.engines / 2, "{used} of {} engines have work", LARGE.engines);
 }
 
-// Guards against entries that have just started and take what they have counted so far for a whole span:
-// for ten seconds all work went to the few homes that everything has at least.
+// Guards against a count of one second that is taken for a whole span after a start.
 #[test]
 fn a_cold_start_spreads_as_well() {
     let mut play = FleetPlay::new(LARGE, 3);
@@ -293,8 +291,7 @@
     assert!(late <= 0.1, "{:.0}% of the first tokens came late", 100.0 * late);
 }
 
-// Guards against one entry's single request for a contract being taken for its part of a stream of them:
-// the contract was read by several engines, whose copies pushed others out.
+// Guards against one request at one of hundreds of entries that makes a prefix hot.
 #[test]
 fn a_rare_contract_has_one_home() {
     let tally = &*WARM_FLEET;
@@ -306,7 +303,7 @@
     assert!(engines <= 1.5, "a contract is read by {engines:.2} engines");
 }
 
-// Guards against homes that move when other engines leave: what they hold would be read again elsewhere.
+// Guards against homes that move when other engines leave.
 #[test]
 fn homes_stay_when_others_leave() {
     const LEAVING_ONE_IN: usize = 5;
--- a/tests/ledger_rules.rs
+++ b/tests/ledger_rules.rs
@@ -201,8 +201,7 @@
     assert_eq!(copy, bench.0, "a snapshot carries all of it");
 }
 
-// Guards against a claim that nobody holds: a `Reserve` that comes after its own `Release` and after
-// another daemon's whole claim makes every resend wait until its deadline.
+// Guards against a claim for nobody by a `Reserve` that comes after its own `Release` and another claim.
 #[test]
 fn late_reserve_claims_nothing() {
     let mut bench = LedgerBench::default();
@@ -212,7 +211,7 @@
     assert_eq!(bench.reserve(&first_try(), 2), CommandOutcome::Released);
 }
 
-// The same where the `Release` comes while the other daemon holds the call.
+// Guards against the same where the `Release` comes while another daemon holds the call.
 #[test]
 fn late_reserve_after_a_refused_release() {
     let mut bench = LedgerBench::default();
