Let the ledger tell attempts that are over from new ones, by floor and note

What callers saw: a resend of a booking waited until its deadline (80 s in the test) for a claim that nobody held. No call ran twice.

Cause: a reservation that reached the ledger after its daemon had dropped the attempt was granted. The daemon dropped attempts without a word when another holder was found after an unknown first proposal, when the caller's task ended, and after 750 tries of an end; the ledger kept one note of a given-back claim for each call, none while another attempt held it, and forgot notes after an hour, in a full shard, and with a VM that fell out of its list.

Ruled out: a frozen process that is merely late (the hung run went on for 100 s after the thaw).

Why it works: attempts are numbered in order. A daemon holds an attempt open until nothing can be sent under it and, if it was sent, its end is committed; it tells the ledger the floor below which all are over, and gives back single attempts at once. Both are kept with the daemon's life. A late reservation of an ended attempt is refused, and a claim that one holds already is free. A VM that falls out of the ledger's 1,024 leaves a number above all its attempts.

Replicas of both releases would come to different states by one log, so the protocol between daemons is another one (other_release).

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -149,6 +149,18 @@
         /// The version.
         weights: WeightsVersion,
     },
+    /// Say that a daemon's attempts at non-repeatable calls below a number are over: the end of
+    /// each that was sent is committed, and no other will be sent.
+    EndAttempts {
+        /// The VM of the daemon.
+        vm: VmId,
+        /// Its life.
+        incarnation: Incarnation,
+        /// The oldest attempt that it may still send or end; only grows.
+        floor: AttemptId,
+        /// Milliseconds since the Unix epoch at the proposer, for retention only.
+        now_ms: u64,
+    },
 }
 
 /// The answer of a non-repeatable call, kept for resends.
@@ -220,6 +232,11 @@
         /// The number.
         number: DocumentNumber,
     },
+    /// Attempts below this number may have been forgotten; claim under it or a higher one.
+    Forgotten {
+        /// The number.
+        below: AttemptId,
+    },
 }
 
 /// Why a proposal has no outcome.
--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -1,10 +1,16 @@
 //! The idempotency ledger: which non-repeatable calls are claimed, finished or in doubt.
 //!
-//! A claim permits exactly one run. It ends by the holder's word (`Finish`, `Release` when nothing
-//! was sent, `MarkUnknown`) or when a later life of the holder's VM shows that the holder is gone,
-//! and then the outcome is unknown. No timeout frees a claim.
+//! A claim permits exactly one run. It ends by the holder's word (`Finish`, `MarkUnknown`, or, when
+//! nothing was sent, `Release` or `EndAttempts`) or when a later life of the holder's VM shows that
+//! the holder is gone, and then the outcome is unknown. No timeout frees a claim.
+
+mod daemon_lives;
+mod former_ledger;
+
+pub use self::former_ledger::FormerLedger;
 
 use {
+    self::daemon_lives::DaemonLives,
     crate::{
         control::command::{CommandOutcome, KeptAnswer},
         ids::{AttemptId, DigestHex, IdempotencyKey, Incarnation, OrganisationId, VmId},
@@ -27,11 +33,6 @@
 pub const ANSWER_BYTES: usize = 64 << 10;
 /// The longest key, fingerprint or name.
 const NAME_BYTES: usize = 256;
-/// VMs whose lives and clocks are remembered; the one with the oldest clock falls out. Its claims
-/// then stay running for ever, which is safe.
-const LIVES: usize = 1024;
-/// How long a given-back claim is remembered: longer than any copy of its `Reserve` can travel.
-const RELEASED_MS: u64 = 3_600_000;
 
 /// Whose call, and its key.
 pub type LedgerKey = (OrganisationId, IdempotencyKey);
@@ -66,8 +67,6 @@
     Finished(KeptAnswer),
     /// It may have run.
     Unknown,
-    /// It did not run. Kept for a while so that a late copy of its `Reserve` claims nothing.
-    Released,
 }
 
 /// A part of the ledger.
@@ -81,38 +80,18 @@
     kept_bytes: usize,
 }
 
-/// What is known of the daemon on a VM.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-struct VmLife {
-    /// The latest life seen; only grows.
-    incarnation: Incarnation,
-    /// The latest time it gave; only grows.
-    clock_ms: u64,
-}
-
 /// The whole ledger.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct IdempotencyLedger {
     /// Always [`LEDGER_SHARDS`] of them.
     shards: Vec<LedgerShard>,
-    /// At most [`LIVES`].
-    lives: BTreeMap<VmId, VmLife>,
-    /// The second latest of the VMs' clocks; only grows. Retention ends by this clock.
-    clock_ms: u64,
-    /// The latest of the VMs' clocks, never below `clock_ms`; only grows. Closed calls carry this
-    /// time: it cannot lie before the true one by more than clocks differ, also while only one VM
-    /// proposes and `clock_ms` stands still.
-    latest_ms: u64,
+    lives: DaemonLives,
 }
 
 impl Default for IdempotencyLedger {
     fn default() -> Self {
-        IdempotencyLedger {
-            shards: vec![LedgerShard::default(); LEDGER_SHARDS],
-            lives: BTreeMap::new(),
-            clock_ms: 0,
-            latest_ms: 0,
-        }
+        let shards = vec![LedgerShard::default(); LEDGER_SHARDS];
+        IdempotencyLedger { shards, lives: DaemonLives::default() }
     }
 }
 
@@ -147,18 +126,17 @@
         if !request.is_short() {
             return refused("the key or a name is longer than 256 bytes; shorten it");
         }
-        let noted = self.note_life(&request.holder.vm, request.holder.incarnation, request.now_ms);
-        if noted != CommandOutcome::Noted {
-            return noted;
+        if let Some(outcome) = self.lives.admit(&request.holder, request.now_ms) {
+            return outcome;
         }
-        let (lives, clock_ms, latest_ms) = (&self.lives, self.clock_ms, self.latest_ms);
+        let lives = &self.lives;
         let shard = &mut self.shards[shard_number(&request.key)];
-        shard.expire(clock_ms, request.retention_ms);
-        if let Some(outcome) = shard.standing(&request, lives, latest_ms) {
+        shard.expire(lives.clock_ms(), request.retention_ms);
+        if let Some(outcome) = shard.standing(&request, lives) {
             return outcome;
         }
         if shard.is_full() {
-            shard.make_room(lives, latest_ms);
+            shard.make_room(lives);
         }
         if shard.is_full() {
             return CommandOutcome::LedgerFull;
@@ -175,7 +153,7 @@
         holder: &ClaimHolder,
         answer: &KeptAnswer,
     ) -> CommandOutcome {
-        let latest_ms = self.latest_ms;
+        let latest_ms = self.lives.latest_ms();
         let shard = &mut self.shards[shard_number(&key)];
         let length = answer.body.len() + answer.content_type.len();
         match shard.held(&key, holder) {
@@ -189,24 +167,21 @@
                 shard.close(&key, phase, latest_ms);
                 CommandOutcome::Noted
             }
-            Some(LedgerPhase::Released) | None => CommandOutcome::NotHolder,
+            None => CommandOutcome::NotHolder,
         }
     }
 
     /// Gives a claim back when nothing was sent.
     pub fn release(&mut self, key: LedgerKey, holder: &ClaimHolder) -> CommandOutcome {
-        let latest_ms = self.latest_ms;
+        // Also where another attempt holds the call: the `Reserve` may still be on its way.
+        self.lives.give_back(holder);
         let shard = &mut self.shards[shard_number(&key)];
-        if shard.is_free(&key) && !shard.is_full() {
-            // The `Reserve` may still be on its way, and its proposer has answered its caller.
-            // Noted as given back, it will claim nothing.
-            shard.put(key, LedgerEntry::released(holder.clone(), latest_ms));
+        if !shard.entries.contains_key(&key) {
             return CommandOutcome::Released;
         }
         match shard.held(&key, holder) {
-            Some(LedgerPhase::Released) => CommandOutcome::Released,
             Some(LedgerPhase::Running) => {
-                shard.close(&key, LedgerPhase::Released, latest_ms);
+                shard.remove(&key);
                 CommandOutcome::Released
             }
             // A claim once in doubt or finished is never freed: it may have run.
@@ -218,7 +193,7 @@
 
     /// Notes that the outcome of a sent call will never be known.
     pub fn mark_unknown(&mut self, key: LedgerKey, holder: &ClaimHolder) -> CommandOutcome {
-        let latest_ms = self.latest_ms;
+        let latest_ms = self.lives.latest_ms();
         let shard = &mut self.shards[shard_number(&key)];
         match shard.held(&key, holder) {
             Some(LedgerPhase::Running) => {
@@ -226,7 +201,7 @@
                 CommandOutcome::Noted
             }
             Some(LedgerPhase::Unknown | LedgerPhase::Finished(_)) => CommandOutcome::Noted,
-            Some(LedgerPhase::Released) | None => CommandOutcome::NotHolder,
+            None => CommandOutcome::NotHolder,
         }
     }
 
@@ -237,38 +212,19 @@
         incarnation: Incarnation,
         now_ms: u64,
     ) -> CommandOutcome {
-        if vm.len() > NAME_BYTES {
-            return refused("the name of the VM is longer than 256 bytes; shorten it");
-        }
-        let life = self.lives.entry(vm.clone()).or_insert(VmLife { incarnation, clock_ms: 0 });
-        if life.incarnation > incarnation {
-            return refused("a later life of this VM has proposed; restart the daemon");
-        }
-        *life = VmLife { incarnation, clock_ms: life.clock_ms.max(now_ms) };
-        if self.lives.len() > LIVES {
-            let oldest = self.lives.iter().min_by_key(|(_, life)| life.clock_ms);
-            let oldest = oldest.map(|(vm, _)| vm.clone()).expect("there are lives");
-            self.lives.remove(&oldest);
-        }
-        self.advance_clock();
-        CommandOutcome::Noted
+        self.lives.note(vm, incarnation, now_ms)
     }
 
-    /// Takes the latest and the second latest of the VMs' clocks.
-    ///
-    /// One VM whose clock jumps ahead would otherwise end the retention of every answer at once,
-    /// and a resend would run again. It takes two such VMs to do that.
-    fn advance_clock(&mut self) {
-        let (mut latest, mut second) = (0, 0);
-        for life in self.lives.values() {
-            if life.clock_ms > latest {
-                (latest, second) = (life.clock_ms, latest);
-            } else {
-                second = second.max(life.clock_ms);
-            }
-        }
-        self.clock_ms = self.clock_ms.max(second);
-        self.latest_ms = self.latest_ms.max(latest);
+    /// Notes that all attempts of a daemon's life below `floor` are over; calls that they still
+    /// hold are free.
+    pub fn end_attempts(
+        &mut self,
+        vm: &VmId,
+        incarnation: Incarnation,
+        floor: AttemptId,
+        now_ms: u64,
+    ) -> CommandOutcome {
+        self.lives.raise_floor(vm, incarnation, floor, now_ms)
     }
 }
 
@@ -290,23 +246,15 @@
         }
     }
 
-    fn released(holder: ClaimHolder, closed_ms: u64) -> Self {
-        let phase = LedgerPhase::Released;
-        LedgerEntry { fingerprint: DigestHex::new(), holder, phase, closed_ms }
-    }
-
     fn kept_bytes(&self) -> usize {
         match &self.phase {
             LedgerPhase::Finished(answer) => answer.body.len() + answer.content_type.len(),
-            LedgerPhase::Running | LedgerPhase::Unknown | LedgerPhase::Released => 0,
+            LedgerPhase::Running | LedgerPhase::Unknown => 0,
         }
     }
 
-    fn is_lost(&self, lives: &BTreeMap<VmId, VmLife>) -> bool {
+    fn is_running(&self) -> bool {
         self.phase == LedgerPhase::Running
-            && lives
-                .get(&self.holder.vm)
-                .is_some_and(|life| life.incarnation > self.holder.incarnation)
     }
 }
 
@@ -315,36 +263,29 @@
         self.entries.len() >= SHARD_ENTRIES || self.kept_bytes >= SHARD_BYTES
     }
 
-    fn is_free(&self, key: &LedgerKey) -> bool {
-        self.entries.get(key).is_none_or(|entry| entry.phase == LedgerPhase::Released)
-    }
-
     /// How an earlier claim under the key answers this one; `None` when the call is free.
     fn standing(
         &mut self,
         request: &ClaimRequest<'_>,
-        lives: &BTreeMap<VmId, VmLife>,
-        latest_ms: u64,
+        lives: &DaemonLives,
     ) -> Option<CommandOutcome> {
         let entry = self.entries.get(&request.key)?;
-        if entry.phase == LedgerPhase::Released {
-            // A copy of the `Reserve` that was given back must not claim the call for a holder
-            // that has already answered its caller.
-            let copy = entry.holder == request.holder;
-            return copy.then_some(CommandOutcome::Released);
+        if entry.is_running() && lives.is_over(&entry.holder) {
+            self.remove(&request.key);
+            return None;
         }
         if entry.fingerprint != *request.fingerprint {
             return Some(CommandOutcome::KeyReused);
         }
-        if entry.is_lost(lives) {
-            self.close(&request.key, LedgerPhase::Unknown, latest_ms);
+        if entry.is_running() && lives.is_gone(&entry.holder) {
+            self.close(&request.key, LedgerPhase::Unknown, lives.latest_ms());
             return Some(CommandOutcome::Unknown);
         }
         Some(match &entry.phase {
             // The identical proposal after a lost answer; another try of the same daemon is not
             // identical, or one claim would permit two sends.
             LedgerPhase::Running if entry.holder == request.holder => CommandOutcome::Reserved,
-            LedgerPhase::Running | LedgerPhase::Released => CommandOutcome::Running {
+            LedgerPhase::Running => CommandOutcome::Running {
                 holder: entry.holder.vm.clone(),
                 incarnation: entry.holder.incarnation,
             },
@@ -384,32 +325,25 @@
     /// but the holder can tell that they did not run.
     fn expire(&mut self, clock_ms: u64, retention_ms: u64) {
         while let Some((closed_ms, key)) = self.closed.first().cloned() {
-            if closed_ms.saturating_add(retention_ms.min(RELEASED_MS)) >= clock_ms {
-                break;
-            }
-            let released =
-                self.entries.get(&key).is_some_and(|entry| entry.phase == LedgerPhase::Released);
-            if !released && closed_ms.saturating_add(retention_ms) >= clock_ms {
+            if closed_ms.saturating_add(retention_ms) >= clock_ms {
                 break;
             }
             self.remove(&key);
         }
     }
 
-    /// Forgets given-back claims and closes those whose holder is gone, so that the retention of
-    /// the latter begins.
-    fn make_room(&mut self, lives: &BTreeMap<VmId, VmLife>, latest_ms: u64) {
-        let of = |wanted: &dyn Fn(&LedgerEntry) -> bool| -> Vec<LedgerKey> {
-            let chosen = self.entries.iter().filter(|(_, entry)| wanted(entry));
-            chosen.map(|(key, _)| key.clone()).collect()
-        };
-        let released = of(&|entry| entry.phase == LedgerPhase::Released);
-        let lost = of(&|entry| entry.is_lost(lives));
-        for key in released {
+    /// Frees the calls of attempts that are over, and closes those whose holder is gone, so that
+    /// the retention of the latter begins.
+    fn make_room(&mut self, lives: &DaemonLives) {
+        let running = self.entries.iter().filter(|(_, entry)| entry.is_running());
+        let (over, others): (Vec<_>, Vec<_>) = running
+            .map(|(key, entry)| (key.clone(), entry.holder.clone()))
+            .partition(|(_, holder)| lives.is_over(holder));
+        for (key, _) in over {
             self.remove(&key);
         }
-        for key in lost {
-            self.close(&key, LedgerPhase::Unknown, latest_ms);
+        for (key, _) in others.into_iter().filter(|(_, holder)| lives.is_gone(holder)) {
+            self.close(&key, LedgerPhase::Unknown, lives.latest_ms());
         }
     }
 }
--- a/src/control/state.rs
+++ b/src/control/state.rs
@@ -6,7 +6,7 @@
             command::{Command, CommandOutcome},
             configuration::{ConfigPart, ConfigRequest, ConfigState},
             document::DocumentState,
-            ledger::{ClaimHolder, ClaimRequest, IdempotencyLedger},
+            ledger::{ClaimHolder, ClaimRequest, FormerLedger, IdempotencyLedger},
             orders::{ServerWeightOrders, SuspectTable, WeightOrders},
         },
         ids::FencingNumber,
@@ -16,8 +16,10 @@
 };
 
 /// The version of the snapshot's encoding; an unknown one is refused.
-const STATE_VERSION: u32 = 3;
-/// The version that kept desired weights for each server; still read, so that an upgrade loses nothing.
+const STATE_VERSION: u32 = 4;
+/// The version that kept given-back claims among the calls; still read, so that an upgrade loses nothing.
+const VERSION_WITHOUT_FLOORS: u32 = 3;
+/// The version that kept desired weights for each server; still read as well.
 const VERSION_BY_SERVER: u32 = 2;
 /// The version before documents were kept; still read as well.
 const VERSION_WITHOUT_DOCUMENTS: u32 = 1;
@@ -36,20 +38,24 @@
 
 /// What snapshots of earlier versions have in common.
 #[derive(Deserialize)]
-struct FormerState {
+struct FormerState<O> {
     configuration: ConfigState,
-    ledger: IdempotencyLedger,
-    orders: ServerWeightOrders,
+    ledger: FormerLedger,
+    orders: O,
     suspects: SuspectTable,
 }
 
-impl FormerState {
+impl<O: Into<WeightOrders>> FormerState<O> {
     fn upgrade(self, documents: DocumentState) -> ControlState {
         let FormerState { configuration, ledger, orders, suspects } = self;
-        ControlState { configuration, ledger, orders: orders.into(), suspects, documents }
+        let (ledger, orders) = (ledger.into(), orders.into());
+        ControlState { configuration, ledger, orders, suspects, documents }
     }
 }
 
+/// What a snapshot holds whose weights are kept by server.
+type ServerState = FormerState<ServerWeightOrders>;
+
 /// Why a snapshot cannot be read.
 #[derive(Clone, Debug, Display, PartialEq)]
 pub enum StateError {
@@ -107,6 +113,9 @@
             Command::NoteLife { vm, incarnation, now_ms } => {
                 self.ledger.note_life(vm, *incarnation, *now_ms)
             }
+            Command::EndAttempts { vm, incarnation, floor, now_ms } => {
+                self.ledger.end_attempts(vm, *incarnation, *floor, *now_ms)
+            }
             Command::DesireWeights { model, weights, .. }
             | Command::DesireModel { model, weights } => self.orders.desire(model, weights, number),
             Command::NoteSuspect { fingerprint, strikes } => {
@@ -151,13 +160,17 @@
         let (version, rest) = postcard::take_from_bytes::<u32>(bytes).map_err(damaged)?;
         let mut state = match version {
             STATE_VERSION => postcard::from_bytes(rest).map_err(damaged)?,
+            VERSION_WITHOUT_FLOORS => {
+                let (former, documents) = postcard::from_bytes(rest).map_err(damaged)?;
+                FormerState::<WeightOrders>::upgrade(former, documents)
+            }
             VERSION_BY_SERVER => {
                 let (former, documents) = postcard::from_bytes(rest).map_err(damaged)?;
-                FormerState::upgrade(former, documents)
+                ServerState::upgrade(former, documents)
             }
             VERSION_WITHOUT_DOCUMENTS => {
                 let former = postcard::from_bytes(rest).map_err(damaged)?;
-                FormerState::upgrade(former, DocumentState::default())
+                ServerState::upgrade(former, DocumentState::default())
             }
             unknown => return Err(StateError::UnknownVersion(unknown)),
         };
--- a/src/daemon/running.rs
+++ b/src/daemon/running.rs
@@ -27,7 +27,8 @@
         observe::metrics::{self as measures, MetricsError},
         options::{DaemonOptions, DaemonRole},
         pipeline::{
-            CoreParts, DispatchPort, DrainGate, PipelineCore, TraceLog, deduplicate::announce_life,
+            CoreParts, DispatchPort, DrainGate, PipelineCore, TraceLog,
+            deduplicate::{announce_life, tell_floor},
             dispatch::DispatchDuty,
         },
         policy::{Dispatcher, DispatcherSettings},
@@ -205,6 +206,7 @@
             tasks.spawn(follow_voters(core, network.clone(), control));
         }
         tasks.spawn(announce_life(Arc::clone(&parts.core)));
+        tasks.spawn(tell_floor(Arc::clone(&parts.core)));
         let port = Arc::clone(&parts.core.port);
         tasks.spawn(async move { port.run_wakeups().await });
     }
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -25,6 +25,10 @@
 /// The caller closed its connection before it had its answer.
 pub const CALLER_LEFT: &str = "caller left";
 
+/// A non-repeatable call waits for the answer of its other run; `call` begins its digest, `holder` and
+/// `incarnation` name the daemon that holds its claim.
+pub const CALL_WAITS: &str = "call waits for its other run";
+
 /// A server gets nothing until it shows a sign of life.
 pub const SERVER_LOST: &str = "backend server lost";
 /// It showed one.
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -63,6 +63,8 @@
 pub const CROSSED_ANSWERS: &str = "oleandermount_crossed_answers_total";
 /// Cancel calls, probes and digests that were dropped because too many waited.
 pub const DUTIES_DROPPED: &str = "oleandermount_duties_dropped_total";
+/// Claims of non-repeatable calls that were given back with nothing sent.
+pub const CLAIMS_RETURNED: &str = "oleandermount_claims_returned_total";
 /// Requests cut off when the grace of a shutdown ended.
 pub const CUT_REQUESTS: &str = "oleandermount_cut_requests_total";
 
@@ -217,6 +219,7 @@
     describe_counter!(PEERS_REFUSED, "Daemons refused for their keys.");
     describe_gauge!(CONNECTIONS, "Open connections of callers and operators.");
     describe_gauge!(DRAINING, "1 while this daemon drains.");
+    describe_counter!(CLAIMS_RETURNED, "Claims given back with nothing sent.");
     describe_counter!(CUT_REQUESTS, "Requests cut off at the end of a shutdown's grace.");
 }
 
@@ -239,6 +242,7 @@
     counter!(CROSSED_ANSWERS).increment(0);
     counter!(DUTIES_DROPPED).increment(0);
     counter!(PEERS_REFUSED).increment(0);
+    counter!(CLAIMS_RETURNED).increment(0);
     counter!(CUT_REQUESTS).increment(0);
     gauge!(CONFIG_REVISION).set(0.0);
     gauge!(CONFIG_UNCONFIRMED).set(0.0);
--- a/src/pipeline/core.rs
+++ b/src/pipeline/core.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         daemon::ControlPort,
-        ids::{AttemptId, Incarnation, OrganisationId, RequestId, ServerId, VmId},
+        ids::{Incarnation, OrganisationId, RequestId, ServerId, VmId},
         inventory::{ActiveConfig, OrganisationRule, ServerKind},
         policy::{PolicyInput, PolicyView, ServerView},
     },
@@ -137,7 +137,7 @@
             gate,
             trace,
             usage: Arc::default(),
-            claims: ActiveClaims::default(),
+            claims: ActiveClaims::new(incarnation),
             serving: ArcSwap::default(),
             requests: AtomicU64::new(0),
         })
@@ -164,12 +164,6 @@
         self.serving().addresses.get(server).copied()
     }
 
-    /// A number for a new claim, unique over all daemons and their restarts.
-    pub fn next_claim(&self) -> AttemptId {
-        let count = self.requests.fetch_add(1, Ordering::Relaxed);
-        (u128::from(self.incarnation) << 64) | u128::from(count)
-    }
-
     /// An id for a new request: the VM's name, then its life, then a count.
     pub fn next_request(&self) -> RequestId {
         let count = self.requests.fetch_add(1, Ordering::Relaxed);
--- a/src/pipeline/deduplicate.rs
+++ b/src/pipeline/deduplicate.rs
@@ -1,31 +1,48 @@
 //! Non-repeatable calls run at most once: a claim in the ledger comes before the only sending.
 //!
 //! The life cycle of a claim is a type: only a [`Claimed`] one can be released, only a [`Sent`]
-//! one can be finished, and neither state has a way to send twice.
+//! one can be finished, and neither state has a way to send twice. A claim that is dropped in
+//! either state ends as well: given back if nothing was sent, else with an unknown outcome.
+
+mod active_claims;
+
+pub use self::active_claims::ActiveClaims;
 
 use {
     super::{core::PipelineCore, limit::CallerTerms, refusal::CallerRefusal, send_fuse::SendFuse},
     crate::{
-        control::{Command, CommandOutcome, KeptAnswer, ProposeError},
-        ids::{AttemptId, DigestHex, IdempotencyKey, OrganisationId},
-        observe::metrics::refusal,
+        control::{Command, CommandOutcome, KeptAnswer, ProposeError, ledger::LedgerKey},
+        ids::{AttemptId, DigestHex, IdempotencyKey, Incarnation, VmId},
+        observe::{
+            events,
+            metrics::{CLAIMS_RETURNED, refusal},
+        },
         policy::DidRun,
     },
     std::{
-        collections::BTreeSet,
         marker::PhantomData,
-        sync::{Arc, Mutex, PoisonError},
+        mem,
+        sync::Arc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
-    tokio::time::{sleep, timeout},
+    tokio::{
+        runtime::Handle,
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
 };
 
 /// How long a resend waits before it asks the ledger again; doubled up to the longest.
 const FIRST_POLL: Duration = Duration::from_millis(50);
 /// A resend that waits longer asks this often; each question is one log entry.
 const LONGEST_POLL: Duration = Duration::from_millis(800);
-/// Tries to bring an end of a claim into the ledger; with the pauses about ten minutes.
-const SETTLE_TRIES: u32 = 750;
+/// Longest pause between two tries to bring the end of a sent call into the ledger.
+const LONGEST_SETTLE: Duration = Duration::from_secs(5);
+/// Tries to tell the ledger of a given-back attempt; after these the floor covers it.
+const RETURN_TRIES: u32 = 8;
+/// How often the ledger is told which attempts are over, while there are new ones: callers wait no
+/// longer than this for a claim that nobody holds.
+const FLOOR_PERIOD: Duration = Duration::from_secs(5);
 /// How long a reservation of unknown outcome is proposed again: the first may meet a leader that was
 /// just killed, and the next one is elected within about a second.
 const RESERVE_AGAIN: Duration = Duration::from_millis(1_500);
@@ -34,15 +51,12 @@
 /// Advised wait while no quorum is reachable: an election takes about a second.
 const QUORUM_WAIT: Duration = Duration::from_secs(2);
 
+/// Digits of a call's digest in the log.
+const LOGGED_DIGITS: usize = 12;
+
 /// An answer waits this long for its place in the ledger; a commit takes a few milliseconds.
 const FINISH_WAIT: Duration = Duration::from_millis(500);
 
-/// Claims that this daemon holds now; the drain gate bounds them.
-#[derive(Clone, Default)]
-pub struct ActiveClaims {
-    keys: Arc<Mutex<BTreeSet<(OrganisationId, IdempotencyKey)>>>,
-}
-
 /// A state of a claim: nothing was sent.
 pub struct Claimed;
 /// A state of a claim: the call may have reached the backend server.
@@ -72,6 +86,28 @@
     }
 }
 
+/// Tells the ledger again and again which attempts of this life are over.
+///
+/// A reservation whose proposal was given up here may still arrive and claim its call for nobody;
+/// the floor refuses it, or frees the call.
+pub async fn tell_floor(core: Arc<PipelineCore>) {
+    let mut told = core.claims.floor();
+    loop {
+        sleep(FLOOR_PERIOD).await;
+        let floor = core.claims.floor();
+        if floor <= told {
+            continue;
+        }
+        let (vm, incarnation) = (core.vm.clone(), core.incarnation);
+        let command = Command::EndAttempts { vm, incarnation, floor, now_ms: now_ms() };
+        match core.control.propose(command).await {
+            Ok(CommandOutcome::Noted) => told = floor,
+            Ok(outcome) => log::warn!("the ledger does not take the floor: {outcome:?}"),
+            Err(error) => log::debug!(error:% = error; "the floor is not told yet"),
+        }
+    }
+}
+
 fn now_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
@@ -89,15 +125,27 @@
     fingerprint: DigestHex,
     fuse: &SendFuse,
 ) -> Result<ClaimResult, CallerRefusal> {
-    let organisation = terms.organisation.clone();
+    let key = (terms.organisation.clone(), key);
     let mut pause = FIRST_POLL;
     let mut may_have_run = DidRun::No;
+    let mut waits_for = None;
     while Instant::now() < terms.deadline {
-        if let Some(claim) = CallClaim::enter(core, &organisation, &key)
-            && let Some(result) =
-                ask(claim, &fingerprint).await.map_err(|refusal| doubted(refusal, may_have_run))?
-        {
-            return Ok(result);
+        if let Some(claim) = CallClaim::enter(core, &key) {
+            let standing = ask(claim, &fingerprint).await;
+            match standing.map_err(|refusal| doubted(refusal, may_have_run))? {
+                CallStanding::Settled(result) => return Ok(result),
+                CallStanding::Forgotten { below } => {
+                    core.claims.skip_to(below);
+                    continue;
+                }
+                CallStanding::Running { holder, incarnation } => {
+                    let found = Some((holder, incarnation));
+                    if waits_for != found {
+                        log_wait(&fingerprint, &found);
+                        waits_for = found;
+                    }
+                }
+            }
         }
         // Another call under this key runs, here or elsewhere.
         may_have_run = DidRun::Unknown;
@@ -120,17 +168,48 @@
     }
 }
 
-/// Asks the ledger once; `None` means another holder runs the call.
+/// How a call is named in the log, where its key never stands.
+fn logged_call(fingerprint: &DigestHex) -> &str {
+    &fingerprint[..fingerprint.len().min(LOGGED_DIGITS)]
+}
+
+/// Says whose run a resend waits for.
+fn log_wait(fingerprint: &DigestHex, found: &Option<(VmId, Incarnation)>) {
+    let Some((holder, incarnation)) = found else { return };
+    log::info!(call = logged_call(fingerprint), holder = holder.as_str(),
+        incarnation = incarnation; "{}", events::CALL_WAITS);
+}
+
+/// What the ledger knows of a call.
+enum CallStanding {
+    Settled(ClaimResult),
+    /// Another attempt holds the call.
+    Running {
+        holder: VmId,
+        incarnation: Incarnation,
+    },
+    /// Attempts below this number can't claim it.
+    Forgotten {
+        below: AttemptId,
+    },
+}
+
+/// Asks the ledger once.
 async fn ask(
-    claim: CallClaim<Claimed>,
+    mut claim: CallClaim<Claimed>,
     fingerprint: &DigestHex,
-) -> Result<Option<ClaimResult>, CallerRefusal> {
-    match reserve(&claim, fingerprint).await {
-        Ok(CommandOutcome::Reserved) => Ok(Some(ClaimResult::Granted(claim))),
-        Ok(CommandOutcome::Finished { answer }) => Ok(Some(ClaimResult::Answered(answer))),
+) -> Result<CallStanding, CallerRefusal> {
+    match reserve(&mut claim, fingerprint).await {
+        Ok(CommandOutcome::Reserved) => Ok(CallStanding::Settled(ClaimResult::Granted(claim))),
+        Ok(CommandOutcome::Finished { answer }) => {
+            Ok(CallStanding::Settled(ClaimResult::Answered(answer)))
+        }
         // Also when this life of this daemon is the holder: an earlier attempt whose reservation
-        // committed after its answer was lost gives it back itself.
-        Ok(CommandOutcome::Running { .. }) => Ok(None),
+        // came after it was given back, and which the ledger is told of.
+        Ok(CommandOutcome::Running { holder, incarnation }) => {
+            Ok(CallStanding::Running { holder, incarnation })
+        }
+        Ok(CommandOutcome::Forgotten { below }) => Ok(CallStanding::Forgotten { below }),
         Ok(CommandOutcome::KeyReused) => Err(CallerRefusal::before_run(
             409,
             refusal::KEY_REUSED,
@@ -142,32 +221,41 @@
             let answer = CallerRefusal::before_run(503, refusal::LEDGER_FULL, message);
             Err(answer.retry_after(QUORUM_WAIT))
         }
-        Err(ProposeError::OutcomeUnknown) => {
-            // The reservation may still commit. Nothing was sent under it, so it is given back.
-            claim.release();
+        Ok(outcome) => {
+            log::warn!("a claim was not taken: {outcome:?}");
+            Err(no_quorum())
+        }
+        Err(ProposeError::OutcomeUnknown | ProposeError::NoQuorum | ProposeError::Busy) => {
             Err(no_quorum())
         }
-        Ok(_) | Err(ProposeError::NoQuorum | ProposeError::Busy) => Err(no_quorum()),
     }
 }
 
 /// Proposes the reservation, and the same one again while its outcome is unknown: it carries one
 /// attempt number, so however often it commits, it grants one run.
 async fn reserve(
-    claim: &CallClaim<Claimed>,
+    claim: &mut CallClaim<Claimed>,
     fingerprint: &DigestHex,
 ) -> Result<CommandOutcome, ProposeError> {
     let started = Instant::now();
     let command = claim.reserve(fingerprint);
-    let mut outcome = claim.subject.core.control.propose(command.clone()).await;
+    let core = Arc::clone(&claim.subject.core);
+    claim.subject.stage = ClaimStage::Asked;
+    let mut outcome = core.control.propose(command.clone()).await;
+    let is_certain = outcome != Err(ProposeError::OutcomeUnknown);
     while outcome == Err(ProposeError::OutcomeUnknown) && started.elapsed() < RESERVE_AGAIN {
         sleep(FIRST_POLL).await;
-        outcome = match claim.subject.core.control.propose(command.clone()).await {
+        outcome = match core.control.propose(command.clone()).await {
             // The earlier proposal may still commit, whatever became of this one.
             Err(_) => Err(ProposeError::OutcomeUnknown),
             decided => decided,
         };
     }
+    log::debug!(call = logged_call(fingerprint), attempt:% = claim.subject.attempt,
+        outcome:? = outcome; "a claim was asked for");
+    if is_certain && outcome != Ok(CommandOutcome::Reserved) {
+        claim.subject.stage = ClaimStage::Unasked;
+    }
     outcome
 }
 
@@ -183,74 +271,131 @@
     CallerRefusal::after_send(502, refusal::OUTCOME_UNKNOWN, message)
 }
 
-impl ActiveClaims {
-    fn enter(&self, organisation: &OrganisationId, key: &IdempotencyKey) -> bool {
-        let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
-        keys.insert((organisation.clone(), key.clone()))
-    }
-
-    fn leave(&self, organisation: &OrganisationId, key: &IdempotencyKey) {
-        let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
-        keys.remove(&(organisation.clone(), key.clone()));
-    }
+/// What an end of the claim has to tell the ledger.
+enum ClaimStage {
+    /// Nothing: no reservation can be granted.
+    Unasked,
+    /// That nothing was sent: a reservation was granted, or may be.
+    Asked,
+    /// What became of the call.
+    Sent,
+    /// It is told, or being told.
+    Ended,
 }
 
 /// What a claim is about; shared by its states, so that the key stays taken between them.
 struct ClaimSubject {
     core: Arc<PipelineCore>,
-    organisation: OrganisationId,
-    key: IdempotencyKey,
+    key: LedgerKey,
     attempt: AttemptId,
+    stage: ClaimStage,
 }
 
 impl Drop for ClaimSubject {
     fn drop(&mut self) {
-        self.core.claims.leave(&self.organisation, &self.key);
+        match mem::replace(&mut self.stage, ClaimStage::Ended) {
+            ClaimStage::Unasked => self.core.claims.leave(&self.key),
+            ClaimStage::Asked => {
+                // Nothing will be sent, whatever the ledger hears of it.
+                self.core.claims.leave(&self.key);
+                self.give_back();
+            }
+            ClaimStage::Sent => drop(self.settle(self.unknown())),
+            ClaimStage::Ended => {}
+        }
     }
 }
 
-impl<S> CallClaim<S> {
-    fn turn<T>(self) -> CallClaim<T> {
-        CallClaim { subject: self.subject, state: PhantomData }
+impl ClaimSubject {
+    fn released(&self) -> Command {
+        Command::Release {
+            organisation: self.key.0.clone(),
+            key: self.key.1.clone(),
+            holder: self.core.vm.clone(),
+            incarnation: self.core.incarnation,
+            attempt: self.attempt,
+        }
     }
 
-    /// Brings an end of the claim into the ledger, in the background and for as long as it takes:
-    /// resends wait for it.
-    fn settle(self, command: Command) -> tokio::task::JoinHandle<()> {
-        tokio::spawn(async move {
-            for _ in 0..SETTLE_TRIES {
-                match self.subject.core.control.propose(command.clone()).await {
-                    Ok(_) => return,
-                    Err(error) => log::debug!(error:% = error; "a claim is not settled yet"),
+    fn unknown(&self) -> Command {
+        Command::MarkUnknown {
+            organisation: self.key.0.clone(),
+            key: self.key.1.clone(),
+            holder: self.core.vm.clone(),
+            incarnation: self.core.incarnation,
+            attempt: self.attempt,
+        }
+    }
+
+    /// Tells the ledger that the attempt is over, so that nobody has to wait for the floor.
+    fn give_back(&self) {
+        metrics::counter!(CLAIMS_RETURNED).increment(1);
+        let Some(permit) = self.core.claims.begin_return() else { return };
+        let (core, attempt) = (Arc::clone(&self.core), self.attempt);
+        let command = self.released();
+        spawn_end(async move {
+            for _ in 0..RETURN_TRIES {
+                match core.control.propose(command.clone()).await {
+                    Ok(_) => {
+                        log::debug!(attempt:% = attempt; "a claim was given back");
+                        break;
+                    }
+                    Err(error) => log::debug!(error:% = error; "a claim is not given back yet"),
                 }
                 sleep(LONGEST_POLL).await;
             }
-            log::error!("a claim was not settled; resends under its key stay without an answer");
+            drop(permit);
+        });
+    }
+
+    /// Brings the end of a sent call into the ledger, in the background and for as long as it
+    /// takes: resends wait for it, and until then the attempt is not over.
+    fn settle(&self, command: Command) -> Option<JoinHandle<()>> {
+        let (core, key) = (Arc::clone(&self.core), self.key.clone());
+        spawn_end(async move {
+            let mut pause = FIRST_POLL;
+            loop {
+                match core.control.propose(command.clone()).await {
+                    Ok(CommandOutcome::NotHolder) => {
+                        log::error!("the ledger does not know of a call that was sent");
+                        break;
+                    }
+                    Ok(_) => break,
+                    Err(error) => log::debug!(error:% = error; "a claim is not settled yet"),
+                }
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_SETTLE);
+            }
+            core.claims.leave(&key);
         })
     }
 }
 
+/// Runs the end of a claim in the background; without a runtime the process ends, and the daemon's
+/// next life tells the ledger.
+fn spawn_end(end: impl Future<Output = ()> + Send + 'static) -> Option<JoinHandle<()>> {
+    Handle::try_current().ok().map(|runtime| runtime.spawn(end))
+}
+
+impl<S> CallClaim<S> {
+    fn turn<T>(mut self, stage: ClaimStage) -> CallClaim<T> {
+        self.subject.stage = stage;
+        CallClaim { subject: self.subject, state: PhantomData }
+    }
+}
+
 impl CallClaim<Claimed> {
-    fn enter(
-        core: &Arc<PipelineCore>,
-        organisation: &OrganisationId,
-        key: &IdempotencyKey,
-    ) -> Option<Self> {
-        core.claims.enter(organisation, key).then(|| {
-            let subject = ClaimSubject {
-                core: Arc::clone(core),
-                organisation: organisation.clone(),
-                key: key.clone(),
-                attempt: core.next_claim(),
-            };
-            CallClaim { subject, state: PhantomData }
-        })
+    fn enter(core: &Arc<PipelineCore>, key: &LedgerKey) -> Option<Self> {
+        let attempt = core.claims.enter(key)?;
+        let (core, key, stage) = (Arc::clone(core), key.clone(), ClaimStage::Unasked);
+        let subject = ClaimSubject { core, key, attempt, stage };
+        Some(CallClaim { subject, state: PhantomData })
     }
 
     fn reserve(&self, fingerprint: &DigestHex) -> Command {
         Command::Reserve {
-            organisation: self.subject.organisation.clone(),
-            key: self.subject.key.clone(),
+            organisation: self.subject.key.0.clone(),
+            key: self.subject.key.1.clone(),
             fingerprint: fingerprint.clone(),
             holder: self.subject.core.vm.clone(),
             incarnation: self.subject.core.incarnation,
@@ -261,40 +406,34 @@
 
     /// Gives the claim back: nothing was sent.
     pub fn release(self) {
-        let command = Command::Release {
-            organisation: self.subject.organisation.clone(),
-            key: self.subject.key.clone(),
-            holder: self.subject.core.vm.clone(),
-            incarnation: self.subject.core.incarnation,
-            attempt: self.subject.attempt,
-        };
-        self.settle(command);
+        drop(self);
     }
 
     /// The claim is used up: the call goes out now.
     pub fn send(self) -> CallClaim<Sent> {
-        self.turn()
+        self.turn(ClaimStage::Sent)
     }
 }
 
 impl CallClaim<Sent> {
     /// The connection was not made or the sending was given up before its first byte.
     pub fn nothing_sent(self) -> CallClaim<Claimed> {
-        self.turn()
+        self.turn(ClaimStage::Asked)
     }
 
     /// Keeps the answer for resends. Waits a moment for the quorum, so that a resend that follows
     /// the answer finds it, and goes on in the background if that is not enough.
-    pub async fn finish(self, answer: KeptAnswer) {
+    pub async fn finish(mut self, answer: KeptAnswer) {
+        self.subject.stage = ClaimStage::Ended;
         let command = Command::Finish {
-            organisation: self.subject.organisation.clone(),
-            key: self.subject.key.clone(),
+            organisation: self.subject.key.0.clone(),
+            key: self.subject.key.1.clone(),
             holder: self.subject.core.vm.clone(),
             incarnation: self.subject.core.incarnation,
             attempt: self.subject.attempt,
             answer,
         };
-        let settled = self.settle(command);
+        let Some(settled) = self.subject.settle(command) else { return };
         if timeout(FINISH_WAIT, settled).await.is_err() {
             log::warn!("an answer is given before a quorum keeps it");
         }
@@ -302,13 +441,6 @@
 
     /// The call went out and its outcome will not be known.
     pub fn mark_unknown(self) {
-        let command = Command::MarkUnknown {
-            organisation: self.subject.organisation.clone(),
-            key: self.subject.key.clone(),
-            holder: self.subject.core.vm.clone(),
-            incarnation: self.subject.core.incarnation,
-            attempt: self.subject.attempt,
-        };
-        self.settle(command);
+        drop(self);
     }
 }
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -195,7 +195,7 @@
         let endpoint =
             Endpoint::new(endpoint_config, Some(pair.server), socket, runtime).map_err(listen)?;
         let address = endpoint.local_addr().map_err(listen)?;
-        for reason in ["authority", "name", "full"] {
+        for reason in ["authority", "name", "release", "full"] {
             metrics::counter!(REFUSED_COUNTER, "reason" => reason).increment(0);
         }
         tokio::spawn(accept_peers(endpoint.clone(), handler));
@@ -346,16 +346,22 @@
     settings
 }
 
-/// Counts a connection that ended because one side did not accept the other's certificate.
+/// Counts a connection that ended because one side did not accept the other's certificate or
+/// protocol.
 pub(super) fn count_refusal(error: &quinn::ConnectionError) {
     /// QUIC carries TLS alerts as 0x100 plus the alert.
     const TLS_ALERTS: std::ops::RangeInclusive<u64> = 0x100..=0x1ff;
+    /// The alert that says that the ends share no protocol.
+    const NO_PROTOCOL: u64 = 0x178;
     let code = match error {
         quinn::ConnectionError::TransportError(error) => u64::from(error.code),
         quinn::ConnectionError::ConnectionClosed(close) => u64::from(close.error_code),
         _ => return,
     };
-    if TLS_ALERTS.contains(&code) {
+    if code == NO_PROTOCOL {
+        metrics::counter!(REFUSED_COUNTER, "reason" => "release").increment(1);
+        log::warn!("a peer runs another release; run the same one on both VMs");
+    } else if TLS_ALERTS.contains(&code) {
         metrics::counter!(REFUSED_COUNTER, "reason" => "authority").increment(1);
         log::warn!("a peer's certificate was refused: {error}; give it a key of this authority");
     }
--- a/src/transport/tls.rs
+++ b/src/transport/tls.rs
@@ -18,8 +18,9 @@
     std::sync::Arc,
 };
 
-/// The protocol both ends must speak; a change of the frames changes it.
-pub(super) const PROTOCOL: &[u8] = b"oleandermount/1";
+/// The protocol both ends must speak. A change of the frames changes it, and so does one of what a
+/// command of the replicated log comes to: replicas that disagree on that must not form a quorum.
+pub(super) const PROTOCOL: &[u8] = b"oleandermount/2";
 
 /// TLS settings for dialling and for accepting, made from the same keys.
 pub struct TlsPair {
--- a/tests/desired_weights.rs
+++ b/tests/desired_weights.rs
@@ -33,8 +33,8 @@
 fn former_snapshot_read() {
     let empty = ControlState::default().encode();
     // The version is the first byte. Empty weights and suspects take one byte each, an empty document
-    // and no named weights three.
-    let (head, tail) = (&empty[1..empty.len() - 5], &empty[empty.len() - 4..]);
+    // and no named weights three. Earlier ledgers lacked the first attempt, which is one byte.
+    let (head, tail) = (&empty[1..empty.len() - 6], &empty[empty.len() - 4..]);
     let place = |server: &str| (server.to_owned(), MODEL.to_owned());
     let desired = BTreeMap::from([
         (place("s0"), ("3".to_owned(), number(8))),
--- a/tests/fakes/daemon_process.rs
+++ b/tests/fakes/daemon_process.rs
@@ -29,9 +29,12 @@
     sha2::{Digest, Sha256},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
-        fs, io,
-        io::{BufRead, BufReader},
+        env, fs,
+        fs::File,
+        io,
+        io::{BufRead, BufReader, Write},
         net::SocketAddr,
+        path::PathBuf,
         process::{Child, ChildStderr, Command, Stdio},
         sync::{Arc, Mutex, atomic::Ordering},
         thread,
@@ -52,6 +55,8 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// Log lines kept of each daemon for a failed test.
 const TAIL_LINES: usize = 30;
+/// Names a folder in which the daemons' whole logs outlive the test.
+const LOG_FOLDER: &str = "OLEANDERMOUNT_TEST_LOGS";
 
 /// An engine and a service.
 const SERVERS_OF_DOMAIN: usize = 2;
@@ -157,7 +162,8 @@
         let (ports, serving) = oneshot::channel();
         let lines = child.stderr.take().expect("it is piped");
         let kept = Arc::clone(&tail);
-        thread::spawn(move || read_log(lines, &kept, ports));
+        let copy = log_copy(vm, child.id());
+        thread::spawn(move || read_log(lines, copy, &kept, ports));
         let ports = timeout(PATIENCE, serving).await;
         let Ok(Ok(ports)) = ports else {
             let lines = tail.lock().expect("no holder panics");
@@ -467,9 +473,17 @@
     vm.ends_with("-1")
 }
 
+/// The file that a daemon's log is copied to, if a folder is named for it.
+fn log_copy(vm: &str, process: u32) -> Option<File> {
+    let folder = PathBuf::from(env::var_os(LOG_FOLDER)?);
+    fs::create_dir_all(&folder).expect("the folder of the logs can be made");
+    Some(File::create(folder.join(format!("{vm}-{process}.log"))).expect("it is writable"))
+}
+
 /// Reads a daemon's log to its end, or the daemon would stand still at a full pipe.
 fn read_log(
     lines: ChildStderr,
+    mut copy: Option<File>,
     tail: &Mutex<VecDeque<String>>,
     ports: oneshot::Sender<DaemonPorts>,
 ) {
@@ -481,6 +495,9 @@
             // The test may have given up.
             let _ = ports.send(found);
         }
+        if let Some(copy) = &mut copy {
+            writeln!(copy, "{line}").expect("the copy of the log is writable");
+        }
         let mut tail = tail.lock().expect("no holder panics");
         tail.push_back(line);
         if tail.len() > TAIL_LINES {
--- a/tests/ledger_rules.rs
+++ b/tests/ledger_rules.rs
@@ -9,6 +9,10 @@
     ids::{AttemptId, FencingNumber, Incarnation},
 };
 
+/// A ledger as the release before floors wrote it: one call running, one finished, one unknown, and
+/// one given back.
+const FORMER_SNAPSHOT: &[u8] = include_bytes!("snapshots/ledger-3.bin");
+
 const DAY_MS: u64 = 24 * 3_600_000;
 
 /// A daemon's try at the call `key`.
@@ -67,6 +71,12 @@
         self.apply(Command::Release { organisation, key, holder, incarnation, attempt })
     }
 
+    /// The daemon says that its attempts below `floor` are over.
+    fn end_attempts(&mut self, call: &TryOfCall, floor: AttemptId, now_ms: u64) -> CommandOutcome {
+        let (vm, incarnation) = (call.holder.to_owned(), call.incarnation);
+        self.apply(Command::EndAttempts { vm, incarnation, floor, now_ms })
+    }
+
     fn mark_unknown(&mut self, call: &TryOfCall) -> CommandOutcome {
         let (organisation, key) = ("baskets".to_owned(), call.key.clone());
         let (holder, incarnation) = (call.holder.to_owned(), call.incarnation);
@@ -220,3 +230,87 @@
     assert_eq!(bench.release(&other_try()), CommandOutcome::Released);
     assert_eq!(bench.reserve(&first_try(), 2), CommandOutcome::Released);
 }
+
+// Guards against callers who wait for a claim of an attempt that its daemon has given up.
+#[test]
+fn floor_frees_calls() {
+    let mut bench = LedgerBench::default();
+    assert_eq!(bench.reserve(&first_try(), 1), CommandOutcome::Reserved);
+    assert_eq!(bench.end_attempts(&first_try(), 1, 2), CommandOutcome::Noted);
+    assert_eq!(bench.reserve(&other_try(), 3), running(), "attempt 1 itself may not be over");
+    assert_eq!(bench.end_attempts(&first_try(), 2, 4), CommandOutcome::Noted);
+    assert_eq!(bench.end_attempts(&first_try(), 1, 4), CommandOutcome::Noted, "a late copy");
+    assert_eq!(bench.reserve_body(&other_try(), 5, "another"), CommandOutcome::Reserved);
+    assert_eq!(bench.reserve(&first_try(), 6), CommandOutcome::Released);
+    assert_eq!(bench.release(&other_try()), CommandOutcome::Released);
+    assert_eq!(bench.reserve(&first_try(), 7), CommandOutcome::Released);
+}
+
+// Guards against a second run of a call that was sent before the floor rose past its attempt.
+#[test]
+fn floor_frees_no_ended_call() {
+    let mut bench = LedgerBench::default();
+    let lost = TryOfCall { key: "slot-8".to_owned(), attempt: 2, ..first_try() };
+    assert_eq!(bench.reserve(&first_try(), 1), CommandOutcome::Reserved);
+    assert_eq!(bench.reserve(&lost, 1), CommandOutcome::Reserved);
+    bench.finish(&first_try(), vec![1]);
+    bench.mark_unknown(&lost);
+    bench.end_attempts(&first_try(), 9, 2);
+    assert!(matches!(bench.reserve(&other_try(), 3), CommandOutcome::Finished { .. }));
+    let resend = TryOfCall { key: lost.key.clone(), attempt: 3, ..other_try() };
+    assert_eq!(bench.reserve(&resend, 3), CommandOutcome::Unknown);
+}
+
+// Guards against a floor of a former life that ends the attempts of a later one.
+#[test]
+fn floor_belongs_to_a_life() {
+    let mut bench = LedgerBench::default();
+    let later = TryOfCall { incarnation: 2, attempt: 3, ..first_try() };
+    assert_eq!(bench.reserve(&later, 1), CommandOutcome::Reserved);
+    assert!(matches!(bench.end_attempts(&first_try(), 9, 2), CommandOutcome::Refused { .. }));
+    let holds = CommandOutcome::Running { holder: "entry-a".to_owned(), incarnation: 2 };
+    assert_eq!(bench.reserve(&other_try(), 3), holds);
+}
+
+// Guards against a second run of a call that a lost life may have sent, by the floor of the next one.
+#[test]
+fn floor_frees_no_lost_call() {
+    let mut bench = LedgerBench::default();
+    assert_eq!(bench.reserve(&first_try(), 1), CommandOutcome::Reserved);
+    let later = TryOfCall { incarnation: 2, ..first_try() };
+    assert_eq!(bench.end_attempts(&later, 9, 2), CommandOutcome::Noted);
+    assert_eq!(bench.reserve(&other_try(), 3), CommandOutcome::Unknown);
+}
+
+// Guards against a claim for nobody by a late reservation of a daemon that fell out of the ledger.
+#[test]
+fn forgotten_daemon_claims_anew() {
+    let mut bench = LedgerBench::default();
+    assert_eq!(bench.release(&first_try()), CommandOutcome::Released);
+    for number in 0..2 * 1024 {
+        let (vm, now_ms) = (format!("other-{number}"), DAY_MS);
+        bench.apply(Command::NoteLife { vm, incarnation: 1, now_ms });
+    }
+    let outcome = bench.reserve(&first_try(), 1);
+    let CommandOutcome::Forgotten { below } = outcome else { panic!("{outcome:?}") };
+    let newer = TryOfCall { attempt: below, ..first_try() };
+    assert_eq!(bench.reserve(&newer, 2 * DAY_MS), CommandOutcome::Reserved);
+}
+
+// Guards against an upgrade that loses claims, answers, or which attempts were given back.
+#[test]
+fn former_snapshot_read() {
+    let mut bench = LedgerBench(ControlState::decode(FORMER_SNAPSHOT).expect("it is read"));
+    let now_ms = DAY_MS;
+    let resend = |key: &str| TryOfCall { key: key.to_owned(), attempt: 9, ..other_try() };
+    let given_back = TryOfCall { attempt: 4, ..resend("released") };
+    assert_eq!(bench.reserve(&given_back, now_ms), CommandOutcome::Released);
+    assert_eq!(bench.reserve(&resend("released"), now_ms), CommandOutcome::Reserved);
+    assert_eq!(bench.reserve(&resend("running"), now_ms), running());
+    assert_eq!(bench.reserve(&resend("unknown"), now_ms), CommandOutcome::Unknown);
+    let answer = KeptAnswer { status: 201, content_type: String::new(), body: vec![1] };
+    assert_eq!(bench.reserve(&resend("finished"), now_ms), CommandOutcome::Finished { answer });
+    // A claim for nobody that the former release granted is freed by its daemon's floor.
+    bench.end_attempts(&first_try(), 5, now_ms);
+    assert_eq!(bench.reserve(&resend("running"), now_ms), CommandOutcome::Reserved);
+}
