--- a/tests/claim_ends.rs
+++ b/tests/claim_ends.rs
@@ -17,12 +17,15 @@
         policy::{Dispatcher, DispatcherSettings, SafeguardSet},
     },
     std::{
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{
         sync::mpsc,
-        time::{sleep, timeout},
+        time::{interval, timeout},
     },
 };
 
@@ -31,12 +34,19 @@
 /// Far longer than a claim that nobody else holds takes.
 const PATIENT: Duration = Duration::from_secs(20);
 
+/// More than the pauses between two tries take to become the longest.
+const LOST_ENDS: u32 = 20;
+/// Between two looks at a condition.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+
 /// One ledger for all daemons.
 #[derive(Default)]
 struct SharedLedger {
     state: Mutex<ControlState>,
     /// First proposals that a slow network holds, in order.
     held: Mutex<Vec<Command>>,
+    /// Ends of claims that got lost.
+    lost: AtomicU32,
 }
 
 impl SharedLedger {
@@ -91,6 +101,7 @@
             }
             _ if is_end && faults.lost_ends > 0 => {
                 faults.lost_ends -= 1;
+                self.ledger.lost.fetch_add(1, Ordering::SeqCst);
                 Err(ProposeError::NoQuorum)
             }
             command => Ok(self.ledger.apply(&command)),
@@ -139,6 +150,13 @@
     }
 }
 
+async fn until(holds: impl Fn() -> bool) {
+    let mut ticks = interval(LOOK_AGAIN);
+    while !holds() {
+        ticks.tick().await;
+    }
+}
+
 // Guards against a claim for nobody by a reservation that arrives after its daemon has dropped it.
 #[tokio::test]
 async fn dropped_attempt_claims_nothing() {
@@ -185,16 +203,18 @@
 #[tokio::test(start_paused = true)]
 async fn ended_task_keeps_sent_call() {
     let ledger = Arc::new(SharedLedger::default());
-    let a = daemon(&ledger, "a-1", RouteFaults { lost_ends: 20, ..RouteFaults::default() });
+    let a = daemon(&ledger, "a-1", RouteFaults { lost_ends: LOST_ENDS, ..RouteFaults::default() });
     let c = daemon(&ledger, "c-1", RouteFaults::default());
     tokio::spawn(tell_floor(Arc::clone(&a)));
     let floor = a.claims.floor();
     let sent = granted(&a, HASTY).await.send();
     drop(sent);
-    sleep(Duration::from_secs(30)).await;
-    assert_eq!(a.claims.floor(), floor, "the ledger does not know yet what became of the call");
-    sleep(Duration::from_secs(300)).await;
-    assert!(a.claims.floor() > floor, "its end is in the ledger");
+    until(|| {
+        assert_eq!(a.claims.floor(), floor, "the ledger does not know yet what became of the call");
+        ledger.lost.load(Ordering::SeqCst) == LOST_ENDS
+    })
+    .await;
+    until(|| a.claims.floor() > floor).await;
     assert!(book(&c, HASTY).await.is_none(), "it may have run");
 }
 
--- a/tests/fakes/daemon_process.rs
+++ b/tests/fakes/daemon_process.rs
@@ -5,6 +5,8 @@
 // Each test that includes this file uses a part of it.
 #![allow(dead_code)]
 
+#[path = "daemon_log.rs"]
+mod daemon_log;
 #[path = "../../examples/fakes/engine.rs"]
 mod engine;
 #[path = "../../examples/fakes/http_client.rs"]
@@ -18,6 +20,7 @@
 
 use {
     self::{
+        daemon_log::{DaemonPorts, LogTail, log_copy, read_log},
         engine::{EngineBehaviour, FakeEngine},
         http_client::{OpenAnswer, WholeAnswer},
         key_folder::KeyFolder,
@@ -28,14 +31,9 @@
     serde_json::{Value, json},
     sha2::{Digest, Sha256},
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
-        env, fs,
-        fs::File,
-        io,
-        io::{BufRead, BufReader, Write},
-        net::SocketAddr,
-        path::PathBuf,
-        process::{Child, ChildStderr, Command, Stdio},
+        collections::{BTreeMap, BTreeSet},
+        fs, io,
+        process::{Child, Command, Stdio},
         sync::{Arc, Mutex, atomic::Ordering},
         thread,
         time::Duration,
@@ -53,10 +51,6 @@
 const PATIENCE: Duration = Duration::from_secs(90);
 /// Pause between two looks at a condition.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
-/// Log lines kept of each daemon for a failed test.
-const TAIL_LINES: usize = 30;
-/// Names a folder in which the daemons' whole logs outlive the test.
-const LOG_FOLDER: &str = "OLEANDERMOUNT_TEST_LOGS";
 
 /// An engine and a service.
 const SERVERS_OF_DOMAIN: usize = 2;
@@ -77,18 +71,10 @@
     Emptied,
 }
 
-/// Where a daemon listens.
-#[derive(Clone, Copy)]
-struct DaemonPorts {
-    callers: SocketAddr,
-    operators: SocketAddr,
-    peers: SocketAddr,
-}
-
 struct DaemonProcess {
     child: Child,
     ports: DaemonPorts,
-    tail: Arc<Mutex<VecDeque<String>>>,
+    tail: LogTail,
 }
 
 impl DaemonProcess {
@@ -158,7 +144,7 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_oleandermountd"));
         command.args(self.arguments(vm)).stdin(Stdio::null()).stdout(Stdio::null());
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the daemon can be run");
-        let tail: Arc<Mutex<VecDeque<String>>> = Arc::default();
+        let tail = LogTail::default();
         let (ports, serving) = oneshot::channel();
         let lines = child.stderr.take().expect("it is piped");
         let kept = Arc::clone(&tail);
@@ -472,43 +458,3 @@
 fn is_voter(vm: &str) -> bool {
     vm.ends_with("-1")
 }
-
-/// The file that a daemon's log is copied to, if a folder is named for it.
-fn log_copy(vm: &str, process: u32) -> Option<File> {
-    let folder = PathBuf::from(env::var_os(LOG_FOLDER)?);
-    fs::create_dir_all(&folder).expect("the folder of the logs can be made");
-    Some(File::create(folder.join(format!("{vm}-{process}.log"))).expect("it is writable"))
-}
-
-/// Reads a daemon's log to its end, or the daemon would stand still at a full pipe.
-fn read_log(
-    lines: ChildStderr,
-    mut copy: Option<File>,
-    tail: &Mutex<VecDeque<String>>,
-    ports: oneshot::Sender<DaemonPorts>,
-) {
-    let mut ports = Some(ports);
-    for line in BufReader::new(lines).lines().map_while(Result::ok) {
-        if let Some(found) = serving_ports(&line)
-            && let Some(ports) = ports.take()
-        {
-            // The test may have given up.
-            let _ = ports.send(found);
-        }
-        if let Some(copy) = &mut copy {
-            writeln!(copy, "{line}").expect("the copy of the log is writable");
-        }
-        let mut tail = tail.lock().expect("no holder panics");
-        tail.push_back(line);
-        if tail.len() > TAIL_LINES {
-            tail.pop_front();
-        }
-    }
-}
-
-fn serving_ports(line: &str) -> Option<DaemonPorts> {
-    let line: Value = serde_json::from_str(line).ok()?;
-    let port = |name: &str| line[name].as_str()?.parse().ok();
-    let (callers, operators, peers) = (port("callers")?, port("operators")?, port("peers")?);
-    Some(DaemonPorts { callers, operators, peers })
-}
