Send a silent follower nothing again until it answers

What operators saw: control VMs whose memory grew while another was frozen or cut off and long documents changed.

Cause: what is on its way to a follower counted as lost after two heartbeats, whether it answered anything or not, and was sent whole again: to a silent one for as long as it was silent, into queues that are bounded in messages.

Why it works: the same is sent again only after the follower has replied to a round that began after the last send, which is also the only time at which sending can help.

--- a/src/control/replica/lead.rs
+++ b/src/control/replica/lead.rs
@@ -90,6 +90,7 @@
         if progress.in_flight.is_empty() {
             progress.moved_at = now;
         }
+        progress.sent_at = now;
         progress.in_flight.push_back(sent);
         progress.next = sent + 1;
         let prev_term = self.log.term(prev_index).expect("the entry before a held one is known");
@@ -102,17 +103,19 @@
         progress.mode = SendMode::Snapshot { snapshot, offset: 0 };
         progress.in_flight.clear();
         progress.moved_at = now;
-        self.next_chunk(vm)
+        self.next_chunk(now, vm)
     }
 
-    fn next_chunk(&self, vm: &VmId) -> Option<MessageBody> {
-        let lead = self.lead()?;
-        let SendMode::Snapshot { snapshot, offset } = &lead.followers.get(vm)?.mode else {
-            return None;
-        };
-        let end = snapshot.data.len().min(offset + self.settings.limits.chunk_bytes);
+    fn next_chunk(&mut self, now: Instant, vm: &VmId) -> Option<MessageBody> {
+        let chunk_bytes = self.settings.limits.chunk_bytes;
+        let lead = self.lead_mut()?;
+        let round = lead.round;
+        let progress = lead.followers.get_mut(vm)?;
+        let SendMode::Snapshot { snapshot, offset } = &progress.mode else { return None };
+        progress.sent_at = now;
+        let end = snapshot.data.len().min(offset + chunk_bytes);
         Some(MessageBody::SnapshotChunk {
-            round: lead.round,
+            round,
             head: snapshot.head.clone(),
             offset: *offset as u64,
             total: snapshot.data.len() as u64,
@@ -132,8 +135,9 @@
         let round = lead.round;
         let mut due = Vec::new();
         for (vm, progress) in &mut lead.followers {
-            let stuck = now >= progress.moved_at + heartbeat * RESEND_HEARTBEATS;
+            let stuck = progress.is_stuck(now, heartbeat * RESEND_HEARTBEATS);
             if stuck {
+                progress.resends += 1;
                 progress.restart(now);
             }
             // Past what the follower is known to hold its log may differ from this one.
@@ -142,7 +146,7 @@
         }
         for (vm, incarnation, commit, stuck) in due {
             self.send(&vm, Some(incarnation), MessageBody::Heartbeat { round, commit, target });
-            if let Some(body) = self.next_chunk(&vm).filter(|_| stuck) {
+            if stuck && let Some(body) = self.next_chunk(now, &vm) {
                 self.send(&vm, Some(incarnation), body);
             }
             self.send_append(now, &vm);
@@ -196,7 +200,8 @@
         }
         *offset = received;
         progress.moved_at = now;
-        if let Some(body) = self.next_chunk(vm) {
+        progress.resends = 0;
+        if let Some(body) = self.next_chunk(now, vm) {
             self.send(vm, Some(incarnation), body);
         }
     }
--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -12,13 +12,17 @@
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
-        time::Instant,
+        time::{Duration, Instant},
     },
 };
 
 /// Rounds whose start is remembered; a reply to an older one proves nothing any more.
 const ROUNDS: usize = 64;
 
+/// Doublings of the wait before the same is sent again: a long document may take seconds on a slow
+/// link, and each copy slows down the others.
+const MOST_DOUBLINGS: u32 = 4;
+
 /// A leader's own matters.
 #[derive(Clone, Debug)]
 pub struct LeaderState {
@@ -53,6 +57,10 @@
     pub in_flight: VecDeque<LogIndex>,
     /// When something was first sent without anything on its way, or last got through.
     pub moved_at: Instant,
+    /// When entries or a piece of a snapshot were last sent.
+    pub sent_at: Instant,
+    /// Times that the same was sent again, without anything getting through.
+    pub resends: u32,
     /// The start of the latest round that it has replied to.
     pub replied_at: Option<Instant>,
     /// Since when this leader follows it up.
@@ -85,11 +93,22 @@
             mode: SendMode::Probe,
             in_flight: VecDeque::new(),
             moved_at: now,
+            sent_at: now,
+            resends: 0,
             replied_at: None,
             since: now,
         }
     }
 
+    /// Whether what is on its way counts as lost: the follower has answered something since, and for
+    /// `wait`, doubled with each time that it was sent again, nothing of it has got through.
+    ///
+    /// To a silent follower all of it would be sent again and again, into queues that nobody reads.
+    pub fn is_stuck(&self, now: Instant, wait: Duration) -> bool {
+        let wait = wait * 2_u32.pow(self.resends.min(MOST_DOUBLINGS));
+        self.replied_at.is_some_and(|at| at > self.sent_at) && now >= self.moved_at + wait
+    }
+
     /// Starts again after what is known to have arrived.
     pub fn restart(&mut self, now: Instant) {
         if !matches!(self.mode, SendMode::Snapshot { .. }) {
@@ -115,6 +134,7 @@
         if matched > self.matched {
             self.matched = matched;
             self.moved_at = now;
+            self.resends = 0;
         }
         self.next = self.next.max(self.matched + 1);
     }
--- a/tests/fakes/replica_group.rs
+++ b/tests/fakes/replica_group.rs
@@ -180,6 +180,14 @@
         self.nodes.get_mut(vm).expect("the VM is one of the group").frozen_until = self.now + pause;
     }
 
+    /// Bytes of the messages that wait for a VM.
+    pub fn waiting_bytes(&self, vm: &str) -> usize {
+        let waiting = self.wire.values().filter(|(_, to, _)| to == vm);
+        waiting
+            .map(|(_, _, message)| postcard::to_stdvec(message).map_or(0, |bytes| bytes.len()))
+            .sum()
+    }
+
     /// Proposes at one replica; the number finds the outcome.
     pub fn propose(&mut self, vm: &str, command: Command) -> u64 {
         self.next_proposal += 1;
