Give long messages between daemons streams of their own, and bound a link in bytes

What operators saw: a document of some megabytes never reached a control VM behind a slow link, followers stood for election while one was on its way, and messages for a silent peer took memory without a bound in bytes.

Cause: all messages of a link went in order on one stream. A long one held up the heartbeats behind it; one that the link could not take in within a second was taken for a peer that does not read, its connection was closed and the next copy began anew. The queue was bounded at 256 messages, of up to 8 MiB each.

Why it works: frames from 512 KiB on have a stream of their own at a lower priority and 12 s to arrive; a link holds the bytes of its largest frame and 1 MiB, until the peer has them. An append longer than usual goes alone, since what followed would overtake it and be rejected (nothing_overtakes_a_long_one).

--- a/src/control/replica/lead.rs
+++ b/src/control/replica/lead.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         LocalProposeError, ProposalId, Replica, ReplicaAction, RoleState,
+        log::entry_bytes,
         progress::{LeaderState, SendMode},
     },
     crate::{
@@ -78,7 +79,8 @@
             SendMode::Stream => limits.appends_in_flight,
             SendMode::Snapshot { .. } => return None,
         };
-        if progress.next > last || progress.in_flight.len() >= allowed {
+        let is_full = progress.in_flight.len() >= allowed || progress.long_append.is_some();
+        if progress.next > last || is_full {
             return None;
         }
         if progress.next <= base {
@@ -92,6 +94,8 @@
         }
         progress.sent_at = now;
         progress.in_flight.push_back(sent);
+        let length: usize = entries.iter().map(entry_bytes).sum();
+        progress.long_append = (length > limits.append_bytes).then_some(sent);
         progress.next = sent + 1;
         let prev_term = self.log.term(prev_index).expect("the entry before a held one is known");
         Some(MessageBody::Append { round, prev_index, prev_term, entries, commit, target })
@@ -102,6 +106,7 @@
         let progress = self.lead_mut()?.followers.get_mut(vm)?;
         progress.mode = SendMode::Snapshot { snapshot, offset: 0 };
         progress.in_flight.clear();
+        progress.long_append = None;
         progress.moved_at = now;
         self.next_chunk(now, vm)
     }
--- a/src/control/replica/log.rs
+++ b/src/control/replica/log.rs
@@ -142,7 +142,8 @@
     }
 }
 
-fn entry_bytes(entry: &LogEntry) -> usize {
+/// About what an entry takes.
+pub fn entry_bytes(entry: &LogEntry) -> usize {
     let body = match &entry.payload {
         EntryPayload::Command(
             Command::ApplyRegister { body, .. }
--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -55,6 +55,9 @@
     pub mode: SendMode,
     /// The last entries of the appends on their way; bounded by the limit on appends.
     pub in_flight: VecDeque<LogIndex>,
+    /// The last entry of an append on its way that is longer than appends usually are. Whatever
+    /// follows waits for it, since it would overtake it and be rejected.
+    pub long_append: Option<LogIndex>,
     /// When something was first sent without anything on its way, or last got through.
     pub moved_at: Instant,
     /// When entries or a piece of a snapshot were last sent.
@@ -92,6 +95,7 @@
             next,
             mode: SendMode::Probe,
             in_flight: VecDeque::new(),
+            long_append: None,
             moved_at: now,
             sent_at: now,
             resends: 0,
@@ -116,6 +120,7 @@
         }
         self.next = self.matched + 1;
         self.in_flight.clear();
+        self.long_append = None;
         self.moved_at = now;
     }
 
@@ -136,6 +141,7 @@
             self.moved_at = now;
             self.resends = 0;
         }
+        self.long_append = self.long_append.filter(|last| *last > matched);
         self.next = self.next.max(self.matched + 1);
     }
 }
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -1,9 +1,12 @@
 //! One peer as seen from here: a task that dials when there is something to send, and a bounded
 //! queue of messages before it.
+//!
+//! Short messages go in order on one stream. Each long one has a stream of its own behind it, so
+//! that heartbeats do not wait for a document.
 
 use {
     super::{
-        codec,
+        codec::{self, MAX_FRAME},
         message::PeerMessage,
         network::{DROPPED_COUNTER, count_refusal},
     },
@@ -18,7 +21,7 @@
         time::Duration,
     },
     tokio::{
-        sync::{mpsc, oneshot},
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
         time::{Instant, timeout},
     },
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -27,10 +30,20 @@
 /// Messages and dials that wait for one peer. Beyond it the newest is dropped: what waits longer
 /// than this has been overtaken by the next heartbeat or digest.
 const QUEUE_LENGTH: usize = 256;
+/// Bytes of messages that wait for one peer or are on their way to it: the largest frame beside the
+/// short ones.
+pub const LINK_BYTES: usize = MAX_FRAME + (1 << 20);
 /// A dial that takes longer has failed: twenty round trips between regions.
 const DIAL_LIMIT: Duration = Duration::from_secs(1);
-/// A message that can't be written for so long shows a peer that no longer reads.
+/// A short message that can't be written for so long shows a peer that no longer reads.
 const WRITE_LIMIT: Duration = Duration::from_secs(1);
+/// Bytes of a frame from which it has a stream of its own: more than an append or a piece of a
+/// snapshot usually has, since those must arrive in order.
+const BULK_BYTES: usize = 512 << 10;
+/// A long message that has not arrived after so long is lost: the largest takes less on 7.5 Mbit/s.
+const BULK_LIMIT: Duration = Duration::from_secs(12);
+/// Streams of long messages are served after the one of short messages.
+const BULK_PRIORITY: i32 = -1;
 /// The first wait after a failed dial.
 const SHORTEST_WAIT: Duration = Duration::from_millis(50);
 /// The longest wait after failed dials: a healed cut is found within this and one dial.
@@ -51,12 +64,20 @@
 pub struct PeerLink {
     address: SocketAddr,
     queue: mpsc::Sender<LinkDemand>,
+    /// What is left of [`LINK_BYTES`].
+    room: Arc<Semaphore>,
     /// The connection in use, if one is up; the task alone replaces it.
     current: Arc<Mutex<Option<Connection>>>,
 }
 
+/// An encoded message, which holds its bytes of the link until it has arrived or is lost.
+struct QueuedFrame {
+    bytes: Vec<u8>,
+    room: OwnedSemaphorePermit,
+}
+
 enum LinkDemand {
-    Send(Box<PeerMessage>),
+    Send(QueuedFrame),
     Connect(oneshot::Sender<Result<Connection, String>>),
 }
 
@@ -75,7 +96,7 @@
             backoff: LinkBackoff::new(seed),
         };
         tokio::spawn(task.run(demands));
-        Self { address, queue, current }
+        Self { address, queue, room: Arc::new(Semaphore::new(LINK_BYTES)), current }
     }
 
     /// Where the peer is.
@@ -83,9 +104,15 @@
         self.address
     }
 
-    /// Queues a message, or drops it when the queue is full.
-    pub fn send(&self, message: PeerMessage) {
-        if self.queue.try_send(LinkDemand::Send(Box::new(message))).is_err() {
+    /// Queues a message, or drops it when too many messages or bytes wait.
+    pub fn send(&self, message: &PeerMessage) {
+        let Ok(bytes) = codec::encode(message) else { return count_drop("oversize") };
+        let length = u32::try_from(bytes.len()).expect("a frame is below 4 GiB");
+        let Ok(room) = Arc::clone(&self.room).try_acquire_many_owned(length) else {
+            return count_drop("queue_full");
+        };
+        let frame = QueuedFrame { bytes, room };
+        if self.queue.try_send(LinkDemand::Send(frame)).is_err() {
             count_drop("queue_full");
         }
     }
@@ -137,7 +164,7 @@
                     // Whoever asked may have run out of time.
                     let _ = reply.send(result);
                 }
-                LinkDemand::Send(message) => self.write(&message).await,
+                LinkDemand::Send(frame) => self.write(frame).await,
             }
         }
         if let Some(connection) = open_connection(&self.current) {
@@ -195,11 +222,14 @@
         }
     }
 
-    async fn write(&mut self, message: &PeerMessage) {
-        let Ok(frame) = codec::encode(message) else { return count_drop("oversize") };
+    async fn write(&mut self, frame: QueuedFrame) {
         let Ok(connection) = self.connect().await else { return count_drop("unreachable") };
+        if frame.bytes.len() >= BULK_BYTES {
+            tokio::spawn(write_bulk(connection, frame));
+            return;
+        }
         let stream = self.stream.take();
-        match timeout(WRITE_LIMIT, write_to(&connection, stream, &frame)).await {
+        match timeout(WRITE_LIMIT, write_to(&connection, stream, &frame.bytes)).await {
             Ok(Some(stream)) => self.stream = Some(stream),
             Ok(None) => {
                 connection.close(1u32.into(), b"messages can't be written");
@@ -213,6 +243,25 @@
     }
 }
 
+/// Writes a long message and waits until the peer has it. One that takes too long is given up by
+/// itself: the peer may be reading all that its link carries.
+async fn write_bulk(connection: Connection, frame: QueuedFrame) {
+    let QueuedFrame { bytes, room } = frame;
+    let written = timeout(BULK_LIMIT, async {
+        let mut stream = connection.open_uni().await.ok()?;
+        stream.set_priority(BULK_PRIORITY).ok()?;
+        codec::write_frame(&mut stream, &bytes).await.ok()?;
+        stream.finish().ok()?;
+        stream.stopped().await.ok()
+    });
+    match written.await {
+        Ok(Some(_)) => {}
+        Ok(None) => count_drop("lost"),
+        Err(_elapsed) => count_drop("slow"),
+    }
+    drop(room);
+}
+
 async fn write_to(
     connection: &Connection,
     stream: Option<SendStream>,
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -30,8 +30,9 @@
 pub const IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// Requests that one peer may have open here at a time.
 const OPEN_REQUESTS: u32 = 256;
-/// Streams of messages from one peer; it uses one, and one more while a lost one is noticed.
-const OPEN_STREAMS: u32 = 2;
+/// Streams of messages from one peer: one of short messages, one more while a lost one is noticed,
+/// and those of long messages.
+const OPEN_STREAMS: u32 = 8;
 /// Bytes of one stream that a peer may send ahead of the reader.
 const STREAM_WINDOW: u32 = 1 << 20;
 /// Bytes of all streams of a connection that a peer may send ahead of the reader.
@@ -255,7 +256,7 @@
     /// Sends without waiting. The message is lost when the peer is unknown, unreachable or slow.
     pub fn send(&self, to: &VmId, message: PeerMessage) {
         match self.link(to) {
-            Some(link) => link.send(message),
+            Some(link) => link.send(&message),
             None => metrics::counter!(DROPPED_COUNTER, "reason" => "unknown_peer").increment(1),
         }
     }
--- a/tests/fakes/udp_relay.rs
+++ b/tests/fakes/udp_relay.rs
@@ -1,4 +1,5 @@
-//! Stands between daemons: one port for each daemon, and cuts between pairs of them.
+//! Stands between daemons: one port for each daemon, cuts between pairs of them, and slow links.
+#![allow(dead_code)] // Each test file uses a part of it.
 //!
 //! A packet's source address tells which daemon sent it. Each pair of daemons has a socket of its
 //! own towards the receiver, so that answers find their way back.
@@ -8,8 +9,9 @@
         collections::{BTreeMap, BTreeSet, btree_map::Entry},
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
     },
-    tokio::{net::UdpSocket, task::JoinSet},
+    tokio::{net::UdpSocket, task::JoinSet, time::sleep},
 };
 
 /// More than any UDP packet holds.
@@ -21,6 +23,8 @@
     daemons: BTreeMap<String, SocketAddr>,
     /// Pairs that cannot reach each other, each in both orders.
     cuts: BTreeSet<(String, String)>,
+    /// Bytes a second on the way to a daemon; none means no bound.
+    rates: BTreeMap<String, u32>,
 }
 
 /// The relays of all daemons.
@@ -63,6 +67,11 @@
         }
     }
 
+    /// Bounds the way to `vm` to this many bytes a second.
+    pub fn slow(&self, vm: &str, rate: u32) {
+        lock(&self.table).rates.insert(vm.to_owned(), rate);
+    }
+
     /// Ends all cuts.
     pub fn heal(&self) {
         lock(&self.table).cuts.clear();
@@ -96,6 +105,11 @@
         }
         // What cannot be sent is lost, as on any network.
         let _ = senders[&source].send_to(&packet[..length], address).await;
+        let rate = lock(&table).rates.get(&to).copied();
+        if let Some(rate) = rate {
+            // The link is busy with this packet for so long; others wait in the port's buffer.
+            sleep(Duration::from_secs(1).mul_f64(length as f64 / f64::from(rate))).await;
+        }
     }
 }
 
--- a/tests/silent_follower.rs
+++ b/tests/silent_follower.rs
@@ -71,3 +71,18 @@
         assert!(group.run_until(CATCH_UP, caught_up), "seed {seed}");
     }
 }
+
+// Guards against long documents that are sent twice because what follows them overtakes them.
+#[test]
+fn nothing_overtakes_a_long_one() {
+    let (mut group, follower) = led_group(1);
+    let leader = group.leader().expect("one leads");
+    group.freeze(&follower, SILENCE);
+    group.propose(&leader, put(1));
+    let before = group.waiting_bytes(&follower);
+    for version in 1..=20 {
+        let model = "basket-llm".to_owned();
+        group.propose(&leader, Command::NameWeights { model, version });
+    }
+    assert!(before > DOCUMENT_BYTES && group.waiting_bytes(&follower) == before);
+}
