Bound what waits for a replica and its disk in bytes

Why it works: an input holds its bytes of 32 MiB until the replica takes it; a proposal without room is refused as busy, which promises that it did not enter the log, and a message is lost, as any may be. A batch holds its bytes of 16 MiB until it is written, and the replica waits for room as it did for a place.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -163,6 +163,19 @@
     },
 }
 
+impl Command {
+    /// Bytes of the text that it carries.
+    pub fn body_bytes(&self) -> usize {
+        match self {
+            Command::ApplyRegister { body, .. }
+            | Command::ApplyRules { body, .. }
+            | Command::PutDocument { body, .. } => body.len(),
+            Command::Finish { answer, .. } => answer.body.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The answer of a non-repeatable call, kept for resends.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct KeptAnswer {
--- a/src/control/entry.rs
+++ b/src/control/entry.rs
@@ -26,6 +26,19 @@
     pub payload: EntryPayload,
 }
 
+/// What an entry or a message costs beside the bodies that it carries.
+pub const HEAD_BYTES: usize = 256;
+
+impl LogEntry {
+    /// About what it takes.
+    pub fn bytes(&self) -> usize {
+        match &self.payload {
+            EntryPayload::Command(command) => HEAD_BYTES + command.body_bytes(),
+            EntryPayload::Opening | EntryPayload::Membership(_) => HEAD_BYTES,
+        }
+    }
+}
+
 /// What an entry carries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum EntryPayload {
@@ -106,6 +119,17 @@
     Snapshot(SavedSnapshot),
 }
 
+impl DurableWrite {
+    /// About what it takes.
+    pub fn bytes(&self) -> usize {
+        match self {
+            DurableWrite::Entries(entries) => entries.iter().map(LogEntry::bytes).sum(),
+            DurableWrite::Snapshot(snapshot) => HEAD_BYTES + snapshot.data.len(),
+            DurableWrite::HardState(_) | DurableWrite::Commit(_) => HEAD_BYTES,
+        }
+    }
+}
+
 /// What a replica must never forget between two messages.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        control::entry::{LogEntry, Membership},
+        control::entry::{HEAD_BYTES, LogEntry, Membership},
         ids::{Incarnation, LogIndex, Term, VmId},
     },
     serde::{Deserialize, Serialize},
@@ -30,6 +30,18 @@
     pub body: MessageBody,
 }
 
+impl ReplicaMessage {
+    /// About what it takes.
+    pub fn bytes(&self) -> usize {
+        let bodies = match &self.body {
+            MessageBody::Append { entries, .. } => entries.iter().map(LogEntry::bytes).sum(),
+            MessageBody::SnapshotChunk { data, .. } => data.len(),
+            _ => 0,
+        };
+        HEAD_BYTES + bodies
+    }
+}
+
 /// The kinds of message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MessageBody {
--- a/src/control/replica/lead.rs
+++ b/src/control/replica/lead.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         LocalProposeError, ProposalId, Replica, ReplicaAction, RoleState,
-        log::entry_bytes,
         progress::{LeaderState, SendMode},
     },
     crate::{
@@ -94,7 +93,7 @@
         }
         progress.sent_at = now;
         progress.in_flight.push_back(sent);
-        let length: usize = entries.iter().map(entry_bytes).sum();
+        let length: usize = entries.iter().map(LogEntry::bytes).sum();
         progress.long_append = (length > limits.append_bytes).then_some(sent);
         progress.next = sent + 1;
         let prev_term = self.log.term(prev_index).expect("the entry before a held one is known");
--- a/src/control/replica/log.rs
+++ b/src/control/replica/log.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         control::{
-            command::Command,
             entry::{EntryPayload, LogEntry, Membership},
             message::SnapshotHead,
         },
@@ -12,9 +11,6 @@
     std::collections::VecDeque,
 };
 
-/// What an entry costs beside the bodies that it carries.
-const ENTRY_BYTES: usize = 256;
-
 /// The tail of the log, from some point at or before the last snapshot.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaLog {
@@ -79,7 +75,7 @@
         let mut left = bytes;
         let mut batch = Vec::new();
         while let Some(entry) = self.entry(first + batch.len() as LogIndex) {
-            let size = entry_bytes(entry);
+            let size = entry.bytes();
             if size > left && !batch.is_empty() {
                 break;
             }
@@ -114,7 +110,7 @@
         if let EntryPayload::Membership(membership) = &entry.payload {
             self.memberships.push((entry.index, membership.clone()));
         }
-        self.bytes += entry_bytes(&entry);
+        self.bytes += entry.bytes();
         self.entries.push_back(entry);
     }
 
@@ -122,7 +118,7 @@
     pub fn truncate(&mut self, first: LogIndex) {
         while self.last_index() >= first {
             let Some(entry) = self.entries.pop_back() else { break };
-            self.bytes -= entry_bytes(&entry);
+            self.bytes -= entry.bytes();
         }
         self.memberships.retain(|(index, _)| *index < first);
     }
@@ -132,7 +128,7 @@
     pub fn compact(&mut self, last: LogIndex, limit: LogIndex, bytes: usize) {
         while self.base < last || (self.base < limit && self.bytes > bytes) {
             let Some(entry) = self.entries.pop_front() else { break };
-            self.bytes -= entry_bytes(&entry);
+            self.bytes -= entry.bytes();
             (self.base, self.base_term) = (entry.index, entry.term);
         }
         let in_force = self.memberships.iter().rposition(|(index, _)| *index <= self.base);
@@ -141,17 +137,3 @@
         }
     }
 }
-
-/// About what an entry takes.
-pub fn entry_bytes(entry: &LogEntry) -> usize {
-    let body = match &entry.payload {
-        EntryPayload::Command(
-            Command::ApplyRegister { body, .. }
-            | Command::ApplyRules { body, .. }
-            | Command::PutDocument { body, .. },
-        ) => body.len(),
-        EntryPayload::Command(Command::Finish { answer, .. }) => answer.body.len(),
-        _ => 0,
-    };
-    ENTRY_BYTES + body
-}
--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -15,6 +15,7 @@
             Command, CommandOutcome, ProposeError, ReplicaMessage, SavedState,
             configuration::ConfigChange,
             document::DocumentState,
+            entry::HEAD_BYTES,
             orders::{DesiredWeights, SuspectStrikes},
             replica::{Replica, ReplicaLimits, ReplicaSettings, ReplicaStatus, ReplicaTiming},
             state::ControlState,
@@ -34,7 +35,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::{mpsc, oneshot, watch},
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch},
         time::timeout,
     },
 };
@@ -44,9 +45,13 @@
 
 /// Inputs that wait for the replica. Messages beyond it are lost and proposals refused as busy.
 const INPUT_QUEUE: usize = 4096;
+/// Bytes of the inputs that wait, beside which the longest command still fits.
+pub const INPUT_BYTES: usize = 32 << 20;
 /// Batches that wait for the disk. The replica waits for room, so that a slow disk slows down
 /// whoever sends instead of growing the memory.
 const BATCH_QUEUE: usize = 1024;
+/// Bytes of the batches that wait for the disk; one waits even if it is longer.
+pub const BATCH_BYTES: usize = 16 << 20;
 /// Between two tries to open a folder whose disk has failed: disks that are full or hang are so for
 /// seconds, and a try writes what the folder holds once more.
 const REOPEN_AFTER: Duration = Duration::from_secs(1);
@@ -148,7 +153,7 @@
             .map_err(|error| storage_error(&settings, &error.to_string()))?;
         let runner = ReplicaRunner::new(settings, replica, outbound, batches, feeds);
         tokio::spawn(runner.run(queue, report_queue));
-        Ok(ControlHandle { inputs, watches })
+        Ok(ControlHandle { inputs, room: Arc::new(Semaphore::new(INPUT_BYTES)), watches })
     }
 }
 
@@ -179,9 +184,21 @@
 
 /// What reaches the task from its handles.
 enum DriverInput {
-    Message { from: VmId, message: Box<ReplicaMessage> },
-    Propose { command: Box<Command>, reply: ProposalReply },
-    Introduce { peers: BTreeSet<VmId> },
+    Message {
+        from: VmId,
+        message: Box<ReplicaMessage>,
+        /// Its bytes of [`INPUT_BYTES`], which are free again when the replica takes it.
+        room: OwnedSemaphorePermit,
+    },
+    Propose {
+        command: Box<Command>,
+        reply: ProposalReply,
+        /// As above.
+        room: OwnedSemaphorePermit,
+    },
+    Introduce {
+        peers: BTreeSet<VmId>,
+    },
 }
 
 type ProposalReply = oneshot::Sender<Result<CommandOutcome, LocalProposeError>>;
@@ -238,6 +255,8 @@
 #[derive(Clone)]
 pub struct ControlHandle {
     inputs: mpsc::Sender<DriverInput>,
+    /// What is left of [`INPUT_BYTES`].
+    room: Arc<Semaphore>,
     watches: StatusWatches,
 }
 
@@ -252,7 +271,9 @@
         command: Command,
     ) -> Result<CommandOutcome, LocalProposeError> {
         let (reply, outcome) = oneshot::channel();
-        let input = DriverInput::Propose { command: Box::new(command), reply };
+        let length = HEAD_BYTES + command.body_bytes();
+        let Some(room) = self.take_room(length) else { return Err(LocalProposeError::Busy) };
+        let input = DriverInput::Propose { command: Box::new(command), reply, room };
         match self.inputs.try_send(input) {
             Ok(()) => {}
             Err(mpsc::error::TrySendError::Full(_)) => return Err(LocalProposeError::Busy),
@@ -269,12 +290,19 @@
 
     /// Hands over a message from another replica; one that finds the queue full is lost.
     pub fn deliver(&self, from: VmId, message: ReplicaMessage) {
-        let input = DriverInput::Message { from, message: Box::new(message) };
-        if self.inputs.try_send(input).is_err() {
+        let room = self.take_room(message.bytes());
+        let message = Box::new(message);
+        let queued = room.map(|room| DriverInput::Message { from, message, room });
+        if queued.is_none_or(|input| self.inputs.try_send(input).is_err()) {
             metrics::counter!("oleandermount_control_messages_lost_total").increment(1);
         }
     }
 
+    fn take_room(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let bytes = u32::try_from(bytes).ok()?;
+        Arc::clone(&self.room).try_acquire_many_owned(bytes).ok()
+    }
+
     /// Names VMs that a replica without a group makes itself known to, beside its founders. With a
     /// full queue they are not noted; the caller names them again with the next change it sees.
     pub fn introduce(&self, peers: BTreeSet<VmId>) {
--- a/src/daemon/control_driver/runner.rs
+++ b/src/daemon/control_driver/runner.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{
-        DriverInput, DriverSettings, ProposalReply, StatusFeeds, latest_changes, note_set_aside,
-        open_replica,
+        BATCH_BYTES, DriverInput, DriverSettings, ProposalReply, StatusFeeds, latest_changes,
+        note_set_aside, open_replica,
         writer::{LifeBatch, ReplicaLife, WriteReport},
     },
     crate::{
         control::{
-            ReplicaMessage, SavedState,
+            DurableWrite, PersistBatch, ReplicaMessage, SavedState,
             replica::{
                 LocalProposeError, ProposalId, Replica, ReplicaAction, ReplicaInput, ReplicaStatus,
             },
@@ -21,7 +21,10 @@
         sync::Arc,
         time::Instant,
     },
-    tokio::{sync::mpsc, time::sleep_until},
+    tokio::{
+        sync::{OwnedSemaphorePermit, Semaphore, mpsc},
+        time::sleep_until,
+    },
 };
 
 /// The thread for the files takes no more batches.
@@ -46,6 +49,8 @@
     replica: Replica,
     outbound: mpsc::Sender<(VmId, ReplicaMessage)>,
     batches: mpsc::Sender<LifeBatch>,
+    /// What is left of [`BATCH_BYTES`].
+    room: Arc<Semaphore>,
     life: ReplicaLife,
     /// Bounded by the replica's limit on proposals: it completes each one, at once when full.
     waiting: BTreeMap<ProposalId, ProposalReply>,
@@ -71,6 +76,7 @@
             replica,
             outbound,
             batches,
+            room: Arc::new(Semaphore::new(BATCH_BYTES)),
             life: 0,
             waiting: BTreeMap::new(),
             next_proposal: 0,
@@ -143,10 +149,12 @@
 
     fn take_in(&mut self, input: DriverInput) -> ReplicaInput {
         match input {
-            DriverInput::Message { from, message } => {
+            DriverInput::Message { from, message, room } => {
+                drop(room);
                 ReplicaInput::Received { from, message: *message }
             }
-            DriverInput::Propose { command, reply } => {
+            DriverInput::Propose { command, reply, room } => {
+                drop(room);
                 self.next_proposal += 1;
                 let proposal = self.next_proposal;
                 self.waiting.insert(proposal, reply);
@@ -162,7 +170,8 @@
     async fn carry_out(&mut self, action: ReplicaAction) -> Result<(), FilesGone> {
         match action {
             ReplicaAction::Persist(batch) => {
-                let batch = LifeBatch { life: self.life, batch };
+                let room = self.batch_room(&batch).await;
+                let batch = LifeBatch { life: self.life, batch, room };
                 self.batches.send(batch).await.map_err(|_| FilesGone)?;
             }
             ReplicaAction::Send { to, message } => {
@@ -179,6 +188,14 @@
         Ok(())
     }
 
+    /// Waits until the disk has room for a batch.
+    async fn batch_room(&self, batch: &PersistBatch) -> OwnedSemaphorePermit {
+        let bytes: usize = batch.writes.iter().map(DurableWrite::bytes).sum();
+        let bytes = u32::try_from(bytes.min(BATCH_BYTES)).expect("the bound is below 4 GiB");
+        let room = Arc::clone(&self.room).acquire_many_owned(bytes).await;
+        room.expect("the semaphore is never closed")
+    }
+
     fn show(&self) {
         let state = self.replica.state();
         let feeds = &self.feeds;
--- a/src/daemon/control_driver/writer.rs
+++ b/src/daemon/control_driver/writer.rs
@@ -11,7 +11,7 @@
         io, thread,
         time::{Duration, SystemTime},
     },
-    tokio::sync::mpsc,
+    tokio::sync::{OwnedSemaphorePermit, mpsc},
 };
 
 /// Batches synced at once, so that the queue of reports to the replica stays short.
@@ -28,6 +28,8 @@
 pub(super) struct LifeBatch {
     pub life: ReplicaLife,
     pub batch: PersistBatch,
+    /// Its bytes of [`BATCH_BYTES`](super::BATCH_BYTES), which are free again when it is written.
+    pub room: OwnedSemaphorePermit,
 }
 
 /// What the thread tells the task.
@@ -114,14 +116,18 @@
             continue;
         }
         let PersistBatch { mut number, mut writes } = first.batch;
+        let mut room = first.room;
         for _ in 1..BATCHES_AT_ONCE {
             let Ok(next) = queue.try_recv() else { break };
             number = next.batch.number;
             writes.extend(next.batch.writes);
+            room.merge(next.room);
         }
         if let Err(error) = store.append(writes) {
             return Some(error);
         }
+        // Before the report: the task may wait for room, and takes no reports while it does.
+        drop(room);
         if reports.blocking_send(WriteReport::Synced(number)).is_err() {
             return None;
         }
--- a/tests/fakes/replica_group.rs
+++ b/tests/fakes/replica_group.rs
@@ -28,6 +28,7 @@
 const USUAL_SYNC: Duration = Duration::from_millis(5);
 /// How often the leader looks whether a replica is to be replaced, as on the control VMs.
 pub const HEAL_EVERY: Duration = Duration::from_millis(250);
+const BULK_BYTES: usize = 64 << 10;
 const FIRST_INCARNATION: Incarnation = 100;
 
 pub type ProposalOutcome = Result<CommandOutcome, LocalProposeError>;
@@ -61,6 +62,8 @@
     pub random: Xoshiro256PlusPlus,
     pub nodes: BTreeMap<VmId, GroupNode>,
     pub faults: WireFaults,
+    /// How much longer messages of over [`BULK_BYTES`] are on their way, as on a slow link.
+    pub bulk_delay: Duration,
     /// Pairs that do not hear each other.
     pub cut: BTreeSet<(VmId, VmId)>,
     pub outcomes: BTreeMap<u64, ProposalOutcome>,
@@ -103,6 +106,7 @@
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             nodes: BTreeMap::new(),
             faults: CALM,
+            bulk_delay: Duration::ZERO,
             cut: BTreeSet::new(),
             outcomes: BTreeMap::new(),
             steps: 0,
@@ -341,7 +345,9 @@
                 for _ in 0..copies {
                     if self.below(100) >= self.faults.drop {
                         let delay = self.below(self.faults.delay.as_micros() as u64 + 1);
-                        let at = self.now + Duration::from_micros(100 + delay);
+                        let is_bulk = message.bytes() > BULK_BYTES;
+                        let more = if is_bulk { self.bulk_delay } else { Duration::ZERO };
+                        let at = self.now + Duration::from_micros(100 + delay) + more;
                         self.sent += 1;
                         let envelope = (vm.to_owned(), to.clone(), message.clone());
                         self.wire.insert((at, self.sent), envelope);
--- a/tests/silent_follower.rs
+++ b/tests/silent_follower.rs
@@ -13,6 +13,8 @@
 /// Several documents and one silent follower leave a quorum.
 const DOCUMENTS: u64 = 5;
 const SILENCE: Duration = Duration::from_secs(14);
+/// How long a document is on its way over a slow link.
+const SLOW_WAY: Duration = Duration::from_secs(6);
 /// An accepted document is in force at a replica in touch within this.
 const CATCH_UP: Duration = Duration::from_secs(2);
 
@@ -72,6 +74,22 @@
     }
 }
 
+// Guards against copies of a long document that slow each other down on a slow link.
+#[test]
+fn slow_one_gets_few_copies() {
+    let (mut group, follower) = led_group(1);
+    group.bulk_delay = SLOW_WAY;
+    let leader = group.leader().expect("one leads");
+    group.propose(&leader, put(1));
+    group.run_for(SLOW_WAY - Duration::from_millis(100));
+    // At first, and after waits that double from half a second: 3.5 s in all.
+    let waiting = group.waiting_bytes(&follower);
+    assert!((DOCUMENT_BYTES..5 * DOCUMENT_BYTES).contains(&waiting), "{waiting} bytes wait");
+    let arrived = |group: &ReplicaGroup| held(group, &follower) == 1;
+    assert!(group.run_until(CATCH_UP, arrived));
+    assert_eq!(group.leader(), Some(leader), "the followers hear it meanwhile");
+}
+
 // Guards against long documents that are sent twice because what follows them overtakes them.
 #[test]
 fn nothing_overtakes_a_long_one() {
