--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -104,10 +104,10 @@
         }
     }
 
-    /// Whether what is on its way counts as lost: the follower has answered something since, and for
-    /// `wait`, doubled with each time that it was sent again, nothing of it has got through.
+    /// Whether what is on its way counts as lost: the follower has replied to a later round, and for
+    /// `wait`, doubled with each time that the same was sent again, nothing has got through.
     ///
-    /// To a silent follower all of it would be sent again and again, into queues that nobody reads.
+    /// Nothing is sent again to a silent follower, since it would only pile up in queues.
     pub fn is_stuck(&self, now: Instant, wait: Duration) -> bool {
         let wait = wait * 2_u32.pow(self.resends.min(MOST_DOUBLINGS));
         self.replied_at.is_some_and(|at| at > self.sent_at) && now >= self.moved_at + wait
--- a/src/pipeline/deduplicate.rs
+++ b/src/pipeline/deduplicate.rs
@@ -40,8 +40,8 @@
 const LONGEST_SETTLE: Duration = Duration::from_secs(5);
 /// Tries to tell the ledger of a given-back attempt; after these the floor covers it.
 const RETURN_TRIES: u32 = 8;
-/// How often the ledger is told which attempts are over, while there are new ones: callers wait no
-/// longer than this for a claim that nobody holds.
+/// How often the ledger is told which attempts are over, while there are new ones. A claim that nobody
+/// holds keeps callers waiting for this long at most, unless an older attempt is still open.
 const FLOOR_PERIOD: Duration = Duration::from_secs(5);
 /// How long a reservation of unknown outcome is proposed again: the first may meet a leader that was
 /// just killed, and the next one is elected within about a second.
@@ -139,10 +139,10 @@
                     continue;
                 }
                 CallStanding::Running { holder, incarnation } => {
-                    let found = Some((holder, incarnation));
-                    if waits_for != found {
+                    let found = (holder, incarnation);
+                    if waits_for.as_ref() != Some(&found) {
                         log_wait(&fingerprint, &found);
-                        waits_for = found;
+                        waits_for = Some(found);
                     }
                 }
             }
@@ -174,8 +174,7 @@
 }
 
 /// Says whose run a resend waits for.
-fn log_wait(fingerprint: &DigestHex, found: &Option<(VmId, Incarnation)>) {
-    let Some((holder, incarnation)) = found else { return };
+fn log_wait(fingerprint: &DigestHex, (holder, incarnation): &(VmId, Incarnation)) {
     log::info!(call = logged_call(fingerprint), holder = holder.as_str(),
         incarnation = incarnation; "{}", events::CALL_WAITS);
 }
@@ -300,6 +299,7 @@
                 self.core.claims.leave(&self.key);
                 self.give_back();
             }
+            // The task goes on without its handle.
             ClaimStage::Sent => drop(self.settle(self.unknown())),
             ClaimStage::Ended => {}
         }
--- a/tests/fakes/udp_relay.rs
+++ b/tests/fakes/udp_relay.rs
@@ -11,9 +11,12 @@
         sync::{Arc, Mutex, MutexGuard},
         time::Duration,
     },
-    tokio::{net::UdpSocket, task::JoinSet, time::sleep},
+    tokio::{net::UdpSocket, task::JoinSet, time::interval},
 };
 
+/// The pace of a slow link.
+const TICKS_A_SECOND: u32 = 1_000;
+const TICK: Duration = Duration::from_secs(1).checked_div(TICKS_A_SECOND).expect("it is not zero");
 /// More than any UDP packet holds.
 const PACKET_BYTES: usize = 65_536;
 
@@ -105,10 +108,14 @@
         }
         // What cannot be sent is lost, as on any network.
         let _ = senders[&source].send_to(&packet[..length], address).await;
+        // A slow link is busy with this packet for a while; others wait in the port's buffer.
         let rate = lock(&table).rates.get(&to).copied();
-        if let Some(rate) = rate {
-            // The link is busy with this packet for so long; others wait in the port's buffer.
-            sleep(Duration::from_secs(1).mul_f64(length as f64 / f64::from(rate))).await;
+        let (mut left, mut ticks) = (length, interval(TICK));
+        while let Some(each) = rate.map(|rate| (rate / TICKS_A_SECOND) as usize)
+            && left > 0
+        {
+            ticks.tick().await;
+            left = left.saturating_sub(each);
         }
     }
 }
