Count nothing as lost on the way to an idle follower

What operators would have seen: a replica that was idle and then lost one message stays behind for up to 8 s, past the 2 s in which a change is to be in force.

With nothing on its way a follower counted as stuck at each look, so that the wait before the same is sent again had already doubled to its longest when something was lost at last.

Evidence: silent_follower::idle_one_catches_up, red before this commit, green with it; replica_runs, healing_runs, replica_rules, lost_disk, healing_group pass.

--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -109,8 +109,9 @@
     ///
     /// Nothing is sent again to a silent follower, since it would only pile up in queues.
     pub fn is_stuck(&self, now: Instant, wait: Duration) -> bool {
+        let waits = !self.in_flight.is_empty() || matches!(self.mode, SendMode::Snapshot { .. });
         let wait = wait * 2_u32.pow(self.resends.min(MOST_DOUBLINGS));
-        self.replied_at.is_some_and(|at| at > self.sent_at) && now >= self.moved_at + wait
+        waits && self.replied_at.is_some_and(|at| at > self.sent_at) && now >= self.moved_at + wait
     }
 
     /// Starts again after what is known to have arrived.
--- a/tests/silent_follower.rs
+++ b/tests/silent_follower.rs
@@ -74,6 +74,20 @@
     }
 }
 
+// Guards against a follower that stays behind because it was idle before it was cut off.
+#[test]
+fn idle_one_catches_up() {
+    let (mut group, silent) = led_group(1);
+    group.run_for(SILENCE * 3);
+    let leader = group.leader().expect("all are in touch");
+    group.cut = [(leader.clone(), silent.clone())].into();
+    group.propose(&leader, put(1));
+    group.run_for(Duration::from_millis(300));
+    group.cut.clear();
+    let caught_up = |group: &ReplicaGroup| held(group, &silent) == 1;
+    assert!(group.run_until(CATCH_UP, caught_up));
+}
+
 // Guards against copies of a long document that slow each other down on a slow link.
 #[test]
 fn slow_one_gets_few_copies() {
