Report what the parts of a control VM hold while its memory grows

The log of a control VM that ended with its memory over the limit told nothing of what held it, and the metrics counted documents and lists sent but no bytes. The report tells apart the log and its stored copy, the queues, messages to peers, frames being received, replies not yet received, living documents, bodies of operators, and the number of connections and handshakes; what these do not add up to is held by connections, by copies or kept by the allocator.

A reply now waits for its reception before its task ends, so that what a connection holds for a slow follower counts.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -250,6 +250,11 @@
         self.log.base()
     }
 
+    /// Estimated size in bytes of the log entries held in memory.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Status of the replica at `now`.
     pub fn status(&self, now: Instant) -> ReplicaStatus {
         ReplicaStatus {
--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -24,6 +24,7 @@
         daemon::{ConfigWatch, ControlPort},
         ids::VmId,
         inventory::ActiveConfig,
+        observe::memory::{MemoryPart, set_amount},
         storage::{DiskFiles, FileSystem},
     },
     displaydoc::Display,
@@ -302,7 +303,9 @@
 
     fn reserve_bytes(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
         let bytes = u32::try_from(bytes).ok()?;
-        Arc::clone(&self.free_bytes).try_acquire_many_owned(bytes).ok()
+        let permit = Arc::clone(&self.free_bytes).try_acquire_many_owned(bytes).ok();
+        set_amount(MemoryPart::Inputs, INPUT_BYTES - self.free_bytes.available_permits());
+        permit
     }
 
     /// Sets the VMs that a replica without a group contacts in addition to its founders. The call
--- a/src/daemon/control_driver/runner.rs
+++ b/src/daemon/control_driver/runner.rs
@@ -14,7 +14,10 @@
             },
         },
         ids::{LogIndex, VmId},
-        observe::events,
+        observe::{
+            events,
+            memory::{HeldAmount, MemoryPart, set_amount},
+        },
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -172,7 +175,8 @@
         match action {
             ReplicaAction::Persist(batch) => {
                 let permit = self.reserve_batch_bytes(&batch).await;
-                let batch = GenerationBatch { generation: self.generation, batch, permit };
+                let held = HeldAmount::new(MemoryPart::Batches, permit.num_permits());
+                let batch = GenerationBatch { generation: self.generation, batch, permit, held };
                 self.batches.send(batch).await.map_err(|_| WriterClosed)?;
             }
             ReplicaAction::Send { to, message } => {
@@ -198,6 +202,7 @@
     }
 
     fn publish(&self) {
+        set_amount(MemoryPart::ReplicaLog, self.replica.log_bytes());
         let state = self.replica.state();
         let senders = &self.senders;
         let status = self.replica.status(Instant::now());
--- a/src/daemon/control_driver/writer.rs
+++ b/src/daemon/control_driver/writer.rs
@@ -4,6 +4,7 @@
     crate::{
         control::{PersistBatch, SavedState},
         ids::Incarnation,
+        observe::memory::{HeldAmount, MemoryPart, set_amount},
         storage::{FileSystem, LogStore, OpenedStore, StorageError},
     },
     std::{
@@ -31,6 +32,8 @@
     pub batch: PersistBatch,
     /// The share of [`BATCH_BYTES`](super::BATCH_BYTES), released when the batch is written.
     pub permit: OwnedSemaphorePermit,
+    /// The same bytes, for the report of the memory.
+    pub held: HeldAmount,
 }
 
 /// Reports of the writer thread to the task.
@@ -121,18 +124,21 @@
         }
         let PersistBatch { mut number, mut writes } = first.batch;
         let mut permit = first.permit;
+        let mut held = vec![first.held];
         for _ in 1..MAX_BATCHES_PER_SYNC {
             let Ok(next) = queue.try_recv() else { break };
             number = next.batch.number;
             writes.extend(next.batch.writes);
             permit.merge(next.permit);
+            held.push(next.held);
         }
         if let Err(error) = store.append(writes) {
             return Some(error);
         }
         // The permit is released before the report, since the task receives no reports while it
         // waits for space.
-        drop(permit);
+        drop((permit, held));
+        set_amount(MemoryPart::StoredLog, store.log_bytes());
         if reports.blocking_send(WriteReport::Synced(number)).is_err() {
             return None;
         }
--- a/src/follow/document_delta.rs
+++ b/src/follow/document_delta.rs
@@ -8,13 +8,14 @@
     crate::{
         control::document::{DOCUMENT_BYTES, NumberedDocument},
         ids::DocumentNumber,
+        observe::memory::{MemoryPart, set_amount},
     },
     displaydoc::Display,
     fastcdc::v2020::FastCDC,
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, VecDeque},
-        sync::Arc,
+        sync::{Arc, Weak},
     },
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -174,6 +175,9 @@
     /// Deltas to the present document by the number of their base; `None` where the delta would be
     /// too large. At most one for each document.
     deltas: BTreeMap<DocumentNumber, Option<Arc<DocumentDelta>>>,
+    /// The bodies that something holds, for [`MemoryPart::Documents`]; dropped ones are removed with
+    /// the next document.
+    alive: Vec<Weak<str>>,
 }
 
 impl DocumentHistory {
@@ -200,6 +204,10 @@
             return;
         }
         self.deltas.clear();
+        self.alive.push(Arc::downgrade(&present.body));
+        self.alive.retain(|body| body.strong_count() > 0);
+        let alive = self.alive.iter().filter_map(Weak::upgrade).map(|body| body.len()).sum();
+        set_amount(MemoryPart::Documents, alive);
         self.documents.push_back(present.clone());
         let former_size = |documents: &VecDeque<NumberedDocument>| {
             let bytes: usize = documents.iter().map(|document| document.body.len()).sum();
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -4,4 +4,5 @@
 pub mod events;
 pub mod log_files;
 pub mod logs;
+pub mod memory;
 pub mod metrics;
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -49,6 +49,9 @@
 /// replica.
 pub const WEIGHTS_ACTIVE: &str = "weights in force";
 
+/// The resident memory of a control VM has changed; the fields give what its parts hold, in bytes.
+pub const MEMORY_CHANGED: &str = "resident memory changed";
+
 /// The daemon receives configuration from a control VM.
 pub const FOLLOWING: &str = "following a control VM";
 /// No queried control VM is up to date; the current configuration stays active.
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -25,7 +25,7 @@
             task::{FollowTask, FollowerPort},
         },
         ids::{FailureDomainId, Incarnation, VmId},
-        observe::events,
+        observe::{events, memory::report_memory},
         transport::{PeerMessage, PeerNetwork, UnauthenticatedSettings},
     },
     std::{
@@ -115,6 +115,7 @@
         let founders = settings.founders.len();
         tasks.spawn(repair_replicas(settings.vm.clone(), replica.clone(), founders));
         spawn_orders(&settings, &replica, &fleet_view, engines, &mut tasks);
+        tasks.spawn(report_memory());
         tasks.spawn(log_leader_changes(settings.vm.clone(), replica.clone()));
         tasks.spawn(log_member_changes(settings.vm.clone(), replica.clone()));
         log::info!(vm = settings.vm.as_str(), founders = settings.founders.len();
--- a/src/storage/log_store.rs
+++ b/src/storage/log_store.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        control::entry::{DurableWrite, SavedSnapshot, SavedState},
+        control::entry::{DurableWrite, LogEntry, SavedSnapshot, SavedState},
         ids::Incarnation,
         storage::{
             files::{FileSystem, LogFile},
@@ -127,6 +127,11 @@
         self.incarnation
     }
 
+    /// Estimated size in bytes of the entries of the current generation.
+    pub fn log_bytes(&self) -> usize {
+        self.state.entries.iter().map(LogEntry::bytes).sum()
+    }
+
     /// Writes changes and syncs them. They are durable when this function returns.
     ///
     /// # Errors
--- a/src/transport/codec.rs
+++ b/src/transport/codec.rs
@@ -1,6 +1,7 @@
 //! Wire format: frames of a four-byte big-endian length and one value encoded with postcard.
 
 use {
+    crate::observe::memory::{HeldAmount, MemoryPart},
     displaydoc::Display,
     quinn::{ReadExactError, RecvStream, SendStream, WriteError},
     serde::{Serialize, de::DeserializeOwned},
@@ -90,7 +91,9 @@
 pub async fn read_body(stream: &mut RecvStream) -> Result<Vec<u8>, CodecError> {
     let mut header = [0; HEADER_LENGTH];
     stream.read_exact(&mut header).await.map_err(truncated)?;
-    let mut body = vec![0; frame_length(header)?];
+    let length = frame_length(header)?;
+    let _held = HeldAmount::new(MemoryPart::Received, length);
+    let mut body = vec![0; length];
     stream.read_exact(&mut body).await.map_err(truncated)?;
     Ok(body)
 }
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -7,7 +7,10 @@
         network::{PeerHandler, REFUSED_COUNTER, count_refusal, reject_name},
         tls::certificate_names_peer,
     },
-    crate::ids::VmId,
+    crate::{
+        ids::VmId,
+        observe::memory::{HeldAmount, MemoryPart},
+    },
     quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream},
     std::{sync::Arc, time::Duration},
     tokio::time::timeout,
@@ -32,6 +35,8 @@
 }
 
 async fn serve_peer(incoming: Incoming, handler: Arc<dyn PeerHandler>) {
+    let _connection = HeldAmount::new(MemoryPart::Connections, 1);
+    let handshake = HeldAmount::new(MemoryPart::Handshakes, 1);
     let connection = match incoming.await {
         Ok(connection) => connection,
         Err(error) => return count_refusal(&error),
@@ -39,6 +44,7 @@
     let Ok(Some(peer)) = timeout(GREETING_TIMEOUT, greet(&connection)).await else {
         return connection.close(1u32.into(), b"no greeting");
     };
+    drop(handshake);
     loop {
         tokio::select! {
             stream = connection.accept_uni() => match stream {
@@ -104,10 +110,16 @@
     let frame = codec::encode(&reply)
         .or_else(|error| codec::encode(&super::message::PeerReply::Refused(error.to_string())));
     if let Ok(frame) = frame {
+        let _held = HeldAmount::new(MemoryPart::Replies, frame.len());
+        let _unread = HeldAmount::new(MemoryPart::UnreadReplies, 1);
         // A failed write means that the peer no longer waits for the reply.
         let written = codec::write_frame(&mut sender, &frame).await;
         if let (Ok(()), Some(body)) = (written, body) {
             let _ = attachment::write_body(&mut sender, body).await;
         }
+        // The connection holds the reply until the peer has received it or the connection is lost.
+        if sender.finish().is_ok() {
+            let _ = sender.stopped().await;
+        }
     }
 }
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -10,7 +10,10 @@
         message::PeerMessage,
         network::{DROPPED_COUNTER, count_refusal},
     },
-    crate::ids::VmId,
+    crate::{
+        ids::VmId,
+        observe::memory::{HeldAmount, MemoryPart},
+    },
     arc_swap::ArcSwap,
     quinn::{ClientConfig, Connection, Endpoint, SendStream},
     rand_core::{RngCore, SeedableRng},
@@ -76,6 +79,7 @@
 struct QueuedFrame {
     bytes: Vec<u8>,
     budget: OwnedSemaphorePermit,
+    held: HeldAmount,
 }
 
 enum LinkCommand {
@@ -113,7 +117,8 @@
         let Ok(budget) = Arc::clone(&self.budget).try_acquire_many_owned(length) else {
             return count_drop("queue_full");
         };
-        let frame = QueuedFrame { bytes, budget };
+        let held = HeldAmount::new(MemoryPart::Messages, bytes.len());
+        let frame = QueuedFrame { bytes, budget, held };
         if self.queue.try_send(LinkCommand::Send(frame)).is_err() {
             count_drop("queue_full");
         }
@@ -249,7 +254,7 @@
 /// dropped without closing the connection, since the peer may be reading at the full speed of its
 /// network.
 async fn write_bulk(connection: Connection, frame: QueuedFrame) {
-    let QueuedFrame { bytes, budget } = frame;
+    let QueuedFrame { bytes, budget, held } = frame;
     let written = timeout(BULK_TIMEOUT, async {
         let mut stream = connection.open_uni().await.ok()?;
         stream.set_priority(BULK_PRIORITY).ok()?;
@@ -262,7 +267,7 @@
         Ok(None) => count_drop("lost"),
         Err(_elapsed) => count_drop("slow"),
     }
-    drop(budget);
+    drop((budget, held));
 }
 
 async fn write_to(
