Name both remedies when too few replicas respond

The text named the daemons alone since the wording of the code changed. The VMs may be cut off as well, and starting their daemons then changes nothing.

--- a/src/control/replica/membership_change.rs
+++ b/src/control/replica/membership_change.rs
@@ -115,7 +115,9 @@
             .flatten();
         match quorum_contact_at {
             Some(at) if now < at + self.settings.timing.election => Ok(membership),
-            _ => refuse("too few of the remaining replicas respond; start their daemons first"),
+            _ => refuse(
+                "too few of the remaining replicas respond; start their daemons or reconnect their VMs first",
+            ),
         }
     }
 
