Receive documents beside the polls of a follower

Cause: one limit of 1.4 s for the wait of the long poll, the reply and the body of the document. A body that is not complete by then was thrown away, its sender counted as unresponsive, and the transfer began again at the first byte.

The body is now received by a task of its own while polls go on, and a VM is left when it sends nothing for the limit. It works because the limit no longer depends on the length of what is sent.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -11,6 +11,7 @@
 pub mod document_delta;
 pub mod service;
 pub mod task;
+mod transfer;
 
 use {
     self::document_delta::DocumentDelta,
@@ -73,6 +74,8 @@
     /// Whether it needs the full document, because a delta could not be applied.
     #[serde(rename = "whole")]
     pub needs_full: bool,
+    /// Whether it is receiving a document, so that it can use no other one until that has arrived.
+    pub receives_document: bool,
 }
 
 /// The changes for a follower; `None` where it is up to date.
@@ -85,7 +88,7 @@
     /// All named weights, if they differ.
     pub weights: Option<NamedWeights>,
     /// The full server list, if it differs and the follower's is not known here.
-    pub fleet: Option<FleetSnapshot>,
+    pub fleet: Option<Arc<FleetSnapshot>>,
     /// The delta from the follower's server list, if that is known here.
     pub fleet_delta: Option<FleetDelta>,
     /// The control VMs, if they differ.
@@ -136,11 +139,8 @@
     /// Applies everything in the reply that is newer; returns whether the state has changed.
     pub fn apply(&mut self, reply: FollowReply) -> bool {
         let before = self.clone();
-        if let Some(document) = reply.document
-            && document.number > self.document.number
-        {
-            self.document = document;
-            self.needs_full = false;
+        if let Some(document) = reply.document {
+            self.apply_document(document);
         }
         if let Some(delta) = reply.document_delta {
             self.apply_document_delta(&delta);
@@ -157,7 +157,7 @@
             && delta.base == self.fleet_digest
         {
             let former = self.fleet.clone().unwrap_or_default();
-            self.set_fleet(former.apply(&delta), delta.digest);
+            self.set_fleet(Arc::new(former.apply(&delta)), delta.digest);
         }
         if let Some(control) = reply.control {
             self.control = control;
@@ -167,6 +167,16 @@
         *self != before
     }
 
+    /// Replaces the document by a full one if that is newer; returns whether it is.
+    pub fn apply_document(&mut self, document: NumberedDocument) -> bool {
+        let is_newer = document.number > self.document.number;
+        if is_newer {
+            self.document = document;
+            self.needs_full = false;
+        }
+        is_newer
+    }
+
     fn apply_document_delta(&mut self, delta: &DocumentDelta) {
         if delta.number <= self.document.number {
             return;
@@ -181,11 +191,11 @@
         }
     }
 
-    fn set_fleet(&mut self, mut fleet: FleetSnapshot, digest: u64) {
+    fn set_fleet(&mut self, mut fleet: Arc<FleetSnapshot>, digest: u64) {
         self.fleet_digest = digest;
         if let Some(former) = &self.fleet {
-            fleet.keep_draining(former);
+            Arc::make_mut(&mut fleet).keep_draining(former);
         }
-        self.fleet = Some(Arc::new(fleet));
+        self.fleet = Some(fleet);
     }
 }
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -12,7 +12,6 @@
         },
         daemon::control_driver::ControlHandle,
         fleet::{
-            FleetSnapshot,
             history::{FleetChange, FleetDelta},
             watch::{FleetView, LEADER_TIMEOUT},
         },
@@ -209,7 +208,7 @@
             }
             Some(FleetChange::Full(fleet)) => {
                 metrics::counter!(FOLLOW_LISTS, "kind" => "whole").increment(1);
-                reply.fleet = Some(FleetSnapshot::clone(&fleet));
+                reply.fleet = Some(fleet);
             }
             None => {}
         }
@@ -247,9 +246,12 @@
     if status.leader.is_some() { status.term } else { 0 }
 }
 
-/// Whether an entry lacks the present document; a control VM gets it through its replica.
+/// Whether the present document has to be sent to an entry; a control VM gets it through its
+/// replica.
 fn is_outdated(request: &FollowRequest, state: &DocumentState) -> bool {
-    request.follower == FollowerKind::Entry && state.document().number > request.document
+    request.follower == FollowerKind::Entry
+        && !request.receives_document
+        && state.document().number > request.document
 }
 
 /// Whether an entry has other named weights.
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -5,11 +5,12 @@
         ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, SharedState,
         confirmation::{AskedPeers, ConfirmationMonitor},
         control_digest,
+        transfer::DocumentTransfer,
     },
     crate::{
         ids::{DocumentNumber, FailureDomainId, VmId},
         observe::events,
-        transport::{PeerNetwork, PeerReply, PeerRequest},
+        transport::{DocumentStream, PeerNetwork, PeerReply, PeerRequest},
     },
     futures::future::join_all,
     std::{
@@ -18,14 +19,20 @@
     },
     tokio::{
         sync::watch,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
-/// The time limit of a delayed answer beyond [`ANSWER_WAIT`]. An unresponsive VM is thereby
-/// abandoned after 1.4 s, within the 2 s in which an accepted change must be in force.
+/// The time limit of a delayed answer beyond [`ANSWER_WAIT`], without the document that it may
+/// contain. An unresponsive VM is thereby abandoned after 1.4 s, within the 2 s in which an accepted
+/// change must be in force.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
+/// The time after which a VM that sends nothing is unresponsive.
+const ANSWER_LIMIT: Duration = ANSWER_WAIT.saturating_add(ANSWER_MARGIN);
+/// How long the next poll is delayed for a document that is being received. Most documents arrive
+/// within this time, which saves a request.
+const SHORT_TRANSFER: Duration = Duration::from_millis(100);
 /// Time limit of the suitability requests, which are answered immediately.
 const SUITABILITY_TIMEOUT: Duration = Duration::from_millis(300);
 /// The pause before the next selection when no VM answers, or none that is up to date.
@@ -54,6 +61,9 @@
     port: Arc<dyn FollowerPort>,
     /// `None` on a control VM, which gets its configuration through its replica.
     confirmation: Option<ConfirmationMonitor>,
+    /// The document that is being received; at most one at a time, since a later one is usually a
+    /// small delta to it.
+    transfer: Option<DocumentTransfer>,
 }
 
 /// How suitable a control VM is: whether it is up to date, then whether it is in the same failure
@@ -107,7 +117,15 @@
     ) -> Self {
         let is_entry = port.kind() == FollowerKind::Entry;
         let confirmation = is_entry.then(|| ConfirmationMonitor::new(StdInstant::now()));
-        FollowTask { network, failure_domain, candidates, state, port, confirmation }
+        FollowTask {
+            network,
+            failure_domain,
+            candidates,
+            state,
+            port,
+            confirmation,
+            transfer: None,
+        }
     }
 
     /// Runs forever.
@@ -134,7 +152,7 @@
         let candidates = self.candidates.borrow().clone();
         let task = &*self;
         let asked = candidates.iter().map(|peer| async move {
-            let reply = task.ask(peer, AnswerMode::Suitability, SUITABILITY_TIMEOUT).await?;
+            let (reply, _) = task.ask(peer, AnswerMode::Suitability, SUITABILITY_TIMEOUT).await?;
             Some((task.suitability(&reply), peer.clone(), reply.held))
         });
         let answers: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
@@ -151,12 +169,83 @@
 
     /// Fetches the newest document among all answers. Needed when no VM is up to date, since the VM
     /// that is followed may have an older one.
-    async fn fetch_newest(&self, answers: &[(Suitability, VmId, DocumentNumber)]) {
+    async fn fetch_newest(&mut self, answers: &[(Suitability, VmId, DocumentNumber)]) {
         let newest = answers.iter().max_by_key(|(_, _, held)| *held);
         if let Some((_, peer, held)) = newest
             && *held > self.state.borrow().document.number
+            && let Some((reply, stream)) = self.ask(peer, AnswerMode::Now, ANSWER_WAIT).await
         {
-            self.ask(peer, AnswerMode::Now, ANSWER_WAIT).await;
+            self.receive_document(peer, &reply, stream).await;
+        }
+    }
+
+    /// Receives the document of a reply in the background.
+    async fn receive_document(
+        &mut self,
+        peer: &VmId,
+        reply: &FollowReply,
+        stream: Option<DocumentStream>,
+    ) {
+        let (Some(document), Some(stream)) = (&reply.document, stream) else { return };
+        let state = self.state.clone();
+        let transfer = DocumentTransfer::start(peer.clone(), document.number, stream, state);
+        let transfer = self.transfer.insert(transfer);
+        if timeout(SHORT_TRANSFER, transfer.ended()).await.is_ok() {
+            self.end_transfer().await;
+        }
+    }
+
+    /// Polls a VM; `None` if it is unresponsive.
+    async fn poll(&mut self, peer: &VmId) -> Option<FollowReply> {
+        loop {
+            let answer = tokio::select! {
+                answer = self.ask(peer, AnswerMode::Wait, ANSWER_LIMIT) => answer,
+                // The next poll reports the document that has arrived.
+                () = self.transfer_ended() => {
+                    self.end_transfer().await;
+                    continue;
+                }
+            };
+            if let Some((reply, stream)) = answer {
+                self.drop_silent_transfer(peer);
+                self.receive_document(peer, &reply, stream).await;
+                return Some(reply);
+            }
+            // Its answer may be delayed by the document that it is sending.
+            let is_sending = |transfer: &DocumentTransfer| {
+                transfer.peer() == peer && transfer.is_active(ANSWER_LIMIT)
+            };
+            if !self.transfer.as_ref().is_some_and(is_sending) {
+                self.transfer = self.transfer.take().filter(|transfer| transfer.peer() != peer);
+                return None;
+            }
+        }
+    }
+
+    /// Completes when the transfer in progress has ended; never without one.
+    async fn transfer_ended(&self) {
+        match &self.transfer {
+            Some(transfer) => transfer.ended().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Removes a transfer that has ended. After a failure the next one starts after a pause.
+    async fn end_transfer(&mut self) {
+        let held = self.state.borrow().document.number;
+        if self.transfer.take().is_some_and(|transfer| transfer.number() > held) {
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Abandons a document that another VM than `peer` has stopped sending, so that `peer` sends
+    /// its own.
+    fn drop_silent_transfer(&mut self, peer: &VmId) {
+        let is_silent = |transfer: &DocumentTransfer| {
+            transfer.peer() != peer && !transfer.is_active(ANSWER_LIMIT)
+        };
+        if self.transfer.as_ref().is_some_and(is_silent) {
+            self.transfer = None;
         }
     }
 
@@ -165,8 +254,7 @@
         let since = Instant::now();
         log::info!(peer = peer.as_str(), fresh = suitability.0, own_domain = suitability.1;
             "{}", events::FOLLOWING);
-        while let Some(reply) = self.ask(peer, AnswerMode::Wait, ANSWER_WAIT + ANSWER_MARGIN).await
-        {
+        while let Some(reply) = self.poll(peer).await {
             self.record_confirmation(reply.fresh, AskedPeers { asked: 1, answered: 1 });
             match decide_follow(suitability, self.suitability(&reply), since.elapsed()) {
                 FollowDecision::Stay => {}
@@ -188,7 +276,12 @@
         (reply.fresh, reply.failure_domain == self.failure_domain)
     }
 
-    async fn ask(&self, peer: &VmId, mode: AnswerMode, limit: Duration) -> Option<FollowReply> {
+    async fn ask(
+        &self,
+        peer: &VmId,
+        mode: AnswerMode,
+        limit: Duration,
+    ) -> Option<(FollowReply, Option<DocumentStream>)> {
         let held = self.state.borrow().clone();
         let request = FollowRequest {
             document: held.document.number,
@@ -199,16 +292,18 @@
             follower: self.port.kind(),
             mode,
             needs_full: held.needs_full,
+            receives_document: self.transfer.is_some(),
         };
-        let reply = self.network.call(peer, PeerRequest::Follow(Box::new(request)), limit).await;
-        match reply {
-            Ok(PeerReply::Followed(reply)) => {
-                let applied = FollowReply::clone(&reply);
+        let request = PeerRequest::Follow(Box::new(request));
+        match self.network.call_streamed(peer, request, limit).await {
+            Ok((PeerReply::Followed(reply), stream)) => {
+                // The document is applied when its body has arrived.
+                let applied = FollowReply { document: None, ..FollowReply::clone(&reply) };
                 self.state.send_if_modified(|state| state.apply(applied));
                 if mode == AnswerMode::Wait {
                     self.port.reply_received(&reply, &self.state.borrow());
                 }
-                Some(*reply)
+                Some((*reply, stream))
             }
             Ok(_) => None,
             Err(error) => {
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -57,6 +57,10 @@
 pub const CONFIG_CONFIRMED: &str = "configuration confirmed";
 /// The control VM that this daemon follows is unresponsive.
 pub const CONTROL_UNRESPONSIVE: &str = "a control VM does not answer its follower";
+/// A full document has arrived; `bytes` is its length and `took_ms` the duration of its transfer.
+pub const DOCUMENT_RECEIVED: &str = "document received";
+/// The transfer of a full document has failed or took too long; it is requested again.
+pub const DOCUMENT_LOST: &str = "document not received";
 /// The list of backend servers is no longer confirmed; the last list stays in use.
 pub const LIST_UNCONFIRMED: &str = "server list lost";
 /// The list of backend servers is confirmed again.
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -16,6 +16,7 @@
 pub mod unauthenticated;
 
 pub use self::{
+    attachment::DocumentStream,
     codec::CodecError,
     keys::{KeyError, KeyFiles, KeyPairPem},
     message::{PeerMessage, PeerReply, PeerRequest},
--- a/src/transport/codec.rs
+++ b/src/transport/codec.rs
@@ -88,10 +88,30 @@
 /// # Errors
 /// Those of [`read_frame`], except [`CodecError::Malformed`].
 pub async fn read_body(stream: &mut RecvStream) -> Result<Vec<u8>, CodecError> {
+    read_parts(stream, || {}).await
+}
+
+/// Reads the body of one frame and calls `received` whenever a part of it has arrived.
+///
+/// # Errors
+/// As [`read_body`].
+pub async fn read_parts(
+    stream: &mut RecvStream,
+    mut received: impl FnMut(),
+) -> Result<Vec<u8>, CodecError> {
     let mut header = [0; HEADER_LENGTH];
     stream.read_exact(&mut header).await.map_err(truncated)?;
-    let mut body = vec![0; frame_length(header)?];
-    stream.read_exact(&mut body).await.map_err(truncated)?;
+    let length = frame_length(header)?;
+    let mut body = Vec::new();
+    while body.len() < length {
+        let part = stream.read_chunk(length - body.len(), true).await;
+        let Ok(Some(part)) = part else { return Err(CodecError::Truncated) };
+        if body.is_empty() {
+            body.reserve_exact(length);
+        }
+        body.extend_from_slice(&part.bytes);
+        received();
+    }
     Ok(body)
 }
 
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        attachment, codec,
-        message::{PeerMessage, PeerRequest},
+        attachment::BodyPacker,
+        codec,
+        message::{PeerMessage, PeerReply, PeerRequest},
         network::{PeerHandler, REFUSED_COUNTER, count_refusal, reject_name},
         tls::certificate_names_peer,
     },
@@ -21,17 +22,18 @@
 
 /// Serves peers until the endpoint is closed.
 pub async fn accept_peers(endpoint: Endpoint, handler: Arc<dyn PeerHandler>) {
+    let packer = Arc::new(BodyPacker::default());
     while let Some(incoming) = endpoint.accept().await {
         if endpoint.open_connections() > MAX_CONNECTIONS {
             metrics::counter!(REFUSED_COUNTER, "reason" => "full").increment(1);
             incoming.refuse();
             continue;
         }
-        tokio::spawn(serve_peer(incoming, handler.clone()));
+        tokio::spawn(serve_peer(incoming, handler.clone(), packer.clone()));
     }
 }
 
-async fn serve_peer(incoming: Incoming, handler: Arc<dyn PeerHandler>) {
+async fn serve_peer(incoming: Incoming, handler: Arc<dyn PeerHandler>, packer: Arc<BodyPacker>) {
     let connection = match incoming.await {
         Ok(connection) => connection,
         Err(error) => return count_refusal(&error),
@@ -49,7 +51,8 @@
             },
             streams = connection.accept_bi() => match streams {
                 Ok((sender, receiver)) => {
-                    tokio::spawn(answer(sender, receiver, peer.clone(), handler.clone()));
+                    let (handler, packer) = (handler.clone(), packer.clone());
+                    tokio::spawn(answer(sender, receiver, peer.clone(), handler, packer));
                 }
                 Err(_closed) => return,
             },
@@ -91,6 +94,7 @@
     mut receiver: RecvStream,
     peer: VmId,
     handler: Arc<dyn PeerHandler>,
+    packer: Arc<BodyPacker>,
 ) {
     let request: PeerRequest = match codec::read_frame(&mut receiver).await {
         Ok(request) => request,
@@ -100,14 +104,21 @@
         }
     };
     let mut reply = handler.request(peer, request).await;
-    let body = attachment::detach_body(&mut reply);
-    let frame = codec::encode(&reply)
-        .or_else(|error| codec::encode(&super::message::PeerReply::Refused(error.to_string())));
-    if let Ok(frame) = frame {
-        // A failed write means that the peer no longer waits for the reply.
-        let written = codec::write_frame(&mut sender, &frame).await;
-        if let (Ok(()), Some(body)) = (written, body) {
-            let _ = attachment::write_body(&mut sender, body).await;
+    let packed = packer.detach(&mut reply);
+    let encoded = packed.and_then(|parts| Ok((codec::encode(&reply)?, Some(parts))));
+    let (frame, parts) = match encoded {
+        Ok(encoded) => encoded,
+        Err(error) => {
+            let refused = codec::encode(&PeerReply::Refused(error.to_string()));
+            (refused.expect("a short text always encodes"), None)
         }
+    };
+    // The reply must not occupy memory until the peer has read all of it.
+    drop(reply);
+    // A failed write means that the peer no longer waits for the reply.
+    let written = codec::write_frame(&mut sender, &frame).await;
+    drop(frame);
+    if let (Ok(()), Some(parts)) = (written, parts) {
+        let _ = parts.write(&mut sender).await;
     }
 }
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        attachment, codec,
+        attachment::{self, DocumentStream},
+        codec,
         inbound::accept_peers,
         keys::{self, KeyError, KeyFiles},
         link::{LinkContext, PeerLink},
@@ -265,7 +266,7 @@
         }
     }
 
-    /// Sends a request and waits for the reply, at most for `timeout`.
+    /// Sends a request and waits for the complete reply, at most for `timeout`.
     ///
     /// # Errors
     /// [`TransportError::NotSent`] only if no byte of the request can have reached a peer that accepted
@@ -277,6 +278,39 @@
         timeout: Duration,
     ) -> Result<PeerReply, TransportError> {
         let deadline = Instant::now() + timeout;
+        let (mut reply, document) = self.call_until(to, request, deadline).await?;
+        if let Some(document) = document {
+            let unknown = |reason| TransportError::Unknown { peer: to.clone(), reason };
+            let body = timeout_at(deadline, document.read(|| {}))
+                .await
+                .map_err(|_elapsed| unknown("the reply did not arrive in time".to_owned()))?
+                .map_err(|error| unknown(error.to_string()))?;
+            attachment::attach_body(&mut reply, body);
+        }
+        Ok(reply)
+    }
+
+    /// Sends a request and waits for the reply, at most for `timeout`, but not for the body of a
+    /// document in it, which may take longer than any other reply. The body is empty in the reply;
+    /// it is read from the stream.
+    ///
+    /// # Errors
+    /// As [`Self::call`].
+    pub async fn call_streamed(
+        &self,
+        to: &VmId,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<(PeerReply, Option<DocumentStream>), TransportError> {
+        self.call_until(to, request, Instant::now() + timeout).await
+    }
+
+    async fn call_until(
+        &self,
+        to: &VmId,
+        request: PeerRequest,
+        deadline: Instant,
+    ) -> Result<(PeerReply, Option<DocumentStream>), TransportError> {
         let not_sent = |reason: String| TransportError::NotSent { peer: to.clone(), reason };
         let frame = codec::encode(&request).map_err(|error| not_sent(error.to_string()))?;
         let link = self.link(to).ok_or_else(|| not_sent("the peer is unknown".to_owned()))?;
@@ -322,13 +356,14 @@
     mut sender: quinn::SendStream,
     mut receiver: quinn::RecvStream,
     frame: &[u8],
-) -> Result<PeerReply, String> {
+) -> Result<(PeerReply, Option<DocumentStream>), String> {
     codec::write_frame(&mut sender, frame).await.map_err(|error| error.to_string())?;
     // If this fails, the read below fails too.
     let _ = sender.finish();
     let mut reply = codec::read_frame(&mut receiver).await.map_err(|error| error.to_string())?;
-    attachment::attach_body(&mut reply, &mut receiver).await.map_err(|error| error.to_string())?;
-    Ok(reply)
+    attachment::attach_list(&mut reply, &mut receiver).await.map_err(|error| error.to_string())?;
+    let document = DocumentStream::after(&reply, receiver);
+    Ok((reply, document))
 }
 
 fn load_pair(files: &KeyFiles) -> Result<TlsPair, TransportError> {
--- a/tests/fleet_list.rs
+++ b/tests/fleet_list.rs
@@ -28,7 +28,7 @@
 }
 
 fn phase_after(state: &mut SharedState, fleet: FleetSnapshot) -> ServerPhase {
-    state.apply(FollowReply { fleet: Some(fleet), ..FollowReply::default() });
+    state.apply(FollowReply { fleet: Some(Arc::new(fleet)), ..FollowReply::default() });
     state.fleet.as_ref().expect("a list was applied").servers[0].phase
 }
 
@@ -99,7 +99,7 @@
         let reply = match change {
             FleetChange::Full(fleet) => {
                 assert_eq!(loading, 0, "only the first list is sent in full");
-                FollowReply { fleet: Some(FleetSnapshot::clone(&fleet)), ..FollowReply::default() }
+                FollowReply { fleet: Some(fleet), ..FollowReply::default() }
             }
             FleetChange::Delta(delta) => FollowReply {
                 fleet_delta: Some(FleetDelta::clone(&delta)),
