--- a/tests/fakes/udp_relay.rs
+++ b/tests/fakes/udp_relay.rs
@@ -12,13 +12,16 @@
         sync::{Arc, Mutex, MutexGuard},
         time::Duration,
     },
-    tokio::{net::UdpSocket, task::JoinSet, time::interval},
+    tokio::{
+        net::UdpSocket,
+        sync::watch,
+        task::JoinSet,
+        time::{Instant, sleep_until},
+    },
 };
 
-/// Ticks per second of a rate-limited link.
-const TICKS_PER_SECOND: u32 = 1_000;
-const TICK: Duration =
-    Duration::from_secs(1).checked_div(TICKS_PER_SECOND).expect("the divisor is not zero");
+/// How far a rate-limited link may catch up after the relay's timer was late.
+const CATCH_UP: Duration = Duration::from_millis(50);
 /// More than the maximum length of a UDP packet.
 const PACKET_BYTES: usize = 65_536;
 
@@ -28,8 +31,17 @@
     daemons: BTreeMap<String, SocketAddr>,
     /// Pairs of daemons that cannot reach each other, each in both orders.
     blocked_links: BTreeSet<(String, String)>,
-    /// Rate limits of the links to daemons in bytes per second; links without an entry are unlimited.
-    rates: BTreeMap<String, u32>,
+    /// Rate limits of the links to daemons; links without an entry are unlimited.
+    rates: BTreeMap<String, LinkRate>,
+    /// The bytes of packets that were relayed to each daemon.
+    relayed: BTreeMap<String, watch::Sender<u64>>,
+}
+
+/// The rate limit of the link to a daemon, which all its peers share.
+struct LinkRate {
+    bytes_per_second: u32,
+    /// When the last packet has passed.
+    free_at: Instant,
 }
 
 /// The relays of all daemons.
@@ -48,6 +60,7 @@
         for vm in vms {
             let port = Arc::new(UdpSocket::bind("127.0.0.1:0").await.expect("a port is free"));
             ports.insert((*vm).to_owned(), port.local_addr().expect("the port is bound"));
+            lock(&table).relayed.insert((*vm).to_owned(), watch::channel(0).0);
             tasks.spawn(relay_to((*vm).to_owned(), port, Arc::clone(&table)));
         }
         UdpRelay { table, ports, _tasks: tasks }
@@ -72,11 +85,17 @@
         }
     }
 
-    /// Limits the link to `vm` to `rate` bytes per second.
-    pub fn limit_rate(&self, vm: &str, rate: u32) {
+    /// Limits the link to `vm` to this rate, in packets and replies of all other daemons together.
+    pub fn limit_rate(&self, vm: &str, bytes_per_second: u32) {
+        let rate = LinkRate { bytes_per_second, free_at: Instant::now() };
         lock(&self.table).rates.insert(vm.to_owned(), rate);
     }
 
+    /// The bytes that were relayed to `vm`.
+    pub fn relayed_bytes(&self, vm: &str) -> watch::Receiver<u64> {
+        lock(&self.table).relayed[vm].subscribe()
+    }
+
     /// Heals all partitions.
     pub fn heal(&self) {
         lock(&self.table).blocked_links.clear();
@@ -108,21 +127,34 @@
             let (port, table) = (Arc::clone(&port), Arc::clone(&table));
             replies.spawn(relay_back(source, to.clone(), sender, port, table));
         }
+        pass_link(&table, &to, length).await;
         // A packet that cannot be sent is lost, as on a real network.
         let _ = senders[&source].send_to(&packet[..length], address).await;
-        // A rate-limited link delays the following packets, which wait in the port's receive
-        // buffer.
-        let rate = lock(&table).rates.get(&to).copied();
-        let (mut remaining, mut ticks) = (length, interval(TICK));
-        while let Some(each) = rate.map(|rate| (rate / TICKS_PER_SECOND) as usize)
-            && remaining > 0
-        {
-            ticks.tick().await;
-            remaining = remaining.saturating_sub(each);
-        }
     }
 }
 
+/// Waits until a packet has passed the link to `vm`. Further packets wait in the receive buffer of
+/// the socket, and are lost when it is full.
+async fn pass_link(table: &Mutex<RelayTable>, vm: &str, length: usize) {
+    let passed = lock(table).rates.get_mut(vm).map(|rate| {
+        let seconds = length as f64 / f64::from(rate.bytes_per_second);
+        let start = rate.free_at.max(Instant::now() - CATCH_UP);
+        rate.free_at = start + Duration::from_secs_f64(seconds);
+        rate.free_at
+    });
+    if let Some(passed) = passed {
+        sleep_until(passed).await;
+    }
+    lock(table).relayed[vm].send_modify(|bytes| *bytes += length as u64);
+}
+
+/// The daemon with this address.
+fn daemon_at(table: &Mutex<RelayTable>, address: SocketAddr) -> Option<String> {
+    let table = lock(table);
+    let mut daemons = table.daemons.iter();
+    daemons.find(|(_, known)| **known == address).map(|(vm, _)| vm.clone())
+}
+
 async fn relay_back(
     source: SocketAddr,
     to: String,
@@ -133,7 +165,10 @@
     let mut packet = vec![0; PACKET_BYTES];
     loop {
         let Ok((length, _)) = sender.recv_from(&mut packet).await else { continue };
-        if destination(&table, source, &to).is_some() {
+        if destination(&table, source, &to).is_some()
+            && let Some(receiver) = daemon_at(&table, source)
+        {
+            pass_link(&table, &receiver, length).await;
             let _ = port.send_to(&packet[..length], source).await;
         }
     }
