Combine the deltas of documents, and leave a VM that sends nothing

No former documents are kept any more: when a document follows, each delta is combined with the delta to it, for at most 64 bases of at most 16 KiB of new bytes.

--- a/src/follow/document_delta.rs
+++ b/src/follow/document_delta.rs
@@ -12,10 +12,7 @@
     displaydoc::Display,
     fastcdc::v2020::FastCDC,
     serde::{Deserialize, Serialize},
-    std::{
-        collections::{BTreeMap, VecDeque},
-        sync::Arc,
-    },
+    std::{collections::BTreeMap, sync::Arc},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -23,12 +20,15 @@
 /// route takes some hundred bytes.
 const CHUNK_LENGTHS: (usize, usize, usize) = (64, 256, 1_024);
 /// No delta is created if more than one in this many bytes of the document is new: the full
-/// document is stored once for all followers, a delta separately for each base.
+/// document is compressed and stored once for all followers, a delta separately for each of them.
 const MAX_NEW_DIVISOR: usize = 8;
-/// The maximum number of stored documents in addition to the present one.
-const KEPT_DOCUMENTS: usize = 16;
-/// The maximum total length in bytes of the stored documents in addition to the present one.
-const KEPT_BYTES: usize = 8 << 20;
+/// No delta is created if more bytes than this are new, about eighty routes.
+const MAX_NEW_BYTES: usize = 16 << 10;
+/// No delta is created if it has more parts than this.
+const MAX_PARTS: usize = 1_024;
+/// The maximum number of documents from which there is a delta to the present one: several seconds
+/// of changes, in which a long document may reach a follower on a slow link.
+const MAX_BASES: usize = 64;
 
 /// A part of a document in a delta.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,23 +81,56 @@
         for (start, chunk) in chunks(base_body) {
             known.entry(chunk).or_insert(start);
         }
-        let mut parts = Vec::new();
-        let mut new_bytes = 0;
+        let mut parts = PartList::default();
         for (_, chunk) in chunks(body) {
-            if push_kept(&mut parts, base_body, chunk, &known) {
-                continue;
+            match parts.next_kept(base_body, chunk).or_else(|| known.get(chunk).copied()) {
+                Some(start) => parts.push_kept(start, chunk.len()),
+                None => parts.push_new(chunk),
             }
-            new_bytes += chunk.len();
-            match parts.last_mut() {
-                Some(DocumentPart::New(bytes)) => bytes.extend_from_slice(chunk),
-                Some(DocumentPart::Kept { .. }) | None => {
-                    parts.push(DocumentPart::New(chunk.to_vec()));
+        }
+        let (base, number, digest) = (base.number, present.number, xxh3_64(body));
+        parts.into_delta(DeltaHead { base, number, digest, length: body.len() })
+    }
+
+    /// The delta that has the effect of this one and then of `next`; `None` if too much of it would
+    /// be new.
+    fn then(&self, next: &DocumentDelta) -> Option<Self> {
+        // The offset in the intermediate document at which each part ends.
+        let ends: Vec<usize> = self
+            .parts
+            .iter()
+            .scan(0, |end, part| {
+                *end += part.length();
+                Some(*end)
+            })
+            .collect();
+        let mut parts = PartList::default();
+        for part in &next.parts {
+            let (start, length) = match part {
+                DocumentPart::New(bytes) => {
+                    parts.push_new(bytes);
+                    continue;
+                }
+                DocumentPart::Kept { start, length } => (*start as usize, *length as usize),
+            };
+            let (mut from, to) = (start, start + length);
+            while from < to {
+                let position = ends.partition_point(|end| *end <= from);
+                let (part, end) = (self.parts.get(position)?, *ends.get(position)?);
+                let offset = from + part.length() - end;
+                let count = end.min(to) - from;
+                match part {
+                    DocumentPart::Kept { start, .. } => {
+                        parts.push_kept(*start as usize + offset, count);
+                    }
+                    DocumentPart::New(bytes) => parts.push_new(&bytes[offset..offset + count]),
                 }
+                from += count;
             }
         }
-        let (base, number, digest) = (base.number, present.number, xxh3_64(body));
-        let is_small = new_bytes <= body.len() / MAX_NEW_DIVISOR;
-        is_small.then_some(DocumentDelta { base, number, parts, digest })
+        let length = next.parts.iter().map(DocumentPart::length).sum();
+        let (base, number, digest) = (self.base, next.number, next.digest);
+        parts.into_delta(DeltaHead { base, number, digest, length })
     }
 
     /// Applies the delta to `base`.
@@ -136,23 +169,64 @@
         .map(|chunk| (chunk.offset, &body[chunk.offset..chunk.offset + chunk.length]))
 }
 
-/// Adds a chunk as a copy from the base document; false if that does not contain the chunk.
-fn push_kept(
-    parts: &mut Vec<DocumentPart>,
-    base_body: &[u8],
-    chunk: &[u8],
-    known: &BTreeMap<&[u8], usize>,
-) -> bool {
-    if let Some(DocumentPart::Kept { start, length }) = parts.last_mut() {
+impl DocumentPart {
+    fn length(&self) -> usize {
+        match self {
+            DocumentPart::Kept { length, .. } => *length as usize,
+            DocumentPart::New(bytes) => bytes.len(),
+        }
+    }
+}
+
+/// The fields of a delta other than its parts.
+struct DeltaHead {
+    base: DocumentNumber,
+    number: DocumentNumber,
+    digest: u64,
+    /// The length in bytes of the resulting document.
+    length: usize,
+}
+
+/// The parts of a delta that is being created. Adjacent parts of the same kind are joined.
+#[derive(Default)]
+struct PartList {
+    parts: Vec<DocumentPart>,
+    /// The number of bytes that are not copied from the base document.
+    new_bytes: usize,
+}
+
+impl PartList {
+    /// The offset of `chunk` in the base document if it follows the last part there.
+    fn next_kept(&self, base_body: &[u8], chunk: &[u8]) -> Option<usize> {
+        let Some(DocumentPart::Kept { start, length }) = self.parts.last() else { return None };
         let end = (*start + *length) as usize;
-        if base_body.get(end..end + chunk.len()) == Some(chunk) {
-            *length += chunk.len() as u32;
-            return true;
+        (base_body.get(end..end + chunk.len()) == Some(chunk)).then_some(end)
+    }
+
+    fn push_kept(&mut self, from: usize, count: usize) {
+        match self.parts.last_mut() {
+            Some(DocumentPart::Kept { start, length }) if (*start + *length) as usize == from => {
+                *length += count as u32;
+            }
+            _ => self.parts.push(DocumentPart::Kept { start: from as u32, length: count as u32 }),
+        }
+    }
+
+    fn push_new(&mut self, bytes: &[u8]) {
+        self.new_bytes += bytes.len();
+        match self.parts.last_mut() {
+            Some(DocumentPart::New(last)) => last.extend_from_slice(bytes),
+            _ => self.parts.push(DocumentPart::New(bytes.to_vec())),
         }
     }
-    let Some(start) = known.get(chunk) else { return false };
-    parts.push(DocumentPart::Kept { start: *start as u32, length: chunk.len() as u32 });
-    true
+
+    /// The delta; `None` if it would be too large.
+    fn into_delta(self, head: DeltaHead) -> Option<DocumentDelta> {
+        let DeltaHead { base, number, digest, length } = head;
+        let max_new = MAX_NEW_BYTES.min(length / MAX_NEW_DIVISOR);
+        let is_small = self.new_bytes <= max_new && self.parts.len() <= MAX_PARTS;
+        is_small.then_some(DocumentDelta { base, number, parts: self.parts, digest })
+    }
 }
 
 /// The update of a follower to the present document.
@@ -165,15 +239,17 @@
     Full(NumberedDocument),
 }
 
-/// The latest documents and the deltas to the present one.
+/// The present document and the deltas to it from earlier ones.
+///
+/// The earlier documents are not stored. When a document follows, each delta is combined with the
+/// delta to that document, so a follower whose transfer of a long document has taken seconds still
+/// receives the changes since then as a delta.
 #[derive(Debug, Default)]
 pub struct DocumentHistory {
-    /// From the oldest to the present one; in addition to the present one at most
-    /// [`KEPT_DOCUMENTS`] with at most [`KEPT_BYTES`].
-    documents: VecDeque<NumberedDocument>,
-    /// Deltas to the present document by the number of their base; `None` where the delta would be
-    /// too large. At most one for each document.
-    deltas: BTreeMap<DocumentNumber, Option<Arc<DocumentDelta>>>,
+    /// `None` before the first document.
+    present: Option<NumberedDocument>,
+    /// Deltas to the present document by the number of their base; at most [`MAX_BASES`].
+    deltas: BTreeMap<DocumentNumber, Arc<DocumentDelta>>,
 }
 
 impl DocumentHistory {
@@ -184,31 +260,37 @@
         present: &NumberedDocument,
     ) -> DocumentChange {
         self.record(present);
-        let is_last = self.documents.back().is_some_and(|last| last.number == present.number);
-        let mut documents = self.documents.iter();
-        let base = documents.find(|document| is_last && document.number == held);
-        let delta = base.and_then(|base| {
-            let cached = self.deltas.entry(held);
-            cached.or_insert_with(|| DocumentDelta::between(base, present).map(Arc::new)).clone()
-        });
-        delta.map_or_else(|| DocumentChange::Full(present.clone()), DocumentChange::Delta)
+        let is_present = |known: &NumberedDocument| known.number == present.number;
+        let delta =
+            self.deltas.get(&held).filter(|_| self.present.as_ref().is_some_and(is_present));
+        delta.map_or_else(
+            || DocumentChange::Full(present.clone()),
+            |delta| DocumentChange::Delta(Arc::clone(delta)),
+        )
     }
 
-    /// Adds the present document as a base for later deltas.
+    /// Sets the present document unless it is older than the recorded one.
     pub fn record(&mut self, present: &NumberedDocument) {
-        if self.documents.back().is_some_and(|last| last.number >= present.number) {
+        let Some(former) = &self.present else {
+            self.present = Some(present.clone());
             return;
-        }
-        self.deltas.clear();
-        self.documents.push_back(present.clone());
-        let former_size = |documents: &VecDeque<NumberedDocument>| {
-            let bytes: usize = documents.iter().map(|document| document.body.len()).sum();
-            (documents.len() - 1, bytes - present.body.len())
         };
-        let mut former = former_size(&self.documents);
-        while former.0 > KEPT_DOCUMENTS || former.1 > KEPT_BYTES {
-            self.documents.pop_front();
-            former = former_size(&self.documents);
+        if former.number >= present.number {
+            return;
+        }
+        match DocumentDelta::between(former, present) {
+            Some(step) => {
+                let deltas = std::mem::take(&mut self.deltas).into_iter();
+                let combined =
+                    deltas.filter_map(|(base, delta)| Some((base, Arc::new(delta.then(&step)?))));
+                self.deltas = combined.collect();
+                self.deltas.insert(former.number, Arc::new(step));
+                while self.deltas.len() > MAX_BASES {
+                    self.deltas.pop_first();
+                }
+            }
+            None => self.deltas.clear(),
         }
+        self.present = Some(present.clone());
     }
 }
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -5,7 +5,7 @@
         ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, SharedState,
         confirmation::{AskedPeers, ConfirmationMonitor},
         control_digest,
-        transfer::DocumentTransfer,
+        transfer::{DocumentTransfer, TRANSFER_TIMEOUT},
     },
     crate::{
         ids::{DocumentNumber, FailureDomainId, VmId},
@@ -19,7 +19,7 @@
     },
     tokio::{
         sync::watch,
-        time::{Instant, sleep, timeout},
+        time::{Instant, sleep, sleep_until, timeout},
     },
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
@@ -195,30 +195,40 @@
         }
     }
 
-    /// Polls a VM; `None` if it is unresponsive.
+    /// Polls a VM; `None` if it is unresponsive: its answer is due and it sends no document either,
+    /// which could delay the answer.
     async fn poll(&mut self, peer: &VmId) -> Option<FollowReply> {
         loop {
+            let began = Instant::now();
             let answer = tokio::select! {
-                answer = self.ask(peer, AnswerMode::Wait, ANSWER_LIMIT) => answer,
+                answer = self.ask(peer, AnswerMode::Wait, TRANSFER_TIMEOUT) => answer,
                 // The next poll reports the document that has arrived.
                 () = self.transfer_ended() => {
                     self.end_transfer().await;
                     continue;
                 }
+                () = self.silence(peer, began) => None,
             };
-            if let Some((reply, stream)) = answer {
-                self.drop_silent_transfer(peer);
-                self.receive_document(peer, &reply, stream).await;
-                return Some(reply);
-            }
-            // Its answer may be delayed by the document that it is sending.
-            let is_sending = |transfer: &DocumentTransfer| {
-                transfer.peer() == peer && transfer.is_active(ANSWER_LIMIT)
-            };
-            if !self.transfer.as_ref().is_some_and(is_sending) {
+            let Some((reply, stream)) = answer else {
                 self.transfer = self.transfer.take().filter(|transfer| transfer.peer() != peer);
                 return None;
+            };
+            self.drop_silent_transfer(peer);
+            self.receive_document(peer, &reply, stream).await;
+            return Some(reply);
+        }
+    }
+
+    /// Completes when a VM has sent nothing for [`ANSWER_LIMIT`] since it was polled.
+    async fn silence(&self, peer: &VmId, polled_at: Instant) {
+        loop {
+            let transfer = self.transfer.as_ref().filter(|transfer| transfer.peer() == peer);
+            let received_at = transfer.map_or(polled_at, DocumentTransfer::received_at);
+            let limit = received_at.max(polled_at) + ANSWER_LIMIT;
+            if limit <= Instant::now() {
+                return;
             }
+            sleep_until(limit).await;
         }
     }
 
@@ -242,7 +252,7 @@
     /// its own.
     fn drop_silent_transfer(&mut self, peer: &VmId) {
         let is_silent = |transfer: &DocumentTransfer| {
-            transfer.peer() != peer && !transfer.is_active(ANSWER_LIMIT)
+            transfer.peer() != peer && transfer.received_at().elapsed() >= ANSWER_LIMIT
         };
         if self.transfer.as_ref().is_some_and(is_silent) {
             self.transfer = None;
--- a/src/follow/transfer.rs
+++ b/src/follow/transfer.rs
@@ -21,7 +21,7 @@
 };
 
 /// Time limit of a transfer; the longest document takes less at 7.5 Mbit/s.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(12);
+pub(super) const TRANSFER_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// A document whose body is being received; it is abandoned when this is dropped.
 pub(super) struct DocumentTransfer {
@@ -84,8 +84,8 @@
         while received_at.changed().await.is_ok() {}
     }
 
-    /// Whether a part of the body has arrived within the last `age`.
-    pub(super) fn is_active(&self, age: Duration) -> bool {
-        self.received_at.borrow().elapsed() < age
+    /// The time at which a part of the body last arrived; the start of the transfer before that.
+    pub(super) fn received_at(&self) -> Instant {
+        *self.received_at.borrow()
     }
 }
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -87,7 +87,7 @@
 /// The stopped replica resumed from the state on its disk.
 pub const REPLICA_RESUMED: &str = "control replica runs again";
 
-/// This daemon activated a configuration.
+/// This daemon activated a configuration, which took `parse_ms` to parse and index.
 pub const ROUTES_ACTIVATED: &str = "routes in force";
 
 /// The logger dropped `count` records before this one because they exceeded its limits.
--- a/tests/document_changes.rs
+++ b/tests/document_changes.rs
@@ -127,20 +127,74 @@
     assert_eq!(history.change_since(77, &other), DocumentChange::Full(other));
 }
 
+/// Guards against followers that are sent a long document in full at each change: it changed several
+/// times during its transfer, and the control VM no longer had the document that they hold.
+#[test]
+fn each_base_leads_to_the_present_document() {
+    let mut history = DocumentHistory::default();
+    // Each change moves, replaces or adds routes, so that later changes affect earlier ones.
+    let text = |number: usize| {
+        let changed = |route_number| {
+            let changes =
+                (1..=number).filter(|change| (change * 37) % 5_000 == route_number).count();
+            route(route_number, 4_000 + changes as u32)
+        };
+        routes(number as DocumentNumber, (number % 5..5_000 + number / 3).map(changed))
+    };
+    let documents: Vec<NumberedDocument> = (1..=16).map(text).collect();
+    for (index, present) in documents.iter().enumerate() {
+        history.record(present);
+        for base in &documents[..index] {
+            let DocumentChange::Delta(delta) = history.change_since(base.number, present) else {
+                panic!("{} to {} is sent in full", base.number, present.number);
+            };
+            assert_eq!(delta.apply(base).as_ref(), Ok(present), "from {}", base.number);
+        }
+    }
+}
+
+/// Guards against a history that grows with the number and the length of the documents.
 #[test]
 fn history_is_bounded() {
     let mut history = DocumentHistory::default();
     let body: Arc<str> = "route ".repeat(200_000).into();
-    for number in 1..40 {
+    for number in 1..100 {
         history.record(&NumberedDocument { number, body: Arc::clone(&body) });
     }
-    let last = NumberedDocument { number: 40, body: Arc::clone(&body) };
-    let known = (1..40)
+    let last = NumberedDocument { number: 100, body: Arc::clone(&body) };
+    let known = (1..100)
         .filter(|number| matches!(history.change_since(*number, &last), DocumentChange::Delta(_)));
-    assert_eq!(known.count(), 6, "1.2 MB each, at most 8 MiB besides the present one");
+    assert_eq!(known.count(), 64, "the bases, of which only the deltas are stored");
+    assert_eq!(Arc::strong_count(&body), 3, "only the present document is stored");
     let parts = vec![DocumentPart::Kept { start: 0, length: 1_200_000 }];
-    let DocumentChange::Delta(delta) = history.change_since(39, &last) else {
-        panic!("the base is kept")
+    let DocumentChange::Delta(delta) = history.change_since(99, &last) else {
+        panic!("the base is known")
     };
     assert_eq!(delta.parts, parts);
 }
+
+/// Guards against deltas that together take more memory than the document, which is stored once for
+/// all followers.
+#[test]
+fn deltas_are_bounded() {
+    let mut history = DocumentHistory::default();
+    let text = |number: usize| {
+        let timeout = |route_number| if route_number < number * 30 { 5_000 } else { 4_000 };
+        routes(
+            number as DocumentNumber,
+            (0..12_000).map(|route_number| route(route_number, timeout(route_number))),
+        )
+    };
+    for number in 1..=20 {
+        history.record(&text(number));
+    }
+    let present = text(20);
+    for base in 1..20 {
+        if let DocumentChange::Delta(delta) = history.change_since(base, &present) {
+            let length = postcard::to_stdvec(&*delta).expect("it encodes").len();
+            assert!(length <= MAX_DELTA_BYTES, "{length} bytes from {base}");
+        }
+    }
+    assert!(matches!(history.change_since(1, &present), DocumentChange::Full(_)));
+    assert!(matches!(history.change_since(19, &present), DocumentChange::Delta(_)));
+}
