--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -10,7 +10,11 @@
     },
     crate::ids::VmId,
     quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream},
-    std::{sync::Arc, time::Duration},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -20,20 +24,58 @@
 /// How long a peer may take to send its name before its connection is closed.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The latest connection of each peer; at most one entry for each open connection.
+#[derive(Default)]
+struct PeerConnections {
+    latest: Mutex<BTreeMap<VmId, Connection>>,
+}
+
+impl PeerConnections {
+    /// Records the connection of a peer and closes its former one. A peer dials again only when its
+    /// former connection is lost, for example because it was killed. The connection would occupy
+    /// memory, with the replies that wait on it, until the idle timeout.
+    fn replace(&self, peer: &VmId, connection: &Connection) {
+        let former = self.lock().insert(peer.clone(), connection.clone());
+        if let Some(former) = former {
+            former.close(0u32.into(), b"replaced by a later connection");
+        }
+    }
+
+    /// Removes the connection of a peer unless it was replaced.
+    fn remove(&self, peer: &VmId, connection: &Connection) {
+        let mut latest = self.lock();
+        if latest.get(peer).is_some_and(|known| known.stable_id() == connection.stable_id()) {
+            latest.remove(peer);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<VmId, Connection>> {
+        self.latest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What all connections of a daemon share.
+#[derive(Clone)]
+struct InboundContext {
+    handler: Arc<dyn PeerHandler>,
+    packer: Arc<BodyPacker>,
+    connections: Arc<PeerConnections>,
+}
+
 /// Serves peers until the endpoint is closed.
 pub async fn accept_peers(endpoint: Endpoint, handler: Arc<dyn PeerHandler>) {
-    let packer = Arc::new(BodyPacker::default());
+    let context = InboundContext { handler, packer: Arc::default(), connections: Arc::default() };
     while let Some(incoming) = endpoint.accept().await {
         if endpoint.open_connections() > MAX_CONNECTIONS {
             metrics::counter!(REFUSED_COUNTER, "reason" => "full").increment(1);
             incoming.refuse();
             continue;
         }
-        tokio::spawn(serve_peer(incoming, handler.clone(), packer.clone()));
+        tokio::spawn(serve_peer(incoming, context.clone()));
     }
 }
 
-async fn serve_peer(incoming: Incoming, handler: Arc<dyn PeerHandler>, packer: Arc<BodyPacker>) {
+async fn serve_peer(incoming: Incoming, context: InboundContext) {
     let connection = match incoming.await {
         Ok(connection) => connection,
         Err(error) => return count_refusal(&error),
@@ -41,18 +83,24 @@
     let Ok(Some(peer)) = timeout(GREETING_TIMEOUT, greet(&connection)).await else {
         return connection.close(1u32.into(), b"no greeting");
     };
+    context.connections.replace(&peer, &connection);
+    serve_streams(&connection, &peer, &context).await;
+    context.connections.remove(&peer, &connection);
+}
+
+/// Serves the streams of a peer until its connection is closed.
+async fn serve_streams(connection: &Connection, peer: &VmId, context: &InboundContext) {
     loop {
         tokio::select! {
             stream = connection.accept_uni() => match stream {
                 Ok(stream) => {
-                    tokio::spawn(read_messages(stream, peer.clone(), handler.clone()));
+                    tokio::spawn(read_messages(stream, peer.clone(), context.handler.clone()));
                 }
                 Err(_closed) => return,
             },
             streams = connection.accept_bi() => match streams {
                 Ok((sender, receiver)) => {
-                    let (handler, packer) = (handler.clone(), packer.clone());
-                    tokio::spawn(answer(sender, receiver, peer.clone(), handler, packer));
+                    tokio::spawn(answer(sender, receiver, peer.clone(), context.clone()));
                 }
                 Err(_closed) => return,
             },
@@ -93,8 +141,7 @@
     mut sender: SendStream,
     mut receiver: RecvStream,
     peer: VmId,
-    handler: Arc<dyn PeerHandler>,
-    packer: Arc<BodyPacker>,
+    context: InboundContext,
 ) {
     let request: PeerRequest = match codec::read_frame(&mut receiver).await {
         Ok(request) => request,
@@ -103,8 +150,8 @@
             return;
         }
     };
-    let mut reply = handler.request(peer, request).await;
-    let packed = packer.detach(&mut reply);
+    let mut reply = context.handler.request(peer, request).await;
+    let packed = context.packer.detach(&mut reply);
     let encoded = packed.and_then(|parts| Ok((codec::encode(&reply)?, Some(parts))));
     let (frame, parts) = match encoded {
         Ok(encoded) => encoded,
