--- a/src/control/document.rs
+++ b/src/control/document.rs
@@ -6,16 +6,16 @@
 
 use {
     crate::{
-        control::command::CommandOutcome,
+        control::{
+            command::CommandOutcome,
+            packed_document::{DOCUMENT_BYTES, PackedDocument},
+        },
         ids::{DocumentNumber, ModelId, WeightsNumber},
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, sync::Arc},
 };
 
-/// Maximum size of a document. It is twice the several megabytes of the design size and still fits
-/// into one message between daemons.
-pub const DOCUMENT_BYTES: usize = 6 << 20;
 /// Maximum number of models with named weights, many times the 15 of the design size.
 const NAMED_MODELS: usize = 1_024;
 
@@ -37,6 +37,9 @@
     document: NumberedDocument,
     /// At most [`NAMED_MODELS`]; versions of further models are refused.
     weights: NamedWeights,
+    /// Compressed form of `document`, if that is known: snapshots do not contain it.
+    #[serde(skip)]
+    packed: Option<PackedDocument>,
 }
 
 impl DocumentState {
@@ -45,6 +48,11 @@
         &self.document
     }
 
+    /// Compressed form of the current document; `None` if the document comes from a snapshot.
+    pub fn packed(&self) -> Option<&PackedDocument> {
+        self.packed.as_ref()
+    }
+
     /// Named weights versions by model.
     pub fn weights(&self) -> &NamedWeights {
         &self.weights
@@ -58,10 +66,33 @@
         }
         if number > self.document.number {
             self.document = NumberedDocument { number, body: body.into() };
+            self.packed = None;
         }
         CommandOutcome::DocumentHeld { number: self.document.number }
     }
 
+    /// As [`Self::put`], for a compressed document.
+    pub fn put_packed(
+        &mut self,
+        number: DocumentNumber,
+        packed: &PackedDocument,
+    ) -> CommandOutcome {
+        if number <= self.document.number {
+            return CommandOutcome::DocumentHeld { number: self.document.number };
+        }
+        match packed.body() {
+            Some(body) => {
+                let outcome = self.put(number, &body);
+                self.packed = Some(packed.clone());
+                outcome
+            }
+            None => {
+                let reason = "the document is damaged or over 6 MiB; split what it configures";
+                CommandOutcome::Refused { reason: reason.to_owned() }
+            }
+        }
+    }
+
     /// Names a weights version if it is newer than the one named before.
     pub fn name_weights(&mut self, model: &ModelId, version: WeightsNumber) -> CommandOutcome {
         if !self.weights.contains_key(model) && self.weights.len() >= NAMED_MODELS {
--- a/src/daemon/control_driver/writer.rs
+++ b/src/daemon/control_driver/writer.rs
@@ -4,7 +4,7 @@
     crate::{
         control::{PersistBatch, SavedState},
         ids::Incarnation,
-        observe::memory::{HeldAmount, MemoryPart, set_amount},
+        observe::memory::HeldAmount,
         storage::{FileSystem, LogStore, OpenedStore, StorageError},
     },
     std::{
@@ -138,7 +138,6 @@
         // The permit is released before the report, since the task receives no reports while it
         // waits for space.
         drop((permit, held));
-        set_amount(MemoryPart::StoredLog, store.log_bytes());
         if reports.blocking_send(WriteReport::Synced(number)).is_err() {
             return None;
         }
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -60,6 +60,10 @@
 pub const CONFIG_CONFIRMED: &str = "configuration confirmed";
 /// The control VM that this daemon follows is unresponsive.
 pub const CONTROL_UNRESPONSIVE: &str = "a control VM does not answer its follower";
+/// A full document has arrived; `bytes` is its length and `took_ms` the duration of its transfer.
+pub const DOCUMENT_RECEIVED: &str = "document received";
+/// The transfer of a full document has failed or took too long; it is requested again.
+pub const DOCUMENT_LOST: &str = "document not received";
 /// The list of backend servers is no longer confirmed; the last list stays in use.
 pub const LIST_UNCONFIRMED: &str = "server list lost";
 /// The list of backend servers is confirmed again.
@@ -86,7 +90,7 @@
 /// The stopped replica resumed from the state on its disk.
 pub const REPLICA_RESUMED: &str = "control replica runs again";
 
-/// This daemon activated a configuration.
+/// This daemon activated a configuration, which took `parse_ms` to parse and index.
 pub const ROUTES_ACTIVATED: &str = "routes in force";
 
 /// The logger dropped `count` records before this one because they exceeded its limits.
--- a/src/observe/memory.rs
+++ b/src/observe/memory.rs
@@ -1,7 +1,7 @@
 //! Reports what the parts of a control VM hold in memory, beside the resident memory of its process.
 //!
-//! The resident memory alone does not tell apart what followers have not read, what the log holds,
-//! and memory that the allocator keeps.
+//! The resident memory alone does not tell apart what the log, the queues and the connections hold
+//! and what the allocator keeps. The bound of a daemon is 64 MiB.
 
 use {
     super::events,
@@ -16,7 +16,7 @@
 
 /// Bytes held, by `part`; see [`MemoryPart`].
 pub const HELD_BYTES: &str = "oleandermount_held_bytes";
-/// Connections with peers and replies that peers have not received, by `kind`.
+/// Connections from peers, by `kind`.
 pub const PEER_LOAD: &str = "oleandermount_peer_load";
 /// Resident memory of the process in bytes, without pages of files.
 pub const RESIDENT_BYTES: &str = "oleandermount_resident_bytes";
@@ -33,8 +33,6 @@
 pub enum MemoryPart {
     /// Entries of the replica's log.
     ReplicaLog,
-    /// The copy of the log from which the files are written again.
-    StoredLog,
     /// Inputs that wait for the replica.
     Inputs,
     /// Batches that wait for the disk.
@@ -43,36 +41,21 @@
     Messages,
     /// Frames of peers that are being received.
     Received,
-    /// Replies that followers have not received, without the documents in them.
-    Replies,
-    /// Versions of the document that are alive, for later deltas or in replies.
-    Documents,
-    /// Bodies of operators' requests and of the responses to them.
-    Operators,
     /// The number of open connections with peers, including handshakes.
     Connections,
     /// The number of connections whose handshake or greeting is incomplete.
     Handshakes,
-    /// The number of replies that followers have not received.
-    UnreadReplies,
 }
 
-const PARTS: [(MemoryPart, &str); 9] = [
+const PARTS: [(MemoryPart, &str); 5] = [
     (MemoryPart::ReplicaLog, "replica_log"),
-    (MemoryPart::StoredLog, "stored_log"),
     (MemoryPart::Inputs, "inputs"),
     (MemoryPart::Batches, "batches"),
     (MemoryPart::Messages, "messages"),
     (MemoryPart::Received, "received"),
-    (MemoryPart::Replies, "replies"),
-    (MemoryPart::Documents, "documents"),
-    (MemoryPart::Operators, "operators"),
-];
-const COUNTS: [(MemoryPart, &str); 3] = [
-    (MemoryPart::Connections, "connections"),
-    (MemoryPart::Handshakes, "handshakes"),
-    (MemoryPart::UnreadReplies, "unread_replies"),
 ];
+const COUNTS: [(MemoryPart, &str); 2] =
+    [(MemoryPart::Connections, "connections"), (MemoryPart::Handshakes, "handshakes")];
 
 /// The present amounts in the order of [`MemoryPart`]; shared by all daemons of a process, like the
 /// metrics.
@@ -141,17 +124,12 @@
     log::info!(
         resident = resident,
         replica_log = amount(MemoryPart::ReplicaLog),
-        stored_log = amount(MemoryPart::StoredLog),
         inputs = amount(MemoryPart::Inputs),
         batches = amount(MemoryPart::Batches),
         messages = amount(MemoryPart::Messages),
         received = amount(MemoryPart::Received),
-        replies = amount(MemoryPart::Replies),
-        documents = amount(MemoryPart::Documents),
-        operators = amount(MemoryPart::Operators),
         connections = amount(MemoryPart::Connections),
-        handshakes = amount(MemoryPart::Handshakes),
-        unread_replies = amount(MemoryPart::UnreadReplies);
+        handshakes = amount(MemoryPart::Handshakes);
         "{}", events::MEMORY_CHANGED);
 }
 
--- a/src/roles/operator_service.rs
+++ b/src/roles/operator_service.rs
@@ -4,7 +4,7 @@
     crate::{
         control::{
             Command, CommandOutcome, ProposeError, document::NumberedDocument,
-            replica::LocalProposeError,
+            packed_document::PackedDocument, replica::LocalProposeError,
         },
         daemon::control_driver::ControlHandle,
         ids::{DocumentNumber, ModelId, VmId, WeightsNumber},
@@ -48,9 +48,9 @@
     pub async fn put_document(
         &self,
         number: DocumentNumber,
-        body: String,
+        packed: PackedDocument,
     ) -> Result<DocumentNumber, OperatorRefusal> {
-        let outcome = self.propose(Command::PutDocument { number, body }).await?;
+        let outcome = self.propose(Command::PutPackedDocument { number, packed }).await?;
         match outcome {
             CommandOutcome::DocumentHeld { number: held } => {
                 log::info!(number = number, held = held; "document acknowledged");
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        attachment, codec,
-        message::{PeerMessage, PeerRequest},
+        attachment::BodyPacker,
+        codec,
+        message::{PeerMessage, PeerReply, PeerRequest},
         network::{PeerHandler, REFUSED_COUNTER, count_refusal, reject_name},
         tls::certificate_names_peer,
     },
@@ -12,7 +13,11 @@
         observe::memory::{HeldAmount, MemoryPart},
     },
     quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream},
-    std::{sync::Arc, time::Duration},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
     tokio::time::timeout,
 };
 
@@ -22,19 +27,58 @@
 /// How long a peer may take to send its name before its connection is closed.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The latest connection of each peer; at most one entry for each open connection.
+#[derive(Default)]
+struct PeerConnections {
+    latest: Mutex<BTreeMap<VmId, Connection>>,
+}
+
+impl PeerConnections {
+    /// Records the connection of a peer and closes its former one. A peer dials again only when its
+    /// former connection is lost, for example because it was killed. The connection would occupy
+    /// memory, with the replies that wait on it, until the idle timeout.
+    fn replace(&self, peer: &VmId, connection: &Connection) {
+        let former = self.lock().insert(peer.clone(), connection.clone());
+        if let Some(former) = former {
+            former.close(0u32.into(), b"replaced by a later connection");
+        }
+    }
+
+    /// Removes the connection of a peer unless it was replaced.
+    fn remove(&self, peer: &VmId, connection: &Connection) {
+        let mut latest = self.lock();
+        if latest.get(peer).is_some_and(|known| known.stable_id() == connection.stable_id()) {
+            latest.remove(peer);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<VmId, Connection>> {
+        self.latest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What all connections of a daemon share.
+#[derive(Clone)]
+struct InboundContext {
+    handler: Arc<dyn PeerHandler>,
+    packer: Arc<BodyPacker>,
+    connections: Arc<PeerConnections>,
+}
+
 /// Serves peers until the endpoint is closed.
 pub async fn accept_peers(endpoint: Endpoint, handler: Arc<dyn PeerHandler>) {
+    let context = InboundContext { handler, packer: Arc::default(), connections: Arc::default() };
     while let Some(incoming) = endpoint.accept().await {
         if endpoint.open_connections() > MAX_CONNECTIONS {
             metrics::counter!(REFUSED_COUNTER, "reason" => "full").increment(1);
             incoming.refuse();
             continue;
         }
-        tokio::spawn(serve_peer(incoming, handler.clone()));
+        tokio::spawn(serve_peer(incoming, context.clone()));
     }
 }
 
-async fn serve_peer(incoming: Incoming, handler: Arc<dyn PeerHandler>) {
+async fn serve_peer(incoming: Incoming, context: InboundContext) {
     let _connection = HeldAmount::new(MemoryPart::Connections, 1);
     let handshake = HeldAmount::new(MemoryPart::Handshakes, 1);
     let connection = match incoming.await {
@@ -45,17 +89,24 @@
         return connection.close(1u32.into(), b"no greeting");
     };
     drop(handshake);
+    context.connections.replace(&peer, &connection);
+    serve_streams(&connection, &peer, &context).await;
+    context.connections.remove(&peer, &connection);
+}
+
+/// Serves the streams of a peer until its connection is closed.
+async fn serve_streams(connection: &Connection, peer: &VmId, context: &InboundContext) {
     loop {
         tokio::select! {
             stream = connection.accept_uni() => match stream {
                 Ok(stream) => {
-                    tokio::spawn(read_messages(stream, peer.clone(), handler.clone()));
+                    tokio::spawn(read_messages(stream, peer.clone(), context.handler.clone()));
                 }
                 Err(_closed) => return,
             },
             streams = connection.accept_bi() => match streams {
                 Ok((sender, receiver)) => {
-                    tokio::spawn(answer(sender, receiver, peer.clone(), handler.clone()));
+                    tokio::spawn(answer(sender, receiver, peer.clone(), context.clone()));
                 }
                 Err(_closed) => return,
             },
@@ -96,7 +147,7 @@
     mut sender: SendStream,
     mut receiver: RecvStream,
     peer: VmId,
-    handler: Arc<dyn PeerHandler>,
+    context: InboundContext,
 ) {
     let request: PeerRequest = match codec::read_frame(&mut receiver).await {
         Ok(request) => request,
@@ -105,21 +156,22 @@
             return;
         }
     };
-    let mut reply = handler.request(peer, request).await;
-    let body = attachment::detach_body(&mut reply);
-    let frame = codec::encode(&reply)
-        .or_else(|error| codec::encode(&super::message::PeerReply::Refused(error.to_string())));
-    if let Ok(frame) = frame {
-        let _held = HeldAmount::new(MemoryPart::Replies, frame.len());
-        let _unread = HeldAmount::new(MemoryPart::UnreadReplies, 1);
-        // A failed write means that the peer no longer waits for the reply.
-        let written = codec::write_frame(&mut sender, &frame).await;
-        if let (Ok(()), Some(body)) = (written, body) {
-            let _ = attachment::write_body(&mut sender, body).await;
-        }
-        // The connection holds the reply until the peer has received it or the connection is lost.
-        if sender.finish().is_ok() {
-            let _ = sender.stopped().await;
+    let mut reply = context.handler.request(peer, request).await;
+    let packed = context.packer.detach(&mut reply);
+    let encoded = packed.and_then(|parts| Ok((codec::encode(&reply)?, Some(parts))));
+    let (frame, parts) = match encoded {
+        Ok(encoded) => encoded,
+        Err(error) => {
+            let refused = codec::encode(&PeerReply::Refused(error.to_string()));
+            (refused.expect("a short text always encodes"), None)
         }
+    };
+    // The reply must not occupy memory until the peer has read all of it.
+    drop(reply);
+    // A failed write means that the peer no longer waits for the reply.
+    let written = codec::write_frame(&mut sender, &frame).await;
+    drop(frame);
+    if let (Ok(()), Some(parts)) = (written, parts) {
+        let _ = parts.write(&mut sender).await;
     }
 }
