--- a/tests/document_transfer.rs
+++ b/tests/document_transfer.rs
@@ -13,7 +13,7 @@
         control::{Command, CommandOutcome},
         daemon::control_driver::{ControlDriver, ControlHandle, DriverSettings},
         fleet::{
-            FleetSnapshot, ListedServer, ServerPhase,
+            FleetSnapshot, ListedServer, MAX_SERVERS, ServerPhase,
             watch::{FleetView, publish_list},
         },
         follow::{
@@ -65,6 +65,10 @@
 const CHANGES: u64 = 8;
 const CHANGED_BYTES: usize = 100;
 const MODEL: &str = "basket-llm";
+/// Bytes per second of a link that is slower than the others here, or shared with other transfers.
+const SHARED_RATE: u32 = 64 << 10;
+/// When a server list or a document that takes long on such a link must have arrived.
+const SHARED_DUE: Duration = Duration::from_secs(25);
 
 /// The follow requests that a control VM has received.
 #[derive(Clone, Copy, Debug, Default)]
@@ -496,3 +500,59 @@
     let took = entry.wait_state(Instant::now(), has_weights).await;
     assert!(took.is_some_and(|took| took <= SHORT_DUE), "late: {took:?}");
 }
+
+/// The longest server list, with names that cannot be compressed to less than half.
+fn long_list() -> FleetSnapshot {
+    let template = server_list(1).servers.remove(0);
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(1);
+    let mut name = || (0..4).map(|_| format!("{:016x}", random.next_u64())).collect::<String>();
+    FleetSnapshot::new(
+        (0..MAX_SERVERS).map(|_| ListedServer { id: name(), ..template.clone() }).collect(),
+    )
+}
+
+// Guards against followers that take a control VM for an unresponsive one while it sends a long
+// server list, and then request the same list again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn shared_link_list() {
+    let mut entry = SlowEntry::start().await;
+    let list = long_list();
+    for control in [&entry.near, &entry.far] {
+        control.fleet.apply_reading(list.clone());
+        let mut published = control.fleet.subscribe_published();
+        let wait = timeout(GIVE_UP, async {
+            while control.fleet.change_since(FleetSnapshot::default().digest()).is_none() {
+                if published.changed().await.is_err() {
+                    return;
+                }
+            }
+        });
+        assert!(wait.await.is_ok(), "the list is published");
+    }
+    entry.relay.limit_rate("entry", SHARED_RATE);
+    let start = Instant::now();
+    entry.follow();
+    let mut state = entry.state.clone();
+    let has_list = |state: &SharedState| state.fleet.as_deref() == Some(&list);
+    let arrived = timeout(SHARED_DUE, state.wait_for(has_list)).await.is_ok();
+    let (took, bytes, selections) = (start.elapsed(), entry.relayed(), entry.selections());
+    assert!(arrived, "not within {took:?}: {bytes} bytes, {selections} selections");
+    assert_eq!(selections, 1, "the sender was abandoned: {took:?}, {bytes} bytes");
+}
+
+// Guards against followers that abandon a document whose parts keep arriving because a fixed time
+// has passed, and then request it again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn shared_link_document() {
+    let length = 16 * SHARED_RATE as usize;
+    let mut entry = SlowEntry::start().await;
+    entry.near.put(1, &random_text(1, length)).await;
+    entry.relay.limit_rate("entry", SHARED_RATE);
+    let start = Instant::now();
+    entry.follow();
+    let mut state = entry.state.clone();
+    let arrived = timeout(SHARED_DUE, state.wait_for(|state| state.document.number == 1)).await;
+    let (took, bytes) = (start.elapsed(), entry.relayed());
+    assert!(arrived.is_ok(), "not within {took:?}: {bytes} bytes for a document of {length}");
+    assert!(bytes <= once(length), "sent more than once: {took:?}, {bytes} bytes");
+}
