--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -5,7 +5,7 @@
         ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, SharedState,
         confirmation::{AskedPeers, ConfirmationMonitor},
         control_digest,
-        transfer::{DocumentTransfer, TRANSFER_TIMEOUT},
+        transfer::DocumentTransfer,
     },
     crate::{
         ids::{DocumentNumber, FailureDomainId, VmId},
@@ -30,6 +30,9 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 /// The time after which a VM that sends nothing is unresponsive.
 const ANSWER_LIMIT: Duration = ANSWER_WAIT.saturating_add(ANSWER_MARGIN);
+/// The time limit of an answer of which parts keep arriving; the longest server list takes less at
+/// 64 KiB/s.
+const LONG_ANSWER_LIMIT: Duration = Duration::from_secs(12);
 /// How long the next poll is delayed for a document that is being received. Most documents arrive
 /// within this time, which saves a request.
 const SHORT_TRANSFER: Duration = Duration::from_millis(100);
@@ -64,6 +67,8 @@
     /// The document that is being received; at most one at a time, since a later one is usually a
     /// small delta to it.
     transfer: Option<DocumentTransfer>,
+    /// The time at which a part of a server list last arrived.
+    list_received_at: watch::Sender<Instant>,
 }
 
 /// How suitable a control VM is: whether it is up to date, then whether it is in the same failure
@@ -125,6 +130,7 @@
             port,
             confirmation,
             transfer: None,
+            list_received_at: watch::channel(Instant::now()).0,
         }
     }
 
@@ -201,7 +207,7 @@
         loop {
             let began = Instant::now();
             let answer = tokio::select! {
-                answer = self.ask(peer, AnswerMode::Wait, TRANSFER_TIMEOUT) => answer,
+                answer = self.ask(peer, AnswerMode::Wait, LONG_ANSWER_LIMIT) => answer,
                 // The next poll reports the document that has arrived.
                 () = self.transfer_ended() => {
                     self.end_transfer().await;
@@ -211,6 +217,8 @@
             };
             let Some((reply, stream)) = answer else {
                 self.transfer = self.transfer.take().filter(|transfer| transfer.peer() != peer);
+                // A VM that refuses polls immediately must not be selected again without a pause.
+                sleep_until(began + RETRY_PAUSE).await;
                 return None;
             };
             self.drop_silent_transfer(peer);
@@ -223,7 +231,8 @@
     async fn silence(&self, peer: &VmId, polled_at: Instant) {
         loop {
             let transfer = self.transfer.as_ref().filter(|transfer| transfer.peer() == peer);
-            let received_at = transfer.map_or(polled_at, DocumentTransfer::received_at);
+            let document_at = transfer.map_or(polled_at, DocumentTransfer::received_at);
+            let received_at = document_at.max(*self.list_received_at.borrow());
             let limit = received_at.max(polled_at) + ANSWER_LIMIT;
             if limit <= Instant::now() {
                 return;
@@ -305,7 +314,10 @@
             receives_document: self.transfer.is_some(),
         };
         let request = PeerRequest::Follow(Box::new(request));
-        match self.network.call_streamed(peer, request, limit).await {
+        let received = || {
+            self.list_received_at.send_replace(Instant::now());
+        };
+        match self.network.call_streamed(peer, request, limit, received).await {
             Ok((PeerReply::Followed(reply), stream)) => {
                 // The document is applied when its body has arrived.
                 let applied = FollowReply { document: None, ..FollowReply::clone(&reply) };
--- a/src/transport/attachment.rs
+++ b/src/transport/attachment.rs
@@ -12,7 +12,7 @@
     },
     crate::fleet::FleetSnapshot,
     bytes::Bytes,
-    quinn::{RecvStream, SendStream, WriteError},
+    quinn::{Connection, RecvStream, SendStream, WriteError},
     std::sync::{Arc, Mutex, PoisonError},
 };
 
@@ -122,14 +122,19 @@
     stream.write_chunk(part).await
 }
 
-/// Reads the server list that follows a reply, if the reply contains one.
+/// Reads the server list that follows a reply, if the reply contains one. Calls `received` whenever a
+/// part of it has arrived.
 ///
 /// # Errors
 /// Any [`CodecError`].
-pub async fn attach_list(reply: &mut PeerReply, stream: &mut RecvStream) -> Result<(), CodecError> {
+pub async fn attach_list(
+    reply: &mut PeerReply,
+    stream: &mut RecvStream,
+    received: impl FnMut(),
+) -> Result<(), CodecError> {
     let PeerReply::Followed(reply) = reply else { return Ok(()) };
     let Some(list) = reply.fleet.as_mut() else { return Ok(()) };
-    let encoded = decompress(&codec::read_body(stream).await?)?;
+    let encoded = decompress(&codec::read_parts(stream, received).await?)?;
     *list = Arc::new(codec::decode(&encoded)?);
     Ok(())
 }
@@ -137,13 +142,23 @@
 /// The body of a document that follows a reply and has not been read yet.
 pub struct DocumentStream {
     stream: RecvStream,
+    connection: Connection,
 }
 
 impl DocumentStream {
     /// The body that follows `reply` on `stream`; `None` if the reply contains no document.
-    pub(super) fn after(reply: &PeerReply, stream: RecvStream) -> Option<Self> {
+    pub(super) fn after(
+        reply: &PeerReply,
+        stream: RecvStream,
+        connection: Connection,
+    ) -> Option<Self> {
         let PeerReply::Followed(reply) = reply else { return None };
-        reply.document.is_some().then_some(DocumentStream { stream })
+        reply.document.is_some().then_some(DocumentStream { stream, connection })
+    }
+
+    /// The connection on which the body arrives.
+    pub fn connection(&self) -> Connection {
+        self.connection.clone()
     }
 
     /// Reads the body. Calls `received` whenever a part of it has arrived.
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -18,7 +18,7 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// The maximum number of open connections: one from each of 380 daemons, with room for lost
@@ -27,6 +27,9 @@
 /// How long a peer may take to send its name before its connection is closed.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A connection of a running daemon receives something in this time: a follower polls once a second.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// The latest connection of each peer; at most one entry for each open connection.
 #[derive(Default)]
 struct PeerConnections {
@@ -34,13 +37,14 @@
 }
 
 impl PeerConnections {
-    /// Records the connection of a peer and closes its former one. A peer dials again only when its
-    /// former connection is lost, for example because it was killed. The connection would occupy
-    /// memory, with the replies that wait on it, until the idle timeout.
+    /// Records the connection of a peer, and closes its former one if that is silent. A peer dials
+    /// again when its former connection is lost, for example because it was killed. The connection
+    /// would occupy memory, with the replies that wait on it, until the idle timeout. It is not
+    /// silent if another process runs under the same name.
     fn replace(&self, peer: &VmId, connection: &Connection) {
         let former = self.lock().insert(peer.clone(), connection.clone());
         if let Some(former) = former {
-            former.close(0u32.into(), b"replaced by a later connection");
+            tokio::spawn(close_silent(former));
         }
     }
 
@@ -57,6 +61,16 @@
     }
 }
 
+/// Closes a connection on which nothing arrives for [`SILENCE_LIMIT`].
+async fn close_silent(connection: Connection) {
+    let received = |connection: &Connection| connection.stats().udp_rx.datagrams;
+    let before = received(&connection);
+    sleep(SILENCE_LIMIT).await;
+    if received(&connection) == before {
+        connection.close(0u32.into(), b"replaced by a later connection");
+    }
+}
+
 /// What all connections of a daemon share.
 #[derive(Clone)]
 struct InboundContext {
--- a/src/transport/link.rs
+++ b/src/transport/link.rs
@@ -41,9 +41,9 @@
 const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout for writing a short message; a peer that takes longer no longer reads.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Frames of at least this many bytes are sent on their own stream. The threshold is above the usual
-/// size of an append or a snapshot chunk, since those must arrive in order.
-const BULK_BYTES: usize = 512 << 10;
+/// Frames of at least this many bytes are sent on their own stream. The threshold is just above the
+/// 256 KiB of an append of several entries or of a snapshot chunk, since those must arrive in order.
+const BULK_BYTES: usize = 288 << 10;
 /// Timeout for delivering a long message; the largest takes less at 7.5 Mbit/s.
 const BULK_TIMEOUT: Duration = Duration::from_secs(12);
 /// Priority of the streams of long messages, below that of the stream of short messages.
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -278,7 +278,7 @@
         timeout: Duration,
     ) -> Result<PeerReply, TransportError> {
         let deadline = Instant::now() + timeout;
-        let (mut reply, document) = self.call_until(to, request, deadline).await?;
+        let (mut reply, document) = self.call_until(to, request, deadline, || {}).await?;
         if let Some(document) = document {
             let unknown = |reason| TransportError::Unknown { peer: to.clone(), reason };
             let body = timeout_at(deadline, document.read(|| {}))
@@ -292,7 +292,7 @@
 
     /// Sends a request and waits for the reply, at most for `timeout`, but not for the body of a
     /// document in it, which may take longer than any other reply. The body is empty in the reply;
-    /// it is read from the stream.
+    /// it is read from the stream. Calls `received` whenever a part of a server list has arrived.
     ///
     /// # Errors
     /// As [`Self::call`].
@@ -301,8 +301,9 @@
         to: &VmId,
         request: PeerRequest,
         timeout: Duration,
+        received: impl FnMut(),
     ) -> Result<(PeerReply, Option<DocumentStream>), TransportError> {
-        self.call_until(to, request, Instant::now() + timeout).await
+        self.call_until(to, request, Instant::now() + timeout, received).await
     }
 
     async fn call_until(
@@ -310,6 +311,7 @@
         to: &VmId,
         request: PeerRequest,
         deadline: Instant,
+        received: impl FnMut(),
     ) -> Result<(PeerReply, Option<DocumentStream>), TransportError> {
         let not_sent = |reason: String| TransportError::NotSent { peer: to.clone(), reason };
         let frame = codec::encode(&request).map_err(|error| not_sent(error.to_string()))?;
@@ -324,10 +326,12 @@
             .map_err(|error| not_sent(error.to_string()))?;
         // Once the first byte is written, the peer may act on the request even if the call fails.
         let unknown = |reason: String| TransportError::Unknown { peer: to.clone(), reason };
-        timeout_at(deadline, exchange(sender, receiver, &frame))
+        let (reply, receiver) = timeout_at(deadline, exchange(sender, receiver, &frame, received))
             .await
             .map_err(|_elapsed| unknown("the reply did not arrive in time".to_owned()))?
-            .map_err(unknown)
+            .map_err(unknown)?;
+        let document = DocumentStream::after(&reply, receiver, connection);
+        Ok((reply, document))
     }
 
     /// Closes all connections and waits until the peers have been notified.
@@ -356,14 +360,16 @@
     mut sender: quinn::SendStream,
     mut receiver: quinn::RecvStream,
     frame: &[u8],
-) -> Result<(PeerReply, Option<DocumentStream>), String> {
+    received: impl FnMut(),
+) -> Result<(PeerReply, quinn::RecvStream), String> {
     codec::write_frame(&mut sender, frame).await.map_err(|error| error.to_string())?;
     // If this fails, the read below fails too.
     let _ = sender.finish();
     let mut reply = codec::read_frame(&mut receiver).await.map_err(|error| error.to_string())?;
-    attachment::attach_list(&mut reply, &mut receiver).await.map_err(|error| error.to_string())?;
-    let document = DocumentStream::after(&reply, receiver);
-    Ok((reply, document))
+    attachment::attach_list(&mut reply, &mut receiver, received)
+        .await
+        .map_err(|error| error.to_string())?;
+    Ok((reply, receiver))
 }
 
 fn load_pair(files: &KeyFiles) -> Result<TlsPair, TransportError> {
