Probe a former connection before it is closed

killed_followers_return took 76,648 KiB of 65,536: a former connection was kept for 1.5 s to see whether it is silent.

--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -12,6 +12,7 @@
         ids::VmId,
         observe::memory::{HeldAmount, MemoryPart},
     },
+    futures::FutureExt,
     quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream},
     std::{
         collections::BTreeMap,
@@ -27,8 +28,8 @@
 /// How long a peer may take to send its name before its connection is closed.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A connection of a running daemon receives something in this time: a follower polls once a second.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// How long a peer may take to acknowledge a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The latest connection of each peer; at most one entry for each open connection.
 #[derive(Default)]
@@ -61,11 +62,16 @@
     }
 }
 
-/// Closes a connection on which nothing arrives for [`SILENCE_LIMIT`].
+/// Closes a connection whose peer does not acknowledge a probe. A running process acknowledges it, and
+/// one that was restarted on the same address ends the connection with a stateless reset.
 async fn close_silent(connection: Connection) {
     let received = |connection: &Connection| connection.stats().udp_rx.datagrams;
     let before = received(&connection);
-    sleep(SILENCE_LIMIT).await;
+    // Without a free stream there is no probe, but also a peer that has not read the earlier ones.
+    if let Some(Ok(mut probe)) = connection.open_uni().now_or_never() {
+        let _ = probe.reset(0u32.into());
+    }
+    sleep(PROBE_TIMEOUT).await;
     if received(&connection) == before {
         connection.close(0u32.into(), b"replaced by a later connection");
     }
