Log how long a full document takes to arrive and to parse

A log could not tell whether an entry has a document late because of its control VM, the transfer or the parsing, nor that a transfer was abandoned at the time limit of its request. Each full document is logged with the time to the reply and the time of the body, an unfinished one with the bytes that had arrived, and the activation of routes with the time of parsing and indexing.

--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -51,6 +51,11 @@
 
 /// The daemon receives configuration from a control VM.
 pub const FOLLOWING: &str = "following a control VM";
+/// A full document arrived, `reply_ms` after the request was sent plus `transfer_ms` for its body.
+pub const DOCUMENT_RECEIVED: &str = "document received";
+/// The transfer of a full document ended after `received` of its `bytes`: the time limit of the
+/// request was reached, or the connection was lost. It starts again from the first byte.
+pub const DOCUMENT_ABANDONED: &str = "document transfer abandoned";
 /// No queried control VM is up to date; the current configuration stays active.
 pub const CONFIG_UNCONFIRMED: &str = "configuration not confirmed";
 /// A control VM that is up to date confirmed the configuration.
@@ -83,7 +88,7 @@
 /// The stopped replica resumed from the state on its disk.
 pub const REPLICA_RESUMED: &str = "control replica runs again";
 
-/// This daemon activated a configuration.
+/// This daemon activated a configuration, which took `parse_ms` to parse and index.
 pub const ROUTES_ACTIVATED: &str = "routes in force";
 
 /// The logger dropped `count` records before this one because they exceeded its limits.
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -336,11 +336,13 @@
         parser: &dyn RouteParser,
     ) -> Option<Arc<RouteIndex>> {
         if number > self.number {
+            let began = StdInstant::now();
             match parser.parse(body) {
                 Ok(table) => {
-                    log::info!(document = number, routes = table.routes.len();
-                        "{}", events::ROUTES_ACTIVATED);
+                    let routes = table.routes.len();
                     self.index = Some(Arc::new(RouteIndex::new(Arc::new(table))));
+                    let parse_ms = began.elapsed().as_millis() as u64;
+                    log::info!(document = number, routes, parse_ms; "{}", events::ROUTES_ACTIVATED);
                 }
                 // Documents are validated before they are accepted, so another release accepted it.
                 Err(fault) => log::error!(document = number, fault:% = fault;
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -290,7 +290,7 @@
             .map_err(|error| not_sent(error.to_string()))?;
         // Once the first byte is written, the peer may act on the request even if the call fails.
         let unknown = |reason: String| TransportError::Unknown { peer: to.clone(), reason };
-        timeout_at(deadline, exchange(sender, receiver, &frame))
+        timeout_at(deadline, exchange(sender, receiver, &frame, to))
             .await
             .map_err(|_elapsed| unknown("the reply did not arrive in time".to_owned()))?
             .map_err(unknown)
@@ -322,12 +322,16 @@
     mut sender: quinn::SendStream,
     mut receiver: quinn::RecvStream,
     frame: &[u8],
+    peer: &VmId,
 ) -> Result<PeerReply, String> {
+    let requested = Instant::now();
     codec::write_frame(&mut sender, frame).await.map_err(|error| error.to_string())?;
     // If this fails, the read below fails too.
     let _ = sender.finish();
     let mut reply = codec::read_frame(&mut receiver).await.map_err(|error| error.to_string())?;
-    attachment::attach_body(&mut reply, &mut receiver).await.map_err(|error| error.to_string())?;
+    attachment::attach_body(&mut reply, &mut receiver, peer, requested)
+        .await
+        .map_err(|error| error.to_string())?;
     Ok(reply)
 }
 
