Test that a data folder of the former format is read

The format's version changed with the commands of the log; a release that refused or moved aside the folders of the former one would start its replicas empty after an upgrade.

--- a/tests/disk_faults.rs
+++ b/tests/disk_faults.rs
@@ -14,7 +14,8 @@
         },
         daemon::control_driver::{ControlDriver, DriverSettings},
         storage::{
-            DiskFiles, FileSystem, LogStore, StorageError, frame::encode_frame,
+            DiskFiles, FileSystem, LogStore, StorageError,
+            frame::{FrameRead, encode_frame, read_frame},
             log_store::FORMAT_VERSION,
         },
     },
@@ -207,6 +208,23 @@
     assert_eq!(after, Err(LocalProposeError::NotLeader { leader: None }));
 }
 
+// Guards against an upgrade that moves the data folders of the former release aside as damaged.
+#[test]
+fn former_version_is_read() {
+    let (files, states) = folder_with_writes();
+    let mut content = files.content();
+    let name = log_name(&content);
+    let FrameRead::Complete { payload, next } = read_frame(&content[&name], 0) else {
+        panic!("the header is complete");
+    };
+    assert_eq!(u32::from(payload[0]), FORMAT_VERSION, "the version comes first");
+    let mut header = payload.to_vec();
+    header[0] -= 1;
+    let former = [&encode_frame(&header), &content[&name][next..]].concat();
+    content.insert(name, former);
+    assert_eq!(reopen(&content).as_ref(), states.last());
+}
+
 #[test]
 fn unknown_version_refused() {
     let (files, _) = folder_with_writes();
