Clear a crash only when the server identifies itself

What callers saw: a request that ends each server that runs it was refused after two servers at each entry, and sent on again some two seconds later, once the replacements ran; each time with the streams of other callers.

Cause: after a connection failure an entry opens a connection to the address. When one was accepted it reported the server alive under the incarnation of the server list. The dispatcher found the incarnation that it knew and withdrew the crash. But a crashed server stays listed for up to three seconds, and its successor listens on the same address, so that an outdated list and a connection to another server passed for an observation of this one.

Ruled out: a completed stream that clears the request, and requests with other fingerprints.

Change: evidence is pending when a connection breaks, confirmed when the address refuses connections, the server is no longer listed or has another incarnation, and cleared when the server answers a request that was sent after the failure (it rejects requests for another instance), or the request completes. Pending evidence expires after 10 s, which limits what a partition costs. The order of states is fixed, so that reports of daemons merge in any order. Requests that ran beside the crashing one at the same two crashes are no longer refused with it; a third crash decides. In the other stack an engine's own report names its incarnation; it now counts only if it was requested after the failure.

--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -264,6 +264,8 @@
             | PolicyInput::PeerFetch { .. }
             | PolicyInput::CacheStoreLink { .. }
             | PolicyInput::RetryReserve { .. }
+            | PolicyInput::ServerEnded { .. }
+            | PolicyInput::ServerIdentified { .. }
             | PolicyInput::Probed { .. } => {}
         }
         Vec::new()
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -24,7 +24,7 @@
 /// A running engine sends a token or a comment at least this often; a longer gap is a failure.
 pub const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout of control calls; an engine that takes longer is considered unavailable.
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+pub const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limit for response bodies of control calls.
 const MAX_CONTROL_BODY_BYTES: usize = 1024 * 1024;
 
--- a/src/daemon/server_updates.rs
+++ b/src/daemon/server_updates.rs
@@ -4,6 +4,7 @@
 use {
     super::server_table::ServerTable,
     crate::{
+        backend::engine::CONTROL_TIMEOUT,
         ids::{ModelId, ServerId, WeightsVersion},
         pipeline::PipelineCore,
         policy::{LoadReport, PolicyInput, ServerHealth},
@@ -96,8 +97,15 @@
         let health = self.server_table.entry(server).and_then(|entry| entry.health);
         let same = ServerHealth::Alive { incarnation: report.incarnation };
         if health == Some(same) && !self.holds().contains_key(server) {
-            let server = server.clone();
-            self.core.dispatcher.notify(PolicyInput::Health { server, health: same });
+            self.core.dispatcher.notify_all([
+                PolicyInput::Health { server: server.clone(), health: same },
+                PolicyInput::ServerIdentified {
+                    server: server.clone(),
+                    incarnation: report.incarnation,
+                    // The report was requested at most this long ago.
+                    sent: (Instant::now() - CONTROL_TIMEOUT).into(),
+                },
+            ]);
         }
     }
 
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -34,6 +34,13 @@
 pub const SERVER_RECOVERED: &str = "backend server back";
 /// A backend server reports attributes that contradict the server list.
 pub const SERVER_MISMATCHED: &str = "backend server is not as listed";
+/// A request is refused from now on, because servers crashed while they ran it. `fingerprint` is the
+/// hash that all its resends have in common.
+pub const REQUEST_ISOLATED: &str = "request isolated";
+/// A server has ended whose connections broke shortly before.
+pub const CRASH_CONFIRMED: &str = "crash confirmed";
+/// A server whose connections broke has identified itself, so that it did not crash.
+pub const CRASH_CLEARED: &str = "crash ruled out";
 /// The engines' shared KV cache store is unreachable; prompts are processed without it.
 pub const CACHE_STORE_UNAVAILABLE: &str = "KV cache store lost";
 /// The KV cache store is reachable again; it may be empty.
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -217,7 +217,7 @@
 
     fn apply_input(&mut self, now: Instant, input: PolicyInput) {
         match input {
-            PolicyInput::Configure(view) => self.configure(view),
+            PolicyInput::Configure(view) => self.configure(now, view),
             PolicyInput::Arrive(ticket) => self.arrive(now, ticket),
             PolicyInput::FirstToken { attempt, cached_tokens } => {
                 self.record_first_token(now, attempt, cached_tokens);
@@ -238,6 +238,10 @@
             PolicyInput::Health { server, health } => self.record_health(now, &server, health),
             PolicyInput::Reachable { domains } => self.record_reachable(domains),
             PolicyInput::Digest(digest) => self.merge_digest(now, digest),
+            PolicyInput::ServerEnded { server } => self.record_end(now, &server),
+            PolicyInput::ServerIdentified { server, incarnation, sent } => {
+                self.record_identity(now, &server, incarnation, sent);
+            }
             PolicyInput::Probed { server, answered } => self.record_probe(now, &server, answered),
             PolicyInput::PeerFetch { rate, newest } => {
                 self.fetch_rate = rate.filter(|_| self.is_enabled(PolicySafeguard::PeerFetch));
@@ -264,7 +268,13 @@
         (self.random.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
     }
 
-    fn configure(&mut self, view: Arc<PolicyView>) {
+    fn configure(&mut self, now: Instant, view: Arc<PolicyView>) {
+        let listed = self.table.by_id.iter();
+        let removed: Vec<ServerIndex> = listed
+            .filter(|(id, _)| !view.servers.contains_key(*id))
+            .map(|(_, index)| *index)
+            .collect();
+        removed.into_iter().for_each(|index| self.confirm_crashes(now, index));
         let daemons = view.daemons.values().map(BTreeMap::len).sum::<usize>().max(1);
         let fair = self.is_enabled(PolicySafeguard::Fairness);
         let make_queue =
--- a/src/policy/dispatcher/arrivals.rs
+++ b/src/policy/dispatcher/arrivals.rs
@@ -14,7 +14,6 @@
             admission::{self, AdmissionDecision, MAX_WAITING},
             fairness::{MIN_COST, OUTPUT_TOKEN_COST, QueuePosition, QueuedWork},
             prefix::ServerIndex,
-            suspect::CRASHES_TO_REFUSE,
         },
     },
     std::time::{Duration, Instant},
@@ -81,8 +80,7 @@
     }
 
     pub(super) fn has_crashed_servers(&self, now: Instant, fingerprint: u64) -> bool {
-        self.is_enabled(PolicySafeguard::Suspect)
-            && self.suspects.crash_count(now, fingerprint) >= CRASHES_TO_REFUSE
+        self.is_enabled(PolicySafeguard::Suspect) && self.suspects.is_refused(now, fingerprint)
     }
 
     /// Estimates the cost of a request in tokens: the part of the prompt that no server holds, and
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -8,6 +8,7 @@
     },
     crate::{
         ids::AttemptId,
+        observe::events,
         policy::{
             AttemptFailure, DidRun, PolicyAction, PolicySafeguard, RefusalReason, RequestWork,
             RetryReason,
@@ -139,7 +140,7 @@
         self.cancel_deadline(state.number, entry.phase.ticket().deadline);
         let ticket = entry.phase.ticket();
         self.numbers.remove(&ticket.request);
-        self.suspects.clear(ticket.fingerprint);
+        self.suspects.clear(now, ticket.fingerprint);
         let pool = &mut self.table.pools[entry.pool];
         pool.output += (f64::from(output_tokens) - pool.output) * MEAN_STEP;
         pool.service += (taken.as_secs_f64() - pool.service) * MEAN_STEP;
@@ -174,7 +175,7 @@
         self.numbers.remove(&sent.ticket().request);
         if failed.failure == AttemptFailure::CallerError {
             // The server responded, so it did not crash, and the caller gets its response.
-            self.suspects.clear(sent.ticket().fingerprint);
+            self.suspects.clear(now, sent.ticket().fingerprint);
             return;
         }
         self.update_history(now, &state, &failed, &mut sent);
@@ -192,9 +193,14 @@
         let fingerprint = sent.ticket().fingerprint;
         let server = &self.table.servers[state.server];
         if failed.failure == AttemptFailure::Broken && server.reachable {
-            let incarnation = server.cache.incarnation();
-            self.suspects.record_crash(now, fingerprint, state.server, incarnation);
+            let site = server.crash_site(state.server);
+            self.suspects.record_crash(now, fingerprint, site);
             self.peers.publish_now(now);
+            if self.has_crashed_servers(now, fingerprint) {
+                log::warn!(fingerprint:% = format_args!("{fingerprint:016x}"),
+                    server = self.table.servers[state.server].id.as_str();
+                    "{}", events::REQUEST_ISOLATED);
+            }
         }
         let history = sent.history_mut();
         if NotExecutedProof::from_failure(failed.failure).is_none() {
--- a/src/policy/dispatcher/digests.rs
+++ b/src/policy/dispatcher/digests.rs
@@ -103,7 +103,7 @@
         DomainDigest {
             daemon: self.settings.daemon.clone(),
             hot_prefixes: self.hot_prefixes(now),
-            suspects: self.suspects.published(now),
+            suspects: self.suspects.own_reports(now),
             unhealthy: unhealthy.take(MAX_UNHEALTHY).collect(),
             ..DomainDigest::default()
         }
@@ -126,7 +126,7 @@
         if !self.is_enabled(PolicySafeguard::Digests) || digest.daemon == self.settings.daemon {
             return;
         }
-        self.suspects.merge_peer_report(now, &digest.suspects);
+        self.suspects.merge_reports(now, &digest.suspects);
         let known = self.peers.peers.get(&digest.daemon);
         let outdated = known.is_some_and(|peer| digest.sequence <= peer.sequence);
         if outdated || (known.is_none() && self.peers.peers.len() >= MAX_PEERS) {
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -3,8 +3,9 @@
 use {
     super::Dispatcher,
     crate::{
-        ids::{FailureDomainId, ServerId},
-        policy::{CacheEvent, LoadReport, PolicySafeguard, ServerHealth},
+        ids::{FailureDomainId, Incarnation, ServerId},
+        observe::events,
+        policy::{CacheEvent, LoadReport, PolicySafeguard, ServerHealth, prefix::ServerIndex},
     },
     std::time::Instant,
 };
@@ -16,6 +17,7 @@
     pub(super) fn record_load(&mut self, now: Instant, report: &LoadReport) {
         let Some(index) = self.table.by_id.get(&report.server).copied() else { return };
         let checks_identity = self.is_enabled(PolicySafeguard::CacheIdentity);
+        self.detect_restart(now, index, report.incarnation);
         let server = &mut self.table.servers[index];
         let before = server.cache.generation();
         if checks_identity || server.cache.incarnation().is_none() {
@@ -56,15 +58,15 @@
     pub(super) fn record_health(&mut self, now: Instant, server: &ServerId, health: ServerHealth) {
         let Some(index) = self.table.by_id.get(server).copied() else { return };
         let checks_identity = self.is_enabled(PolicySafeguard::CacheIdentity);
+        if let ServerHealth::Alive { incarnation } | ServerHealth::Reserved { incarnation } = health
+        {
+            self.detect_restart(now, index, incarnation);
+        }
         let state = &mut self.table.servers[index];
         let before = state.cache.generation();
         state.health = health;
         if let ServerHealth::Alive { incarnation } | ServerHealth::Reserved { incarnation } = health
         {
-            let same = state.cache.incarnation() == Some(incarnation);
-            if state.unverified && same {
-                self.suspects.retract_crash(index, incarnation);
-            }
             if checks_identity || state.cache.incarnation().is_none() {
                 state.cache.record_incarnation(Some(incarnation));
             }
@@ -76,6 +78,42 @@
         self.mark_dirty(index);
     }
 
+    pub(super) fn record_end(&mut self, now: Instant, server: &ServerId) {
+        if let Some(index) = self.table.by_id.get(server).copied() {
+            self.confirm_crashes(now, index);
+        }
+    }
+
+    pub(super) fn record_identity(
+        &mut self,
+        now: Instant,
+        server: &ServerId,
+        incarnation: Incarnation,
+        sent: Instant,
+    ) {
+        let Some(index) = self.table.by_id.get(server).copied() else { return };
+        if self.suspects.clear_crashes(now, index, incarnation, sent) {
+            log::info!(server = server.as_str(); "{}", events::CRASH_CLEARED);
+            self.peers.publish_now(now);
+        }
+    }
+
+    /// Confirms the crashes of a server that has another incarnation than before.
+    fn detect_restart(&mut self, now: Instant, index: ServerIndex, incarnation: Incarnation) {
+        let known = self.table.servers[index].cache.incarnation();
+        if known.is_some_and(|known| known != incarnation) {
+            self.confirm_crashes(now, index);
+        }
+    }
+
+    pub(super) fn confirm_crashes(&mut self, now: Instant, index: ServerIndex) {
+        if self.suspects.confirm_crashes(now, index) {
+            let server = &self.table.servers[index].id;
+            log::info!(server = server.as_str(); "{}", events::CRASH_CONFIRMED);
+            self.peers.publish_now(now);
+        }
+    }
+
     pub(super) fn record_reachable(&mut self, domains: Vec<FailureDomainId>) {
         self.reachable = Some(domains.into_iter().collect());
         self.apply_reachable();
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -11,6 +11,7 @@
             outlier::FailureRecord,
             placement::{AffinityRing, SpeedGauge},
             prefix::{ServerCacheState, ServerIndex},
+            suspect::CrashSite,
             window::ServerWindow,
         },
     },
@@ -158,6 +159,15 @@
         if self.unverified { None } else { self.cache.incarnation() }
     }
 
+    /// Returns the identity of its crash, if it crashes now.
+    pub fn crash_site(&self, index: ServerIndex) -> CrashSite {
+        let incarnation = self.cache.incarnation();
+        let mut identity = [0; 16];
+        identity[..8].copy_from_slice(&self.name_hash.to_be_bytes());
+        identity[8..].copy_from_slice(&incarnation.unwrap_or_default().to_be_bytes());
+        CrashSite { crash: xxh3_64(&identity), server: index, incarnation }
+    }
+
     /// Returns the tokens to be computed there before a new request of `urgency`: those of equally
     /// or more urgent requests, and of the others one prefill chunk, which cannot be preempted.
     pub fn tokens_ahead(&self, now: Instant, urgency: Urgency) -> f64 {
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -1,6 +1,7 @@
 //! Inputs of the dispatcher.
 
 use {
+    super::suspect::CrashReport,
     crate::{
         ids::{
             AdapterId, AttemptId, FailureDomainId, Incarnation, ModelId, OrganisationId, RequestId,
@@ -96,6 +97,20 @@
         /// Maximum number of unused retries; at least 1.
         retries: f64,
     },
+    /// A server has ended: nothing listens on its address.
+    ServerEnded {
+        /// The server.
+        server: ServerId,
+    },
+    /// A server identified itself, in contrast to a server list, which lags behind.
+    ServerIdentified {
+        /// The server.
+        server: ServerId,
+        /// Its current incarnation.
+        incarnation: Incarnation,
+        /// When the request was sent to which it responded.
+        sent: Instant,
+    },
     /// A probe requested by [`super::PolicyAction::Probe`] ended.
     Probed {
         /// The server.
@@ -287,9 +302,9 @@
     pub hot_prefixes: Vec<(u64, Vec<ServerId>)>,
     /// Organisations with the highest recent token cost; at most 16.
     pub heavy_organisations: Vec<(OrganisationId, u64)>,
-    /// Fingerprints of requests in flight at server crashes, with the number of crashes; at most
-    /// 64.
-    pub suspects: Vec<(u64, u32)>,
+    /// Evidence on requests that were in flight at server crashes; at most
+    /// [`MAX_PUBLISHED`](super::suspect::MAX_PUBLISHED).
+    pub suspects: Vec<CrashReport>,
     /// Servers that this daemon has ejected; at most 64.
     pub unhealthy: Vec<(ServerId, ServerHealth)>,
     /// Results of this daemon's health checks, unhealthy servers first; at most 64. The daemon adds
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -4,172 +4,315 @@
 //! Without isolation, each resend takes down another server together with all requests in flight
 //! there.
 //!
-//! Each request in flight at a crash is recorded by its fingerprint, which is the same for every
-//! resend. A recorded fingerprint runs on a server only while no other recorded one runs there, and
-//! only one request with it runs at a time, so that a second crash identifies it; after two crashes
-//! it is refused. A fingerprint is cleared once a request with it completes. If a broken connection
-//! turns out not to be a crash, because the server reports the same incarnation again, the crash is
-//! retracted. Daemons that exchange digests lose at most two servers to one request.
+//! Each request in flight when a connection breaks is recorded by its fingerprint, which is the same
+//! for every resend, together with the server. A recorded fingerprint runs on a server only while no
+//! other recorded one runs there, and only one request with it runs at a time. After two crashes it
+//! is refused. If other fingerprints were in flight at the same two crashes, a third crash decides
+//! which of them is refused.
+//!
+//! A broken connection alone does not show whether the server has crashed. What is learned later
+//! only ever moves the evidence forward: pending, confirmed, cleared. It is confirmed if the server
+//! refuses connections, is no longer listed or has another incarnation, and cleared if the server
+//! identifies itself in a later response, or if a request with the fingerprint completes. A server
+//! list is no evidence, because a crashed server remains listed for seconds. Since each step is
+//! final, reports of several daemons can be merged in any order.
 
 use {
     super::prefix::ServerIndex,
     crate::ids::Incarnation,
+    serde::{Deserialize, Serialize},
     std::{
+        cmp::Reverse,
         collections::BTreeMap,
         time::{Duration, Instant},
     },
 };
 
 /// Crashes after which a fingerprint is refused. One crash is not sufficient evidence, since other
-/// requests are in flight at the same time, up to the server's slots. The second crash happens
-/// while no other recorded fingerprint runs on the server.
-pub const CRASHES_TO_REFUSE: u32 = 2;
+/// requests are in flight at the same time, up to the server's slots.
+pub const CRASHES_TO_REFUSE: usize = 2;
+
+/// Crashes after which a fingerprint is refused while others were in flight at the same crashes.
+const AMBIGUOUS_CRASHES_TO_REFUSE: usize = 3;
 
 /// Maximum number of fingerprints; the one with the oldest crash is evicted first.
 const MAX_SUSPECTS: usize = 1_024;
 
-/// Maximum number of fingerprints in a digest.
-pub const MAX_PUBLISHED: usize = 64;
+/// Maximum number of crashes recorded for a fingerprint.
+const MAX_CRASHES: usize = 4;
+
+/// Maximum number of reports in a digest.
+pub const MAX_PUBLISHED: usize = 128;
+
+/// Retention of evidence that is neither confirmed nor cleared: longer than a restart and the lag of
+/// the server list together, since the list then shows whether the server has ended.
+const PENDING_RETENTION: Duration = Duration::from_secs(10);
 
-/// Retention of crashes seen by this daemon. Callers stop resending within minutes.
-const OWN_RETENTION: Duration = Duration::from_secs(600);
+/// Retention of confirmed crashes. Callers stop resending within minutes.
+const CONFIRMED_RETENTION: Duration = Duration::from_secs(600);
 
-/// Retention of crash counts below the limit that another daemon reported. It repeats them in every
-/// digest until the fingerprint is cleared.
-const PEER_RETENTION: Duration = Duration::from_secs(3);
+/// Retention of cleared evidence, in which all daemons learn that it is cleared.
+const CLEARED_RETENTION: Duration = Duration::from_secs(10);
 
-#[derive(Clone, Debug)]
-struct SuspectRecord {
-    /// Crashes seen by this daemon, as server and incarnation; one entry for each crash.
-    crashes: Vec<(ServerIndex, Option<Incarnation>)>,
-    /// When the last of them was recorded.
-    last_crash_at: Option<Instant>,
-    /// Crash count reported by another daemon, and when.
-    peer_report: Option<(u32, Instant)>,
+/// Identifier of a crash: a hash of the server and its incarnation, equal on every daemon.
+pub type CrashId = u64;
+
+/// What is known about a crash at which a request was in flight. Later states replace earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CrashEvidence {
+    /// The connection broke.
+    Pending,
+    /// The server has ended.
+    Confirmed,
+    /// The server did not end, or the request was not the cause.
+    Cleared,
 }
 
-impl SuspectRecord {
-    fn crash_count(&self, now: Instant) -> u32 {
-        let own = match self.last_crash_at {
-            Some(at) if now.saturating_duration_since(at) < OWN_RETENTION => {
-                self.crashes.len() as u32
-            }
-            _ => 0,
-        };
-        let peer_report = match self.peer_report {
-            Some((crash_count, at)) => {
-                let retention =
-                    if crash_count >= CRASHES_TO_REFUSE { OWN_RETENTION } else { PEER_RETENTION };
-                if now.saturating_duration_since(at) < retention { crash_count } else { 0 }
-            }
-            None => 0,
-        };
-        own.max(peer_report)
+impl CrashEvidence {
+    fn retention(self) -> Duration {
+        match self {
+            CrashEvidence::Pending => PENDING_RETENTION,
+            CrashEvidence::Confirmed => CONFIRMED_RETENTION,
+            CrashEvidence::Cleared => CLEARED_RETENTION,
+        }
+    }
+}
+
+/// Evidence as daemons report it to each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// The crash.
+    pub crash: CrashId,
+    /// What is known about it.
+    pub evidence: CrashEvidence,
+    /// Whole seconds since the state of the evidence was reached.
+    pub age_s: u32,
+}
+
+/// The server on which a request ran when its connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashSite {
+    /// Identifier of the crash.
+    pub crash: CrashId,
+    /// Index of the server.
+    pub server: ServerIndex,
+    /// Incarnation of the server, if known.
+    pub incarnation: Option<Incarnation>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CrashRecord {
+    evidence: CrashEvidence,
+    /// When the state of the evidence was reached.
+    since: Instant,
+    /// The server, if this daemon observed the crash and the server is still listed.
+    site: Option<CrashSite>,
+    /// Whether this daemon observed the crash.
+    is_own: bool,
+}
+
+impl CrashRecord {
+    fn is_retained(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) < self.evidence.retention()
+    }
+
+    fn counts(&self, now: Instant) -> bool {
+        self.evidence != CrashEvidence::Cleared && self.is_retained(now)
+    }
+
+    /// Moves the evidence forward; returns whether it changed.
+    fn advance(&mut self, now: Instant, evidence: CrashEvidence) -> bool {
+        let advances = evidence > self.evidence;
+        if advances {
+            (self.evidence, self.since) = (evidence, now);
+        }
+        advances
     }
 }
 
+/// Crashes of one fingerprint; at most [`MAX_CRASHES`].
+type CrashMap = BTreeMap<CrashId, CrashRecord>;
+
 /// Fingerprints of requests that were in flight when a server crashed.
 #[derive(Debug, Default)]
 pub struct SuspectList {
     /// Holds at most [`MAX_SUSPECTS`] entries.
-    records: BTreeMap<u64, SuspectRecord>,
+    records: BTreeMap<u64, CrashMap>,
 }
 
 impl SuspectList {
-    /// Returns the number of crashes recorded for a fingerprint.
-    pub fn crash_count(&self, now: Instant, fingerprint: u64) -> u32 {
-        self.records.get(&fingerprint).map_or(0, |record| record.crash_count(now))
+    /// Returns the number of crashes that a fingerprint may have caused. Crashes that another
+    /// fingerprint with more crashes explains do not count.
+    pub fn crash_count(&self, now: Instant, fingerprint: u64) -> usize {
+        let Some(crashes) = self.records.get(&fingerprint) else { return 0 };
+        let own = counted(now, crashes).count();
+        let is_explained = |crash: CrashId| {
+            self.records.values().any(|other| {
+                // Most fingerprints have one crash, so that the lengths decide.
+                other.len() > own
+                    && other.get(&crash).is_some_and(|record| record.counts(now))
+                    && counted(now, other).count() > own
+            })
+        };
+        counted(now, crashes).filter(|crash| !is_explained(*crash)).count()
     }
 
-    /// Records that a request was in flight when `server` appeared to crash.
-    pub fn record_crash(
-        &mut self,
-        now: Instant,
-        fingerprint: u64,
-        server: ServerIndex,
-        incarnation: Option<Incarnation>,
-    ) {
+    /// Returns whether requests with this fingerprint are refused.
+    pub fn is_refused(&self, now: Instant, fingerprint: u64) -> bool {
+        let crash_count = self.crash_count(now, fingerprint);
+        crash_count >= AMBIGUOUS_CRASHES_TO_REFUSE
+            || (crash_count >= CRASHES_TO_REFUSE && !self.is_ambiguous(now, fingerprint))
+    }
+
+    /// Returns whether another fingerprint was in flight at all crashes of this one.
+    fn is_ambiguous(&self, now: Instant, fingerprint: u64) -> bool {
+        let Some(crashes) = self.records.get(&fingerprint) else { return false };
+        let was_in_flight = |other: &CrashMap| {
+            other.len() >= CRASHES_TO_REFUSE
+                && counted(now, crashes)
+                    .all(|crash| other.get(&crash).is_some_and(|record| record.counts(now)))
+        };
+        self.records.iter().any(|(other, records)| *other != fingerprint && was_in_flight(records))
+    }
+
+    /// Records that a request was in flight when its connection to a server broke.
+    pub fn record_crash(&mut self, now: Instant, fingerprint: u64, site: CrashSite) {
         self.make_room(fingerprint);
-        let record = self.records.entry(fingerprint).or_insert_with(|| SuspectRecord {
-            crashes: Vec::new(),
-            last_crash_at: None,
-            peer_report: None,
-        });
-        if record.crashes.contains(&(server, incarnation)) || record.crashes.len() >= 8 {
+        let crashes = self.records.entry(fingerprint).or_default();
+        crashes.retain(|_, record| record.is_retained(now));
+        if crashes.len() >= MAX_CRASHES && !crashes.contains_key(&site.crash) {
             return;
         }
-        // The crashes that another daemon reported are added to this one, which only this daemon
-        // observed. An unknown server represents each of them.
-        if let Some((crash_count, _)) = record.peer_report {
-            while (record.crashes.len() as u32) < crash_count.min(CRASHES_TO_REFUSE) {
-                record.crashes.push((ServerIndex::MAX, None));
+        let record = crashes.entry(site.crash).or_insert(CrashRecord {
+            evidence: CrashEvidence::Pending,
+            since: now,
+            site: Some(site),
+            is_own: true,
+        });
+        (record.site, record.is_own) = (Some(site), true);
+    }
+
+    /// Confirms the crashes of a server that has ended. Returns whether any were pending.
+    pub fn confirm_crashes(&mut self, now: Instant, server: ServerIndex) -> bool {
+        let mut changed = false;
+        for record in self.own_records(server) {
+            changed |= record.advance(now, CrashEvidence::Confirmed);
+            // The index may be assigned to another server.
+            record.site = None;
+        }
+        changed
+    }
+
+    /// Clears the pending crashes of a server that has identified itself by this incarnation in the
+    /// response to a request sent at `sent`: it did not end before. Returns whether there were any.
+    pub fn clear_crashes(
+        &mut self,
+        now: Instant,
+        server: ServerIndex,
+        incarnation: Incarnation,
+        sent: Instant,
+    ) -> bool {
+        let mut changed = false;
+        for record in self.own_records(server) {
+            let is_same = record.site.is_some_and(|site| site.incarnation == Some(incarnation));
+            if is_same && record.evidence == CrashEvidence::Pending && record.since < sent {
+                changed |= record.advance(now, CrashEvidence::Cleared);
             }
         }
-        record.crashes.push((server, incarnation));
-        record.last_crash_at = Some(now);
+        changed
     }
 
-    /// Removes the crashes of `server` with this incarnation: it still runs, so it did not crash.
-    pub fn retract_crash(&mut self, server: ServerIndex, incarnation: Incarnation) {
-        for record in self.records.values_mut() {
-            record.crashes.retain(|crash| *crash != (server, Some(incarnation)));
+    /// Clears a fingerprint after a request with it completed.
+    pub fn clear(&mut self, now: Instant, fingerprint: u64) {
+        for record in self.records.get_mut(&fingerprint).into_iter().flatten() {
+            record.1.advance(now, CrashEvidence::Cleared);
+            // The other daemons may have recorded the same crash.
+            record.1.is_own = true;
         }
-        self.records.retain(|_, record| !record.crashes.is_empty() || record.peer_report.is_some());
-    }
-
-    /// Removes a fingerprint after a request with it completed.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.records.remove(&fingerprint);
-    }
-
-    /// Merges crash counts reported by another daemon.
-    pub fn merge_peer_report(&mut self, now: Instant, reported: &[(u64, u32)]) {
-        for (fingerprint, crash_count) in reported.iter().take(MAX_PUBLISHED) {
-            self.make_room(*fingerprint);
-            let record = self.records.entry(*fingerprint).or_insert_with(|| SuspectRecord {
-                crashes: Vec::new(),
-                last_crash_at: None,
-                peer_report: None,
-            });
-            let stronger = record.peer_report.filter(|(before, _)| {
-                *before >= CRASHES_TO_REFUSE && *crash_count < CRASHES_TO_REFUSE
-            });
-            if stronger.is_none() {
-                record.peer_report = Some((*crash_count, now));
+    }
+
+    /// Merges the reports of another daemon. Returns whether they contained anything new.
+    pub fn merge_reports(&mut self, now: Instant, reports: &[CrashReport]) -> bool {
+        let mut changed = false;
+        for report in reports.iter().take(MAX_PUBLISHED) {
+            let age = Duration::from_secs(report.age_s.into());
+            let Some(since) = now.checked_sub(age) else { continue };
+            if age >= report.evidence.retention() {
+                continue;
+            }
+            self.make_room(report.fingerprint);
+            let crashes = self.records.entry(report.fingerprint).or_default();
+            crashes.retain(|_, record| record.is_retained(now));
+            if let Some(record) = crashes.get_mut(&report.crash) {
+                changed |= record.advance(since, report.evidence);
+            } else if crashes.len() < MAX_CRASHES {
+                let evidence = report.evidence;
+                let record = CrashRecord { evidence, since, site: None, is_own: false };
+                crashes.insert(report.crash, record);
+                changed = true;
             }
         }
+        changed
     }
 
-    /// Returns the fingerprints with crashes seen by this daemon, highest count first, for digests.
-    pub fn published(&self, now: Instant) -> Vec<(u64, u32)> {
-        let mut published: Vec<(u64, u32)> = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.last_crash_at.is_some() && !record.crashes.is_empty())
-            .map(|(fingerprint, record)| (*fingerprint, record.crash_count(now)))
-            .filter(|(_, crash_count)| *crash_count > 0)
-            .collect();
-        published.sort_by_key(|(fingerprint, crash_count)| {
-            (std::cmp::Reverse(*crash_count), *fingerprint)
-        });
-        published.truncate(MAX_PUBLISHED);
-        published
+    /// Returns the reports on crashes that this daemon observed, for digests.
+    pub fn own_reports(&self, now: Instant) -> Vec<CrashReport> {
+        self.reports(now, |record| record.is_own)
+    }
+
+    /// Returns the reports on all crashes.
+    pub fn all_reports(&self, now: Instant) -> Vec<CrashReport> {
+        self.reports(now, |_| true)
     }
 
-    /// Returns whether no fingerprint is recorded.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+    /// Returns at most [`MAX_PUBLISHED`] reports, fingerprints with the most crashes first, and then
+    /// the latest.
+    fn reports(&self, now: Instant, included: impl Fn(&CrashRecord) -> bool) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        for (fingerprint, crashes) in &self.records {
+            let crash_count = counted(now, crashes).count();
+            for (crash, record) in crashes {
+                if included(record) && record.is_retained(now) {
+                    let age = now.saturating_duration_since(record.since);
+                    let report = CrashReport {
+                        fingerprint: *fingerprint,
+                        crash: *crash,
+                        evidence: record.evidence,
+                        age_s: age.as_secs() as u32,
+                    };
+                    reports.push((Reverse(crash_count), age, report));
+                }
+            }
+        }
+        reports.sort_by_key(|(rank, age, report)| (*rank, *age, report.fingerprint, report.crash));
+        reports.truncate(MAX_PUBLISHED);
+        let mut reports: Vec<CrashReport> =
+            reports.into_iter().map(|(_, _, report)| report).collect();
+        reports.sort_by_key(|report| (report.fingerprint, report.crash));
+        reports
+    }
+
+    fn own_records(&mut self, server: ServerIndex) -> impl Iterator<Item = &mut CrashRecord> {
+        self.records
+            .values_mut()
+            .flat_map(BTreeMap::values_mut)
+            .filter(move |record| record.site.is_some_and(|site| site.server == server))
     }
 
     fn make_room(&mut self, fingerprint: u64) {
         if self.records.len() < MAX_SUSPECTS || self.records.contains_key(&fingerprint) {
             return;
         }
-        let at =
-            |record: &SuspectRecord| record.last_crash_at.max(record.peer_report.map(|(_, at)| at));
-        let oldest = self.records.iter().min_by_key(|(_, record)| at(record));
+        let latest = |crashes: &CrashMap| crashes.values().map(|record| record.since).max();
+        let oldest = self.records.iter().min_by_key(|(_, crashes)| latest(crashes));
         if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
             self.records.remove(&oldest);
         }
     }
 }
+
+fn counted(now: Instant, crashes: &CrashMap) -> impl Iterator<Item = CrashId> {
+    crashes.iter().filter(move |(_, record)| record.counts(now)).map(|(crash, _)| *crash)
+}
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -21,6 +21,7 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
+        time::Instant,
     },
 };
 
@@ -93,6 +94,7 @@
         let inputs = view.inputs(&self.vm, self.objective, &former);
         let used: BTreeSet<_> = view.servers.values().map(|server| server.address).collect();
         self.lock_weights().retain(|server, _| view.servers.contains_key(server));
+        self.recheck.retain(|server| view.servers.contains_key(server));
         self.view.store(Arc::new(view));
         self.dispatcher.notify_all(inputs);
         self.notify_store_link();
@@ -158,6 +160,21 @@
         }));
     }
 
+    /// Reports that a server responded to a request that was sent at `sent`, if a connection to it
+    /// has broken before.
+    pub fn record_identity(&self, server: &ServerId, sent: Instant) {
+        if !self.recheck.identify(server, sent) {
+            return;
+        }
+        let view = self.view();
+        let Some(listed) = view.servers.get(server) else { return };
+        self.dispatcher.notify(PolicyInput::ServerIdentified {
+            server: server.clone(),
+            incarnation: listed.incarnation,
+            sent,
+        });
+    }
+
     /// The weights of a server according to the server list and to its responses. The newer of both
     /// applies, because a server never returns to older weights within an incarnation.
     pub fn server_weights(
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -74,6 +74,14 @@
     pub connection: LeasedConnection,
 }
 
+/// A response whose head has not been checked.
+struct ReceivedHead {
+    response: Response<Incoming>,
+    connection: LeasedConnection,
+    /// When the request was sent.
+    sent_at: Instant,
+}
+
 /// The point after which a stream is resumed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ResumePosition {
@@ -196,6 +204,7 @@
         let request = self.backend_request(order, from);
         let non_repeatable = !self.request.caller.route.kind.is_repeatable();
         let limit = view.connections(&listed.service);
+        let sent_at = Instant::now();
         let sent = tokio::select! {
             sent = self.core.pool.send(listed.address, request, non_repeatable, limit) => sent,
             () = wait_withdrawn(&mut self.handle, order.attempt) => {
@@ -209,7 +218,10 @@
             }
         };
         match sent {
-            Ok((response, connection)) => self.handle_head(order, from, response, connection).await,
+            Ok((response, connection)) => {
+                let received = ReceivedHead { response, connection, sent_at };
+                self.handle_head(order, from, received).await
+            }
             Err(error) => Err(self.connection_failed(order, from, error)),
         }
     }
@@ -240,20 +252,22 @@
         &mut self,
         order: &SendOrder,
         from: &ResumePosition,
-        response: Response<Incoming>,
-        connection: LeasedConnection,
+        received: ReceivedHead,
     ) -> Result<StartedResponse, AttemptFailure> {
+        let ReceivedHead { response, connection, sent_at } = received;
         let (mut parts, body) = response.into_parts();
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
         let model = self.request.caller.work.as_ref().map(|work| &work.model);
         match head.verdict {
             ResponseVerdict::Executed => {
                 self.runs += 1;
+                self.core.record_identity(&order.server, sent_at);
                 self.core.record_response(&order.server, model, &head);
                 strip_connection(&mut parts.headers);
                 Ok(StartedResponse { parts, head, body, connection })
             }
             ResponseVerdict::NotExecuted => {
+                self.core.record_identity(&order.server, sent_at);
                 self.core.record_response(&order.server, model, &head);
                 let rest = Limited::new(body, MAX_REFUSAL_BYTES).collect();
                 // A server that hangs after the head must not delay the request.
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -19,6 +19,7 @@
     socket2::{SockRef, TcpKeepalive},
     std::{
         collections::{BTreeMap, BTreeSet},
+        io::ErrorKind,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
@@ -72,6 +73,37 @@
 
 impl std::error::Error for PoolError {}
 
+/// Result of an attempt to open a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeResult {
+    /// The connection was accepted.
+    Accepted,
+    /// The address is reachable, and nothing listens on it.
+    Refused,
+    /// Nothing was received.
+    Unreachable,
+}
+
+/// Why no connection was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectError {
+    /// The connection limit is reached.
+    Full,
+    /// Nothing listens on the address.
+    Refused,
+    /// Nothing was received, or the connection failed otherwise.
+    Failed,
+}
+
+impl From<ConnectError> for PoolError {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Full => PoolError::Full,
+            ConnectError::Refused | ConnectError::Failed => PoolError::NotConnected,
+        }
+    }
+}
+
 /// A connection that is in use by one request; dropping it closes the connection.
 pub struct LeasedConnection {
     sender: RequestSender,
@@ -173,13 +205,14 @@
     }
 
     /// Checks whether a server is reachable by opening a connection, which is added to the pool.
-    pub async fn probe(&self, address: SocketAddr) -> bool {
+    pub async fn probe(&self, address: SocketAddr) -> ProbeResult {
         match self.connect(address, u32::MAX).await {
             Ok(connection) => {
                 connection.return_to_pool(None);
-                true
+                ProbeResult::Accepted
             }
-            Err(_) => false,
+            Err(ConnectError::Refused) => ProbeResult::Refused,
+            Err(ConnectError::Full | ConnectError::Failed) => ProbeResult::Unreachable,
         }
     }
 
@@ -238,7 +271,7 @@
         &self,
         address: SocketAddr,
         connection_limit: u32,
-    ) -> Result<LeasedConnection, PoolError> {
+    ) -> Result<LeasedConnection, ConnectError> {
         self.reserve_slot(address, connection_limit)?;
         match timeout(CONNECT_TIMEOUT, open(address)).await {
             Ok(Ok((sender, driver))) => {
@@ -246,24 +279,27 @@
             }
             failed => {
                 self.release_slot(address);
-                let reason = match failed {
-                    Ok(Err(error)) => error.to_string(),
-                    _ => "timed out".to_owned(),
+                let (error, reason) = match failed {
+                    Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                        (ConnectError::Refused, error.to_string())
+                    }
+                    Ok(Err(error)) => (ConnectError::Failed, error.to_string()),
+                    _ => (ConnectError::Failed, "timed out".to_owned()),
                 };
                 log::debug!(address:% = address, reason = reason.as_str(); "failed to connect");
-                Err(PoolError::NotConnected)
+                Err(error)
             }
         }
     }
 
-    fn reserve_slot(&self, address: SocketAddr, connection_limit: u32) -> Result<(), PoolError> {
+    fn reserve_slot(&self, address: SocketAddr, connection_limit: u32) -> Result<(), ConnectError> {
         let mut addresses = self.lock();
         if addresses.len() >= MAX_ADDRESSES && !addresses.contains_key(&address) {
-            return Err(PoolError::Full);
+            return Err(ConnectError::Full);
         }
         let entry = addresses.entry(address).or_default();
         if entry.open >= connection_limit && entry.idle.pop().is_none() {
-            return Err(PoolError::Full);
+            return Err(ConnectError::Full);
         }
         entry.open = entry.open.min(connection_limit.saturating_sub(1)) + 1;
         Ok(())
--- a/src/reverse_proxy/recheck.rs
+++ b/src/reverse_proxy/recheck.rs
@@ -2,15 +2,17 @@
 //!
 //! The dispatcher sends no requests to a server after a connection failure until a health check
 //! succeeds. The server list is no such check, because a crashed server remains listed for seconds.
-//! An accepted connection is one, and it costs less than a failed request.
+//! An accepted connection is one, and it costs less than a failed request. It does not show that the
+//! server has not crashed: another one may have started at its address. Only a response to a later
+//! request does, because servers reject requests for others.
 
 use {
-    super::core::ProxyCore,
+    super::{core::ProxyCore, pool::ProbeResult},
     crate::{ids::ServerId, observe::events, policy::PolicyInput},
     std::{
-        collections::BTreeSet,
-        sync::{Arc, Mutex, PoisonError},
-        time::Duration,
+        collections::{BTreeMap, BTreeSet},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant as StdInstant},
     },
     tokio::time::{Instant, sleep},
 };
@@ -25,9 +27,39 @@
 /// dispatcher has requested a new probe.
 const MAX_PROBES: usize = 16;
 
-/// Servers that are being probed. Each is listed once, so that the view bounds their number.
+/// Servers to which a connection has failed. The view bounds their number.
 #[derive(Default)]
-pub struct RecheckList(Mutex<BTreeSet<ServerId>>);
+pub struct RecheckList(Mutex<RecheckState>);
+
+#[derive(Default)]
+struct RecheckState {
+    /// Servers that are being probed.
+    probed: BTreeSet<ServerId>,
+    /// Servers that have not identified themselves since a connection failed, and when it did.
+    unidentified: BTreeMap<ServerId, StdInstant>,
+}
+
+impl RecheckList {
+    /// Records that a server responded to a request that was sent at `sent`. Returns whether a
+    /// connection had failed before that and the server has not identified itself since.
+    pub fn identify(&self, server: &ServerId, sent: StdInstant) -> bool {
+        let mut state = self.lock();
+        let identifies = state.unidentified.get(server).is_some_and(|failed| *failed < sent);
+        if identifies {
+            state.unidentified.remove(server);
+        }
+        identifies
+    }
+
+    /// Removes the servers that have not identified themselves and are not listed any more.
+    pub fn retain(&self, is_listed: impl Fn(&ServerId) -> bool) {
+        self.lock().unidentified.retain(|server, _| is_listed(server));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RecheckState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
 
 impl ProxyCore {
     /// Probes a server after a connection failure until it is reachable or no longer listed.
@@ -42,8 +74,9 @@
     }
 
     fn recheck_after(self: &Arc<Self>, server: &ServerId, delay: Duration) {
-        let mut servers = self.recheck.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if servers.insert(server.clone()) {
+        let mut state = self.recheck.lock();
+        state.unidentified.insert(server.clone(), StdInstant::now());
+        if state.probed.insert(server.clone()) {
             log::warn!(server = server.as_str(); "{}", events::SERVER_UNAVAILABLE);
             tokio::spawn(Arc::clone(self).run_recheck(server.clone(), delay));
         }
@@ -55,22 +88,29 @@
         for _ in 0..MAX_PROBES {
             let view = self.view();
             let Some(listed) = view.servers.get(&server) else { break };
-            if self.pool.probe(listed.address).await {
-                log::info!(server = server.as_str(), away_ms = since.elapsed().as_millis() as u64;
-                    "{}", events::SERVER_RECOVERED);
-                self.dispatcher.notify(view.health_input(listed));
-                break;
+            match self.pool.probe(listed.address).await {
+                ProbeResult::Accepted => {
+                    log::info!(server = server.as_str(),
+                        away_ms = since.elapsed().as_millis() as u64;
+                        "{}", events::SERVER_RECOVERED);
+                    self.dispatcher.notify(view.health_input(listed));
+                    break;
+                }
+                ProbeResult::Refused => {
+                    self.dispatcher.notify(PolicyInput::ServerEnded { server: server.clone() });
+                }
+                ProbeResult::Unreachable => {}
             }
             sleep(PROBE_INTERVAL).await;
         }
-        self.recheck.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&server);
+        self.recheck.lock().probed.remove(&server);
     }
 
     /// Runs a health check for the dispatcher and reports its result.
     pub async fn probe(&self, server: ServerId) {
         let address = self.view().servers.get(&server).map(|listed| listed.address);
         let answered = match address {
-            Some(address) => self.pool.probe(address).await,
+            Some(address) => self.pool.probe(address).await == ProbeResult::Accepted,
             None => false,
         };
         self.dispatcher.notify(PolicyInput::Probed { server, answered });
--- /dev/null
+++ b/tests/crash_evidence.rs
@@ -0,0 +1,98 @@
+//! Which evidence shows that a request crashes servers, and how long it counts.
+
+use {
+    oleandermount::policy::suspect::{CrashSite, SuspectList},
+    std::time::{Duration, Instant},
+};
+
+const CRASHING: u64 = 1;
+const HARMLESS: u64 = 2;
+const INCARNATION: u64 = 7;
+
+fn site(server: usize) -> CrashSite {
+    CrashSite { crash: server as u64, server, incarnation: Some(INCARNATION) }
+}
+
+/// Records that both requests were in flight at the crashes of these servers.
+fn record_both(list: &mut SuspectList, now: Instant, servers: &[usize]) {
+    for server in servers {
+        list.record_crash(now, CRASHING, site(*server));
+        list.record_crash(now, HARMLESS, site(*server));
+    }
+}
+
+#[test]
+fn identified_server_clears_crash() {
+    let (mut list, now) = (SuspectList::default(), Instant::now());
+    list.record_crash(now, HARMLESS, site(1));
+    list.record_crash(now, HARMLESS, site(2));
+    assert!(list.is_refused(now, HARMLESS));
+    assert!(list.clear_crashes(now, 1, INCARNATION, now + Duration::from_millis(1)));
+    assert_eq!(list.crash_count(now, HARMLESS), 1);
+}
+
+/// Guards against a response that was sent before the crash, and against one of the server's successor.
+#[test]
+fn other_responses_clear_nothing() {
+    let (mut list, now) = (SuspectList::default(), Instant::now());
+    list.record_crash(now, CRASHING, site(1));
+    assert!(!list.clear_crashes(now, 1, INCARNATION, now));
+    assert!(!list.clear_crashes(now, 1, INCARNATION + 1, now + Duration::from_secs(1)));
+    assert_eq!(list.crash_count(now, CRASHING), 1);
+}
+
+/// Guards against a server that returns under the same name and thereby clears its own crash.
+#[test]
+fn confirmed_crash_stays() {
+    let (mut list, now) = (SuspectList::default(), Instant::now());
+    list.record_crash(now, CRASHING, site(1));
+    assert!(list.confirm_crashes(now, 1));
+    let later = now + Duration::from_secs(60);
+    assert!(!list.clear_crashes(later, 1, INCARNATION, later));
+    assert_eq!(list.crash_count(later, CRASHING), 1);
+}
+
+/// Connections that break without further evidence, for example at a network partition, must not refuse a
+/// request for long.
+#[test]
+fn unconfirmed_crash_expires() {
+    let (mut list, now) = (SuspectList::default(), Instant::now());
+    list.record_crash(now, HARMLESS, site(1));
+    list.record_crash(now, HARMLESS, site(2));
+    assert!(list.is_refused(now, HARMLESS));
+    assert_eq!(list.crash_count(now + Duration::from_secs(10), HARMLESS), 0);
+}
+
+/// Guards against a harmless request that is refused because it ran beside a crashing one twice.
+#[test]
+fn third_crash_decides() {
+    let (mut list, now) = (SuspectList::default(), Instant::now());
+    record_both(&mut list, now, &[1, 2]);
+    assert!(!list.is_refused(now, CRASHING) && !list.is_refused(now, HARMLESS));
+    list.record_crash(now, CRASHING, site(3));
+    assert!(list.is_refused(now, CRASHING));
+    assert_eq!(list.crash_count(now, HARMLESS), 0);
+}
+
+#[test]
+fn completed_request_is_cleared() {
+    let (mut list, now) = (SuspectList::default(), Instant::now());
+    record_both(&mut list, now, &[1, 2]);
+    list.clear(now, HARMLESS);
+    assert_eq!(list.crash_count(now, HARMLESS), 0);
+    assert!(list.is_refused(now, CRASHING));
+}
+
+/// The evidence is bounded, and the oldest is dropped first.
+#[test]
+fn records_are_bounded() {
+    let (mut list, began) = (SuspectList::default(), Instant::now());
+    for fingerprint in 0..5_000 {
+        let now = began + Duration::from_millis(fingerprint);
+        (0..10).for_each(|server| list.record_crash(now, fingerprint, site(server)));
+    }
+    let now = began + Duration::from_secs(5);
+    let recorded = (0..5_000).filter(|fingerprint| list.crash_count(now, *fingerprint) > 0);
+    assert_eq!(recorded.collect::<Vec<_>>(), (5_000 - 1_024..5_000).collect::<Vec<_>>());
+    assert!(list.own_reports(now).len() <= 128);
+}
