Share evidence of crashing requests between entries

Six entries spent ten servers within two seconds; 295 would spend 590.

Cause: entries do not exchange the digests in which daemons of the other stack report crashes to each other, and nothing took their place.

Change: an entry sends its reports to the control VM that it follows, at once and every second while there are any. The control VM merges them, passes them to the leader, and returns them with the answers to its followers' polls, which a change ends at once. Nothing is written to the log. Reports are bounded (128, 2.3 KB, at most five times a second: 12 KB/s), expire, and merge in any order. A domain that is cut off shares what its own control VM receives.

Weighed: the replicated table of suspects (a log entry for each crash, and nothing without a leader), and digests between entries (all-to-all at 295).

--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -261,6 +261,7 @@
             PolicyInput::Progress { .. }
             | PolicyInput::Cache(_)
             | PolicyInput::Digest(_)
+            | PolicyInput::CrashReports(_)
             | PolicyInput::PeerFetch { .. }
             | PolicyInput::CacheStoreLink { .. }
             | PolicyInput::RetryReserve { .. }
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -9,6 +9,7 @@
 
 pub mod confirmation;
 pub mod document_delta;
+pub mod evidence;
 pub mod service;
 pub mod task;
 mod transfer;
@@ -19,6 +20,7 @@
         control::document::{NamedWeights, NumberedDocument},
         fleet::{FleetSnapshot, history::FleetDelta},
         ids::{DocumentNumber, FailureDomainId, Term, VmId},
+        policy::suspect::CrashReport,
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
@@ -76,6 +78,8 @@
     pub needs_full: bool,
     /// Whether it is receiving a document, so that it can use no other one until that has arrived.
     pub receives_document: bool,
+    /// The digest of the crash reports that it received; see [`evidence::evidence_digest`].
+    pub evidence: u64,
 }
 
 /// The changes for a follower; `None` where it is up to date.
@@ -106,6 +110,8 @@
     pub term: Term,
     /// The number of the answering VM's document.
     pub held: DocumentNumber,
+    /// All crash reports, if they differ.
+    pub evidence: Option<Vec<CrashReport>>,
     /// The body of `document` as one frame of zstd, if the answering VM has it.
     #[serde(skip)]
     pub packed_body: Option<Arc<[u8]>>,
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -4,6 +4,7 @@
     super::{
         ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, control_digest,
         document_delta::{DocumentChange, DocumentDelta, DocumentHistory},
+        evidence::SharedEvidence,
     },
     crate::{
         control::{
@@ -41,6 +42,7 @@
     failure_domain: FailureDomainId,
     fleet: Arc<FleetView>,
     replica: std::sync::OnceLock<ControlHandle>,
+    evidence: Arc<SharedEvidence>,
     /// The documents that followers may have.
     documents: Mutex<DocumentHistory>,
     /// The time of each follower's last request and the number of entries that it represents; at
@@ -57,6 +59,7 @@
             failure_domain,
             fleet,
             replica: std::sync::OnceLock::new(),
+            evidence: Arc::default(),
             documents: Mutex::default(),
             followers: Mutex::default(),
             total_entries: Mutex::default(),
@@ -70,6 +73,11 @@
         }
     }
 
+    /// The crash reports of the followers and of the leader.
+    pub fn evidence(&self) -> &Arc<SharedEvidence> {
+        &self.evidence
+    }
+
     /// Sets the total number of entries that the leader reported.
     pub fn set_total_entries(&self, entries: u32) {
         *self.total_entries.lock().unwrap_or_else(PoisonError::into_inner) = entries;
@@ -120,7 +128,11 @@
         match request.mode {
             AnswerMode::Suitability => {}
             AnswerMode::Now | AnswerMode::Wait => {
-                self.add_large_changes(&request, &state, &mut reply)
+                self.add_large_changes(&request, &state, &mut reply);
+                let evidence = Arc::clone(&self.evidence.subscribe().borrow());
+                reply.evidence = evidence
+                    .is_news(request.evidence)
+                    .then(|| evidence.reports(std::time::Instant::now()));
             }
         }
         reply.held = state.document().number;
@@ -136,6 +148,7 @@
     async fn changed(&self, replica: &ControlHandle, request: &FollowRequest) {
         let mut documents = replica.documents();
         let mut fleet_watch = self.fleet.subscribe_published();
+        let mut evidence = self.evidence.subscribe();
         let mut status = replica.status_watch();
         loop {
             fleet_watch.mark_unchanged();
@@ -152,7 +165,8 @@
             // reported immediately.
             let is_entry = request.follower == FollowerKind::Entry;
             let has_new_leader = is_entry && term > request.term;
-            if behind || has_new_leader || changed || list_changed {
+            let has_evidence = evidence.borrow_and_update().is_news(request.evidence);
+            if behind || has_new_leader || changed || list_changed || has_evidence {
                 return;
             }
             // A closed channel means that the replica has ended; the request then waits for its
@@ -160,6 +174,7 @@
             let ended = tokio::select! {
                 changed = documents.changed() => changed.is_err(),
                 changed = fleet_watch.changed() => changed.is_err(),
+                changed = evidence.changed() => changed.is_err(),
                 changed = status.changed() => changed.is_err(),
             };
             if ended {
@@ -271,10 +286,10 @@
 
 impl PeerHandler for ControlHandler {
     fn message(&self, from: VmId, message: PeerMessage) {
-        if let (PeerMessage::Replica(message), Some(replica)) =
-            (message, self.service.replica.get())
-        {
-            replica.deliver(from, *message);
+        match (message, self.service.replica.get()) {
+            (PeerMessage::Replica(message), Some(replica)) => replica.deliver(from, *message),
+            (PeerMessage::Digest(digest), _) => self.service.evidence.merge(&digest.suspects),
+            _ => {}
         }
     }
 
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -49,6 +49,14 @@
     /// The role of the follower.
     fn kind(&self) -> FollowerKind;
 
+    /// The digest of the crash reports that it received.
+    fn evidence_digest(&self) -> u64 {
+        0
+    }
+
+    /// Called when the VM that is followed changes; `None` if there is none.
+    fn followed(&self, _peer: Option<&VmId>) {}
+
     /// Called after each answer of the VM that is followed, with or without changes; `state`
     /// includes it. Answers to suitability requests are not reported, since they do not contain the
     /// complete state.
@@ -138,7 +146,11 @@
     pub async fn run(mut self) {
         loop {
             match self.select_peer().await {
-                Some((peer, suitability)) => self.follow_peer(&peer, suitability).await,
+                Some((peer, suitability)) => {
+                    self.port.followed(Some(&peer));
+                    self.follow_peer(&peer, suitability).await;
+                    self.port.followed(None);
+                }
                 None => self.pause().await,
             }
         }
@@ -312,6 +324,7 @@
             mode,
             needs_full: held.needs_full,
             receives_document: self.transfer.is_some(),
+            evidence: self.port.evidence_digest(),
         };
         let request = PeerRequest::Follow(Box::new(request));
         let received = || {
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -237,6 +237,9 @@
             PolicyInput::Cache(event) => self.record_cache(&event),
             PolicyInput::Health { server, health } => self.record_health(now, &server, health),
             PolicyInput::Reachable { domains } => self.record_reachable(domains),
+            PolicyInput::CrashReports(reports) => {
+                self.suspects.merge_reports(now, &reports);
+            }
             PolicyInput::Digest(digest) => self.merge_digest(now, digest),
             PolicyInput::ServerEnded { server } => self.record_end(now, &server),
             PolicyInput::ServerIdentified { server, incarnation, sent } => {
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -77,6 +77,8 @@
     },
     /// A digest from another daemon of the same failure domain.
     Digest(DomainDigest),
+    /// Evidence on requests that crash servers, observed by other daemons.
+    CrashReports(Vec<CrashReport>),
     /// The link to the engines' shared KV cache store changed.
     CacheStoreLink {
         /// This daemon's share of the link bandwidth, in tokens per second; `None` if no store is
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -11,7 +11,7 @@
         ids::{ModelId, ServerId, ServiceId, VmId, WeightsNumber},
         inventory::DecisionObjective,
         pipeline::{DispatcherHandle, DrainGate},
-        policy::{LoadReport, PolicyInput},
+        policy::{LoadReport, PolicyInput, suspect::CrashReport},
     },
     arc_swap::ArcSwap,
     std::{
@@ -23,6 +23,7 @@
         },
         time::Instant,
     },
+    tokio::sync::watch,
 };
 
 /// Fractional part of the golden ratio. The fractional parts of its successive multiples are evenly
@@ -62,6 +63,8 @@
     /// The weights and the incarnation that responses have reported, by server of the view.
     reported_weights: Mutex<BTreeMap<ServerId, (u64, WeightsNumber)>>,
     split_counter: AtomicU64,
+    /// The dispatcher's reports on crashes, repeated while there are any.
+    crash_reports: watch::Sender<Vec<CrashReport>>,
 }
 
 impl ProxyCore {
@@ -80,9 +83,22 @@
             view: ArcSwap::default(),
             reported_weights: Mutex::default(),
             split_counter: AtomicU64::new(0),
+            crash_reports: watch::channel(Vec::new()).0,
         })
     }
 
+    /// The dispatcher's reports on crashes for other daemons.
+    pub fn crash_reports(&self) -> watch::Receiver<Vec<CrashReport>> {
+        self.crash_reports.subscribe()
+    }
+
+    /// Publishes the dispatcher's reports on crashes.
+    pub fn publish_crash_reports(&self, reports: Vec<CrashReport>) {
+        if !reports.is_empty() {
+            self.crash_reports.send_replace(reports);
+        }
+    }
+
     /// The current view.
     pub fn view(&self) -> Arc<ProxyView> {
         self.view.load_full()
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -21,6 +21,7 @@
         fleet::watch::{FleetSource, FleetView, publish_list, read_list},
         follow::{
             FollowReply, FollowerKind, SharedState,
+            evidence::evidence_digest,
             service::{ControlHandler, FollowService},
             task::{FollowTask, FollowerPort},
         },
@@ -32,7 +33,10 @@
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         path::PathBuf,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{
@@ -108,6 +112,13 @@
         let lease = replica.clone();
         tasks.spawn(read_list(Arc::clone(&fleet_view), source, move || lease.lease_valid()));
         tasks.spawn(publish_list(Arc::clone(&fleet_view)));
+        let (evidence, status) = (Arc::clone(follow_service.evidence()), replica.status_watch());
+        tasks.spawn({
+            let (evidence, network) = (Arc::clone(&evidence), network.clone());
+            let leader = move || status.borrow().leader.clone();
+            async move { evidence.report_to_leader(network, leader).await }
+        });
+        tasks.spawn(async move { evidence.publish().await });
         spawn_follower(&settings, &network, &replica, &follow_service, &fleet_view, &mut tasks);
         let (known_peers, known_peer_watch) = watch::channel(settings.founders.clone());
         tasks.spawn(log_group_search(replica.clone(), known_peer_watch.clone()));
@@ -203,6 +214,7 @@
     let port = Arc::new(ControlFollower {
         follow_service: Arc::clone(follow_service),
         fleet_view: Arc::clone(fleet_view),
+        evidence: AtomicU64::new(0),
     });
     let (state, _) = watch::channel(SharedState::default());
     let domain = settings.failure_domain.clone();
@@ -396,6 +408,8 @@
 struct ControlFollower {
     follow_service: Arc<FollowService>,
     fleet_view: Arc<FleetView>,
+    /// The digest of the leader's last crash reports.
+    evidence: AtomicU64,
 }
 
 impl FollowerPort for ControlFollower {
@@ -403,7 +417,15 @@
         FollowerKind::Control { entries: self.follow_service.own_entries() }
     }
 
+    fn evidence_digest(&self) -> u64 {
+        self.evidence.load(Ordering::Relaxed)
+    }
+
     fn reply_received(&self, reply: &FollowReply, state: &SharedState) {
+        if let Some(reports) = &reply.evidence {
+            self.evidence.store(evidence_digest(reports), Ordering::Relaxed);
+            self.follow_service.evidence().merge(reports);
+        }
         self.follow_service.set_total_entries(reply.entries);
         if reply.list_fresh {
             self.fleet_view.apply_leader_list(state.fleet.clone());
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -9,6 +9,7 @@
         fleet::watch::ListMonitor,
         follow::{
             FollowReply, FollowerKind, SharedState,
+            evidence::{evidence_digest, send_own_reports},
             service::EntryHandler,
             task::{FollowTask, FollowerPort},
         },
@@ -30,7 +31,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant as StdInstant},
     },
@@ -158,7 +159,14 @@
         let core = start_core(core_settings, dialect, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
-        let follower = Arc::new(EntryFollower { list_monitor: Mutex::default() });
+        let (followed, followed_watch) = watch::channel(None);
+        let follower = Arc::new(EntryFollower {
+            core: Arc::clone(&core),
+            list_monitor: Mutex::default(),
+            evidence: AtomicU64::new(0),
+            followed,
+        });
+        tasks.spawn(send_own_reports(network.clone(), core.crash_reports(), followed_watch));
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
         tasks.spawn(task.run());
         let directory = Arc::new(ControlDirectory::new(network.clone(), control, candidates));
@@ -234,9 +242,13 @@
     }
 }
 
-/// Logs when the control VMs lose the server list.
+/// Logs when the control VMs lose the server list, and passes on what other entries have reported.
 struct EntryFollower {
+    core: Arc<ProxyCore>,
     list_monitor: Mutex<ListMonitor>,
+    /// The digest of the last crash reports.
+    evidence: AtomicU64,
+    followed: watch::Sender<Option<VmId>>,
 }
 
 impl FollowerPort for EntryFollower {
@@ -244,10 +256,22 @@
         FollowerKind::Entry
     }
 
+    fn evidence_digest(&self) -> u64 {
+        self.evidence.load(Ordering::Relaxed)
+    }
+
+    fn followed(&self, peer: Option<&VmId>) {
+        self.followed.send_replace(peer.cloned());
+    }
+
     fn reply_received(&self, reply: &FollowReply, state: &SharedState) {
         let known = state.fleet.as_ref().map_or(0, |fleet| fleet.servers.len());
         let mut list_monitor = self.list_monitor.lock().unwrap_or_else(PoisonError::into_inner);
         list_monitor.record_confirmation(reply.list_fresh, known);
+        if let Some(reports) = &reply.evidence {
+            self.evidence.store(evidence_digest(reports), Ordering::Relaxed);
+            self.core.dispatcher.notify(PolicyInput::CrashReports(reports.clone()));
+        }
     }
 }
 
@@ -279,16 +303,20 @@
     core
 }
 
-/// Carries out the dispatcher's probes. Other tasks need no action: a cancelled attempt's
-/// connection is already closed, which its server treats as the cancellation.
+/// Carries out the dispatcher's probes and publishes its crash reports. A cancelled attempt needs no
+/// action: its connection is already closed, which its server treats as the cancellation.
 async fn run_dispatch_tasks(
     core: Arc<ProxyCore>,
     mut dispatch_tasks: mpsc::Receiver<DispatchTask>,
 ) {
     while let Some(task) = dispatch_tasks.recv().await {
-        if let DispatchTask::Probe { server } = task {
-            let core = Arc::clone(&core);
-            tokio::spawn(async move { core.probe(server).await });
+        match task {
+            DispatchTask::Probe { server } => {
+                let core = Arc::clone(&core);
+                tokio::spawn(async move { core.probe(server).await });
+            }
+            DispatchTask::Publish(digest) => core.publish_crash_reports(digest.suspects),
+            DispatchTask::Cancel { .. } => {}
         }
     }
 }
