--- a/tests/shared_evidence.rs
+++ b/tests/shared_evidence.rs
@@ -105,7 +105,7 @@
                 control[message.domain].merge_reports(now, &message.reports);
             }
         }
-        let lost = |random: &mut Xoshiro256PlusPlus| random.next_u64() % LOSS == 0;
+        let lost = |random: &mut Xoshiro256PlusPlus| random.next_u64().is_multiple_of(LOSS);
         // Every second step a request arrives at a random entry.
         let entry = (random.next_u64() % ENTRIES as u64) as usize;
         if step % 2 == 0 && !entries[entry].is_refused(now, CRASHING) {
@@ -130,8 +130,8 @@
             }
         }
         // The control VMs exchange what they have through the leader.
-        for domain in 0..DOMAINS {
-            let reports = control[domain].all_reports(now);
+        for list in &control {
+            let reports = list.all_reports(now);
             if !reports.is_empty() && step % 4 == 0 && !lost(&mut random) {
                 sent.extend((0..DOMAINS).map(|other| DelayedReports {
                     step: step + STEPS_TO_OTHERS,
