Report single crashes for half a minute only

A crash interrupts some twenty harmless requests, and those whose callers do not return are never cleared. Each entry repeated them every second for ten minutes, up to 2.3 KB/s at every entry (derived). A fingerprint with two crashes is reported as long as before; entries keep what they were told. single_crashes_are_reported_briefly holds it.

--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -51,6 +51,10 @@
 /// Retention of confirmed crashes. Callers stop resending within minutes.
 const CONFIRMED_RETENTION: Duration = Duration::from_secs(600);
 
+/// How long the only crash of a fingerprint is reported. Each crash interrupts harmless requests whose
+/// callers do not return, and which are therefore never cleared.
+const SINGLE_REPORT_TIME: Duration = Duration::from_secs(30);
+
 /// Retention of cleared evidence, in which all daemons learn that it is cleared.
 const CLEARED_RETENTION: Duration = Duration::from_secs(10);
 
@@ -274,8 +278,9 @@
         for (fingerprint, crashes) in &self.records {
             let crash_count = counted(now, crashes).count();
             for (crash, record) in crashes {
-                if included(record) && record.is_retained(now) {
-                    let age = now.saturating_duration_since(record.since);
+                let age = now.saturating_duration_since(record.since);
+                let is_due = crash_count > 1 || age < SINGLE_REPORT_TIME;
+                if included(record) && record.is_retained(now) && is_due {
                     let report = CrashReport {
                         fingerprint: *fingerprint,
                         crash: *crash,
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -83,6 +83,20 @@
     assert!(list.is_refused(now, CRASHING));
 }
 
+/// Guards against daemons that repeat every interrupted request for minutes.
+#[test]
+fn single_crashes_are_reported_briefly() {
+    let (mut list, now) = (SuspectList::default(), Instant::now());
+    list.record_crash(now, HARMLESS, site(1));
+    list.record_crash(now, CRASHING, site(1));
+    list.record_crash(now, CRASHING, site(2));
+    list.confirm_crashes(now, 1);
+    list.confirm_crashes(now, 2);
+    assert_eq!(list.own_reports(now).len(), 3);
+    let later = list.own_reports(now + Duration::from_secs(60));
+    assert!(later.len() == 2 && later.iter().all(|report| report.fingerprint == CRASHING));
+}
+
 /// The evidence is bounded, and the oldest is dropped first.
 #[test]
 fn records_are_bounded() {
