Let daemons with rare requests use a part of their share

After 4 s without a request the credit started again from a random part of one request, so that a daemon with a request every 5 s never earned the credit for one. It now starts with what is earned in 2 s as well. rare_requests_are_sent: 295 daemons with a request every 5 s each send at least 8 a second of a limit of 40; the bounds of the other tests hold as before.

--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -6,9 +6,9 @@
 //!
 //! A daemon earns credit at the rate of its share while it has requests that the server could run,
 //! and spends one unit for each request. The sum must also hold for hundreds of daemons, each of
-//! which earns less than one request in minutes. So the credit of a daemon that was idle does not
-//! count, since all of them could spend theirs in the same second, and it begins at a random part of
-//! one request, so that daemons that learn of the limit at the same time spend theirs at different
+//! which earns less than one request in minutes. So hardly any credit is earned in an idle time,
+//! since all daemons could spend theirs in the same second, and it begins at a random part of one
+//! request, so that daemons that learn of the limit at the same time spend theirs at different
 //! times. A response without a limit ends it; the paced requests suffice to learn of that.
 
 use std::time::{Duration, Instant};
@@ -19,9 +19,14 @@
 /// Largest credit as a time span at the daemon's rate, and at least one request.
 const BURST: Duration = Duration::from_millis(250);
 
-/// A daemon without requests for the server for this time starts again without earned credit.
+/// A daemon without requests for the server for this time starts again with the credit that it earns
+/// in [`KEPT_TIME`].
 const IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// The part of an idle time in which credit is earned, so that daemons with rare requests can send
+/// some of them.
+const KEPT_TIME: Duration = Duration::from_secs(2);
+
 /// How long a decrease of the number of daemons must last before it counts, since the number is too
 /// low while the daemons look for another control VM.
 const DECREASE_DELAY: Duration = Duration::from_secs(6);
@@ -69,10 +74,11 @@
     }
 
     /// Records that this daemon has a request that the server could run. After an idle time the
-    /// credit is set to the random `phase`.
+    /// credit starts again from the random `phase`.
     pub fn record_want(&mut self, now: Instant, phase: f64) {
         if now.saturating_duration_since(self.wanted) > IDLE_TIME {
-            (self.credit, self.updated) = (phase, now);
+            self.credit = phase + self.rate() * KEPT_TIME.as_secs_f64();
+            self.updated = now;
         }
         self.wanted = now;
     }
--- a/tests/paced_requests.rs
+++ b/tests/paced_requests.rs
@@ -71,6 +71,16 @@
     }
 }
 
+/// Guards against daemons whose requests are so rare that they never earn the credit for one.
+#[test]
+fn rare_requests_are_sent() {
+    let demand: Demand = |daemon, elapsed| elapsed.as_millis() as usize / 20 % 250 == daemon % 250;
+    for seed in 0..SEEDS {
+        let (worst, mean) = simulate(295, 40.0, seed, demand);
+        assert!(worst <= allowed(40.0) && mean >= 8.0, "seed {seed}: {worst}, {mean} a second");
+    }
+}
+
 /// The number of daemons falls for a moment when they look for another control VM.
 #[test]
 fn short_decrease_is_ignored() {
