--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -159,14 +159,7 @@
         let core = start_core(core_settings, dialect, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
-        let (followed, followed_watch) = watch::channel(None);
-        let follower = Arc::new(EntryFollower {
-            core: Arc::clone(&core),
-            list_monitor: Mutex::default(),
-            evidence: AtomicU64::new(0),
-            followed,
-        });
-        tasks.spawn(send_own_reports(network.clone(), core.crash_reports(), followed_watch));
+        let follower = EntryFollower::start(&core, &network, &mut tasks);
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
         tasks.spawn(task.run());
         let directory = Arc::new(ControlDirectory::new(network.clone(), control, candidates));
@@ -251,6 +244,20 @@
     followed: watch::Sender<Option<VmId>>,
 }
 
+impl EntryFollower {
+    /// Starts to send the crash reports of the entry to the control VM that it follows.
+    fn start(core: &Arc<ProxyCore>, network: &PeerNetwork, tasks: &mut JoinSet<()>) -> Arc<Self> {
+        let (followed, followed_watch) = watch::channel(None);
+        tasks.spawn(send_own_reports(network.clone(), core.crash_reports(), followed_watch));
+        Arc::new(EntryFollower {
+            core: Arc::clone(core),
+            list_monitor: Mutex::default(),
+            evidence: AtomicU64::new(0),
+            followed,
+        })
+    }
+}
+
 impl FollowerPort for EntryFollower {
     fn kind(&self) -> FollowerKind {
         FollowerKind::Entry
