--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -132,12 +132,15 @@
     /// not listed any more.
     pub(super) fn update_limits(&mut self, now: Instant, daemons: usize) {
         let servers = &mut self.table.servers;
-        self.limited.retain(|index| match &mut servers[*index].pace {
-            Some(pace) => {
+        self.limited.retain(|index| {
+            let server = &mut servers[*index];
+            if !server.listed {
+                server.pace = None;
+            }
+            if let Some(pace) = &mut server.pace {
                 pace.change(now, pace.limit(), daemons);
-                true
             }
-            None => false,
+            server.pace.is_some()
         });
     }
 
