--- a/src/follow/evidence.rs
+++ b/src/follow/evidence.rs
@@ -104,7 +104,13 @@
         }
     }
 
-    /// The published reports.
+    /// The published reports, if a follower whose reports have this digest lacks any of them.
+    pub fn news(&self, held: u64) -> Option<Vec<CrashReport>> {
+        let table = self.table.borrow();
+        table.is_news(held).then(|| table.reports(StdInstant::now()))
+    }
+
+    /// The published table.
     pub fn subscribe(&self) -> watch::Receiver<Arc<EvidenceTable>> {
         self.table.subscribe()
     }
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -118,8 +118,9 @@
             self.record_follower(from, request.follower);
         }
         if request.mode == AnswerMode::Wait {
-            // After a timeout the reply is sent without changes.
-            let _ = timeout(ANSWER_WAIT, self.changed(replica, &request)).await;
+            // After a timeout the reply is sent without changes. The future is boxed, so that its memory
+            // is free while the reply is sent.
+            let _ = timeout(ANSWER_WAIT, Box::pin(self.changed(replica, &request))).await;
         }
         let status = replica.status();
         let documents = replica.documents();
@@ -129,10 +130,7 @@
             AnswerMode::Suitability => {}
             AnswerMode::Now | AnswerMode::Wait => {
                 self.add_large_changes(&request, &state, &mut reply);
-                let evidence = Arc::clone(&self.evidence.subscribe().borrow());
-                reply.evidence = evidence
-                    .is_news(request.evidence)
-                    .then(|| evidence.reports(std::time::Instant::now()));
+                reply.evidence = self.evidence.news(request.evidence);
             }
         }
         reply.held = state.document().number;
