Require a third crash of streams that had begun

A request that crashes servers does so when it begins to run: in the record all its runs end without an event. A crash after the server has begun to respond is weaker evidence, so that three crashes are needed unless two came before any response.

--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -194,7 +194,7 @@
         let server = &self.table.servers[state.server];
         if failed.failure == AttemptFailure::Broken && server.reachable {
             let site = server.crash_site(state.server);
-            self.suspects.record_crash(now, fingerprint, site);
+            self.suspects.record_crash(now, fingerprint, site, state.answered);
             self.peers.publish_now(now);
             if self.has_crashed_servers(now, fingerprint) {
                 log::warn!(fingerprint:% = format_args!("{fingerprint:016x}"),
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -8,7 +8,8 @@
 //! for every resend, together with the server. A recorded fingerprint runs on a server only while no
 //! other recorded one runs there, and only one request with it runs at a time. After two crashes it
 //! is refused. If other fingerprints were in flight at the same two crashes, a third crash decides
-//! which of them is refused.
+//! which of them is refused. A third one is also needed if the server had begun to respond, since
+//! most requests that crash servers do so at once, and streams are interrupted by every crash.
 //!
 //! A broken connection alone does not show whether the server has crashed. What is learned later
 //! only ever moves the evidence forward: pending, confirmed, cleared. It is confirmed if the server
@@ -32,8 +33,8 @@
 /// requests are in flight at the same time, up to the server's slots.
 pub const CRASHES_TO_REFUSE: usize = 2;
 
-/// Crashes after which a fingerprint is refused while others were in flight at the same crashes.
-const AMBIGUOUS_CRASHES_TO_REFUSE: usize = 3;
+/// Crashes after which a fingerprint is refused on weaker evidence.
+const WEAK_CRASHES_TO_REFUSE: usize = 3;
 
 /// Maximum number of fingerprints; the one with the oldest crash is evicted first.
 const MAX_SUSPECTS: usize = 1_024;
@@ -91,6 +92,8 @@
     pub crash: CrashId,
     /// What is known about it.
     pub evidence: CrashEvidence,
+    /// Whether the server had begun to respond.
+    pub responded: bool,
     /// Whole seconds since the state of the evidence was reached.
     pub age_s: u32,
 }
@@ -111,6 +114,8 @@
     evidence: CrashEvidence,
     /// When the state of the evidence was reached.
     since: Instant,
+    /// Whether the server had begun to respond to all of its requests with the fingerprint.
+    responded: bool,
     /// The server, if this daemon observed the crash and the server is still listed.
     site: Option<CrashSite>,
     /// Whether this daemon observed the crash.
@@ -150,9 +155,14 @@
     /// Returns the number of crashes that a fingerprint may have caused. Crashes that another
     /// fingerprint with more crashes explains do not count.
     pub fn crash_count(&self, now: Instant, fingerprint: u64) -> usize {
-        let Some(crashes) = self.records.get(&fingerprint) else { return 0 };
-        let own = counted(now, crashes).count();
-        let is_explained = |crash: CrashId| {
+        self.unexplained(now, fingerprint).count()
+    }
+
+    /// Returns the records of the crashes that no other fingerprint explains.
+    fn unexplained(&self, now: Instant, fingerprint: u64) -> impl Iterator<Item = &CrashRecord> {
+        let crashes = self.records.get(&fingerprint);
+        let own = crashes.map_or(0, |crashes| counted(now, crashes).count());
+        let is_explained = move |crash: CrashId| {
             self.records.values().any(|other| {
                 // Most fingerprints have one crash, so that the lengths decide.
                 other.len() > own
@@ -160,14 +170,21 @@
                     && counted(now, other).count() > own
             })
         };
-        counted(now, crashes).filter(|crash| !is_explained(*crash)).count()
+        crashes
+            .into_iter()
+            .flatten()
+            .filter(move |(crash, record)| record.counts(now) && !is_explained(**crash))
+            .map(|(_, record)| record)
     }
 
     /// Returns whether requests with this fingerprint are refused.
     pub fn is_refused(&self, now: Instant, fingerprint: u64) -> bool {
         let crash_count = self.crash_count(now, fingerprint);
-        crash_count >= AMBIGUOUS_CRASHES_TO_REFUSE
-            || (crash_count >= CRASHES_TO_REFUSE && !self.is_ambiguous(now, fingerprint))
+        let at_once = || self.unexplained(now, fingerprint).filter(|record| !record.responded);
+        crash_count >= WEAK_CRASHES_TO_REFUSE
+            || (crash_count >= CRASHES_TO_REFUSE
+                && at_once().count() >= CRASHES_TO_REFUSE
+                && !self.is_ambiguous(now, fingerprint))
     }
 
     /// Returns whether another fingerprint was in flight at all crashes of this one.
@@ -181,8 +198,15 @@
         self.records.iter().any(|(other, records)| *other != fingerprint && was_in_flight(records))
     }
 
-    /// Records that a request was in flight when its connection to a server broke.
-    pub fn record_crash(&mut self, now: Instant, fingerprint: u64, site: CrashSite) {
+    /// Records that a request was in flight when its connection to a server broke, and whether the
+    /// server had begun to respond.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        fingerprint: u64,
+        site: CrashSite,
+        responded: bool,
+    ) {
         self.make_room(fingerprint);
         let crashes = self.records.entry(fingerprint).or_default();
         crashes.retain(|_, record| record.is_retained(now));
@@ -192,10 +216,12 @@
         let record = crashes.entry(site.crash).or_insert(CrashRecord {
             evidence: CrashEvidence::Pending,
             since: now,
+            responded,
             site: Some(site),
             is_own: true,
         });
         (record.site, record.is_own) = (Some(site), true);
+        record.responded &= responded;
     }
 
     /// Confirms the crashes of a server that has ended. Returns whether any were pending.
@@ -251,9 +277,12 @@
             crashes.retain(|_, record| record.is_retained(now));
             if let Some(record) = crashes.get_mut(&report.crash) {
                 changed |= record.advance(since, report.evidence);
+                changed |= record.responded && !report.responded;
+                record.responded &= report.responded;
             } else if crashes.len() < MAX_CRASHES {
                 let evidence = report.evidence;
-                let record = CrashRecord { evidence, since, site: None, is_own: false };
+                let responded = report.responded;
+                let record = CrashRecord { evidence, since, responded, site: None, is_own: false };
                 crashes.insert(report.crash, record);
                 changed = true;
             }
@@ -285,6 +314,7 @@
                         fingerprint: *fingerprint,
                         crash: *crash,
                         evidence: record.evidence,
+                        responded: record.responded,
                         age_s: age.as_secs() as u32,
                     };
                     reports.push((Reverse(crash_count), age, report));
