Refuse lookups at once as well if the limits of servers come too late

What callers saw: a lookup waited for its whole deadline, although the time of the next credit was known and later, and was then refused. Cause: status calls were left out, as they are where they wait for a server that may return at any time; the time of a credit does not change by waiting. excess_is_refused_at_once sends lookups too: 2.0 s for four requests before, under 0.5 s now. A resumed stream still waits, since its caller has a part of the answer.

--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -248,8 +248,9 @@
             return PlacementDecision::Refuse(RefusalReason::NoServer);
         }
         let is_limited = !available.iter().any(|server| server.is_within_limit(now));
-        let exempt = request.history.relayed > 0 || request.ticket.is_status_call();
-        if is_limited && !exempt && now + self.limit_delay(now, pool) >= request.ticket.deadline {
+        let is_resumed = request.history.relayed > 0;
+        if is_limited && !is_resumed && now + self.limit_delay(now, pool) >= request.ticket.deadline
+        {
             return PlacementDecision::Refuse(RefusalReason::ServersLimited);
         }
         PlacementDecision::Wait
