Keep the fingerprints of organisations apart

A request that crashes servers is recorded by a hash. In the reverse proxy the organisation, the method, the path, the query and the body were hashed as one text without their bounds, so that organisation acm with a method of its own could form the hash of a request of acme; in the other stack the hash of a prompt did not contain the organisation at all. With evidence shared by all entries one organisation could have another's request refused everywhere. The upper 24 bits now depend on the organisation alone, and parts are hashed with their lengths. fingerprints_tell_requests_apart holds it. Ruled out: a longer hash in messages and tables, which would not tell organisations apart by construction either.

--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -23,6 +23,7 @@
         observe::metrics::refusal,
         policy::{
             AttemptFailure, PolicyInput, RequestTicket, RequestWork, SendOrder, prefix::cache_salt,
+            suspect,
         },
     },
     serde_json::{Value, json},
@@ -159,7 +160,10 @@
         class: caller.class,
         deadline: caller.deadline,
         repeatable: true,
-        fingerprint: prompt.fingerprint,
+        fingerprint: suspect::fingerprint(
+            &caller.organisation,
+            &[&prompt.fingerprint.to_le_bytes()],
+        ),
         work: RequestWork::Model {
             model: prompt.model.clone(),
             adapter: prompt.adapter.clone(),
--- a/src/pipeline/service_call.rs
+++ b/src/pipeline/service_call.rs
@@ -19,13 +19,12 @@
         observe::metrics::refusal,
         policy::{
             AttemptFailure, DidRun, PolicyInput, RefusalReason, RequestTicket, RequestWork,
-            SendOrder,
+            SendOrder, suspect,
         },
     },
     sha2::{Digest, Sha256},
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// How long a non-repeatable call waits for its response after sending, also beyond the caller's
@@ -235,7 +234,10 @@
         class: call.caller.class,
         deadline: call.caller.deadline,
         repeatable: repeat == Repeat::Allowed,
-        fingerprint: xxh3_64(call_digest(call).as_bytes()),
+        fingerprint: suspect::fingerprint(
+            &call.caller.organisation,
+            &[call_digest(call).as_bytes()],
+        ),
         work: RequestWork::Service { service: call.service.clone() },
     }
 }
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -177,8 +177,8 @@
     pub deadline: Instant,
     /// Whether it may be executed more than once.
     pub repeatable: bool,
-    /// Hash of the complete request, identical for every resend. Identifies requests that crash
-    /// servers.
+    /// Hash of the organisation and the complete request, identical for every resend; see
+    /// [`suspect::fingerprint`](super::suspect::fingerprint). Identifies requests that crash servers.
     pub fingerprint: u64,
     /// The requested work.
     pub work: RequestWork,
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -27,6 +27,7 @@
         collections::BTreeMap,
         time::{Duration, Instant},
     },
+    xxhash_rust::xxh3::{Xxh3, xxh3_64},
 };
 
 /// Crashes after which a fingerprint is refused. One crash is not sufficient evidence, since other
@@ -59,6 +60,23 @@
 /// Retention of cleared evidence, in which all daemons learn that it is cleared.
 const CLEARED_RETENTION: Duration = Duration::from_secs(10);
 
+/// Bits of a fingerprint that depend on the organisation alone.
+const ORGANISATION_BITS: u32 = 24;
+
+/// Returns the fingerprint of a request with these parts. Its upper bits depend on the organisation
+/// alone, so that no request of one organisation can be made to collide with one of another, whose
+/// requests would then be refused with it.
+pub fn fingerprint(organisation: &str, parts: &[&[u8]]) -> u64 {
+    let mut content = Xxh3::new();
+    for part in parts {
+        content.update(&(part.len() as u64).to_le_bytes());
+        content.update(part);
+    }
+    let content_bits = u64::BITS - ORGANISATION_BITS;
+    let organisation = xxh3_64(organisation.as_bytes()) >> content_bits << content_bits;
+    organisation | content.digest() >> ORGANISATION_BITS
+}
+
 /// Identifier of a crash: a hash of the server and its incarnation, equal on every daemon.
 pub type CrashId = u64;
 
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -12,6 +12,7 @@
         policy::{
             PrefixLevel, RequestTicket, RequestWork,
             prefix::{self, PromptSegment},
+            suspect,
         },
         routing::CallerLimits,
     },
@@ -21,7 +22,6 @@
     hyper::body::{Body, Incoming},
     std::time::{Duration, Instant},
     tokio::time::timeout,
-    xxhash_rust::xxh3::Xxh3,
 };
 
 /// `Retry-After` while no routes are known: a restarted proxy receives them within this time.
@@ -161,12 +161,13 @@
 
     /// Hash of the request without its id, equal for retries by the caller.
     fn fingerprint(&self) -> u64 {
-        let mut hash = Xxh3::new();
-        hash.update(self.caller.organisation.as_bytes());
-        hash.update(self.head.method.as_str().as_bytes());
-        hash.update(self.head.uri.path().as_bytes());
-        hash.update(self.head.uri.query().unwrap_or_default().as_bytes());
-        hash.update(&self.body);
-        hash.digest()
+        let uri = &self.head.uri;
+        let parts = [
+            self.head.method.as_str().as_bytes(),
+            uri.path().as_bytes(),
+            uri.query().unwrap_or_default().as_bytes(),
+            &self.body,
+        ];
+        suspect::fingerprint(&self.caller.organisation, &parts)
     }
 }
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -1,7 +1,7 @@
 //! Which evidence shows that a request crashes servers, and how long it counts.
 
 use {
-    oleandermount::policy::suspect::{CrashSite, SuspectList},
+    oleandermount::policy::suspect::{CrashSite, SuspectList, fingerprint},
     std::time::{Duration, Instant},
 };
 
@@ -108,6 +108,24 @@
     assert!(later.len() == 2 && later.iter().all(|report| report.fingerprint == CRASHING));
 }
 
+/// Guards against a request that is refused because of one of another organisation, or because its parts
+/// read the same when they are joined.
+#[test]
+fn fingerprints_tell_requests_apart() {
+    let parts: [&[u8]; 4] = [b"POST", b"/a", b"b", b"body"];
+    let of_first = fingerprint("first", &parts);
+    assert_eq!(of_first, fingerprint("first", &parts));
+    assert_ne!(of_first, fingerprint("first", &[b"POST", b"/ab", b"", b"body"]));
+    assert_ne!(of_first, fingerprint("firstP", &[b"OST", b"/a", b"b", b"body"]));
+    // Whatever the requests are, those of two organisations differ.
+    let organisation_of = |fingerprint: u64| fingerprint >> 40;
+    for number in 0..1_000_u32 {
+        let parts: [&[u8]; 1] = [&number.to_le_bytes()];
+        assert_eq!(organisation_of(fingerprint("first", &parts)), organisation_of(of_first));
+        assert_ne!(organisation_of(fingerprint("second", &parts)), organisation_of(of_first));
+    }
+}
+
 /// The evidence is bounded, and the oldest is dropped first.
 #[test]
 fn records_are_bounded() {
