Weaken the evidence of servers that end at the same time

A request runs on one server at a time and needs some time to crash it, so that three ends within 200 ms have another cause. Their evidence is weak now, as that of streams is: three crashes are needed. Tried in thought only and left out: to ignore what breaks at once on a reused connection, since a request that crashes servers in their parser would then never be isolated.

--- a/src/follow/evidence.rs
+++ b/src/follow/evidence.rs
@@ -42,7 +42,7 @@
     for report in reports {
         hash.update(&report.fingerprint.to_be_bytes());
         hash.update(&report.crash.to_be_bytes());
-        hash.update(&[report.evidence as u8, report.responded.into()]);
+        hash.update(&[report.evidence as u8, report.is_weak.into()]);
     }
     hash.digest().max(1)
 }
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -8,8 +8,9 @@
 //! for every resend, together with the server. A recorded fingerprint runs on a server only while no
 //! other recorded one runs there, and only one request with it runs at a time. After two crashes it
 //! is refused. If other fingerprints were in flight at the same two crashes, a third crash decides
-//! which of them is refused. A third one is also needed if the server had begun to respond, since
-//! most requests that crash servers do so at once, and streams are interrupted by every crash.
+//! which of them is refused. A third one is also needed where other causes are likely: if the server
+//! had begun to respond, since most requests that crash servers do so at once, or if several servers
+//! ended at the same time, since a request runs on one server at a time.
 //!
 //! A broken connection alone does not show whether the server has crashed. What is learned later
 //! only ever moves the evidence forward: pending, confirmed, cleared. It is confirmed if the server
@@ -37,12 +38,22 @@
 /// Crashes after which a fingerprint is refused on weaker evidence.
 const WEAK_CRASHES_TO_REFUSE: usize = 3;
 
+/// Number of servers whose end within [`SIMULTANEOUS`] has another cause than a request.
+const SIMULTANEOUS_ENDS: usize = 3;
+
+/// Time span in which the connections to servers break that end together. A request that crashes its
+/// servers needs this long to end that many of them.
+const SIMULTANEOUS: Duration = Duration::from_millis(200);
+
 /// Maximum number of fingerprints; the one with the oldest crash is evicted first.
 const MAX_SUSPECTS: usize = 1_024;
 
 /// Maximum number of crashes recorded for a fingerprint.
 const MAX_CRASHES: usize = 4;
 
+/// Maximum number of servers that are recorded as ended at the same time.
+const MAX_ENDS: usize = 64;
+
 /// Maximum number of reports in a digest.
 pub const MAX_PUBLISHED: usize = 128;
 
@@ -110,8 +121,8 @@
     pub crash: CrashId,
     /// What is known about it.
     pub evidence: CrashEvidence,
-    /// Whether the server had begun to respond.
-    pub responded: bool,
+    /// Whether another cause is likely.
+    pub is_weak: bool,
     /// Whole seconds since the state of the evidence was reached.
     pub age_s: u32,
 }
@@ -132,8 +143,9 @@
     evidence: CrashEvidence,
     /// When the state of the evidence was reached.
     since: Instant,
-    /// Whether the server had begun to respond to all of its requests with the fingerprint.
-    responded: bool,
+    /// Whether another cause is likely: the server had begun to respond, or several servers ended at
+    /// the same time.
+    is_weak: bool,
     /// The server, if this daemon observed the crash and the server is still listed.
     site: Option<CrashSite>,
     /// Whether this daemon observed the crash.
@@ -167,6 +179,8 @@
 pub struct SuspectList {
     /// Holds at most [`MAX_SUSPECTS`] entries.
     records: BTreeMap<u64, CrashMap>,
+    /// Servers that ended within [`SIMULTANEOUS`], and when; at most [`MAX_ENDS`].
+    ends: BTreeMap<CrashId, Instant>,
 }
 
 impl SuspectList {
@@ -198,10 +212,10 @@
     /// Returns whether requests with this fingerprint are refused.
     pub fn is_refused(&self, now: Instant, fingerprint: u64) -> bool {
         let crash_count = self.crash_count(now, fingerprint);
-        let at_once = || self.unexplained(now, fingerprint).filter(|record| !record.responded);
+        let strong = || self.unexplained(now, fingerprint).filter(|record| !record.is_weak);
         crash_count >= WEAK_CRASHES_TO_REFUSE
             || (crash_count >= CRASHES_TO_REFUSE
-                && at_once().count() >= CRASHES_TO_REFUSE
+                && strong().count() >= CRASHES_TO_REFUSE
                 && !self.is_ambiguous(now, fingerprint))
     }
 
@@ -234,12 +248,32 @@
         let record = crashes.entry(site.crash).or_insert(CrashRecord {
             evidence: CrashEvidence::Pending,
             since: now,
-            responded,
+            is_weak: responded,
             site: Some(site),
             is_own: true,
         });
         (record.site, record.is_own) = (Some(site), true);
-        record.responded &= responded;
+        record.is_weak |= responded;
+        self.ends.retain(|_, at| now.saturating_duration_since(*at) < SIMULTANEOUS);
+        let is_known = self.ends.contains_key(&site.crash);
+        if self.ends.len() < MAX_ENDS {
+            self.ends.entry(site.crash).or_insert(now);
+        }
+        if self.ends.len() >= SIMULTANEOUS_ENDS {
+            record.is_weak = true;
+            if !is_known {
+                self.weaken_simultaneous();
+            }
+        }
+    }
+
+    /// Marks the evidence of servers that ended at the same time as weak.
+    fn weaken_simultaneous(&mut self) {
+        for crashes in self.records.values_mut() {
+            for (crash, record) in crashes {
+                record.is_weak |= self.ends.contains_key(crash);
+            }
+        }
     }
 
     /// Confirms the crashes of a server that has ended. Returns whether any were pending.
@@ -295,12 +329,12 @@
             crashes.retain(|_, record| record.is_retained(now));
             if let Some(record) = crashes.get_mut(&report.crash) {
                 changed |= record.advance(since, report.evidence);
-                changed |= record.responded && !report.responded;
-                record.responded &= report.responded;
+                changed |= report.is_weak && !record.is_weak;
+                record.is_weak |= report.is_weak;
             } else if crashes.len() < MAX_CRASHES {
                 let evidence = report.evidence;
-                let responded = report.responded;
-                let record = CrashRecord { evidence, since, responded, site: None, is_own: false };
+                let is_weak = report.is_weak;
+                let record = CrashRecord { evidence, since, is_weak, site: None, is_own: false };
                 crashes.insert(report.crash, record);
                 changed = true;
             }
@@ -332,7 +366,7 @@
                         fingerprint: *fingerprint,
                         crash: *crash,
                         evidence: record.evidence,
-                        responded: record.responded,
+                        is_weak: record.is_weak,
                         age_s: age.as_secs() as u32,
                     };
                     reports.push((Reverse(crash_count), age, report));
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -85,6 +85,20 @@
     assert!(list.is_refused(now, HARMLESS));
 }
 
+/// Guards against requests that are refused because they were sent again while many servers ended at
+/// the same time.
+#[test]
+fn simultaneous_ends_need_third_crash() {
+    for (gap_ms, is_refused) in [(20, false), (300, true)] {
+        let (mut list, began) = (SuspectList::default(), Instant::now());
+        let at = |number: u32| began + Duration::from_millis(gap_ms) * number;
+        list.record_crash(at(0), HARMLESS, site(1), false);
+        list.record_crash(at(1), HARMLESS, site(2), false);
+        list.record_crash(at(2), CRASHING, site(3), false);
+        assert_eq!(list.is_refused(at(2), HARMLESS), is_refused, "{gap_ms} ms");
+    }
+}
+
 #[test]
 fn completed_request_is_cleared() {
     let (mut list, now) = (SuspectList::default(), Instant::now());
--- a/tests/shared_evidence.rs
+++ b/tests/shared_evidence.rs
@@ -33,7 +33,7 @@
             fingerprint: u64::arbitrary(random) % 4,
             crash: u64::arbitrary(random) % 4,
             evidence: *random.choose(&states).expect("there are states"),
-            responded: bool::arbitrary(random),
+            is_weak: bool::arbitrary(random),
             age_s: 0,
         })
     }
