Tell silent connections from closed ones

What callers saw: requests that were interrupted at two servers whose VMs or links had failed were refused, for up to 10 s, or 10 minutes if the servers then left the list. Cause: a connection that ends because nothing is acknowledged for a second counted as a crash, like one that the server's end closes. A process that crashes closes its connections; a silent one tells of the VM or the network. Such attempts now fail as Unreachable, which is retried and logged as before and is no evidence of a crash.

--- a/src/operator_client/explain_log.rs
+++ b/src/operator_client/explain_log.rs
@@ -253,6 +253,9 @@
         "NotConnected" => "no connection was made, so that server did not run it",
         "Declined" => "the server reported that it did not run it",
         "Stale" => "it was not sent, because the decision was out of date",
+        "Unreachable" => {
+            "its VM stopped acknowledging after it was sent; check the VM and the network"
+        }
         "Broken" => "the connection ended after it was sent; ask that server under this id",
         "TimedOut" => "no response was received in time; ask that server under this id",
         "ServerError" => "the server ran it and responded with an error",
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -346,7 +346,7 @@
                 server.cache.clear_weights();
                 return;
             }
-            AttemptFailure::Broken | AttemptFailure::NotConnected => {
+            AttemptFailure::Broken | AttemptFailure::Unreachable | AttemptFailure::NotConnected => {
                 server.unverified = true;
                 server.failures.record_failure()
             }
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -225,6 +225,9 @@
     Refused,
     /// The connection broke after bytes were sent. The server may have crashed.
     Broken,
+    /// After bytes were sent, the server's VM stopped acknowledging them. The VM or the network failed,
+    /// since a process that crashes closes its connections.
+    Unreachable,
     /// The server responded with a 5xx status.
     ServerError,
     /// The server responded with a 4xx status, which is relayed to the caller.
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -155,7 +155,9 @@
         AttemptFailure::WrongWeights => Some(RetryReason::WrongWeights),
         AttemptFailure::Stale => Some(RetryReason::Stale),
         _ if relayed > 0 => Some(RetryReason::StreamResumed),
-        AttemptFailure::Broken => Some(RetryReason::BrokenBeforeToken),
+        AttemptFailure::Broken | AttemptFailure::Unreachable => {
+            Some(RetryReason::BrokenBeforeToken)
+        }
         AttemptFailure::ServerError => Some(RetryReason::ServerError),
         AttemptFailure::TimedOut => Some(RetryReason::TimedOut),
     }
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -7,7 +7,7 @@
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
         headers::strip_connection,
-        pool::{LeasedConnection, PoolError},
+        pool::{LeasedConnection, PoolError, broken_attempt},
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
@@ -240,10 +240,14 @@
                 self.core.recheck(&order.server);
                 self.report(order, AttemptFailure::NotConnected, from, None)
             }
-            PoolError::Broken => {
+            PoolError::Broken | PoolError::Unreachable => {
+                let failure = match error {
+                    PoolError::Unreachable => AttemptFailure::Unreachable,
+                    _ => AttemptFailure::Broken,
+                };
                 self.runs += 1;
                 self.core.recheck(&order.server);
-                self.report(order, AttemptFailure::Broken, from, None)
+                self.report(order, failure, from, None)
             }
         }
     }
@@ -396,10 +400,14 @@
             () = wait_withdrawn(&mut self.handle, order.attempt) => return AttemptStep::Continue,
             () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
         };
-        let Ok(collected) = collected else {
-            self.core.recheck(&order.server);
-            let failure = self.report(order, AttemptFailure::Broken, &from_start, None);
-            return self.step_after_failure(failure);
+        let collected = match collected {
+            Ok(collected) => collected,
+            Err(error) => {
+                self.core.recheck(&order.server);
+                let failure = broken_attempt(error.as_ref());
+                let failure = self.report(order, failure, &from_start, None);
+                return self.step_after_failure(failure);
+            }
         };
         connection.return_to_pool(head.idle_limit);
         let body = collected.to_bytes();
@@ -444,9 +452,9 @@
                     order,
                 }))
             }
-            Some(Err(_)) => {
+            Some(Err(error)) => {
                 self.core.recheck(&order.server);
-                let failure = self.report(order, AttemptFailure::Broken, &from_start, None);
+                let failure = self.report(order, broken_attempt(&error), &from_start, None);
                 self.step_after_failure(failure)
             }
             None => {
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -7,6 +7,7 @@
 //! is sent again only if the HTTP library has not begun to write it.
 
 use {
+    crate::policy::AttemptFailure,
     bytes::Bytes,
     displaydoc::Display,
     http::{Request, Response},
@@ -69,10 +70,39 @@
     Full,
     /// the connection broke after bytes were sent; the server may have run the request
     Broken,
+    /// the server's VM stopped acknowledging after bytes were sent; it may have run the request
+    Unreachable,
 }
 
 impl std::error::Error for PoolError {}
 
+impl PoolError {
+    fn after_sending(error: &hyper::Error) -> Self {
+        match broken_attempt(error) {
+            AttemptFailure::Unreachable => PoolError::Unreachable,
+            _ => PoolError::Broken,
+        }
+    }
+}
+
+/// Returns how an attempt failed whose connection ended with this error after bytes were sent.
+pub fn broken_attempt(error: &(dyn std::error::Error + 'static)) -> AttemptFailure {
+    let mut source = Some(error);
+    while let Some(cause) = source {
+        let is_silent = |error: &std::io::Error| {
+            matches!(
+                error.kind(),
+                ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+            )
+        };
+        if cause.downcast_ref::<std::io::Error>().is_some_and(is_silent) {
+            return AttemptFailure::Unreachable;
+        }
+        source = cause.source();
+    }
+    AttemptFailure::Broken
+}
+
 /// Result of an attempt to open a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeResult {
@@ -171,7 +201,7 @@
     /// this process to the server.
     ///
     /// # Errors
-    /// All errors except [`PoolError::Broken`] guarantee that no byte was sent.
+    /// [`PoolError::NotConnected`] and [`PoolError::Full`] guarantee that no byte was sent.
     pub async fn send(
         &self,
         address: SocketAddr,
@@ -188,7 +218,7 @@
                     None => {
                         log::debug!(address:% = address, error:% = error.error();
                             "a reused connection broke");
-                        return Err(PoolError::Broken);
+                        return Err(PoolError::after_sending(error.error()));
                     }
                 },
             }
@@ -199,7 +229,11 @@
             Err(mut error) => {
                 log::debug!(address:% = address, error:% = error.error(); "a new connection broke");
                 let unsent = error.take_message().is_some();
-                Err(if unsent { PoolError::NotConnected } else { PoolError::Broken })
+                Err(if unsent {
+                    PoolError::NotConnected
+                } else {
+                    PoolError::after_sending(error.error())
+                })
             }
         }
     }
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -7,7 +7,7 @@
     super::{
         dialect::ResponseHead,
         exchange::{HttpExchange, ResumePosition},
-        pool::LeasedConnection,
+        pool::{LeasedConnection, broken_attempt},
         response::TruncatedResponse,
     },
     crate::{
@@ -171,7 +171,7 @@
                 log::debug!(error:% = error; "a backend server's stream broke");
                 self.source = None;
                 self.incomplete.clear();
-                self.resume().await.map(Some)
+                self.resume(broken_attempt(&error)).await.map(Some)
             }
         }
     }
@@ -196,10 +196,10 @@
     }
 
     /// Resumes the stream at another server after the last relayed event.
-    async fn resume(&mut self) -> Result<Bytes, TruncatedResponse> {
+    async fn resume(&mut self, failure: AttemptFailure) -> Result<Bytes, TruncatedResponse> {
         let exchange = &mut self.exchange;
         exchange.core.recheck(&self.order.server);
-        exchange.report(&self.order, AttemptFailure::Broken, &self.position, None);
+        exchange.report(&self.order, failure, &self.position, None);
         if !self.resumable || !exchange.may_run_again() || self.position.event.is_none() {
             exchange.log_truncated(&self.order, RefusalReason::ServerFailed, self.position.events);
             return Err(TruncatedResponse::BackendFailed);
