Measure what crash reports take, and bound them at a control VM

A control VM sent each change to all its followers at up to five a second, whatever their number: 3.6 MB/s if 295 follow one VM (calculated). The pause between two tables grows with the followers now, which bounds it to some 500 KB/s; the first change is still sent at once. Renamed: is_news, news.

--- a/src/follow/evidence.rs
+++ b/src/follow/evidence.rs
@@ -27,9 +27,12 @@
 
 /// How long a sender collects reports, since one crash interrupts several requests.
 const COLLECT_TIME: Duration = Duration::from_millis(20);
-/// Pause between two messages or two published tables, which bounds what a daemon sends to about 12
-/// KB/s.
+/// Pause between two messages or two published tables, which bounds what a daemon sends to its control
+/// VM, and a control VM to each follower, to about 12 KB/s.
 const SEND_PAUSE: Duration = Duration::from_millis(180);
+/// Pause between two published tables for each follower, which bounds what a control VM sends to all of
+/// them to about 500 KB/s.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(5);
 /// How often reports are repeated, because messages may be lost, and expired ones are removed.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -62,7 +65,7 @@
     }
 
     /// Whether a follower whose reports have this digest lacks any of these.
-    pub fn is_news(&self, held: u64) -> bool {
+    pub fn differs_from(&self, held: u64) -> bool {
         self.digest != 0 && self.digest != held
     }
 
@@ -105,9 +108,9 @@
     }
 
     /// The published reports, if a follower whose reports have this digest lacks any of them.
-    pub fn news(&self, held: u64) -> Option<Vec<CrashReport>> {
+    pub fn reports_for(&self, held: u64) -> Option<Vec<CrashReport>> {
         let table = self.table.borrow();
-        table.is_news(held).then(|| table.reports(StdInstant::now()))
+        table.differs_from(held).then(|| table.reports(StdInstant::now()))
     }
 
     /// The published table.
@@ -115,8 +118,8 @@
         self.table.subscribe()
     }
 
-    /// Publishes what is merged, at bounded intervals; never returns.
-    pub async fn publish(&self) {
+    /// Publishes what is merged, at intervals that depend on the number of followers; never returns.
+    pub async fn publish(&self, followers: impl Fn() -> u32 + Send) {
         loop {
             // The interval removes reports that have expired.
             if timeout(REPEAT_INTERVAL, self.merged.notified()).await.is_ok() {
@@ -130,7 +133,7 @@
                 }
                 changed
             });
-            sleep(SEND_PAUSE).await;
+            sleep(SEND_PAUSE.max(FOLLOWER_PAUSE * followers())).await;
         }
     }
 
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -91,6 +91,11 @@
         followers.values().map(|(_, entries)| *entries).sum()
     }
 
+    /// The number of daemons that follow this VM directly.
+    pub fn follower_count(&self) -> u32 {
+        self.followers.lock().unwrap_or_else(PoisonError::into_inner).len() as u32
+    }
+
     fn entries(&self, status: &ReplicaStatus) -> u32 {
         let reported = *self.total_entries.lock().unwrap_or_else(PoisonError::into_inner);
         let own = self.own_entries();
@@ -130,7 +135,7 @@
             AnswerMode::Suitability => {}
             AnswerMode::Now | AnswerMode::Wait => {
                 self.add_large_changes(&request, &state, &mut reply);
-                reply.evidence = self.evidence.news(request.evidence);
+                reply.evidence = self.evidence.reports_for(request.evidence);
             }
         }
         reply.held = state.document().number;
@@ -163,7 +168,7 @@
             // reported immediately.
             let is_entry = request.follower == FollowerKind::Entry;
             let has_new_leader = is_entry && term > request.term;
-            let has_evidence = evidence.borrow_and_update().is_news(request.evidence);
+            let has_evidence = evidence.borrow_and_update().differs_from(request.evidence);
             if behind || has_new_leader || changed || list_changed || has_evidence {
                 return;
             }
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -115,9 +115,11 @@
 /// Evidence as daemons report it to each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request. As a hash it takes fewer bytes in a fixed length.
+    #[serde(with = "postcard::fixint::le")]
     pub fingerprint: u64,
     /// The crash.
+    #[serde(with = "postcard::fixint::le")]
     pub crash: CrashId,
     /// What is known about it.
     pub evidence: CrashEvidence,
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -118,7 +118,8 @@
             let leader = move || status.borrow().leader.clone();
             async move { evidence.report_to_leader(network, leader).await }
         });
-        tasks.spawn(async move { evidence.publish().await });
+        let service = Arc::clone(&follow_service);
+        tasks.spawn(async move { evidence.publish(move || service.follower_count()).await });
         spawn_follower(&settings, &network, &replica, &follow_service, &fleet_view, &mut tasks);
         let (known_peers, known_peer_watch) = watch::channel(settings.founders.clone());
         tasks.spawn(log_group_search(replica.clone(), known_peer_watch.clone()));
