Log how the end of a stream's body is marked

An incident: streams that servers did not finish reached their callers as complete. Whether the responses had no length, a last chunk in the middle of an event, or a length of just these bytes, decides between two hypotheses, and no log or metric tells it. `framing` is logged with each completed stream now.

--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -6,7 +6,7 @@
     super::{
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
-        headers::strip_connection,
+        headers::{ResponseFraming, strip_connection},
         pool::{LeasedConnection, PoolError, broken_attempt},
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
@@ -70,6 +70,7 @@
 pub(super) struct StartedResponse {
     pub parts: response::Parts,
     pub head: ResponseHead,
+    pub framing: ResponseFraming,
     pub body: Incoming,
     pub connection: LeasedConnection,
 }
@@ -268,8 +269,9 @@
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
                 self.core.record_response(&order.server, model, &head);
+                let framing = ResponseFraming::read(&parts);
                 strip_connection(&mut parts.headers);
-                Ok(StartedResponse { parts, head, body, connection })
+                Ok(StartedResponse { parts, head, framing, body, connection })
             }
             ResponseVerdict::NotExecuted => {
                 self.core.record_identity(&order.server, sent_at);
@@ -393,7 +395,7 @@
         if self.request.caller.route.kind.is_stream() && response.parts.status.is_success() {
             return self.start_stream(order, response).await;
         }
-        let StartedResponse { mut parts, head, body, connection } = response;
+        let StartedResponse { mut parts, head, body, connection, .. } = response;
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
             collected = Limited::new(body, MAX_RESPONSE_BYTES).collect() => collected,
@@ -441,11 +443,12 @@
             Some(Ok(frame)) => {
                 response.parts.headers.remove(http::header::CONTENT_LENGTH);
                 let first = frame.into_data().unwrap_or_default();
-                let StartedResponse { parts, head, body, connection } = response;
+                let StartedResponse { parts, head, framing, body, connection } = response;
                 let order = order.clone();
                 AttemptStep::Stream(Box::new(StreamStart {
                     parts,
                     head,
+                    framing,
                     body,
                     connection,
                     first,
--- a/src/reverse_proxy/headers.rs
+++ b/src/reverse_proxy/headers.rs
@@ -1,6 +1,6 @@
-//! Removal of hop-by-hop headers (RFC 9110, section 7.6.1).
+//! Hop-by-hop headers (RFC 9110, section 7.6.1): their removal, and the framing that they declare.
 
-use http::{HeaderMap, HeaderName, header};
+use http::{HeaderMap, HeaderName, header, response};
 
 /// Hop-by-hop headers that are removed even if `Connection` does not list them.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -31,3 +31,34 @@
         headers.remove(*name);
     });
 }
+
+/// How the end of a backend server's response body is marked (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseFraming {
+    /// By a length.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection, which is also how a crash of the server looks.
+    ConnectionClose,
+}
+
+impl ResponseFraming {
+    /// Reads the framing from a head whose hop-by-hop headers have not been removed.
+    pub fn read(parts: &response::Parts) -> Self {
+        match () {
+            () if parts.headers.contains_key(header::TRANSFER_ENCODING) => ResponseFraming::Chunked,
+            () if parts.headers.contains_key(header::CONTENT_LENGTH) => ResponseFraming::Length,
+            () => ResponseFraming::ConnectionClose,
+        }
+    }
+
+    /// The value in log records.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ResponseFraming::Length => "length",
+            ResponseFraming::Chunked => "chunked",
+            ResponseFraming::ConnectionClose => "connection_close",
+        }
+    }
+}
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -7,6 +7,7 @@
     super::{
         dialect::ResponseHead,
         exchange::{HttpExchange, ResumePosition},
+        headers::ResponseFraming,
         pool::{LeasedConnection, broken_attempt},
         response::TruncatedResponse,
     },
@@ -32,6 +33,7 @@
 pub(super) struct StreamStart {
     pub parts: response::Parts,
     pub head: ResponseHead,
+    pub framing: ResponseFraming,
     pub body: Incoming,
     pub connection: LeasedConnection,
     pub first: Bytes,
@@ -45,6 +47,7 @@
     /// The body of the current server's response; `None` once it has ended.
     source: Option<(Incoming, LeasedConnection)>,
     head: ResponseHead,
+    framing: ResponseFraming,
     /// Received bytes that have not been relayed yet.
     received: Option<Bytes>,
     /// The beginning of an incomplete event, of at most [`MAX_EVENT_BYTES`]; used only if the
@@ -78,7 +81,7 @@
 
 impl RelayedStream {
     pub(super) fn new(exchange: HttpExchange, start: StreamStart) -> Self {
-        let StreamStart { head, body, connection, first, order, .. } = start;
+        let StreamStart { head, framing, body, connection, first, order, .. } = start;
         exchange
             .handle
             .notify(PolicyInput::FirstToken { attempt: order.attempt, cached_tokens: None });
@@ -94,6 +97,7 @@
             order,
             source: Some((body, connection)),
             head,
+            framing,
             received: Some(first),
             incomplete: BytesMut::new(),
             is_finished: false,
@@ -186,6 +190,7 @@
             document = request.document,
             weights = weights.as_deref(),
             sent_to = self.exchange.runs,
+            framing = self.framing.as_str(),
             first_event_ms = self.timing.first.as_millis() as u64,
             longest_pause_ms = self.timing.longest_gap.as_millis() as u64,
             total_ms = self.exchange.waited_ms(),
@@ -257,6 +262,7 @@
             let attempt = order.attempt;
             exchange.handle.notify(PolicyInput::FirstToken { attempt, cached_tokens: None });
             self.head = response.head;
+            self.framing = response.framing;
             self.source = Some((response.body, response.connection));
             self.order = order;
             return Ok(Bytes::new());
