Take a stream that ends inside an event for an interrupted one

What callers saw: 200 with a complete framing and a part of the events, after a model server had crashed in the middle of a stream. Cause: the end of the transport counted as the end of the content. A body without a length ends with its connection, which is also how a crash looks, and a last chunk or a length says only that the server wrote no more.

Evidence: the entry logged `stream answered whole` 1 to 2 ms after the server's run had crashed. Ruled out: an end of the entry's own, which logs `stream cut`.

One reader of the event syntax serves both stacks now and keeps the position in a stream in constant space. The relay takes an end inside an event, or before the first one, for an interruption in every framing and on both kinds of route: it resumes the stream or cuts the response off. The head of a stream that may be resumed is passed on with its first event. HTTP/1.0 callers see a reset. Buffered event streams are checked in both stacks. The end of a connection counts as a broken attempt, a completed framing as a server error, which is no evidence of a crash.

--- a/src/backend/service.rs
+++ b/src/backend/service.rs
@@ -4,6 +4,7 @@
     super::{
         ATTEMPT_HEADER, BackendError,
         connection::{ExchangeLimits, exchange, format_attempt_id},
+        sse::is_interrupted,
     },
     crate::ids::AttemptId,
     bytes::Bytes,
@@ -80,5 +81,8 @@
         .map_err(|_| BackendError::TimedOut(started.elapsed()))?
         .map_err(|_| BackendError::Broken)?
         .to_bytes();
+    if is_interrupted(&content_type, &body) {
+        return Err(BackendError::Broken);
+    }
     Ok(ServiceResponse { status, content_type, retry_after, body })
 }
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -8,12 +8,13 @@
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
         headers::{ResponseFraming, strip_connection},
         pool::{LeasedConnection, PoolError, broken_attempt},
-        relay::{RelayedStream, StreamStart},
+        relay::{RelayedStream, StreamContent, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
         timeout_stream::ConnectionPhase,
     },
     crate::{
+        backend::sse::{EventScanner, MAX_EVENT_BYTES, is_interrupted},
         ids::AttemptId,
         observe::{events, metrics::refusal},
         pipeline::{
@@ -29,7 +30,7 @@
             ServerHealth, prefix::cache_salt,
         },
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{Request, Response, StatusCode, response},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
@@ -395,7 +396,7 @@
         if self.request.caller.route.kind.is_stream() && response.parts.status.is_success() {
             return self.start_stream(order, response).await;
         }
-        let StartedResponse { mut parts, head, body, connection, .. } = response;
+        let StartedResponse { mut parts, head, framing, body, connection } = response;
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
             collected = Limited::new(body, MAX_RESPONSE_BYTES).collect() => collected,
@@ -411,8 +412,15 @@
                 return self.step_after_failure(failure);
             }
         };
-        connection.return_to_pool(head.idle_limit);
         let body = collected.to_bytes();
+        let content_type = parts.headers.get(http::header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        if is_interrupted(content_type, &body) {
+            let failure = self.report(order, framing.incomplete_attempt(), &from_start, None);
+            self.core.recheck(&order.server);
+            return self.step_after_failure(failure);
+        }
+        connection.return_to_pool(head.idle_limit);
         if parts.status.is_server_error() && self.may_run_again() {
             self.failure = Some((parts, body));
             let failure = self.report(order, AttemptFailure::ServerError, &from_start, None);
@@ -426,48 +434,52 @@
         AttemptStep::Response(Box::new(Response::from_parts(parts, body)))
     }
 
-    /// Waits for the first bytes of a stream. Until they arrive, the request can still be sent to
-    /// another server.
+    /// Waits for the first event of a stream that can be resumed, and for the first bytes of another
+    /// one. Until they arrive, the request can still be sent to another server.
     async fn start_stream(
         &mut self,
         order: &SendOrder,
         mut response: StartedResponse,
     ) -> AttemptStep {
-        let from_start = ResumePosition::default();
-        let first = tokio::select! {
-            first = response.body.frame() => first,
-            () = wait_withdrawn(&mut self.handle, order.attempt) => return AttemptStep::Continue,
-            () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
-        };
-        match first {
-            Some(Ok(frame)) => {
-                response.parts.headers.remove(http::header::CONTENT_LENGTH);
-                let first = frame.into_data().unwrap_or_default();
-                let StartedResponse { parts, head, framing, body, connection } = response;
-                let order = order.clone();
-                AttemptStep::Stream(Box::new(StreamStart {
-                    parts,
-                    head,
-                    framing,
-                    body,
-                    connection,
-                    first,
-                    order,
-                }))
-            }
-            Some(Err(error)) => {
-                self.core.recheck(&order.server);
-                let failure = self.report(order, broken_attempt(&error), &from_start, None);
-                self.step_after_failure(failure)
-            }
-            None => {
-                self.finish(order.attempt, 0);
-                self.log_completed(&order.server, response.parts.status);
-                response.connection.return_to_pool(response.head.idle_limit);
-                let body = ResponseBody::full(Bytes::new(), ConnectionPhase::default(), None);
-                AttemptStep::Response(Box::new(Response::from_parts(response.parts, body)))
+        let content = StreamContent::read(&response.parts, &self.request.head.method);
+        let waits_for_event =
+            content == StreamContent::Events && self.request.caller.route.kind.is_repeatable();
+        let (mut first, mut position) = (BytesMut::new(), EventScanner::default());
+        let failure = loop {
+            let frame = tokio::select! {
+                frame = response.body.frame() => frame,
+                () = wait_withdrawn(&mut self.handle, order.attempt) => return AttemptStep::Continue,
+                () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    let bytes = frame.into_data().unwrap_or_default();
+                    position.scan(&bytes);
+                    first.extend_from_slice(&bytes);
+                    let is_begun = position.has_event() || first.len() > MAX_EVENT_BYTES;
+                    if is_begun || !waits_for_event {
+                        return begin_stream(order, response, content, first.freeze());
+                    }
+                }
+                Some(Err(error)) => break broken_attempt(&error),
+                None if content == StreamContent::Events => {
+                    break response.framing.incomplete_attempt();
+                }
+                None => return self.complete_empty(order, response),
             }
-        }
+        };
+        self.core.recheck(&order.server);
+        let failure = self.report(order, failure, &ResumePosition::default(), None);
+        self.step_after_failure(failure)
+    }
+
+    /// Completes a response without a body.
+    fn complete_empty(&mut self, order: &SendOrder, response: StartedResponse) -> AttemptStep {
+        self.finish(order.attempt, 0);
+        self.log_completed(&order.server, response.parts.status);
+        response.connection.return_to_pool(response.head.idle_limit);
+        let body = ResponseBody::full(Bytes::new(), ConnectionPhase::default(), None);
+        AttemptStep::Response(Box::new(Response::from_parts(response.parts, body)))
     }
 
     /// Reports a completed attempt to the dispatcher.
@@ -476,6 +488,19 @@
     }
 }
 
+fn begin_stream(
+    order: &SendOrder,
+    response: StartedResponse,
+    content: StreamContent,
+    first: Bytes,
+) -> AttemptStep {
+    let StartedResponse { mut parts, head, framing, body, connection } = response;
+    parts.headers.remove(http::header::CONTENT_LENGTH);
+    let order = order.clone();
+    let start = StreamStart { parts, head, framing, content, body, connection, first, order };
+    AttemptStep::Stream(Box::new(start))
+}
+
 /// Waits until the dispatcher withdraws an attempt.
 async fn wait_withdrawn(handle: &mut RequestHandle, attempt: AttemptId) {
     loop {
--- a/src/reverse_proxy/headers.rs
+++ b/src/reverse_proxy/headers.rs
@@ -1,6 +1,9 @@
 //! Hop-by-hop headers (RFC 9110, section 7.6.1): their removal, and the framing that they declare.
 
-use http::{HeaderMap, HeaderName, header, response};
+use {
+    crate::policy::AttemptFailure,
+    http::{HeaderMap, HeaderName, header, response},
+};
 
 /// Hop-by-hop headers that are removed even if `Connection` does not list them.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -53,6 +56,15 @@
         }
     }
 
+    /// The failure of an attempt whose body ended with this mark before it was complete. A server
+    /// that has crashed can't mark the end otherwise.
+    pub fn incomplete_attempt(self) -> AttemptFailure {
+        match self {
+            ResponseFraming::Length | ResponseFraming::Chunked => AttemptFailure::ServerError,
+            ResponseFraming::ConnectionClose => AttemptFailure::Broken,
+        }
+    }
+
     /// The value in log records.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/reverse_proxy/listener.rs
+++ b/src/reverse_proxy/listener.rs
@@ -23,7 +23,7 @@
         routing::CallerLimits,
     },
     bytes::Bytes,
-    http::{HeaderValue, Request, Response, StatusCode, header, request},
+    http::{HeaderValue, Request, Response, StatusCode, Version, header, request},
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     log::Level,
     metrics::gauge,
@@ -197,6 +197,7 @@
 ) -> Result<Response<ResponseBody>, Infallible> {
     let ArrivedRequest { head, body, framing } = arrived;
     let id = core.dialect.request_id(&head.headers).to_owned();
+    let version = head.version;
     let result = async {
         let admitted = admit(&core, head, body, framing, limits).await;
         let (buffered, open) = admitted.inspect_err(|refusal| {
@@ -211,6 +212,9 @@
     };
     let mut response =
         result.await.unwrap_or_else(|refusal| refusal_response(&core, &refusal, connection_phase));
+    if version == Version::HTTP_10 {
+        response.body_mut().end_with_connection();
+    }
     // If the framing is unknown, further bytes on the connection cannot be trusted.
     if *phase.borrow() >= ListenerPhase::Closing || framing == BodyFraming::Unknown {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -1,7 +1,8 @@
 //! Relays event streams to callers and resumes interrupted streams at another server.
 //!
 //! If a stream can be resumed, only complete events are relayed, so that the events of two servers
-//! join without a gap or a duplicate. Other streams are relayed as bytes.
+//! join without a gap or a duplicate. Other streams are relayed as bytes. In both, a body that ends
+//! inside an event or without any is an interrupted one, whatever its framing says.
 
 use {
     super::{
@@ -12,28 +13,45 @@
         response::TruncatedResponse,
     },
     crate::{
+        backend::sse::{EventBuffer, is_event_stream},
         observe::events,
         pipeline::{DispatchDirective, counters::record_first_token},
         policy::{AttemptFailure, PolicyInput, RefusalReason, SendOrder},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     futures::stream::{self, BoxStream, StreamExt},
-    http::response,
+    http::{Method, StatusCode, header, response},
     http_body_util::BodyExt,
     hyper::body::Incoming,
     std::time::{Duration, Instant},
     tokio::time::sleep_until,
 };
 
-/// Maximum length of an event. A longer event is relayed in several chunks and the stream is not
-/// resumed.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// What the body of a response on a route with streaming contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StreamContent {
+    /// Events, at least one of them.
+    Events,
+    /// Content of another type, or none.
+    Other,
+}
+
+impl StreamContent {
+    /// Reads the content from the head of a response to a request with this method.
+    pub(super) fn read(parts: &response::Parts, method: &Method) -> Self {
+        let has_body = *method != Method::HEAD && parts.status != StatusCode::NO_CONTENT;
+        let content_type = parts.headers.get(header::CONTENT_TYPE);
+        let is_other = content_type.is_some_and(|value| !value.to_str().is_ok_and(is_event_stream));
+        if has_body && !is_other { StreamContent::Events } else { StreamContent::Other }
+    }
+}
 
 /// A stream whose first bytes have arrived.
 pub(super) struct StreamStart {
     pub parts: response::Parts,
     pub head: ResponseHead,
     pub framing: ResponseFraming,
+    pub content: StreamContent,
     pub body: Incoming,
     pub connection: LeasedConnection,
     pub first: Bytes,
@@ -50,9 +68,10 @@
     framing: ResponseFraming,
     /// Received bytes that have not been relayed yet.
     received: Option<Bytes>,
-    /// The beginning of an incomplete event, of at most [`MAX_EVENT_BYTES`]; used only if the
-    /// stream can be resumed.
-    incomplete: BytesMut,
+    /// Holds incomplete events only if the stream can be resumed.
+    events: EventBuffer,
+    content: StreamContent,
+    /// Whether the stream can be resumed: until an event is longer than the buffer.
     resumable: bool,
     position: ResumePosition,
     is_finished: bool,
@@ -81,7 +100,7 @@
 
 impl RelayedStream {
     pub(super) fn new(exchange: HttpExchange, start: StreamStart) -> Self {
-        let StreamStart { head, framing, body, connection, first, order, .. } = start;
+        let StreamStart { head, framing, content, body, connection, first, order, .. } = start;
         exchange
             .handle
             .notify(PolicyInput::FirstToken { attempt: order.attempt, cached_tokens: None });
@@ -91,7 +110,8 @@
             record_first_token(work.model.as_str(), caller.class, timing.first);
         }
         RelayedStream {
-            resumable: exchange.request.caller.route.kind.is_repeatable(),
+            resumable: content == StreamContent::Events
+                && exchange.request.caller.route.kind.is_repeatable(),
             position: ResumePosition { weights: head.weights, ..ResumePosition::default() },
             exchange,
             order,
@@ -99,7 +119,8 @@
             head,
             framing,
             received: Some(first),
-            incomplete: BytesMut::new(),
+            events: EventBuffer::default(),
+            content,
             is_finished: false,
             timing,
         }
@@ -130,7 +151,7 @@
                 Ok(Some(bytes)) => self.received = Some(bytes),
                 Ok(None) => {
                     self.is_finished = true;
-                    let rest = std::mem::take(&mut self.incomplete).freeze();
+                    let rest = self.events.take_incomplete();
                     return (!rest.is_empty()).then_some(Ok(rest));
                 }
                 Err(error) => {
@@ -161,6 +182,12 @@
                 self.timing.record_arrival();
                 Ok(Some(frame.into_data().unwrap_or_default()))
             }
+            None if self.is_interrupted() => {
+                log::debug!(request_id = self.exchange.request.caller.id.as_str(),
+                    framing = self.framing.as_str(); "a backend server's stream is incomplete");
+                self.source = None;
+                self.resume(self.framing.incomplete_attempt()).await.map(Some)
+            }
             None => {
                 let ended = self.source.take();
                 self.exchange.count_completed();
@@ -174,12 +201,18 @@
             Some(Err(error)) => {
                 log::debug!(error:% = error; "a backend server's stream broke");
                 self.source = None;
-                self.incomplete.clear();
                 self.resume(broken_attempt(&error)).await.map(Some)
             }
         }
     }
 
+    /// Whether the stream is incomplete if the body has ended here.
+    fn is_interrupted(&self) -> bool {
+        let position = self.events.scanner();
+        self.content == StreamContent::Events
+            && (position.is_inside_event() || !position.has_event())
+    }
+
     fn log_completed_stream(&self) {
         let request = &self.exchange.request;
         let weights = self.position.weights.map(|version| version.to_string());
@@ -263,6 +296,7 @@
             exchange.handle.notify(PolicyInput::FirstToken { attempt, cached_tokens: None });
             self.head = response.head;
             self.framing = response.framing;
+            self.events.restart();
             self.source = Some((response.body, response.connection));
             self.order = order;
             return Ok(Bytes::new());
@@ -272,46 +306,21 @@
     /// Adds received bytes and returns all complete events; an incomplete one is kept.
     fn complete_events(&mut self, bytes: Bytes) -> Bytes {
         if !self.resumable {
+            self.events.scan(&bytes);
             self.position.events += 1;
             return bytes;
         }
-        self.incomplete.extend_from_slice(&bytes);
-        let Some(end) = last_event_end(&self.incomplete) else {
-            if self.incomplete.len() > MAX_EVENT_BYTES {
-                self.resumable = false;
-                return std::mem::take(&mut self.incomplete).freeze();
-            }
-            return Bytes::new();
-        };
-        let complete = self.incomplete.split_to(end).freeze();
-        for event in split_events(&complete) {
-            let (id, weights) = self.exchange.core.dialect.read_event(event);
+        let blocks = self.events.push(&bytes);
+        for event in blocks.events {
+            let (id, weights) = self.exchange.core.dialect.read_event(&blocks.bytes[event]);
             self.position.events += 1;
             self.position.event = id.or(self.position.event.take());
             self.position.weights = weights.or(self.position.weights);
         }
-        complete
+        if !self.events.is_too_long() {
+            return blocks.bytes;
+        }
+        self.resumable = false;
+        [blocks.bytes, self.events.take_incomplete()].concat().into()
     }
 }
-
-/// The end of the last complete event, which is after an empty line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    lf.max(crlf)
-}
-
-fn split_events(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
-    let mut rest = bytes;
-    std::iter::from_fn(move || {
-        let lf = rest.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-        let crlf = rest.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
-        let end = match (lf, crlf) {
-            (Some(lf), Some(crlf)) => lf.min(crlf),
-            (found, None) | (None, found) => found?,
-        };
-        let (event, after) = rest.split_at(end);
-        rest = after;
-        Some(event)
-    })
-}
--- a/src/reverse_proxy/response.rs
+++ b/src/reverse_proxy/response.rs
@@ -13,7 +13,7 @@
     hyper::body::{Body, Frame, SizeHint},
     std::{
         pin::Pin,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
 };
@@ -44,13 +44,16 @@
 pub struct ResponseBody {
     bytes: BodySource,
     phase: ConnectionPhase,
+    /// Whether the body ends with its connection, as for HTTP/1.0 callers.
+    ends_with_connection: bool,
     _open: Option<OpenRequest>,
 }
 
 impl ResponseBody {
     /// Creates a body from bytes that are already complete.
     pub fn full(bytes: Bytes, phase: ConnectionPhase, open: Option<OpenRequest>) -> Self {
-        ResponseBody { bytes: BodySource::Full(Some(bytes)), phase, _open: open }
+        let bytes = BodySource::Full(Some(bytes));
+        ResponseBody { bytes, phase, ends_with_connection: false, _open: open }
     }
 
     /// Creates a body from a stream of chunks.
@@ -59,7 +62,14 @@
         phase: ConnectionPhase,
         open: Option<OpenRequest>,
     ) -> Self {
-        ResponseBody { bytes: BodySource::Stream(chunks), phase, _open: open }
+        let bytes = BodySource::Stream(chunks);
+        ResponseBody { bytes, phase, ends_with_connection: false, _open: open }
+    }
+
+    /// Marks that the body ends with its connection, so that the connection is reset if the body is
+    /// truncated.
+    pub fn end_with_connection(&mut self) {
+        self.ends_with_connection = true;
     }
 
     /// Attaches the request that the body keeps open, and the connection whose phase it ends.
@@ -88,9 +98,13 @@
             BodySource::Full(bytes) => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            BodySource::Stream(chunks) => chunks
-                .poll_next_unpin(context)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+            BodySource::Stream(chunks) => {
+                let chunk = ready!(chunks.poll_next_unpin(context));
+                if self.ends_with_connection && matches!(chunk, Some(Err(_))) {
+                    self.phase.reset_at_end();
+                }
+                Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+            }
         }
     }
 
--- a/src/reverse_proxy/timeout_stream.rs
+++ b/src/reverse_proxy/timeout_stream.rs
@@ -12,13 +12,14 @@
         pipeline::counters::count_refusal,
     },
     hyper_util::rt::TokioIo,
+    socket2::SockRef,
     std::{
         future::Future,
         io,
         pin::Pin,
         sync::{
             Arc,
-            atomic::{AtomicU32, Ordering},
+            atomic::{AtomicBool, AtomicU32, Ordering},
         },
         task::{Context, Poll},
         time::Duration,
@@ -45,7 +46,15 @@
 /// The phase of a connection: idle, receiving a head, or processing a request. It is shared by the
 /// stream and the service above it.
 #[derive(Clone, Debug, Default)]
-pub struct ConnectionPhase(Arc<AtomicU32>);
+pub struct ConnectionPhase(Arc<PhaseCells>);
+
+#[derive(Debug, Default)]
+struct PhaseCells {
+    /// The phase with the count of changes.
+    phase: AtomicU32,
+    /// Whether the connection is reset when it ends.
+    is_reset: AtomicBool,
+}
 
 impl ConnectionPhase {
     /// Marks that a complete head has arrived.
@@ -58,14 +67,20 @@
         self.change(IDLE);
     }
 
+    /// Marks that the connection is reset when it ends. A body that ends with its connection would
+    /// look complete if the connection were closed.
+    pub fn reset_at_end(&self) {
+        self.0.is_reset.store(true, Ordering::Relaxed);
+    }
+
     fn change(&self, phase: u32) {
-        let changes = (self.0.load(Ordering::Relaxed) >> PHASE_BITS).wrapping_add(1);
-        self.0.store((changes << PHASE_BITS) | phase, Ordering::Relaxed);
+        let changes = (self.get() >> PHASE_BITS).wrapping_add(1);
+        self.0.phase.store((changes << PHASE_BITS) | phase, Ordering::Relaxed);
     }
 
     /// The phase with the count of changes.
     fn get(&self) -> u32 {
-        self.0.load(Ordering::Relaxed)
+        self.0.phase.load(Ordering::Relaxed)
     }
 }
 
@@ -109,6 +124,15 @@
     }
 }
 
+impl Drop for TimeoutStream {
+    fn drop(&mut self) {
+        if self.phase.0.is_reset.load(Ordering::Relaxed) {
+            // A failure leaves a closed connection, as for callers of later versions.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for TimeoutStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -18,7 +18,7 @@
         service::FakeService,
     },
     oleandermount::{
-        backend::sse::{SseEvent, SseParser},
+        backend::sse::{EventBuffer, EventScanner, SseEvent, SseParser},
         pipeline::prompt::{ParsedPrompt, PromptFormat},
     },
     quickcheck::{Gen, QuickCheck},
@@ -180,3 +180,25 @@
     }
     check().quickcheck(property as fn(Vec<String>, Vec<usize>) -> bool);
 }
+
+/// The position in a stream does not depend on how its bytes arrive, whatever ends its lines.
+#[test]
+fn positions_are_independent_of_chunk_boundaries() {
+    fn property(choices: Vec<u8>, cuts: Vec<usize>) -> bool {
+        let bytes: Vec<u8> =
+            choices.into_iter().map(|choice| b"\r\n:a"[choice as usize % 4]).collect();
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut % (bytes.len() + 1)).collect();
+        cuts.extend([0, bytes.len()]);
+        cuts.sort_unstable();
+        let (mut whole, mut parts) = (EventScanner::default(), EventBuffer::default());
+        whole.scan(&bytes);
+        let mut received = Vec::new();
+        for pair in cuts.windows(2) {
+            received.extend(parts.push(&bytes[pair[0]..pair[1]]).bytes);
+        }
+        received.extend(parts.take_incomplete());
+        let state = |scanner: &EventScanner| (scanner.is_inside_event(), scanner.has_event());
+        received == bytes && state(&whole) == state(parts.scanner())
+    }
+    check().quickcheck(property as fn(Vec<u8>, Vec<usize>) -> bool);
+}
--- a/tests/incomplete_responses.rs
+++ b/tests/incomplete_responses.rs
@@ -1,5 +1,7 @@
 //! Tests that the response of a plain service is used only if it is complete.
 
+#![allow(clippy::unwrap_used)]
+
 use {
     oleandermount::backend::{
         BackendError,
