Take a response without a type for an event stream only if it contains one

Without a type a body is an event stream once it contains an event, and is complete as it ends before.

Result: store_is_used_while_reachable passes again; untyped_streams_are_checked holds both sides in all three framings.

--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -13,7 +13,7 @@
         response::TruncatedResponse,
     },
     crate::{
-        backend::sse::{EventBuffer, is_event_stream},
+        backend::sse::{EventBuffer, EventScanner, is_event_stream},
         observe::events,
         pipeline::{DispatchDirective, counters::record_first_token},
         policy::{AttemptFailure, PolicyInput, RefusalReason, SendOrder},
@@ -32,6 +32,8 @@
 pub(super) enum StreamContent {
     /// Events, at least one of them.
     Events,
+    /// Content without a type, which is a stream of events once it contains one.
+    Untyped,
     /// Content of another type, or none.
     Other,
 }
@@ -40,9 +42,21 @@
     /// Reads the content from the head of a response to a request with this method.
     pub(super) fn read(parts: &response::Parts, method: &Method) -> Self {
         let has_body = *method != Method::HEAD && parts.status != StatusCode::NO_CONTENT;
-        let content_type = parts.headers.get(header::CONTENT_TYPE);
-        let is_other = content_type.is_some_and(|value| !value.to_str().is_ok_and(is_event_stream));
-        if has_body && !is_other { StreamContent::Events } else { StreamContent::Other }
+        match parts.headers.get(header::CONTENT_TYPE) {
+            _ if !has_body => StreamContent::Other,
+            None => StreamContent::Untyped,
+            Some(value) if value.to_str().is_ok_and(is_event_stream) => StreamContent::Events,
+            Some(_) => StreamContent::Other,
+        }
+    }
+
+    /// Whether content that ends at this position is incomplete.
+    fn is_interrupted(self, position: &EventScanner) -> bool {
+        match self {
+            StreamContent::Events => position.is_inside_event() || !position.has_event(),
+            StreamContent::Untyped => position.is_inside_event() && position.has_event(),
+            StreamContent::Other => false,
+        }
     }
 }
 
@@ -110,7 +124,7 @@
             record_first_token(work.model.as_str(), caller.class, timing.first);
         }
         RelayedStream {
-            resumable: content == StreamContent::Events
+            resumable: content != StreamContent::Other
                 && exchange.request.caller.route.kind.is_repeatable(),
             position: ResumePosition { weights: head.weights, ..ResumePosition::default() },
             exchange,
@@ -182,7 +196,7 @@
                 self.timing.record_arrival();
                 Ok(Some(frame.into_data().unwrap_or_default()))
             }
-            None if self.is_interrupted() => {
+            None if self.content.is_interrupted(self.events.scanner()) => {
                 log::debug!(request_id = self.exchange.request.caller.id.as_str(),
                     framing = self.framing.as_str(); "a backend server's stream is incomplete");
                 self.source = None;
@@ -206,13 +220,6 @@
         }
     }
 
-    /// Whether the stream is incomplete if the body has ended here.
-    fn is_interrupted(&self) -> bool {
-        let position = self.events.scanner();
-        self.content == StreamContent::Events
-            && (position.is_inside_event() || !position.has_event())
-    }
-
     fn log_completed_stream(&self) {
         let request = &self.exchange.request;
         let weights = self.position.weights.map(|version| version.to_string());
