Connect to backend servers through another entry while none is reached

What callers saw: entries that had lost their links to all servers, while callers and other entries still reached them, went on taking callers and served 27 of 148 first attempts (the others 381 of 388), with 503 and 504 after up to 2.4 s. Cause: a failure of the path was taken for failures of its ends. Nothing asked whether any server is reached, and an entry has one path to a server.

Evidence: from the loss on each connect of these entries fails after 202 ms, at 21 servers of both services within a second, 15 to 40 a second until the links are back; their links to the control VMs stand, and no connect of another entry fails. Ruled out: kept ejections (connects are tried and fail throughout) and overloaded servers (the others serve as before).

Failures at three servers without a success in between make an entry suspicious: for connects, for first responses on new connections and for all responses. Then one connection each 200 ms is tried through another entry. Only if a server is reached there and not directly does the entry count as partitioned; its connections then lead through other entries until a direct health check is answered. The entry copies bytes alone, so that the choice of server, the account of the run, retries, organisation and crash evidence stay where the caller is.

Beside it: a refused connect is no evidence of a server's end while the entry is suspicious. The files of the pool are split.

--- a/src/daemon/peer_service.rs
+++ b/src/daemon/peer_service.rs
@@ -71,6 +71,7 @@
             PeerMessage::ConfigNotice { revision } => {
                 components.dissemination.handle_notice(from, revision)
             }
+            PeerMessage::KeepAlive => {}
         }
     }
 
@@ -100,7 +101,9 @@
                 self.core.gate.begin_drain();
                 PeerReply::Draining
             }
-            PeerRequest::Follow(_) => PeerReply::Refused(
+            PeerRequest::Follow(_)
+            | PeerRequest::TunnelPeers { .. }
+            | PeerRequest::OpenTunnel { .. } => PeerReply::Refused(
                 "this daemon does not serve followers; ask a control VM".to_owned(),
             ),
         }
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -9,6 +9,7 @@
 
 pub mod confirmation;
 pub mod document_delta;
+pub mod entry_directory;
 pub mod evidence;
 pub mod service;
 pub mod task;
@@ -80,6 +81,8 @@
     pub receives_document: bool,
     /// The digest of the crash reports that it received; see [`evidence::evidence_digest`].
     pub evidence: u64,
+    /// From a control VM, a sample of its entries that reach the backend servers; else empty.
+    pub tunnel_peers: Vec<VmId>,
 }
 
 /// The changes for a follower; `None` where it is up to date.
@@ -112,6 +115,8 @@
     pub held: DocumentNumber,
     /// All crash reports, if they differ.
     pub evidence: Option<Vec<CrashReport>>,
+    /// To a control VM, a sample of all entries that reach the backend servers; else empty.
+    pub tunnel_peers: Vec<VmId>,
     /// The body of `document` as one frame of zstd, if the answering VM has it.
     #[serde(skip)]
     pub packed_body: Option<Arc<[u8]>>,
--- a/src/follow/evidence.rs
+++ b/src/follow/evidence.rs
@@ -1,6 +1,6 @@
 //! Sharing of crash evidence between entries through the control VMs.
 //!
-//! Entries do not communicate with each other. Each reports the crashes that it observed to the
+//! Entries share no state with each other. Each reports the crashes that it observed to the
 //! control VM that it follows, which merges the reports, passes them to the leader and returns them
 //! to its followers. Nothing is logged by the replicas: reports are repeated every second, merge in any
 //! order and expire. A domain that is cut off shares what its own control VM receives.
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -4,6 +4,7 @@
     super::{
         ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, control_digest,
         document_delta::{DocumentChange, DocumentDelta, DocumentHistory},
+        entry_directory::EntryDirectory,
         evidence::SharedEvidence,
     },
     crate::{
@@ -25,7 +26,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::{Arc, Mutex, PoisonError},
-        time::Duration,
+        time::{Duration, Instant as StdInstant},
     },
     tokio::time::{Instant, timeout},
 };
@@ -43,6 +44,8 @@
     fleet: Arc<FleetView>,
     replica: std::sync::OnceLock<ControlHandle>,
     evidence: Arc<SharedEvidence>,
+    /// The entries that reach the backend servers.
+    directory: EntryDirectory,
     /// The documents that followers may have.
     documents: Mutex<DocumentHistory>,
     /// The time of each follower's last request and the number of entries that it represents; at
@@ -60,6 +63,7 @@
             fleet,
             replica: std::sync::OnceLock::new(),
             evidence: Arc::default(),
+            directory: EntryDirectory::default(),
             documents: Mutex::default(),
             followers: Mutex::default(),
             total_entries: Mutex::default(),
@@ -78,6 +82,11 @@
         &self.evidence
     }
 
+    /// The entries that reach the backend servers, as far as this VM knows.
+    pub fn directory(&self) -> &EntryDirectory {
+        &self.directory
+    }
+
     /// Sets the total number of entries that the leader reported.
     pub fn set_total_entries(&self, entries: u32) {
         *self.total_entries.lock().unwrap_or_else(PoisonError::into_inner) = entries;
@@ -113,6 +122,16 @@
         }
     }
 
+    fn record_entries(&self, from: &VmId, request: &FollowRequest) {
+        let now = StdInstant::now();
+        match request.follower {
+            FollowerKind::Entry => self.directory.record_poll(now, from),
+            FollowerKind::Control { .. } => {
+                self.directory.record_sample(now, from, request.tunnel_peers.clone());
+            }
+        }
+    }
+
     async fn answer(&self, from: VmId, request: FollowRequest) -> PeerReply {
         let Some(replica) = self.replica.get() else {
             return PeerReply::Refused(
@@ -120,6 +139,7 @@
             );
         };
         if request.mode != AnswerMode::Suitability {
+            self.record_entries(&from, &request);
             self.record_follower(from, request.follower);
         }
         if request.mode == AnswerMode::Wait {
@@ -136,6 +156,9 @@
             AnswerMode::Now | AnswerMode::Wait => {
                 self.add_large_changes(&request, &state, &mut reply);
                 reply.evidence = self.evidence.reports_for(request.evidence);
+                if request.follower != FollowerKind::Entry {
+                    reply.tunnel_peers = self.directory.full_sample(StdInstant::now());
+                }
             }
         }
         reply.held = state.document().number;
@@ -301,6 +324,13 @@
         Box::pin(async move {
             match request {
                 PeerRequest::Follow(request) => service.answer(from, *request).await,
+                PeerRequest::TunnelPeers { is_partitioned } => {
+                    let (directory, now) = (&service.directory, StdInstant::now());
+                    if is_partitioned {
+                        directory.record_partitioned(now, &from);
+                    }
+                    PeerReply::TunnelPeers(directory.peers_for(now, &from))
+                }
                 _ => PeerReply::Refused("a control VM serves only followers".to_owned()),
             }
         })
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -54,6 +54,11 @@
         0
     }
 
+    /// A sample of the entries that follow this daemon and reach the backend servers.
+    fn tunnel_peers(&self) -> Vec<VmId> {
+        Vec::new()
+    }
+
     /// Called when the VM that is followed changes; `None` if there is none.
     fn followed(&self, _peer: Option<&VmId>) {}
 
@@ -325,6 +330,7 @@
             needs_full: held.needs_full,
             receives_document: self.transfer.is_some(),
             evidence: self.port.evidence_digest(),
+            tunnel_peers: self.port.tunnel_peers(),
         };
         let request = PeerRequest::Follow(Box::new(request));
         let received = || {
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -32,6 +32,10 @@
 pub const SERVER_UNAVAILABLE: &str = "backend server lost";
 /// A backend server that was unresponsive responds again.
 pub const SERVER_RECOVERED: &str = "backend server back";
+/// This entry reaches no backend server and connects to them through other entries.
+pub const SERVERS_UNREACHABLE: &str = "no backend server reached, using other entries";
+/// This entry reaches backend servers itself again.
+pub const SERVERS_REACHED: &str = "backend servers reached again";
 /// A backend server reports attributes that contradict the server list.
 pub const SERVER_MISMATCHED: &str = "backend server is not as listed";
 /// A server limits the requests that it takes; `limit` is the number a second from all daemons.
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -54,6 +54,8 @@
 pub const FOLLOWERS: &str = "oleandermount_followers";
 /// Connections of other daemons rejected because of their keys.
 pub const PEERS_REFUSED: &str = "oleandermount_peers_refused_total";
+/// Connections to backend servers through other entries, by `result`.
+pub const TUNNELS: &str = "oleandermount_tunnels_total";
 /// Open connections of callers and operators.
 pub const CONNECTIONS: &str = "oleandermount_open_connections";
 /// 1 while this daemon drains.
@@ -221,6 +223,7 @@
     );
     describe_counter!(MISMATCHED_RESPONSES, "Responses that belonged to another attempt.");
     describe_counter!(PEERS_REFUSED, "Daemons rejected because of their keys.");
+    describe_counter!(TUNNELS, "Connections to servers through other entries, by result.");
     describe_gauge!(CONNECTIONS, "Open connections of callers and operators.");
     describe_gauge!(DRAINING, "1 while this daemon drains.");
     describe_counter!(CLAIMS_RELEASED, "Claims released before a request was sent.");
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,10 +14,12 @@
 pub mod pacing;
 pub mod placement;
 pub mod prefix;
+pub mod reachability;
 pub mod retry;
 pub mod rollout;
 pub mod safeguard;
 pub mod suspect;
+pub mod tunnel_peers;
 pub mod window;
 
 pub use self::{
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 pub mod core;
+pub mod dial;
 pub mod dialect;
 pub mod exchange;
 pub mod headers;
@@ -16,6 +17,7 @@
 pub mod relay;
 pub mod request;
 pub mod response;
+pub mod server_link;
 pub mod store_monitor;
 pub mod timeout_stream;
 pub mod view;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -115,6 +115,7 @@
         self.lock_weights().retain(|server, _| view.servers.contains_key(server));
         self.recheck.retain(|server| view.servers.contains_key(server));
         self.lock_limits().retain(|server, _| view.servers.contains_key(server));
+        self.pool.links().set_listed(view.servers.len());
         self.view.store(Arc::new(view));
         self.dispatcher.notify_all(inputs);
         self.notify_store_link();
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -7,7 +7,7 @@
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
         headers::{ResponseFraming, strip_connection},
-        pool::{LeasedConnection, PoolError, broken_attempt},
+        pool::{BackendTarget, LeasedConnection, PoolError, broken_attempt},
         relay::{RelayedStream, StreamContent, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
@@ -206,9 +206,10 @@
         let request = self.backend_request(order, from);
         let non_repeatable = !self.request.caller.route.kind.is_repeatable();
         let limit = view.connections(&listed.service);
+        let target = BackendTarget { server: &order.server, address: listed.address };
         let sent_at = Instant::now();
         let sent = tokio::select! {
-            sent = self.core.pool.send(listed.address, request, non_repeatable, limit) => sent,
+            sent = self.core.pool.send(target, request, non_repeatable, limit) => sent,
             () = wait_withdrawn(&mut self.handle, order.attempt) => {
                 // The dispatcher has withdrawn the attempt; its next directive ends the request.
                 self.runs += 1;
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -7,17 +7,23 @@
 //! is sent again only if the HTTP library has not begun to write it.
 
 use {
-    crate::policy::AttemptFailure,
+    super::{
+        dial::{RequestSender, drive, open},
+        server_link::ServerLinks,
+    },
+    crate::{
+        ids::ServerId,
+        policy::{
+            AttemptFailure,
+            reachability::{ConnectPurpose, ServerPath},
+        },
+        transport::TunnelRefusal,
+    },
     bytes::Bytes,
     displaydoc::Display,
-    http::{Request, Response},
+    http::{Request, Response, header},
     http_body_util::Full,
-    hyper::{
-        body::Incoming,
-        client::conn::http1::{Builder, SendRequest},
-    },
-    hyper_util::rt::TokioIo,
-    socket2::{SockRef, TcpKeepalive},
+    hyper::{body::Incoming, client::conn::TrySendError},
     std::{
         collections::{BTreeMap, BTreeSet},
         io::ErrorKind,
@@ -26,9 +32,8 @@
         time::Duration,
     },
     tokio::{
-        net::TcpStream,
         task::JoinHandle,
-        time::{Instant, timeout},
+        time::{Instant, sleep_until, timeout},
     },
 };
 
@@ -36,12 +41,6 @@
 /// them. A longer wait only covers the retransmission of a lost SYN after a second, in which time
 /// another server could have responded.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time without an acknowledgement of sent bytes after which a connection counts as broken. It
-/// covers several round trips and lost packets; a server that is busy still acknowledges bytes.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// TCP keepalive time and interval, so that a server that becomes unresponsive while it processes a
-/// request is detected within about two seconds.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum idle time of connections to servers that do not report their idle timeout.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Time before the end of a server's idle timeout from which a connection is no longer used,
@@ -55,12 +54,9 @@
 const MAX_ADDRESSES: usize = 4_096;
 /// How long to wait until the HTTP library is ready to reuse an idle connection.
 const READY_TIMEOUT: Duration = Duration::from_millis(2);
-/// Size of a read buffer, of which each open stream has one. Response heads fit in; events are a
-/// few hundred bytes.
-const READ_BUFFER_BYTES: usize = 8 * 1024;
-
-type RequestSender = SendRequest<Full<Bytes>>;
-
+/// Time without a response after which a direct connection counts as silent. Other servers of a
+/// reachable network respond in this time.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Reason for which a request got no response head.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum PoolError {
@@ -103,6 +99,15 @@
     AttemptFailure::Broken
 }
 
+/// A backend server to connect to.
+#[derive(Clone, Copy, Debug)]
+pub struct BackendTarget<'a> {
+    /// The server.
+    pub server: &'a ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// Result of an attempt to open a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeResult {
@@ -139,6 +144,11 @@
     sender: RequestSender,
     driver: JoinHandle<()>,
     address: SocketAddr,
+    /// Whether no request has been sent on it.
+    is_new: bool,
+    /// Whether it leads through another daemon. Such a connection is used for one request, so that
+    /// the other daemon can tell whether it is needed.
+    is_tunnelled: bool,
     pool: Option<ConnectionPool>,
 }
 
@@ -159,7 +169,7 @@
     pub fn return_to_pool(mut self, idle_limit: Option<Duration>) {
         let limit =
             idle_limit.map_or(DEFAULT_IDLE_LIMIT, |limit| limit.saturating_sub(IDLE_MARGIN));
-        if self.sender.is_closed() || limit.is_zero() {
+        if self.sender.is_closed() || limit.is_zero() || self.is_tunnelled {
             return;
         }
         if let Some(pool) = self.pool.take() {
@@ -193,6 +203,14 @@
 pub struct ConnectionPool {
     /// At most [`MAX_ADDRESSES`] entries.
     addresses: Arc<Mutex<BTreeMap<SocketAddr, AddressPool>>>,
+    links: Arc<ServerLinks>,
+}
+
+/// A connection that the HTTP library drives.
+struct OpenedConnection {
+    sender: RequestSender,
+    driver: JoinHandle<()>,
+    is_tunnelled: bool,
 }
 
 impl ConnectionPool {
@@ -204,13 +222,14 @@
     /// [`PoolError::NotConnected`] and [`PoolError::Full`] guarantee that no byte was sent.
     pub async fn send(
         &self,
-        address: SocketAddr,
+        target: BackendTarget<'_>,
         mut request: Request<Full<Bytes>>,
         non_repeatable: bool,
         connection_limit: u32,
     ) -> Result<(Response<Incoming>, LeasedConnection), PoolError> {
+        let address = target.address;
         while let Some(mut connection) = self.take_idle(address, non_repeatable).await {
-            match connection.sender.try_send_request(request).await {
+            match self.exchange(target, &mut connection, request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
                     // The HTTP library returns only requests that it has not begun to write.
@@ -218,16 +237,21 @@
                     None => {
                         log::debug!(address:% = address, error:% = error.error();
                             "a reused connection broke");
+                        self.links.record_no_response(target.server, false);
                         return Err(PoolError::after_sending(error.error()));
                     }
                 },
             }
         }
-        let mut connection = self.connect(address, connection_limit).await?;
-        match connection.sender.try_send_request(request).await {
+        let mut connection =
+            self.connect(target, connection_limit, ConnectPurpose::Request).await?;
+        match self.exchange(target, &mut connection, request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => {
                 log::debug!(address:% = address, error:% = error.error(); "a new connection broke");
+                if !connection.is_tunnelled {
+                    self.links.record_no_response(target.server, true);
+                }
                 let unsent = error.take_message().is_some();
                 Err(if unsent {
                     PoolError::NotConnected
@@ -238,9 +262,67 @@
         }
     }
 
+    /// The state of the links to all servers.
+    pub fn links(&self) -> &ServerLinks {
+        &self.links
+    }
+
+    /// Sends a request on a connection and records what that tells about the links.
+    async fn exchange(
+        &self,
+        target: BackendTarget<'_>,
+        connection: &mut LeasedConnection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let is_tunnelled = connection.is_tunnelled;
+        let is_new = std::mem::replace(&mut connection.is_new, false);
+        let sent_at = Instant::now();
+        let sent = connection.sender.try_send_request(request);
+        tokio::pin!(sent);
+        let result = tokio::select! {
+            result = &mut sent => result,
+            () = sleep_until(sent_at + SILENCE_LIMIT) => {
+                if !is_tunnelled {
+                    self.links.record_no_response(target.server, is_new);
+                }
+                sent.await
+            }
+        };
+        match &result {
+            Ok(_) if is_tunnelled => self.record_tunnelled(sent_at.elapsed() < SILENCE_LIMIT),
+            Ok(_) => self.links.record_response(is_new),
+            Err(_) => {}
+        }
+        result
+    }
+
+    /// Records a tunnel. Once the process counts as partitioned, idle connections are closed, since
+    /// requests on them could be lost.
+    fn record_tunnelled(&self, responded: bool) {
+        if self.links.record_tunnelled(responded) {
+            self.close_unused(&BTreeSet::new());
+        }
+    }
+
+    /// Whether a server responds to a health check on a direct connection, with any status.
+    pub async fn check_direct(&self, address: SocketAddr, path: impl AsRef<str>) -> bool {
+        let Ok(mut request) = Request::get(path.as_ref()).body(Full::default()) else {
+            return false;
+        };
+        let host = address.to_string().parse().expect("an address is a valid header value");
+        request.headers_mut().insert(header::HOST, host);
+        let checked = async {
+            let (mut sender, driver) = open(address).await.ok()?;
+            let response = sender.send_request(request).await;
+            driver.abort();
+            response.ok()
+        };
+        matches!(timeout(SILENCE_LIMIT, checked).await, Ok(Some(_)))
+    }
+
     /// Checks whether a server is reachable by opening a connection, which is added to the pool.
-    pub async fn probe(&self, address: SocketAddr) -> ProbeResult {
-        match self.connect(address, u32::MAX).await {
+    pub async fn probe(&self, target: BackendTarget<'_>) -> ProbeResult {
+        match self.connect(target, u32::MAX, ConnectPurpose::Probe).await {
             Ok(connection) => {
                 connection.return_to_pool(None);
                 ProbeResult::Accepted
@@ -303,17 +385,72 @@
 
     async fn connect(
         &self,
-        address: SocketAddr,
+        target: BackendTarget<'_>,
         connection_limit: u32,
+        purpose: ConnectPurpose,
     ) -> Result<LeasedConnection, ConnectError> {
+        let address = target.address;
         self.reserve_slot(address, connection_limit)?;
+        let opened = self.open_by_path(target, purpose).await;
+        let opened = opened.inspect_err(|_| self.release_slot(address))?;
+        let OpenedConnection { sender, driver, is_tunnelled } = opened;
+        let pool = Some(self.clone());
+        Ok(LeasedConnection { sender, driver, address, is_new: true, is_tunnelled, pool })
+    }
+
+    async fn open_by_path(
+        &self,
+        target: BackendTarget<'_>,
+        purpose: ConnectPurpose,
+    ) -> Result<OpenedConnection, ConnectError> {
+        match self.links.choose_path(purpose) {
+            ServerPath::Direct => self.open_direct(target).await,
+            ServerPath::DirectThenTunnel => match self.open_direct(target).await {
+                Ok(opened) => Ok(opened),
+                Err(error) => self.open_tunnel(target).await.unwrap_or(Err(error)),
+            },
+            ServerPath::Tunnel => match self.open_tunnel(target).await {
+                Some(opened) => opened,
+                None => self.open_direct(target).await,
+            },
+        }
+    }
+
+    /// Opens a tunnel; `None` if no other daemon can tell whether the server is reachable.
+    async fn open_tunnel(
+        &self,
+        target: BackendTarget<'_>,
+    ) -> Option<Result<OpenedConnection, ConnectError>> {
+        let stream = match self.links.open_tunnel(target.server).await {
+            Ok(stream) => stream,
+            Err(TunnelRefusal::Unavailable) => return None,
+            Err(TunnelRefusal::ServerRefused) => return Some(Err(ConnectError::Refused)),
+            Err(TunnelRefusal::ServerUnreachable) => return Some(Err(ConnectError::Failed)),
+        };
+        self.record_tunnelled(false);
+        let opened = drive(stream).await;
+        let opened =
+            opened.map(|(sender, driver)| OpenedConnection { sender, driver, is_tunnelled: true });
+        Some(opened.map_err(|_error| ConnectError::Failed))
+    }
+
+    async fn open_direct(
+        &self,
+        target: BackendTarget<'_>,
+    ) -> Result<OpenedConnection, ConnectError> {
+        let address = target.address;
         match timeout(CONNECT_TIMEOUT, open(address)).await {
             Ok(Ok((sender, driver))) => {
-                Ok(LeasedConnection { sender, driver, address, pool: Some(self.clone()) })
+                self.links.record_connected();
+                Ok(OpenedConnection { sender, driver, is_tunnelled: false })
             }
             failed => {
-                self.release_slot(address);
+                self.links.record_connect_failure(target.server);
                 let (error, reason) = match failed {
+                    // The process's own links may refuse a connection to a server that runs.
+                    Ok(Err(error)) if self.links.is_suspicious() => {
+                        (ConnectError::Failed, error.to_string())
+                    }
                     Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                         (ConnectError::Refused, error.to_string())
                     }
@@ -359,24 +496,3 @@
         self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-async fn open(address: SocketAddr) -> Result<(RequestSender, JoinHandle<()>), std::io::Error> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let probes =
-        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-    socket.set_tcp_keepalive(&probes)?;
-    let (sender, connection) = Builder::new()
-        .read_buf_exact_size(Some(READ_BUFFER_BYTES))
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(std::io::Error::other)?;
-    let driver = tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!(error:% = error; "a connection to a backend server ended");
-        }
-    });
-    Ok((sender, driver))
-}
--- a/src/reverse_proxy/recheck.rs
+++ b/src/reverse_proxy/recheck.rs
@@ -7,7 +7,10 @@
 //! request does, because servers reject requests for others.
 
 use {
-    super::{core::ProxyCore, pool::ProbeResult},
+    super::{
+        core::ProxyCore,
+        pool::{BackendTarget, ProbeResult},
+    },
     crate::{ids::ServerId, observe::events, policy::PolicyInput},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -88,7 +91,8 @@
         for _ in 0..MAX_PROBES {
             let view = self.view();
             let Some(listed) = view.servers.get(&server) else { break };
-            match self.pool.probe(listed.address).await {
+            let target = BackendTarget { server: &server, address: listed.address };
+            match self.pool.probe(target).await {
                 ProbeResult::Accepted => {
                     log::info!(server = server.as_str(),
                         away_ms = since.elapsed().as_millis() as u64;
@@ -110,7 +114,10 @@
     pub async fn probe(&self, server: ServerId) {
         let address = self.view().servers.get(&server).map(|listed| listed.address);
         let answered = match address {
-            Some(address) => self.pool.probe(address).await == ProbeResult::Accepted,
+            Some(address) => {
+                let target = BackendTarget { server: &server, address };
+                self.pool.probe(target).await == ProbeResult::Accepted
+            }
             None => false,
         };
         self.dispatcher.notify(PolicyInput::Probed { server, answered });
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -84,6 +84,12 @@
         rule.is_some_and(|rule| rule.engine.is_some())
     }
 
+    /// The path of the health check of a service's servers, `/` if none is configured.
+    pub fn health_path(&self, service: &ServiceId) -> &str {
+        let rule = self.index.as_ref().and_then(|index| index.table.services.get(service));
+        rule.and_then(|rule| rule.health_path.as_deref()).unwrap_or("/")
+    }
+
     fn newest_weights(&self) -> BTreeMap<ModelId, WeightsVersion> {
         let Some(index) = &self.index else { return BTreeMap::new() };
         let services = index.table.services.iter();
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -54,6 +54,10 @@
 /// them again.
 const OUTBOUND_QUEUE_LENGTH: usize = 4096;
 
+/// The name under which the leader's sample of entries is kept, since it replaces the sample of the
+/// former leader. It is no name of a VM.
+const LEADER_SAMPLE: &str = "(leader)";
+
 /// Settings of a control VM.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -422,7 +426,17 @@
         self.evidence.load(Ordering::Relaxed)
     }
 
+    fn tunnel_peers(&self) -> Vec<VmId> {
+        self.follow_service.directory().own_sample(Instant::now())
+    }
+
     fn reply_received(&self, reply: &FollowReply, state: &SharedState) {
+        let directory = self.follow_service.directory();
+        directory.record_sample(
+            Instant::now(),
+            &LEADER_SAMPLE.to_owned(),
+            reply.tunnel_peers.clone(),
+        );
         if let Some(reports) = &reply.evidence {
             self.evidence.store(evidence_digest(reports), Ordering::Relaxed);
             self.follow_service.evidence().merge(reports);
--- a/src/roles/control_directory.rs
+++ b/src/roles/control_directory.rs
@@ -16,13 +16,27 @@
 /// when the settings are reloaded.
 const MAX_CONTROL_VMS: usize = 32;
 
+/// The daemons that a node sends to.
+struct KnownPeers {
+    /// At most [`MAX_CONTROL_VMS`].
+    control: BTreeMap<VmId, SocketAddr>,
+    /// The entries of [`TunnelPeers`](crate::policy::tunnel_peers::TunnelPeers).
+    tunnel: BTreeMap<VmId, SocketAddr>,
+}
+
+impl KnownPeers {
+    fn all(&self) -> BTreeMap<VmId, SocketAddr> {
+        self.control.iter().chain(&self.tunnel).map(|(vm, at)| (vm.clone(), *at)).collect()
+    }
+}
+
 /// The control VMs of one node. Unreachable VMs stay in the directory: they cost an occasional
 /// request, and a VM that returns after a long outage has to be found again.
 pub struct ControlDirectory {
     network: PeerNetwork,
     /// All VMs listen on the same port.
     port: u16,
-    known: Mutex<BTreeMap<VmId, SocketAddr>>,
+    known: Mutex<KnownPeers>,
     candidates: watch::Sender<Vec<VmId>>,
 }
 
@@ -34,6 +48,7 @@
         candidates: watch::Sender<Vec<VmId>>,
     ) -> Self {
         let port = network.local_address().port();
+        let known = KnownPeers { control: known, tunnel: BTreeMap::new() };
         ControlDirectory { network, port, known: Mutex::new(known), candidates }
     }
 
@@ -45,14 +60,21 @@
     /// Adds VMs, and updates the network's peers if the number of known VMs has changed.
     pub fn add(&self, more: BTreeMap<VmId, SocketAddr>) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = known.len();
-        known.extend(more);
-        while known.len() > MAX_CONTROL_VMS {
-            known.pop_first();
+        let before = known.control.len();
+        known.control.extend(more);
+        while known.control.len() > MAX_CONTROL_VMS {
+            known.control.pop_first();
         }
-        if known.len() != before {
-            self.network.set_peers(known.clone());
-            self.candidates.send_replace(known.keys().cloned().collect());
+        if known.control.len() != before {
+            self.network.set_peers(known.all());
+            self.candidates.send_replace(known.control.keys().cloned().collect());
         }
     }
+
+    /// Replaces the entries through which backend servers are reached.
+    pub fn set_tunnel_peers<'a>(&self, peers: impl Iterator<Item = &'a VmId>) {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.tunnel = peers.filter_map(|vm| Some((vm.clone(), self.peer_address(vm)?))).collect();
+        self.network.set_peers(known.all());
+    }
 }
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -3,14 +3,14 @@
 use {
     super::{
         NodeError, control_directory::ControlDirectory, health::serve_health_page, random_seed,
-        required_weights::RequiredWeights,
+        required_weights::RequiredWeights, tunnel_client::TunnelClient,
+        tunnel_service::TunnelService,
     },
     crate::{
         fleet::watch::ListMonitor,
         follow::{
             FollowReply, FollowerKind, SharedState,
             evidence::{evidence_digest, send_own_reports},
-            service::EntryHandler,
             task::{FollowTask, FollowerPort},
         },
         ids::{DocumentNumber, FailureDomainId, VmId},
@@ -20,7 +20,7 @@
         policy::{Dispatcher, DispatcherSettings, PolicyInput, SafeguardSet},
         reverse_proxy::{
             CallerListener, ProxyCore, WireDialect, core::ProxyDependencies,
-            store_monitor::monitor_cache_store, view::ProxyView,
+            server_link::check_server_links, store_monitor::monitor_cache_store, view::ProxyView,
         },
         routing::{RouteFault, RouteIndex, RouteTable},
         transport::{PeerNetwork, UnauthenticatedSettings},
@@ -147,7 +147,8 @@
             listen: settings.peer_listen,
             peers: control.clone(),
         };
-        let network = PeerNetwork::start_unauthenticated(network_settings, Arc::new(EntryHandler))
+        let tunnel_service = Arc::new(TunnelService::default());
+        let network = PeerNetwork::start_unauthenticated(network_settings, tunnel_service.clone())
             .map_err(NodeError::Network)?;
         settings.disabled.warn_if_any();
         let core_settings = CoreSettings {
@@ -157,12 +158,18 @@
             disabled: settings.disabled.clone(),
         };
         let core = start_core(core_settings, dialect, &mut tasks);
+        tunnel_service.open(Arc::clone(&core));
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
         let follower = EntryFollower::start(&core, &network, &mut tasks);
+        let followed = follower.followed.subscribe();
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
         tasks.spawn(task.run());
         let directory = Arc::new(ControlDirectory::new(network.clone(), control, candidates));
+        let tunnels = Arc::new(TunnelClient::new(network, Arc::clone(&directory), followed));
+        core.pool.links().set_tunnels(Arc::new(Arc::clone(&tunnels)));
+        tasks.spawn(tunnels.keep_alive());
+        tasks.spawn(check_server_links(Arc::clone(&core)));
         tasks.spawn(update_directory(Arc::clone(&directory), states.clone()));
         let (retry_reserve, reserve_watch) = watch::channel(settings.retry_reserve);
         tasks.spawn(apply_states(Arc::clone(&core), states, parser, reserve_watch));
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -13,12 +13,14 @@
 pub mod network;
 pub mod reset_key;
 pub mod tls;
+pub mod tunnel;
 pub mod unauthenticated;
 
 pub use self::{
     attachment::DocumentStream,
     codec::CodecError,
     keys::{KeyError, KeyFiles, KeyPairPem},
-    message::{PeerMessage, PeerReply, PeerRequest},
+    message::{PeerMessage, PeerReply, PeerRequest, TunnelRefusal},
     network::{NetworkSettings, PeerHandler, PeerNetwork, TransportError, UnauthenticatedSettings},
+    tunnel::{TunnelStream, TunnelTarget},
 };
--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -7,6 +7,7 @@
         message::{PeerMessage, PeerReply, PeerRequest},
         network::{PeerHandler, REFUSED_COUNTER, count_refusal, reject_name},
         tls::certificate_names_peer,
+        tunnel::serve_tunnel,
     },
     crate::{
         ids::VmId,
@@ -176,6 +177,10 @@
             return;
         }
     };
+    if let PeerRequest::OpenTunnel { server } = request {
+        let target = context.handler.open_tunnel(peer, server).await;
+        return serve_tunnel(sender, receiver, target).await;
+    }
     let mut reply = context.handler.request(peer, request).await;
     let packed = context.packer.detach(&mut reply);
     let encoded = packed.and_then(|parts| Ok((codec::encode(&reply)?, Some(parts))));
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -4,7 +4,7 @@
     crate::{
         control::{Command, CommandOutcome, ProposeError, ReplicaMessage},
         follow::{FollowReply, FollowRequest},
-        ids::{RequestId, Revision, ServerId},
+        ids::{RequestId, Revision, ServerId, VmId},
         policy::DomainDigest,
         transport::config_delta::ConfigDelta,
     },
@@ -29,6 +29,8 @@
         /// The revision in force at the sender.
         revision: Revision,
     },
+    /// Keeps a connection with tunnels open, on which no bytes may be sent for a while.
+    KeepAlive,
 }
 
 /// A request that gets exactly one reply, or fails.
@@ -58,6 +60,28 @@
     /// Return changes of the state that every daemon follows; the peer may wait for a change before it
     /// replies.
     Follow(Box<FollowRequest>),
+    /// Return entries that reach the backend servers.
+    TunnelPeers {
+        /// Whether it is certain that the caller reaches none itself.
+        is_partitioned: bool,
+    },
+    /// Connect to a server. After the reply the stream carries the bytes of the connection.
+    OpenTunnel {
+        /// The server, which must be in the peer's server list.
+        server: ServerId,
+    },
+}
+
+/// Why a peer did not open a tunnel; nothing was sent to the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TunnelRefusal {
+    /// Nothing listens on the server's address.
+    ServerRefused,
+    /// The server did not accept the connection in time.
+    ServerUnreachable,
+    /// The peer opens no tunnel now: it does not list the server, reaches no server either, drains, or
+    /// has too many tunnels.
+    Unavailable,
 }
 
 /// The reply to a [`PeerRequest`].
@@ -80,4 +104,8 @@
     Refused(String),
     /// The changes since the state that the caller reported.
     Followed(Box<FollowReply>),
+    /// Entries that probably reach the backend servers.
+    TunnelPeers(Vec<VmId>),
+    /// Whether the tunnel is open.
+    TunnelOpened(Result<(), TunnelRefusal>),
 }
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -7,15 +7,16 @@
         inbound::accept_peers,
         keys::{self, KeyError, KeyFiles},
         link::{LinkContext, PeerLink},
-        message::{PeerMessage, PeerReply, PeerRequest},
+        message::{PeerMessage, PeerReply, PeerRequest, TunnelRefusal},
         reset_key::{endpoint_settings, unauthenticated_endpoint_settings},
         tls::{TlsPair, build_pair},
+        tunnel::{TunnelStream, TunnelTarget},
         unauthenticated::{build_unauthenticated_pair, self_signed_identity},
     },
-    crate::ids::VmId,
+    crate::ids::{ServerId, VmId},
     arc_swap::ArcSwap,
     displaydoc::Display,
-    futures::future::BoxFuture,
+    futures::future::{self, BoxFuture},
     quinn::{Connection, Endpoint, EndpointConfig, TransportConfig, VarInt},
     std::{
         collections::BTreeMap,
@@ -80,6 +81,15 @@
 
     /// Handles a request; the future resolves to the reply.
     fn request(&self, from: VmId, request: PeerRequest) -> BoxFuture<'static, PeerReply>;
+
+    /// Connects to a server for a peer; the future resolves to the connection.
+    fn open_tunnel(
+        &self,
+        _from: VmId,
+        _server: ServerId,
+    ) -> BoxFuture<'static, Result<TunnelTarget, TunnelRefusal>> {
+        Box::pin(future::ready(Err(TunnelRefusal::Unavailable)))
+    }
 }
 
 /// Why the network did not start, or a call failed.
@@ -306,6 +316,31 @@
         self.call_until(to, request, Instant::now() + timeout, received).await
     }
 
+    /// Connects to a server through a peer.
+    ///
+    /// # Errors
+    /// The peer's refusal; [`TunnelRefusal::Unavailable`] also if the peer does not reply in time. Nothing
+    /// has been sent to the server.
+    pub async fn open_tunnel(
+        &self,
+        to: &VmId,
+        server: ServerId,
+        timeout: Duration,
+    ) -> Result<TunnelStream, TunnelRefusal> {
+        let opened = async {
+            let frame = codec::encode(&PeerRequest::OpenTunnel { server }).ok()?;
+            let connection = self.link(to)?.connection().await.ok()?;
+            let (mut sender, mut receiver) = connection.open_bi().await.ok()?;
+            codec::write_frame(&mut sender, &frame).await.ok()?;
+            let reply: PeerReply = codec::read_frame(&mut receiver).await.ok()?;
+            let PeerReply::TunnelOpened(result) = reply else { return None };
+            let peer = to.clone();
+            Some(result.map(|()| TunnelStream { sender, receiver, _connection: connection, peer }))
+        };
+        let opened = timeout_at(Instant::now() + timeout, opened).await;
+        opened.ok().flatten().unwrap_or(Err(TunnelRefusal::Unavailable))
+    }
+
     async fn call_until(
         &self,
         to: &VmId,
--- /dev/null
+++ b/src/transport/tunnel.rs
@@ -0,0 +1,149 @@
+//! Connections to backend servers through another daemon.
+//!
+//! A daemon that does not reach the servers itself asks a peer to connect to one. After the peer's
+//! reply the stream of the request carries the bytes of the connection in both directions. The peer
+//! reads none of them, so that the request, its retries and what is known of its run remain with the
+//! daemon that has the caller. A tunnel carries one request and ends with either side: the server
+//! must stop working as soon as the caller has left.
+
+use {
+    super::{
+        codec,
+        message::{PeerReply, TunnelRefusal},
+    },
+    crate::ids::VmId,
+    quinn::{Connection, RecvStream, SendStream},
+    std::{
+        any::Any,
+        io,
+        pin::Pin,
+        task::{Context, Poll},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
+        net::TcpStream,
+    },
+};
+
+/// Size of the buffer of each direction; an event of a stream is a few hundred bytes.
+const BUFFER_BYTES: usize = 8 * 1024;
+
+/// Code of a stream that ends because the connection to the server broke.
+const SERVER_BROKE: u32 = 1;
+
+/// A connection to a server that a daemon has opened for a peer.
+pub struct TunnelTarget {
+    /// The connection.
+    pub stream: TcpStream,
+    /// Dropped when the tunnel has ended.
+    pub guard: Box<dyn Any + Send>,
+}
+
+/// Serves a tunnel until either side ends.
+pub(super) async fn serve_tunnel(
+    mut sender: SendStream,
+    receiver: RecvStream,
+    target: Result<TunnelTarget, TunnelRefusal>,
+) {
+    let (reply, target) = match target {
+        Ok(target) => (PeerReply::TunnelOpened(Ok(())), Some(target)),
+        Err(refusal) => (PeerReply::TunnelOpened(Err(refusal)), None),
+    };
+    let frame = codec::encode(&reply).expect("a short reply always encodes");
+    // A failed write means that the peer no longer waits for the reply.
+    if codec::write_frame(&mut sender, &frame).await.is_err() {
+        return;
+    }
+    let Some(TunnelTarget { stream, guard }) = target else { return };
+    let (from_server, to_server) = stream.into_split();
+    tokio::select! {
+        () = copy_requests(receiver, to_server) => {}
+        () = copy_responses(from_server, sender) => {}
+    }
+    drop(guard);
+}
+
+/// Copies until the peer ends its side, which it does only when it needs the connection no longer.
+async fn copy_requests(mut receiver: RecvStream, mut server: impl AsyncWrite + Unpin) {
+    while let Ok(Some(chunk)) = receiver.read_chunk(BUFFER_BYTES, true).await {
+        if server.write_all(&chunk.bytes).await.is_err() {
+            // What the server has sent before is still read; its end ends the tunnel.
+            return std::future::pending().await;
+        }
+    }
+}
+
+/// Copies until the server ends its side. An end and a break stay distinct for the peer.
+async fn copy_responses(mut server: impl AsyncRead + Unpin, mut sender: SendStream) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        match server.read(&mut buffer).await {
+            Ok(0) => {
+                // Fails only on a stream that is closed already.
+                let _ = sender.finish();
+                let _ = sender.stopped().await;
+                return;
+            }
+            Ok(length) => {
+                if sender.write_all(&buffer[..length]).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "a server's connection in a tunnel broke");
+                let _ = sender.reset(SERVER_BROKE.into());
+                return;
+            }
+        }
+    }
+}
+
+/// A connection to a server through a peer; dropping it ends the tunnel.
+pub struct TunnelStream {
+    pub(super) sender: SendStream,
+    pub(super) receiver: RecvStream,
+    /// Keeps the connection to the peer open.
+    pub(super) _connection: Connection,
+    /// The peer.
+    pub peer: VmId,
+}
+
+impl AsyncRead for TunnelStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        AsyncRead::poll_read(Pin::new(&mut self.get_mut().receiver), context, buffer)
+            .map_err(tunnel_error)
+    }
+}
+
+impl AsyncWrite for TunnelStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        AsyncWrite::poll_write(Pin::new(&mut self.get_mut().sender), context, bytes)
+            .map_err(tunnel_error)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        AsyncWrite::poll_flush(Pin::new(&mut self.get_mut().sender), context).map_err(tunnel_error)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        AsyncWrite::poll_shutdown(Pin::new(&mut self.get_mut().sender), context)
+            .map_err(tunnel_error)
+    }
+}
+
+/// Maps the loss of the peer to a timeout, since it tells nothing about the server: only a server's
+/// own end may count as its crash.
+fn tunnel_error(error: io::Error) -> io::Error {
+    match error.kind() {
+        io::ErrorKind::ConnectionReset => error,
+        _ => io::Error::new(io::ErrorKind::TimedOut, error),
+    }
+}
--- /dev/null
+++ b/tests/server_tunnels.rs
@@ -0,0 +1,169 @@
+//! Connections to backend servers through another daemon keep what a direct connection tells: its end, its
+//! break, and the loss of the path.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    futures::future::BoxFuture,
+    oleandermount::transport::{
+        PeerHandler, PeerMessage, PeerNetwork, PeerReply, PeerRequest, TunnelRefusal, TunnelStream,
+        TunnelTarget, UnauthenticatedSettings,
+    },
+    socket2::SockRef,
+    std::{
+        io::ErrorKind,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        sync::oneshot,
+        time::timeout,
+    },
+};
+
+const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Opens tunnels to one server, and signals when a tunnel has ended.
+struct TunnelPeer {
+    server: SocketAddr,
+    ended: Mutex<Option<oneshot::Sender<()>>>,
+}
+
+impl PeerHandler for TunnelPeer {
+    fn message(&self, _from: String, _message: PeerMessage) {}
+
+    fn request(&self, _from: String, _request: PeerRequest) -> BoxFuture<'static, PeerReply> {
+        Box::pin(async { PeerReply::Refused("it only opens tunnels".to_owned()) })
+    }
+
+    fn open_tunnel(
+        &self,
+        _from: String,
+        server: String,
+    ) -> BoxFuture<'static, Result<TunnelTarget, TunnelRefusal>> {
+        let (address, ended) = (self.server, self.ended.lock().unwrap().take());
+        Box::pin(async move {
+            if server != "listed" {
+                return Err(TunnelRefusal::Unavailable);
+            }
+            let stream =
+                TcpStream::connect(address).await.map_err(|_| TunnelRefusal::ServerRefused)?;
+            Ok(TunnelTarget { stream, guard: Box::new(ended) })
+        })
+    }
+}
+
+struct TunnelTest {
+    listener: TcpListener,
+    caller: PeerNetwork,
+    peer: PeerNetwork,
+    ended: oneshot::Receiver<()>,
+}
+
+fn start_network(
+    name: &str,
+    peers: &[(&str, SocketAddr)],
+    handler: Arc<dyn PeerHandler>,
+) -> PeerNetwork {
+    let settings = UnauthenticatedSettings {
+        vm: name.to_owned(),
+        listen: "127.0.0.1:0".parse().unwrap(),
+        peers: peers.iter().map(|(vm, address)| ((*vm).to_owned(), *address)).collect(),
+    };
+    PeerNetwork::start_unauthenticated(settings, handler).unwrap()
+}
+
+impl TunnelTest {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = listener.local_addr().unwrap();
+        let (sender, ended) = oneshot::channel();
+        let handler = Arc::new(TunnelPeer { server, ended: Mutex::new(Some(sender)) });
+        let peer = start_network("peer", &[], handler.clone());
+        let caller = start_network("caller", &[("peer", peer.local_address())], handler);
+        TunnelTest { listener, caller, peer, ended }
+    }
+
+    async fn open(&self) -> (TunnelStream, TcpStream) {
+        let tunnel =
+            self.caller.open_tunnel(&"peer".to_owned(), "listed".to_owned(), TEST_TIMEOUT).await;
+        let (server, _) = self.listener.accept().await.unwrap();
+        (tunnel.ok().unwrap(), server)
+    }
+}
+
+/// Bytes arrive unchanged in both directions, and the server's end is an end and no error.
+#[tokio::test]
+async fn bytes_pass_until_end() {
+    let test = TunnelTest::start().await;
+    let (mut tunnel, mut server) = test.open().await;
+    let sent: Vec<u8> = (0..200_000_u32).map(|number| number as u8).collect();
+    let serve = async {
+        let mut received = vec![0; sent.len()];
+        server.read_exact(&mut received).await.unwrap();
+        server.write_all(&received).await.unwrap();
+        drop(server);
+    };
+    let call = async {
+        tunnel.write_all(&sent).await.unwrap();
+        let mut returned = Vec::new();
+        tunnel.read_to_end(&mut returned).await.unwrap();
+        assert!(returned == sent);
+    };
+    timeout(TEST_TIMEOUT, async { tokio::join!(serve, call) }).await.unwrap();
+    timeout(TEST_TIMEOUT, test.ended).await.unwrap().unwrap_err();
+}
+
+/// Guards against a response that was reset on its way and looks complete because the tunnel ended normally.
+#[tokio::test]
+async fn reset_stays_reset() {
+    let test = TunnelTest::start().await;
+    let (mut tunnel, mut server) = test.open().await;
+    server.write_all(b"a part").await.unwrap();
+    let mut part = [0; 6];
+    tunnel.read_exact(&mut part).await.unwrap();
+    SockRef::from(&server).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(server);
+    let error = timeout(TEST_TIMEOUT, tunnel.read(&mut part)).await.unwrap().unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
+
+/// Guards against a server that goes on working for a caller that has left.
+#[tokio::test]
+async fn dropped_tunnel_closes_connection() {
+    let test = TunnelTest::start().await;
+    let (mut tunnel, mut server) = test.open().await;
+    tunnel.write_all(b"request").await.unwrap();
+    server.read_exact(&mut [0; 7]).await.unwrap();
+    drop(tunnel);
+    let ended = timeout(TEST_TIMEOUT, server.read(&mut [0; 1])).await.unwrap();
+    assert!(!matches!(ended, Ok(1)), "{ended:?}");
+    timeout(TEST_TIMEOUT, test.ended).await.unwrap().unwrap_err();
+}
+
+/// Guards against a lost daemon on the path that counts as a crash of the server.
+#[tokio::test]
+async fn lost_peer_is_no_server_failure() {
+    let test = TunnelTest::start().await;
+    let (mut tunnel, _server) = test.open().await;
+    test.peer.close().await;
+    let error = timeout(TEST_TIMEOUT, tunnel.read(&mut [0; 1])).await.unwrap().unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::TimedOut);
+}
+
+/// A peer connects only to servers that it lists, and refusals tell what is known of the server.
+#[tokio::test]
+async fn refusals_are_passed_on() {
+    let TunnelTest { listener, caller, peer: _peer, ended: _ended } = TunnelTest::start().await;
+    let peer = "peer".to_owned();
+    let unlisted = caller.open_tunnel(&peer, "other".to_owned(), TEST_TIMEOUT).await;
+    assert_eq!(unlisted.err(), Some(TunnelRefusal::Unavailable));
+    drop(listener);
+    let refused = caller.open_tunnel(&peer, "listed".to_owned(), TEST_TIMEOUT).await;
+    assert_eq!(refused.err(), Some(TunnelRefusal::ServerRefused));
+    let unknown = caller.open_tunnel(&"none".to_owned(), "listed".to_owned(), TEST_TIMEOUT).await;
+    assert_eq!(unknown.err(), Some(TunnelRefusal::Unavailable));
+}
