--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -1,6 +1,7 @@
 //! Runs a request: executes the dispatcher's decisions until there is a response.
 
 mod logging;
+mod stream_start;
 
 use {
     super::{
@@ -8,13 +9,13 @@
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
         headers::{ResponseFraming, strip_connection},
         pool::{BackendTarget, LeasedConnection, PoolError, broken_attempt},
-        relay::{RelayedStream, StreamContent, StreamStart},
+        relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
         timeout_stream::ConnectionPhase,
     },
     crate::{
-        backend::sse::{EventScanner, MAX_EVENT_BYTES, is_interrupted},
+        backend::sse::is_interrupted,
         ids::AttemptId,
         observe::{events, metrics::refusal},
         pipeline::{
@@ -30,7 +31,7 @@
             ServerHealth, prefix::cache_salt,
         },
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{Request, Response, StatusCode, response},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
@@ -435,73 +436,12 @@
         AttemptStep::Response(Box::new(Response::from_parts(parts, body)))
     }
 
-    /// Waits for the first event of a stream that can be resumed, and for the first bytes of another
-    /// one. Until they arrive, the request can still be sent to another server.
-    async fn start_stream(
-        &mut self,
-        order: &SendOrder,
-        mut response: StartedResponse,
-    ) -> AttemptStep {
-        let content = StreamContent::read(&response.parts, &self.request.head.method);
-        let waits_for_event =
-            content == StreamContent::Events && self.request.caller.route.kind.is_repeatable();
-        let (mut first, mut position) = (BytesMut::new(), EventScanner::default());
-        let failure = loop {
-            let frame = tokio::select! {
-                frame = response.body.frame() => frame,
-                () = wait_withdrawn(&mut self.handle, order.attempt) => return AttemptStep::Continue,
-                () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    position.scan(&bytes);
-                    first.extend_from_slice(&bytes);
-                    let is_begun = position.has_event() || first.len() > MAX_EVENT_BYTES;
-                    if is_begun || !waits_for_event {
-                        return begin_stream(order, response, content, first.freeze());
-                    }
-                }
-                Some(Err(error)) => break broken_attempt(&error),
-                None if content == StreamContent::Events => {
-                    break response.framing.incomplete_attempt();
-                }
-                None => return self.complete_empty(order, response),
-            }
-        };
-        self.core.recheck(&order.server);
-        let failure = self.report(order, failure, &ResumePosition::default(), None);
-        self.step_after_failure(failure)
-    }
-
-    /// Completes a response without a body.
-    fn complete_empty(&mut self, order: &SendOrder, response: StartedResponse) -> AttemptStep {
-        self.finish(order.attempt, 0);
-        self.log_completed(&order.server, response.parts.status);
-        response.connection.return_to_pool(response.head.idle_limit);
-        let body = ResponseBody::full(Bytes::new(), ConnectionPhase::default(), None);
-        AttemptStep::Response(Box::new(Response::from_parts(response.parts, body)))
-    }
-
     /// Reports a completed attempt to the dispatcher.
     pub(super) fn finish(&self, attempt: AttemptId, output_tokens: u32) {
         self.handle.notify(PolicyInput::Finished { attempt, cached_tokens: None, output_tokens });
     }
 }
 
-fn begin_stream(
-    order: &SendOrder,
-    response: StartedResponse,
-    content: StreamContent,
-    first: Bytes,
-) -> AttemptStep {
-    let StartedResponse { mut parts, head, framing, body, connection } = response;
-    parts.headers.remove(http::header::CONTENT_LENGTH);
-    let order = order.clone();
-    let start = StreamStart { parts, head, framing, content, body, connection, first, order };
-    AttemptStep::Stream(Box::new(start))
-}
-
 /// Waits until the dispatcher withdraws an attempt.
 async fn wait_withdrawn(handle: &mut RequestHandle, attempt: AttemptId) {
     loop {
