Try silent servers on new connections, and count no breaks of kept ones

Two cases found by reading the change again. Servers close idle connections, so that an entry with little traffic sees the break of kept connections at several servers in a row; with a response through another entry it would count as partitioned for half a second. Such breaks count for nothing now; where links reset all connections, new ones break as well. And while servers are silent, requests went on using kept connections, up to 48 a server, before one was tried through another entry; a trial that is due takes a new connection.

--- a/src/policy/reachability.rs
+++ b/src/policy/reachability.rs
@@ -8,9 +8,8 @@
 //!
 //! Failures at several servers without a success in between raise a suspicion, for connects, for
 //! responses on new connections and for all responses separately, because connections may be accepted
-//! and reset, and kept ones may still respond. A suspicion alone changes little,
-//! since all servers may have failed: at intervals one connection is tried through another daemon.
-//! Only if a server is reached in that way while it is not reached directly does the daemon count as
+//! and reset, and kept ones may still respond. A suspicion alone changes little, since all servers may
+//! have failed: at intervals one connection is tried through another daemon. Only if a server is reached in that way while it is not reached directly does the daemon count as
 //! partitioned. A failed service, a restart of all servers and a daemon with little traffic therefore
 //! cause a few trials and nothing else.
 
@@ -130,8 +129,9 @@
         ends.then(|| self.partition = None).map(|()| ReachChange::Reached)
     }
 
-    /// Records that a direct connection broke before the response or is silent, and whether it is the
-    /// first one there.
+    /// Records that a direct connection is silent, or broke before its first response; `is_first`
+    /// tells whether the request is the first one there. A kept connection that breaks is no failure,
+    /// since servers close idle ones.
     pub fn record_no_response(&mut self, now: Instant, server: &ServerId, is_first: bool) {
         self.responses.record(now, server);
         if is_first {
@@ -178,6 +178,17 @@
             || self.responses.is_suspicious(now, listed)
     }
 
+    /// Whether the next request has to use a new connection, because only that can show whether silent
+    /// servers are reached. Without it requests would use up all kept connections first.
+    pub fn is_trial_due(&self, now: Instant, listed: usize) -> bool {
+        !self.is_partitioned() && self.responses.is_suspicious(now, listed) && self.may_try(now)
+    }
+
+    fn may_try(&self, now: Instant) -> bool {
+        let since = self.last_trial.map(|trial| now.saturating_duration_since(trial));
+        since.is_none_or(|elapsed| elapsed >= TRIAL_INTERVAL)
+    }
+
     /// Decides how to open a connection to one of `listed` servers.
     pub fn choose_path(
         &mut self,
@@ -196,10 +207,7 @@
         if purpose == ConnectPurpose::Probe && !connects_fail {
             return ServerPath::Direct;
         }
-        let is_due = self
-            .last_trial
-            .is_none_or(|trial| now.saturating_duration_since(trial) >= TRIAL_INTERVAL);
-        if !is_due {
+        if !self.may_try(now) {
             return ServerPath::Direct;
         }
         self.last_trial = Some(now);
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -228,7 +228,7 @@
         connection_limit: u32,
     ) -> Result<(Response<Incoming>, LeasedConnection), PoolError> {
         let address = target.address;
-        while let Some(mut connection) = self.take_idle(address, non_repeatable).await {
+        while let Some(mut connection) = self.reuse(address, non_repeatable).await {
             match self.exchange(target, &mut connection, request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -237,7 +237,6 @@
                     None => {
                         log::debug!(address:% = address, error:% = error.error();
                             "a reused connection broke");
-                        self.links.record_no_response(target.server, false);
                         return Err(PoolError::after_sending(error.error()));
                     }
                 },
@@ -262,6 +261,14 @@
         }
     }
 
+    /// Takes an idle connection, unless a new one is needed to find out whether servers are reached.
+    async fn reuse(&self, address: SocketAddr, non_repeatable: bool) -> Option<LeasedConnection> {
+        match self.links.is_trial_due() {
+            true => None,
+            false => self.take_idle(address, non_repeatable).await,
+        }
+    }
+
     /// The state of the links to all servers.
     pub fn links(&self) -> &ServerLinks {
         &self.links
--- a/src/reverse_proxy/server_link.rs
+++ b/src/reverse_proxy/server_link.rs
@@ -78,6 +78,11 @@
         self.lock().is_suspicious(Instant::now(), self.listed())
     }
 
+    /// Whether the next request has to use a new connection; see [`ReachMonitor::is_trial_due`].
+    pub fn is_trial_due(&self) -> bool {
+        self.tunnels.get().is_some() && self.lock().is_trial_due(Instant::now(), self.listed())
+    }
+
     /// Decides how to open a connection.
     pub fn choose_path(&self, purpose: ConnectPurpose) -> ServerPath {
         match self.tunnels.get() {
@@ -122,8 +127,8 @@
         log_change(change);
     }
 
-    /// Records that a request on a direct connection got no response, or none for a while, and whether
-    /// it is the first one there.
+    /// Records that a direct connection is silent, or broke before its first response; see
+    /// [`ReachMonitor::record_no_response`].
     pub fn record_no_response(&self, server: &ServerId, is_first: bool) {
         self.lock().record_no_response(Instant::now(), server, is_first);
     }
--- a/tests/server_reachability.rs
+++ b/tests/server_reachability.rs
@@ -55,6 +55,20 @@
     assert_eq!(monitor.record_response(true), Some(ReachChange::Reached));
 }
 
+/// Guards against requests that use up all kept connections, which are silent, before one is tried through
+/// another daemon.
+#[test]
+fn silence_needs_new_connection() {
+    let (mut monitor, now) = (ReachMonitor::default(), Instant::now());
+    (0..3).for_each(|number| monitor.record_no_response(now, &server(number), false));
+    assert!(monitor.is_trial_due(now, LISTED));
+    monitor.choose_path(now, LISTED, ConnectPurpose::Request);
+    assert!(!monitor.is_trial_due(now, LISTED), "one trial at a time");
+    assert!(monitor.is_trial_due(now + Duration::from_secs(1), LISTED));
+    monitor.record_response(false);
+    assert!(!monitor.is_trial_due(now + Duration::from_secs(1), LISTED));
+}
+
 /// Guards against kept connections that respond and hide that no new ones can be opened.
 #[test]
 fn kept_connections_hide_nothing() {
