Box the tunnel of a peer's request

Cause: the task of each request of a peer had grown by the state of a tunnel, though the requests of followers, of which 380 wait at a time, open none.

--- a/src/transport/inbound.rs
+++ b/src/transport/inbound.rs
@@ -179,7 +179,8 @@
     };
     if let PeerRequest::OpenTunnel { server } = request {
         let target = context.handler.open_tunnel(peer, server).await;
-        return serve_tunnel(sender, receiver, target).await;
+        // Boxed, so that requests of followers, of which hundreds wait at a time, take no room for it.
+        return Box::pin(serve_tunnel(sender, receiver, target)).await;
     }
     let mut reply = context.handler.request(peer, request).await;
     let packed = context.packer.detach(&mut reply);
