End tunnels whose caller has left while the server reads nothing

Found by reading the change again. What callers saw: nothing; a server and a tunnel stayed occupied. Cause: an entry noticed the end of a tunnel only when it read from its peer or wrote to it, and did neither while it waited for a server that reads nothing and sends nothing. The peer's closing of the stream ends the tunnel now, whatever the entry waits for.

--- a/src/transport/tunnel.rs
+++ b/src/transport/tunnel.rs
@@ -56,7 +56,10 @@
     }
     let Some(TunnelTarget { stream, guard }) = target else { return };
     let (from_server, to_server) = stream.into_split();
+    // Noticed also while the server reads and sends nothing.
+    let abandoned = sender.stopped();
     tokio::select! {
+        _ = abandoned => {}
         () = copy_requests(receiver, to_server) => {}
         () = copy_responses(from_server, sender) => {}
     }
--- a/tests/server_tunnels.rs
+++ b/tests/server_tunnels.rs
@@ -25,6 +25,8 @@
 };
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longer than a loopback connection takes to fill its buffers.
+const BLOCKED_TIME: Duration = Duration::from_millis(500);
 
 /// Opens tunnels to one server, and signals when a tunnel has ended.
 struct TunnelPeer {
@@ -144,6 +146,18 @@
     timeout(TEST_TIMEOUT, test.ended).await.unwrap().unwrap_err();
 }
 
+/// Guards against a tunnel that stays open after its caller has left, because the server reads nothing.
+#[tokio::test]
+async fn abandoned_tunnel_ends_unread() {
+    let test = TunnelTest::start().await;
+    let (mut tunnel, _server) = test.open().await;
+    // More than all buffers hold, so that the peer waits for the server.
+    let sent = vec![0; 16 << 20];
+    timeout(BLOCKED_TIME, tunnel.write_all(&sent)).await.unwrap_err();
+    drop(tunnel);
+    timeout(TEST_TIMEOUT, test.ended).await.unwrap().unwrap_err();
+}
+
 /// Guards against a lost daemon on the path that counts as a crash of the server.
 #[tokio::test]
 async fn lost_peer_is_no_server_failure() {
