Expire entries that are gone from a full directory

The directory of entries removed expired ones only when it was asked for some, and took no further ones at its bound of 2,048. A single control VM that is asked rarely could fill up with entries that were replaced long ago. Red before: replaced_entries_make_room.

--- a/src/follow/entry_directory.rs
+++ b/src/follow/entry_directory.rs
@@ -64,7 +64,11 @@
 
     /// Records a poll of an own entry.
     pub fn record_poll(&self, now: Instant, entry: &VmId) {
-        insert_bounded(&mut self.lock().own, entry, now, MAX_ENTRIES);
+        let mut state = self.lock();
+        if state.own.len() >= MAX_ENTRIES {
+            state.expire(now);
+        }
+        insert_bounded(&mut state.own, entry, now, MAX_ENTRIES);
     }
 
     /// Records that an entry reaches no server.
--- a/tests/tunnel_load.rs
+++ b/tests/tunnel_load.rs
@@ -138,6 +138,16 @@
     assert_eq!(directory.peers_for(now + Duration::from_secs(6), &asking), [""; 0]);
 }
 
+/// Guards against a directory that is full of entries that are gone and takes no others.
+#[test]
+fn replaced_entries_make_room() {
+    let (directory, now) = (EntryDirectory::new(random(1)), Instant::now());
+    (0..5_000).for_each(|entry| directory.record_poll(now, &name(entry)));
+    let later = now + Duration::from_secs(60);
+    directory.record_poll(later, &name(9_000));
+    assert_eq!(directory.own_sample(later), [name(9_000)]);
+}
+
 /// Guards against entries that count as partitioned because they asked: while a service has failed, all of
 /// them ask.
 #[test]
