--- a/src/reverse_proxy/server_link.rs
+++ b/src/reverse_proxy/server_link.rs
@@ -40,7 +40,7 @@
     /// # Errors
     /// The refusal of the daemon that was asked, or [`TunnelRefusal::Unavailable`] if there is none.
     fn open(
-        &self,
+        self: Arc<Self>,
         server: ServerId,
         is_partitioned: bool,
     ) -> BoxFuture<'static, Result<Box<dyn ByteStream>, TunnelRefusal>>;
@@ -100,7 +100,7 @@
         server: &ServerId,
     ) -> Result<Box<dyn ByteStream>, TunnelRefusal> {
         let tunnels = self.tunnels.get().ok_or(TunnelRefusal::Unavailable)?;
-        let opened = tunnels.open(server.clone(), self.is_partitioned()).await;
+        let opened = Arc::clone(tunnels).open(server.clone(), self.is_partitioned()).await;
         let result = match &opened {
             Ok(_) => "opened",
             Err(TunnelRefusal::ServerRefused) => "server_refused",
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -167,7 +167,7 @@
         tasks.spawn(task.run());
         let directory = Arc::new(ControlDirectory::new(network.clone(), control, candidates));
         let tunnels = Arc::new(TunnelClient::new(network, Arc::clone(&directory), followed));
-        core.pool.links().set_tunnels(Arc::new(Arc::clone(&tunnels)));
+        core.pool.links().set_tunnels(tunnels.clone());
         tasks.spawn(tunnels.keep_alive());
         tasks.spawn(check_server_links(Arc::clone(&core)));
         tasks.spawn(update_directory(Arc::clone(&directory), states.clone()));
--- a/src/roles/tunnel_client.rs
+++ b/src/roles/tunnel_client.rs
@@ -168,13 +168,13 @@
     }
 }
 
-impl TunnelOpener for Arc<TunnelClient> {
+impl TunnelOpener for TunnelClient {
     fn open(
-        &self,
+        self: Arc<Self>,
         server: ServerId,
         is_partitioned: bool,
     ) -> BoxFuture<'static, Result<Box<dyn ByteStream>, TunnelRefusal>> {
-        Box::pin(Arc::clone(self).open_through_any(server, is_partitioned))
+        Box::pin(self.open_through_any(server, is_partitioned))
     }
 }
 
