Keep lost links of an entry from making others refuse requests

Cause: an entry whose connections break reports the requests on them as possible crashes at once, and cannot know yet that the breaks are its own.

It now reports pending evidence only after another response, or half a second, and clears all of its own when it counts as partitioned; confirmed evidence is reported at once and stays. A crashing request is found as soon as before by an entry that gets any response in between.

--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -262,6 +262,7 @@
             | PolicyInput::Cache(_)
             | PolicyInput::Digest(_)
             | PolicyInput::CrashReports(_)
+            | PolicyInput::LinksFailed
             | PolicyInput::PeerFetch { .. }
             | PolicyInput::CacheStoreLink { .. }
             | PolicyInput::RetryReserve { .. }
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -167,6 +167,9 @@
     pub(super) fn fail(&mut self, now: Instant, attempt: AttemptId, failed: FailedAttempt) {
         let Some(state) = self.end_attempt(attempt) else { return };
         self.record_server_failure(now, state.server, &failed);
+        if failed.failure.is_response() {
+            self.peers.record_response(now);
+        }
         let Some(RequestEntry { pool, cost, phase }) = self.requests.remove(&state.number) else {
             return;
         };
@@ -195,7 +198,7 @@
         if failed.failure == AttemptFailure::Broken && server.reachable {
             let site = server.crash_site(state.server);
             self.suspects.record_crash(now, fingerprint, site, state.answered);
-            self.peers.publish_now(now);
+            self.peers.publish_after_response();
             if self.has_crashed_servers(now, fingerprint) {
                 log::warn!(fingerprint:% = format_args!("{fingerprint:016x}"),
                     server = self.table.servers[state.server].id.as_str();
--- a/src/policy/dispatcher/digests.rs
+++ b/src/policy/dispatcher/digests.rs
@@ -52,6 +52,10 @@
     /// The last digest sent, with its sequence number set to zero.
     last: DomainDigest,
     last_at: Option<Instant>,
+    /// When a server last responded to this daemon.
+    responded_at: Option<Instant>,
+    /// Whether a digest is due after the next response.
+    has_unreported: bool,
 }
 
 impl PeerTable {
@@ -61,6 +65,20 @@
         self.publish_at = Some(now);
     }
 
+    /// Schedules a digest with evidence of a crash for the next response. Without one the evidence is
+    /// reported later.
+    pub fn publish_after_response(&mut self) {
+        self.has_unreported = true;
+    }
+
+    /// Records a response of a server.
+    pub fn record_response(&mut self, now: Instant) {
+        self.responded_at = Some(now);
+        if std::mem::take(&mut self.has_unreported) {
+            self.publish_now(now);
+        }
+    }
+
     /// Returns when the next digest is due; `None` before the first one and while digests are not
     /// sent.
     pub fn publish_at(&self) -> Option<Instant> {
@@ -103,7 +121,7 @@
         DomainDigest {
             daemon: self.settings.daemon.clone(),
             hot_prefixes: self.hot_prefixes(now),
-            suspects: self.suspects.own_reports(now),
+            suspects: self.suspects.due_reports(now, self.peers.responded_at),
             unhealthy: unhealthy.take(MAX_UNHEALTHY).collect(),
             ..DomainDigest::default()
         }
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -18,6 +18,9 @@
 //! identifies itself in a later response, or if a request with the fingerprint completes. A server
 //! list is no evidence, because a crashed server remains listed for seconds. Since each step is
 //! final, reports of several daemons can be merged in any order.
+//!
+//! A daemon whose own links fail sees the connections to all servers break. It therefore reports
+//! pending evidence only after another response or a delay, and clears it once it knows.
 
 use {
     super::prefix::ServerIndex,
@@ -61,6 +64,10 @@
 /// the server list together, since the list then shows whether the server has ended.
 const PENDING_RETENTION: Duration = Duration::from_secs(10);
 
+/// Delay of reports on pending evidence of a daemon that has received no response since. Its own links
+/// may have failed, which it finds out in this time.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
+
 /// Retention of confirmed crashes. Callers stop resending within minutes.
 const CONFIRMED_RETENTION: Duration = Duration::from_secs(600);
 
@@ -344,11 +351,32 @@
         changed
     }
 
-    /// Returns the reports on crashes that this daemon observed, for digests.
+    /// Clears the pending evidence that this daemon has observed, because its links had failed and not
+    /// the servers.
+    pub fn clear_own(&mut self, now: Instant) {
+        for record in self.records.values_mut().flat_map(BTreeMap::values_mut) {
+            if record.is_own && record.evidence == CrashEvidence::Pending {
+                record.advance(now, CrashEvidence::Cleared);
+            }
+        }
+    }
+
+    /// Returns the reports on crashes that this daemon observed.
     pub fn own_reports(&self, now: Instant) -> Vec<CrashReport> {
         self.reports(now, |record| record.is_own)
     }
 
+    /// Returns those of [`Self::own_reports`] that other daemons may use. `responded` is when a server
+    /// last responded to this one.
+    pub fn due_reports(&self, now: Instant, responded: Option<Instant>) -> Vec<CrashReport> {
+        self.reports(now, |record| {
+            let is_due = record.evidence != CrashEvidence::Pending
+                || responded.is_some_and(|responded| record.since < responded)
+                || now.saturating_duration_since(record.since) >= REPORT_DELAY;
+            record.is_own && is_due
+        })
+    }
+
     /// Returns the reports on all crashes.
     pub fn all_reports(&self, now: Instant) -> Vec<CrashReport> {
         self.reports(now, |_| true)
--- a/src/reverse_proxy/server_link.rs
+++ b/src/reverse_proxy/server_link.rs
@@ -53,6 +53,8 @@
     /// Number of listed servers.
     listed: AtomicUsize,
     tunnels: OnceLock<Arc<dyn TunnelOpener>>,
+    /// Called when the process counts as partitioned.
+    partition_handler: OnceLock<Box<dyn Fn() + Send + Sync>>,
 }
 
 impl ServerLinks {
@@ -63,6 +65,13 @@
         }
     }
 
+    /// Sets what is called when the process counts as partitioned; a second call has no effect.
+    pub fn set_partition_handler(&self, handler: impl Fn() + Send + Sync + 'static) {
+        if self.partition_handler.set(Box::new(handler)).is_err() {
+            log::error!("the partition handler was set twice");
+        }
+    }
+
     /// Sets the number of listed servers.
     pub fn set_listed(&self, listed: usize) {
         self.listed.store(listed, Ordering::Relaxed);
@@ -138,7 +147,11 @@
     pub fn record_tunnelled(&self, responded: bool) -> bool {
         let change = self.lock().record_tunnelled(Instant::now(), self.listed(), responded);
         log_change(change);
-        change == Some(ReachChange::Partitioned)
+        let is_partitioned = change == Some(ReachChange::Partitioned);
+        if let Some(handler) = self.partition_handler.get().filter(|_| is_partitioned) {
+            handler();
+        }
+        is_partitioned
     }
 
     fn record_check(&self) {
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -311,6 +311,8 @@
         dialect,
         dispatcher: Arc::clone(&handle),
     });
+    let links_handle = Arc::clone(&handle);
+    core.pool.links().set_partition_handler(move || links_handle.notify(PolicyInput::LinksFailed));
     tasks.spawn(async move { handle.run_wakeups().await });
     tasks.spawn(run_dispatch_tasks(Arc::clone(&core), task_queue));
     tasks.spawn(monitor_cache_store(Arc::clone(&core)));
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -122,6 +122,39 @@
     assert!(later.len() == 2 && later.iter().all(|report| report.fingerprint == CRASHING));
 }
 
+/// Guards against harmless requests that all daemons refuse because one of them has lost its links, at which
+/// its connections to all servers broke.
+#[test]
+fn own_links_are_no_evidence() {
+    let (mut list, mut other, now) =
+        (SuspectList::default(), SuspectList::default(), Instant::now());
+    let at = |time: u64| now + Duration::from_millis(time);
+    list.record_crash(at(0), HARMLESS, site(1), false);
+    list.record_crash(at(300), HARMLESS, site(2), false);
+    assert_eq!(list.due_reports(at(400), None), []);
+    assert_eq!(list.due_reports(at(400), Some(at(100))).len(), 1, "a server responded in between");
+    assert_eq!(list.due_reports(at(900), None).len(), 2);
+    other.merge_reports(at(900), &list.due_reports(at(900), None));
+    assert!(other.is_refused(at(900), HARMLESS));
+    list.clear_own(at(1_000));
+    assert!(!list.is_refused(at(1_000), HARMLESS));
+    other.merge_reports(at(1_000), &list.due_reports(at(1_000), None));
+    assert!(!other.is_refused(at(1_000), HARMLESS));
+}
+
+/// What a server's end has confirmed is reported at once and outlasts a failure of the own links.
+#[test]
+fn confirmed_crashes_outlast_lost_links() {
+    let (mut list, now) = (SuspectList::default(), Instant::now());
+    list.record_crash(now, CRASHING, site(1), false);
+    list.record_crash(now, CRASHING, site(2), false);
+    list.confirm_crashes(now, 1);
+    list.confirm_crashes(now, 2);
+    assert_eq!(list.due_reports(now, None).len(), 2);
+    list.clear_own(now);
+    assert!(list.is_refused(now, CRASHING));
+}
+
 /// Guards against a request that is refused because of one of another organisation, or because its parts
 /// read the same when they are joined.
 #[test]
