Test that refusals everywhere end no server

The postmortem named a test for this that did not hold it: a refused connect is no evidence of a server's end once three servers have refused. Without the check in the pool the last four probes are Refused.

--- a/tests/unreachable_servers.rs
+++ b/tests/unreachable_servers.rs
@@ -7,10 +7,11 @@
             AttemptFailure, Dispatcher, DispatcherSettings, PolicyAction, PolicyInput, PolicyView,
             RequestTicket, RequestWork, SafeguardSet, ServerView,
         },
-        reverse_proxy::pool::broken_attempt,
+        reverse_proxy::pool::{BackendTarget, ConnectionPool, ProbeResult, broken_attempt},
     },
     std::{
         io::{Error, ErrorKind},
+        net::TcpListener,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -112,3 +113,20 @@
         assert_eq!(broken_attempt(&LibraryError(Error::from(kind))), failure);
     }
 }
+
+/// Guards against a daemon whose own links are refused everywhere and that takes all servers for ended.
+#[tokio::test]
+async fn refusals_everywhere_end_no_server() {
+    let pool = ConnectionPool::default();
+    pool.links().set_listed(6);
+    let mut results = Vec::new();
+    for number in 0..6 {
+        // Nothing listens on the port of a listener that is gone.
+        let address = TcpListener::bind("127.0.0.1:0").expect("a port is free").local_addr();
+        let address = address.expect("the listener has an address");
+        let server = format!("server-{number}");
+        results.push(pool.probe(BackendTarget { server: &server, address }).await);
+    }
+    assert_eq!(results[..2], [ProbeResult::Refused; 2], "one or two servers may have ended");
+    assert_eq!(results[2..], [ProbeResult::Unreachable; 4]);
+}
