--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -6,21 +6,22 @@
 //! timeout, a non-repeatable request uses only a recently used or a new connection, and a request
 //! is sent again only if the HTTP library has not begun to write it.
 
+mod failure;
+
+pub use self::failure::{PoolError, broken_attempt};
+
 use {
+    self::failure::ConnectError,
     super::{
         dial::{RequestSender, drive, open},
         server_link::ServerLinks,
     },
     crate::{
         ids::ServerId,
-        policy::{
-            AttemptFailure,
-            reachability::{ConnectPurpose, ServerPath},
-        },
+        policy::reachability::{ConnectPurpose, ServerPath},
         transport::TunnelRefusal,
     },
     bytes::Bytes,
-    displaydoc::Display,
     http::{Request, Response, header},
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::TrySendError},
@@ -57,48 +58,6 @@
 /// Time without a response after which a direct connection counts as silent. Other servers of a
 /// reachable network respond in this time.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
-/// Reason for which a request got no response head.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum PoolError {
-    /// the connection could not be established, and no byte was sent
-    NotConnected,
-    /// the connection limit of the server is reached, and no byte was sent
-    Full,
-    /// the connection broke after bytes were sent; the server may have run the request
-    Broken,
-    /// the server's VM stopped acknowledging after bytes were sent; it may have run the request
-    Unreachable,
-}
-
-impl std::error::Error for PoolError {}
-
-impl PoolError {
-    fn after_sending(error: &hyper::Error) -> Self {
-        match broken_attempt(error) {
-            AttemptFailure::Unreachable => PoolError::Unreachable,
-            _ => PoolError::Broken,
-        }
-    }
-}
-
-/// Returns how an attempt failed whose connection ended with this error after bytes were sent.
-pub fn broken_attempt(error: &(dyn std::error::Error + 'static)) -> AttemptFailure {
-    let mut source = Some(error);
-    while let Some(cause) = source {
-        let is_silent = |error: &std::io::Error| {
-            matches!(
-                error.kind(),
-                ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
-            )
-        };
-        if cause.downcast_ref::<std::io::Error>().is_some_and(is_silent) {
-            return AttemptFailure::Unreachable;
-        }
-        source = cause.source();
-    }
-    AttemptFailure::Broken
-}
-
 /// A backend server to connect to.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendTarget<'a> {
@@ -119,26 +78,6 @@
     Unreachable,
 }
 
-/// Why no connection was opened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ConnectError {
-    /// The connection limit is reached.
-    Full,
-    /// Nothing listens on the address.
-    Refused,
-    /// Nothing was received, or the connection failed otherwise.
-    Failed,
-}
-
-impl From<ConnectError> for PoolError {
-    fn from(error: ConnectError) -> Self {
-        match error {
-            ConnectError::Full => PoolError::Full,
-            ConnectError::Refused | ConnectError::Failed => PoolError::NotConnected,
-        }
-    }
-}
-
 /// A connection that is in use by one request; dropping it closes the connection.
 pub struct LeasedConnection {
     sender: RequestSender,
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -7,7 +7,7 @@
 use {
     super::{
         dialect::ResponseHead,
-        exchange::{HttpExchange, ResumePosition},
+        exchange::{HttpExchange, ResumePosition, StartedResponse},
         headers::ResponseFraming,
         pool::{LeasedConnection, broken_attempt},
         response::TruncatedResponse,
@@ -250,27 +250,9 @@
             return Err(TruncatedResponse::BackendFailed);
         }
         loop {
-            let directive = tokio::select! {
-                directive = exchange.handle.next() => directive,
-                () = sleep_until(exchange.request.deadline.into()) => {
-                    exchange.log_truncated(
-                        &self.order,
-                        RefusalReason::DeadlinePassed,
-                        self.position.events,
-                    );
-                    return Err(TruncatedResponse::DeadlinePassed);
-                }
-            };
-            let order = match directive {
-                DispatchDirective::Send(order) => *order,
-                DispatchDirective::Cancel(_) => continue,
-                DispatchDirective::Refuse { reason, .. } => {
-                    exchange.log_truncated(&self.order, reason, self.position.events);
-                    return Err(TruncatedResponse::BackendFailed);
-                }
-            };
-            let started = exchange.start_attempt(&order, &self.position).await;
-            let response = match started {
+            let order = self.next_order().await?;
+            let exchange = &mut self.exchange;
+            let response = match exchange.start_attempt(&order, &self.position).await {
                 Ok(response) if response.parts.status.is_success() => response,
                 Ok(_) => {
                     exchange.report(&order, AttemptFailure::ServerError, &self.position, None);
@@ -296,20 +278,51 @@
                     return Err(TruncatedResponse::BackendFailed);
                 }
             };
-            log::warn!(request_id = exchange.request.caller.id.as_str(),
-                server = order.server.as_str(), relayed_events = self.position.events;
-                "{}", events::STREAM_RESUMED);
-            let attempt = order.attempt;
-            exchange.handle.notify(PolicyInput::FirstToken { attempt, cached_tokens: None });
-            self.head = response.head;
-            self.framing = response.framing;
-            self.events.restart();
-            self.source = Some((response.body, response.connection));
-            self.order = order;
+            self.continue_with(order, response);
             return Ok(Bytes::new());
         }
     }
 
+    /// Waits for the dispatcher's next order to send the request.
+    async fn next_order(&mut self) -> Result<SendOrder, TruncatedResponse> {
+        let exchange = &mut self.exchange;
+        loop {
+            let directive = tokio::select! {
+                directive = exchange.handle.next() => directive,
+                () = sleep_until(exchange.request.deadline.into()) => {
+                    exchange.log_truncated(
+                        &self.order,
+                        RefusalReason::DeadlinePassed,
+                        self.position.events,
+                    );
+                    return Err(TruncatedResponse::DeadlinePassed);
+                }
+            };
+            match directive {
+                DispatchDirective::Send(order) => return Ok(*order),
+                DispatchDirective::Cancel(_) => {}
+                DispatchDirective::Refuse { reason, .. } => {
+                    exchange.log_truncated(&self.order, reason, self.position.events);
+                    return Err(TruncatedResponse::BackendFailed);
+                }
+            }
+        }
+    }
+
+    /// Relays the response of another server from now on.
+    fn continue_with(&mut self, order: SendOrder, response: StartedResponse) {
+        log::warn!(request_id = self.exchange.request.caller.id.as_str(),
+            server = order.server.as_str(), relayed_events = self.position.events;
+            "{}", events::STREAM_RESUMED);
+        let attempt = order.attempt;
+        self.exchange.handle.notify(PolicyInput::FirstToken { attempt, cached_tokens: None });
+        self.head = response.head;
+        self.framing = response.framing;
+        self.events.restart();
+        self.source = Some((response.body, response.connection));
+        self.order = order;
+    }
+
     /// Adds received bytes and returns all complete events; an incomplete one is kept.
     fn complete_events(&mut self, bytes: Bytes) -> Bytes {
         if !self.resumable {
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -166,10 +166,7 @@
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
         tasks.spawn(task.run());
         let directory = Arc::new(ControlDirectory::new(network.clone(), control, candidates));
-        let tunnels = Arc::new(TunnelClient::new(network, Arc::clone(&directory), followed));
-        core.pool.links().set_tunnels(tunnels.clone());
-        tasks.spawn(tunnels.keep_alive());
-        tasks.spawn(check_server_links(Arc::clone(&core)));
+        start_tunnels(&core, TunnelClient::new(network, directory.clone(), followed), &mut tasks);
         tasks.spawn(update_directory(Arc::clone(&directory), states.clone()));
         let (retry_reserve, reserve_watch) = watch::channel(settings.retry_reserve);
         tasks.spawn(apply_states(Arc::clone(&core), states, parser, reserve_watch));
@@ -227,6 +224,14 @@
     }
 }
 
+/// Lets the core connect to servers through other entries.
+fn start_tunnels(core: &Arc<ProxyCore>, client: TunnelClient, tasks: &mut JoinSet<()>) {
+    let client = Arc::new(client);
+    core.pool.links().set_tunnels(client.clone());
+    tasks.spawn(client.keep_alive());
+    tasks.spawn(check_server_links(Arc::clone(core)));
+}
+
 async fn update_directory(
     directory: Arc<ControlDirectory>,
     mut states: watch::Receiver<SharedState>,
