Hold the evidence of broken connections while a daemon doubts its links

What callers saw: right after some entries had lost their links, an entry that reached all servers refused harmless requests as ones that crash servers.

Cause: what took for a sign that the own links work is none.

Pending evidence is now reported after half a second and not for three seconds after failures at several servers without a success in between, which the reachability monitor already finds. A response releases nothing. An entry that hears of a crash ignores it if the server has responded to a request that it sent after the break; so reports carry their age in tenths of a second in place of seconds, and a digest that differs only in them is not sent again before the idle interval.

--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -262,7 +262,7 @@
             | PolicyInput::Cache(_)
             | PolicyInput::Digest(_)
             | PolicyInput::CrashReports(_)
-            | PolicyInput::LinksFailed
+            | PolicyInput::LinksFailed(_)
             | PolicyInput::PeerFetch { .. }
             | PolicyInput::CacheStoreLink { .. }
             | PolicyInput::RetryReserve { .. }
--- a/src/follow/evidence.rs
+++ b/src/follow/evidence.rs
@@ -71,12 +71,8 @@
 
     /// The reports with their present age.
     pub fn reports(&self, now: StdInstant) -> Vec<CrashReport> {
-        let elapsed = now.saturating_duration_since(self.published_at).as_secs() as u32;
-        let aged = |report: &CrashReport| CrashReport {
-            age_s: report.age_s.saturating_add(elapsed),
-            ..*report
-        };
-        self.reports.iter().map(aged).collect()
+        let elapsed = now.saturating_duration_since(self.published_at);
+        self.reports.iter().map(|report| report.aged(elapsed)).collect()
     }
 }
 
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -30,6 +30,7 @@
         pacing::DaemonCount,
         placement::PrefixRateTable,
         prefix::{MAX_PREFIXES, PrefixTable, ServerIndex},
+        reachability::LinkFailure,
         retry::RetryBudgets,
         suspect::SuspectList,
     },
@@ -226,14 +227,12 @@
             PolicyInput::Configure(view) => self.configure(now, view),
             PolicyInput::Arrive(ticket) => self.arrive(now, ticket),
             PolicyInput::FirstToken { attempt, cached_tokens } => {
-                self.peers.record_response(now);
                 self.record_first_token(now, attempt, cached_tokens);
             }
             PolicyInput::Progress { attempt, .. } => {
                 self.record_first_token(now, attempt, None);
             }
             PolicyInput::Finished { attempt, cached_tokens, output_tokens } => {
-                self.peers.record_response(now);
                 self.finish(now, attempt, cached_tokens, output_tokens);
             }
             PolicyInput::Failed { attempt, failure, relayed_tokens, retry_after } => {
@@ -246,11 +245,14 @@
             PolicyInput::Health { server, health } => self.record_health(now, &server, health),
             PolicyInput::Reachable { domains } => self.record_reachable(domains),
             PolicyInput::CrashReports(reports) => {
-                self.suspects.merge_reports(now, &reports);
+                self.merge_crash_reports(now, &reports);
             }
-            PolicyInput::LinksFailed => {
-                self.suspects.clear_own(now);
-                self.peers.publish_now(now);
+            PolicyInput::LinksFailed(failure) => {
+                self.peers.doubt_links(now);
+                if failure == LinkFailure::Certain {
+                    self.suspects.clear_own(now);
+                    self.peers.publish_now(now);
+                }
             }
             PolicyInput::Digest(digest) => self.merge_digest(now, digest),
             PolicyInput::ServerLimit { server, limit } => self.record_limit(now, &server, limit),
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -74,6 +74,10 @@
         server.record_first_token(attempt);
         server.failures.record_success();
         server.window.record_first_token(now, state.predicted, taken);
+        server.responded = server.responded.max(Some(state.sent));
+        let crash = server.crash_site(state.server).crash;
+        self.suspects.refute_crash(now, crash, state.sent);
+        let server = &mut self.table.servers[state.server];
         let computed = match cached {
             Some(cached) => (state.computed + state.expected_hit).saturating_sub(cached),
             None => state.computed,
@@ -167,9 +171,6 @@
     pub(super) fn fail(&mut self, now: Instant, attempt: AttemptId, failed: FailedAttempt) {
         let Some(state) = self.end_attempt(attempt) else { return };
         self.record_server_failure(now, state.server, &failed);
-        if failed.failure.is_response() {
-            self.peers.record_response(now);
-        }
         let Some(RequestEntry { pool, cost, phase }) = self.requests.remove(&state.number) else {
             return;
         };
@@ -198,7 +199,6 @@
         if failed.failure == AttemptFailure::Broken && server.reachable {
             let site = server.crash_site(state.server);
             self.suspects.record_crash(now, fingerprint, site, state.answered);
-            self.peers.publish_after_response();
             if self.has_crashed_servers(now, fingerprint) {
                 log::warn!(fingerprint:% = format_args!("{fingerprint:016x}"),
                     server = self.table.servers[state.server].id.as_str();
--- a/src/policy/dispatcher/digests.rs
+++ b/src/policy/dispatcher/digests.rs
@@ -8,7 +8,10 @@
     super::Dispatcher,
     crate::{
         ids::{ServerId, VmId},
-        policy::{DomainDigest, PolicyAction, PolicySafeguard, ServerHealth},
+        policy::{
+            DomainDigest, PolicyAction, PolicySafeguard, ServerHealth,
+            suspect::{CrashEvidence, CrashReport},
+        },
     },
     std::{
         collections::BTreeMap,
@@ -49,13 +52,11 @@
     peers: BTreeMap<VmId, PeerRecord>,
     sequence: u64,
     publish_at: Option<Instant>,
-    /// The last digest sent, with its sequence number set to zero.
+    /// The last digest sent, with its sequence number and the ages of its reports set to zero.
     last: DomainDigest,
     last_at: Option<Instant>,
-    /// When a server last responded to this daemon.
-    responded_at: Option<Instant>,
-    /// Whether a digest is due after the next response.
-    has_unreported: bool,
+    /// When this daemon last doubted its links to the servers.
+    doubted_at: Option<Instant>,
 }
 
 impl PeerTable {
@@ -65,18 +66,9 @@
         self.publish_at = Some(now);
     }
 
-    /// Schedules a digest with evidence of a crash for the next response. Without one the evidence is
-    /// reported later.
-    pub fn publish_after_response(&mut self) {
-        self.has_unreported = true;
-    }
-
-    /// Records a response of a server.
-    pub fn record_response(&mut self, now: Instant) {
-        self.responded_at = Some(now);
-        if std::mem::take(&mut self.has_unreported) {
-            self.publish_now(now);
-        }
+    /// Records that the links of this daemon to the servers may have failed.
+    pub fn doubt_links(&mut self, now: Instant) {
+        self.doubted_at = Some(now);
     }
 
     /// Returns when the next digest is due; `None` before the first one and while digests are not
@@ -104,10 +96,11 @@
             .peers
             .last_at
             .is_none_or(|at| now.saturating_duration_since(at) >= IDLE_PUBLISH_INTERVAL);
-        if digest == self.peers.last && !idle_due {
+        let unaged = without_ages(&digest);
+        if unaged == self.peers.last && !idle_due {
             return;
         }
-        self.peers.last = digest.clone();
+        self.peers.last = unaged;
         self.peers.last_at = Some(now);
         self.peers.sequence += 1;
         let sequence = self.peers.sequence;
@@ -121,7 +114,7 @@
         DomainDigest {
             daemon: self.settings.daemon.clone(),
             hot_prefixes: self.hot_prefixes(now),
-            suspects: self.suspects.due_reports(now, self.peers.responded_at),
+            suspects: self.suspects.due_reports(now, self.peers.doubted_at),
             unhealthy: unhealthy.take(MAX_UNHEALTHY).collect(),
             ..DomainDigest::default()
         }
@@ -144,7 +137,7 @@
         if !self.is_enabled(PolicySafeguard::Digests) || digest.daemon == self.settings.daemon {
             return;
         }
-        self.suspects.merge_reports(now, &digest.suspects);
+        self.merge_crash_reports(now, &digest.suspects);
         let known = self.peers.peers.get(&digest.daemon);
         let outdated = known.is_some_and(|peer| digest.sequence <= peer.sequence);
         if outdated || (known.is_none() && self.peers.peers.len() >= MAX_PEERS) {
@@ -156,6 +149,20 @@
         self.peers.peers.insert(digest.daemon, record);
     }
 
+    /// Merges the crash reports of other daemons, except on servers that have responded to this one
+    /// since.
+    pub(super) fn merge_crash_reports(&mut self, now: Instant, reports: &[CrashReport]) {
+        self.suspects.merge_reports(now, reports);
+        if reports.iter().all(|report| report.evidence != CrashEvidence::Pending) {
+            return;
+        }
+        for (index, server) in self.table.servers.iter().enumerate() {
+            if let Some(sent) = server.responded {
+                self.suspects.refute_crash(now, server.crash_site(index).crash, sent);
+            }
+        }
+    }
+
     /// Records the holders that a peer reported. A report counts only if the server's incarnation
     /// is known and older than the digest can be, so that the cache of a former incarnation is not
     /// recorded again.
@@ -187,3 +194,8 @@
         self.peers.peers.retain(|_, peer| is_fresh(peer.at));
     }
 }
+
+fn without_ages(digest: &DomainDigest) -> DomainDigest {
+    let unaged = |report: &CrashReport| CrashReport { age_tenths: 0, ..*report };
+    DomainDigest { suspects: digest.suspects.iter().map(unaged).collect(), ..digest.clone() }
+}
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -92,6 +92,8 @@
     pub waiters: u32,
     /// When its incarnation or weights last changed. Peer reports about its cache may be older.
     pub cache_reset_at: Option<Instant>,
+    /// When the latest request was sent to which it has responded.
+    pub responded: Option<Instant>,
     /// Pools that it belongs to.
     pub pools: Vec<PoolIndex>,
 }
@@ -133,6 +135,7 @@
             remote_tokens: None,
             waiters: 0,
             cache_reset_at: None,
+            responded: None,
             pools: Vec::new(),
         }
     }
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -1,7 +1,7 @@
 //! Inputs of the dispatcher.
 
 use {
-    super::suspect::CrashReport,
+    super::{reachability::LinkFailure, suspect::CrashReport},
     crate::{
         ids::{
             AdapterId, AttemptId, FailureDomainId, Incarnation, ModelId, OrganisationId, RequestId,
@@ -79,9 +79,9 @@
     Digest(DomainDigest),
     /// Evidence on requests that crash servers, observed by other daemons.
     CrashReports(Vec<CrashReport>),
-    /// The links of this daemon to all servers have failed, so that broken connections are no evidence
-    /// against requests.
-    LinksFailed,
+    /// The links of this daemon to the servers have failed or may have, so that broken connections are
+    /// no evidence against requests.
+    LinksFailed(LinkFailure),
     /// The link to the engines' shared KV cache store changed.
     CacheStoreLink {
         /// This daemon's share of the link bandwidth, in tokens per second; `None` if no store is
@@ -245,24 +245,6 @@
     Stale,
 }
 
-impl AttemptFailure {
-    /// Whether the server has responded.
-    pub fn is_response(self) -> bool {
-        match self {
-            AttemptFailure::Refused
-            | AttemptFailure::ServerError
-            | AttemptFailure::CallerError
-            | AttemptFailure::WrongWeights
-            | AttemptFailure::Declined => true,
-            AttemptFailure::NotConnected
-            | AttemptFailure::Broken
-            | AttemptFailure::Unreachable
-            | AttemptFailure::TimedOut
-            | AttemptFailure::Stale => false,
-        }
-    }
-}
-
 /// A load report of a backend server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
--- a/src/policy/reachability.rs
+++ b/src/policy/reachability.rs
@@ -60,6 +60,15 @@
     Reached,
 }
 
+/// What a failure at a server tells about the links of the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkFailure {
+    /// Several servers have failed without a success in between.
+    Suspected,
+    /// No server is reached any more except through other daemons.
+    Certain,
+}
+
 /// Servers that have failed since the last success; at most [`SUSPICIOUS_SERVERS`].
 #[derive(Clone, Debug, Default)]
 struct FailureTrack(BTreeMap<ServerId, Instant>);
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -20,7 +20,10 @@
 //! final, reports of several daemons can be merged in any order.
 //!
 //! A daemon whose own links fail sees the connections to all servers break. It therefore reports
-//! pending evidence only after another response or a delay, and clears it once it knows.
+//! pending evidence after a delay and not while it doubts its links, and clears it once it knows that
+//! they have failed. Responses on its other connections show nothing, since those may live on while new
+//! ones break. A daemon that gets a response from the server itself knows that it has not ended, and
+//! ignores the report.
 
 use {
     super::prefix::ServerIndex,
@@ -64,10 +67,13 @@
 /// the server list together, since the list then shows whether the server has ended.
 const PENDING_RETENTION: Duration = Duration::from_secs(10);
 
-/// Delay of reports on pending evidence of a daemon that has received no response since. Its own links
-/// may have failed, which it finds out in this time.
+/// Delay of reports on pending evidence. In this time a daemon begins to doubt its links if they have
+/// failed, and a refused connection confirms most crashes.
 const REPORT_DELAY: Duration = Duration::from_millis(500);
 
+/// How long pending evidence is not reported after the last doubt of the daemon's own links.
+const DOUBT_TIME: Duration = Duration::from_secs(3);
+
 /// Retention of confirmed crashes. Callers stop resending within minutes.
 const CONFIRMED_RETENTION: Duration = Duration::from_secs(600);
 
@@ -132,8 +138,26 @@
     pub evidence: CrashEvidence,
     /// Whether another cause is likely.
     pub is_weak: bool,
-    /// Whole seconds since the state of the evidence was reached.
-    pub age_s: u32,
+    /// Time since the state of the evidence was reached, in whole tenths of a second, so that a report
+    /// is small and never older than the evidence.
+    pub age_tenths: u32,
+}
+
+impl CrashReport {
+    /// Time since the state of the evidence was reached.
+    pub fn age(&self) -> Duration {
+        Duration::from_millis(100) * self.age_tenths
+    }
+
+    /// Returns the report as it is after another `elapsed`.
+    #[must_use]
+    pub fn aged(self, elapsed: Duration) -> Self {
+        CrashReport { age_tenths: whole_tenths(self.age() + elapsed), ..self }
+    }
+}
+
+fn whole_tenths(time: Duration) -> u32 {
+    u32::try_from(time.as_millis() / 100).unwrap_or(u32::MAX)
 }
 
 /// The server on which a request ran when its connection broke.
@@ -315,6 +339,19 @@
         changed
     }
 
+    /// Clears the pending evidence of others on a crash, because the server has responded to a request
+    /// that this daemon sent at `sent`. The others are not told: they get such responses themselves.
+    pub fn refute_crash(&mut self, now: Instant, crash: CrashId, sent: Instant) {
+        for crashes in self.records.values_mut() {
+            let record = crashes.get_mut(&crash).filter(|record| {
+                !record.is_own && record.evidence == CrashEvidence::Pending && record.since < sent
+            });
+            if let Some(record) = record {
+                record.advance(now, CrashEvidence::Cleared);
+            }
+        }
+    }
+
     /// Clears a fingerprint after a request with it completed.
     pub fn clear(&mut self, now: Instant, fingerprint: u64) {
         for record in self.records.get_mut(&fingerprint).into_iter().flatten() {
@@ -328,7 +365,7 @@
     pub fn merge_reports(&mut self, now: Instant, reports: &[CrashReport]) -> bool {
         let mut changed = false;
         for report in reports.iter().take(MAX_PUBLISHED) {
-            let age = Duration::from_secs(report.age_s.into());
+            let age = report.age();
             let Some(since) = now.checked_sub(age) else { continue };
             if age >= report.evidence.retention() {
                 continue;
@@ -366,13 +403,14 @@
         self.reports(now, |record| record.is_own)
     }
 
-    /// Returns those of [`Self::own_reports`] that other daemons may use. `responded` is when a server
-    /// last responded to this one.
-    pub fn due_reports(&self, now: Instant, responded: Option<Instant>) -> Vec<CrashReport> {
+    /// Returns those of [`Self::own_reports`] that other daemons may use. `doubted` is when this one last
+    /// doubted its links to the servers.
+    pub fn due_reports(&self, now: Instant, doubted: Option<Instant>) -> Vec<CrashReport> {
+        let elapsed = |at| now.saturating_duration_since(at);
+        let is_certain = doubted.is_none_or(|doubted| elapsed(doubted) >= DOUBT_TIME);
         self.reports(now, |record| {
             let is_due = record.evidence != CrashEvidence::Pending
-                || responded.is_some_and(|responded| record.since < responded)
-                || now.saturating_duration_since(record.since) >= REPORT_DELAY;
+                || (is_certain && elapsed(record.since) >= REPORT_DELAY);
             record.is_own && is_due
         })
     }
@@ -397,7 +435,7 @@
                         crash: *crash,
                         evidence: record.evidence,
                         is_weak: record.is_weak,
-                        age_s: age.as_secs() as u32,
+                        age_tenths: whole_tenths(age),
                     };
                     reports.push((Reverse(crash_count), age, report));
                 }
--- a/src/reverse_proxy/server_link.rs
+++ b/src/reverse_proxy/server_link.rs
@@ -6,7 +6,9 @@
     crate::{
         ids::ServerId,
         observe::{events, metrics::TUNNELS},
-        policy::reachability::{ConnectPurpose, ReachChange, ReachMonitor, ServerPath},
+        policy::reachability::{
+            ConnectPurpose, LinkFailure, ReachChange, ReachMonitor, ServerPath,
+        },
         transport::TunnelRefusal,
     },
     futures::future::BoxFuture,
@@ -53,8 +55,7 @@
     /// Number of listed servers.
     listed: AtomicUsize,
     tunnels: OnceLock<Arc<dyn TunnelOpener>>,
-    /// Called when the process counts as partitioned.
-    partition_handler: OnceLock<Box<dyn Fn() + Send + Sync>>,
+    failure_handler: OnceLock<Box<dyn Fn(LinkFailure) + Send + Sync>>,
 }
 
 impl ServerLinks {
@@ -65,10 +66,11 @@
         }
     }
 
-    /// Sets what is called when the process counts as partitioned; a second call has no effect.
-    pub fn set_partition_handler(&self, handler: impl Fn() + Send + Sync + 'static) {
-        if self.partition_handler.set(Box::new(handler)).is_err() {
-            log::error!("the partition handler was set twice");
+    /// Sets what is called at failures that may be those of this process's links; a second call has no
+    /// effect.
+    pub fn set_failure_handler(&self, handler: impl Fn(LinkFailure) + Send + Sync + 'static) {
+        if self.failure_handler.set(Box::new(handler)).is_err() {
+            log::error!("the failure handler was set twice");
         }
     }
 
@@ -128,6 +130,7 @@
     /// Records that a direct connection was not accepted.
     pub fn record_connect_failure(&self, server: &ServerId) {
         self.lock().record_connect_failure(Instant::now(), server);
+        self.report_suspicion();
     }
 
     /// Records a response on a direct connection, and whether it is the first one there.
@@ -140,6 +143,7 @@
     /// [`ReachMonitor::record_no_response`].
     pub fn record_no_response(&self, server: &ServerId, is_first: bool) {
         self.lock().record_no_response(Instant::now(), server, is_first);
+        self.report_suspicion();
     }
 
     /// Records that a tunnel to a server was opened, or that the server `responded` in it without
@@ -148,12 +152,24 @@
         let change = self.lock().record_tunnelled(Instant::now(), self.listed(), responded);
         log_change(change);
         let is_partitioned = change == Some(ReachChange::Partitioned);
-        if let Some(handler) = self.partition_handler.get().filter(|_| is_partitioned) {
-            handler();
+        if is_partitioned {
+            self.report_failure(LinkFailure::Certain);
         }
         is_partitioned
     }
 
+    fn report_suspicion(&self) {
+        if self.is_suspicious() {
+            self.report_failure(LinkFailure::Suspected);
+        }
+    }
+
+    fn report_failure(&self, failure: LinkFailure) {
+        if let Some(handler) = self.failure_handler.get() {
+            handler(failure);
+        }
+    }
+
     fn record_check(&self) {
         let change = self.lock().record_check();
         log_change(change);
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -317,7 +317,9 @@
         dispatcher: Arc::clone(&handle),
     });
     let links_handle = Arc::clone(&handle);
-    core.pool.links().set_partition_handler(move || links_handle.notify(PolicyInput::LinksFailed));
+    core.pool.links().set_failure_handler(move |failure| {
+        links_handle.notify(PolicyInput::LinksFailed(failure));
+    });
     tasks.spawn(async move { handle.run_wakeups().await });
     tasks.spawn(run_dispatch_tasks(Arc::clone(&core), task_queue));
     tasks.spawn(monitor_cache_store(Arc::clone(&core)));
--- a/tests/crash_evidence.rs
+++ b/tests/crash_evidence.rs
@@ -132,7 +132,9 @@
     list.record_crash(at(0), HARMLESS, site(1), false);
     list.record_crash(at(300), HARMLESS, site(2), false);
     assert_eq!(list.due_reports(at(400), None), []);
-    assert_eq!(list.due_reports(at(400), Some(at(100))).len(), 1, "a server responded in between");
+    assert_eq!(list.due_reports(at(700), None).len(), 1);
+    assert_eq!(list.due_reports(at(900), Some(at(600))), [], "the links are in doubt");
+    assert_eq!(list.due_reports(at(3_700), Some(at(600))).len(), 2, "a doubt ends");
     assert_eq!(list.due_reports(at(900), None).len(), 2);
     other.merge_reports(at(900), &list.due_reports(at(900), None));
     assert!(other.is_refused(at(900), HARMLESS));
@@ -142,6 +144,29 @@
     assert!(!other.is_refused(at(1_000), HARMLESS));
 }
 
+/// A daemon to which the server has responded since knows better than the one whose connection broke.
+#[test]
+fn responses_refute_reports() {
+    let (mut list, mut other, now) =
+        (SuspectList::default(), SuspectList::default(), Instant::now());
+    let at = |time: u64| now + Duration::from_millis(time);
+    list.record_crash(at(0), HARMLESS, site(1), false);
+    list.record_crash(at(50), HARMLESS, site(2), false);
+    list.confirm_crashes(at(100), 2);
+    other.merge_reports(at(1_050), &list.due_reports(at(1_050), None));
+    assert!(other.is_refused(at(1_050), HARMLESS));
+    other.refute_crash(at(1_060), 1, at(0));
+    assert!(other.is_refused(at(1_060), HARMLESS), "the request was sent before the break");
+    other.refute_crash(at(1_060), 2, at(1_055));
+    assert!(other.is_refused(at(1_060), HARMLESS), "a confirmed crash stays");
+    other.refute_crash(at(1_060), 1, at(101));
+    assert_eq!(other.crash_count(at(1_060), HARMLESS), 1);
+    other.merge_reports(at(1_070), &list.due_reports(at(1_070), None));
+    assert_eq!(other.crash_count(at(1_070), HARMLESS), 1, "a repeated report changes nothing");
+    list.refute_crash(at(1_080), 1, at(1_075));
+    assert!(list.is_refused(at(1_080), HARMLESS), "own evidence needs the server's identity");
+}
+
 /// What a server's end has confirmed is reported at once and outlasts a failure of the own links.
 #[test]
 fn confirmed_crashes_outlast_lost_links() {
--- a/tests/shared_evidence.rs
+++ b/tests/shared_evidence.rs
@@ -35,7 +35,7 @@
             crash: u64::arbitrary(random) % 4,
             evidence: *random.choose(&states).expect("there are states"),
             is_weak: bool::arbitrary(random),
-            age_s: 0,
+            age_tenths: 0,
         })
     }
 }
