Check other servers after a connection failure

Cause: failures at three servers raise a suspicion of the own links, but requests with one prompt go to one server, and kept connections serve the rest, so that the third failure comes late or never.

After a failure an entry now checks up to three other servers on new connections until one responds, at most five times a second; the results count like those of requests. With whole links that is one health check for a failed server. Ruled out: a longer delay of the reports (the entry never finds out), and counting one failure (a crash looks the same).

--- a/src/policy/reachability.rs
+++ b/src/policy/reachability.rs
@@ -8,10 +8,11 @@
 //!
 //! Failures at several servers without a success in between raise a suspicion, for connects, for
 //! responses on new connections and for all responses separately, because connections may be accepted
-//! and reset, and kept ones may still respond. A suspicion alone changes little, since all servers may
-//! have failed: at intervals one connection is tried through another daemon. Only if a server is reached in that way while it is not reached directly does the daemon count as
-//! partitioned. A failed service, a restart of all servers and a daemon with little traffic therefore
-//! cause a few trials and nothing else.
+//! and reset, and kept ones may still respond. After a failure other servers are checked, since the
+//! requests may all use one. A suspicion alone changes little, since all servers may have failed: at
+//! intervals one connection is tried through another daemon. Only if a server is reached in that way
+//! while it is not reached directly does the daemon count as partitioned. A failed service, a restart
+//! of all servers and a daemon with little traffic therefore cause a few trials and nothing else.
 
 use {
     crate::ids::ServerId,
@@ -22,7 +23,7 @@
 };
 
 /// Number of servers that must have failed; all of them if there are fewer.
-const SUSPICIOUS_SERVERS: usize = 3;
+pub const SUSPICIOUS_SERVERS: usize = 3;
 
 /// How long a failure counts. A request tries several servers within this time, so that a daemon with
 /// few requests can also become suspicious.
@@ -31,6 +32,10 @@
 /// Interval between trials of a daemon that is only suspicious.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Minimum interval between checks of other servers, so that a failed domain does not cause one for each
+/// of its servers: a new connection costs the others something.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How a connection to a server is opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerPath {
@@ -111,6 +116,7 @@
     /// Set while the daemon counts as partitioned.
     partition: Option<PartitionCause>,
     last_trial: Option<Instant>,
+    last_check: Option<Instant>,
 }
 
 impl ReachMonitor {
@@ -193,6 +199,18 @@
         !self.is_partitioned() && self.responses.is_suspicious(now, listed) && self.may_try(now)
     }
 
+    /// Whether other servers have to be checked after a failure at one, up to [`SUSPICIOUS_SERVERS`] and
+    /// until one responds; the check then counts as started. Without it a daemon whose requests use few
+    /// servers would take a failure of its links for one of a server.
+    pub fn start_check(&mut self, now: Instant) -> bool {
+        let since = self.last_check.map(|check| now.saturating_duration_since(check));
+        let is_due = since.is_none_or(|elapsed| elapsed >= CHECK_INTERVAL);
+        if is_due {
+            self.last_check = Some(now);
+        }
+        is_due
+    }
+
     fn may_try(&self, now: Instant) -> bool {
         let since = self.last_trial.map(|trial| now.saturating_duration_since(trial));
         since.is_none_or(|elapsed| elapsed >= TRIAL_INTERVAL)
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -250,20 +250,25 @@
         }
     }
 
-    /// Whether a server responds to a health check on a direct connection, with any status.
-    pub async fn check_direct(&self, address: SocketAddr, path: impl AsRef<str>) -> bool {
+    /// Whether a server responds to a health check on a new direct connection, with any status. The
+    /// result is recorded for the links.
+    pub async fn check_direct(&self, target: BackendTarget<'_>, path: impl AsRef<str>) -> bool {
         let Ok(mut request) = Request::get(path.as_ref()).body(Full::default()) else {
             return false;
         };
-        let host = address.to_string().parse().expect("an address is a valid header value");
+        let host = target.address.to_string().parse();
+        let host = host.expect("an address is a valid header value");
         request.headers_mut().insert(header::HOST, host);
-        let checked = async {
-            let (mut sender, driver) = open(address).await.ok()?;
-            let response = sender.send_request(request).await;
-            driver.abort();
-            response.ok()
-        };
-        matches!(timeout(SILENCE_LIMIT, checked).await, Ok(Some(_)))
+        let Ok(opened) = self.open_direct(target).await else { return false };
+        let OpenedConnection { mut sender, driver, .. } = opened;
+        let response = timeout(SILENCE_LIMIT, sender.send_request(request)).await;
+        driver.abort();
+        let responded = matches!(response, Ok(Ok(_)));
+        match responded {
+            true => self.links.record_response(true),
+            false => self.links.record_no_response(target.server, true),
+        }
+        responded
     }
 
     /// Checks whether a server is reachable by opening a connection, which is added to the pool.
--- a/src/reverse_proxy/recheck.rs
+++ b/src/reverse_proxy/recheck.rs
@@ -5,13 +5,22 @@
 //! An accepted connection is one, and it costs less than a failed request. It does not show that the
 //! server has not crashed: another one may have started at its address. Only a response to a later
 //! request does, because servers reject requests for others.
+//!
+//! The failure may also be one of this process's own links. A health check of another server, or of a
+//! few if it fails, tells which, before the broken connection is held against its request.
 
 use {
     super::{
         core::ProxyCore,
         pool::{BackendTarget, ProbeResult},
     },
-    crate::{ids::ServerId, observe::events, policy::PolicyInput},
+    crate::{
+        ids::ServerId,
+        observe::events,
+        policy::{PolicyInput, reachability::SUSPICIOUS_SERVERS},
+    },
+    rand_core::{RngCore, SeedableRng},
+    rand_xoshiro::Xoshiro256PlusPlus,
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -68,6 +77,24 @@
     /// Probes a server after a connection failure until it is reachable or no longer listed.
     pub fn recheck(self: &Arc<Self>, server: &ServerId) {
         self.recheck_after(server, FIRST_DELAY);
+        if self.pool.links().start_check() {
+            tokio::spawn(Arc::clone(self).check_other_links(server.clone()));
+        }
+    }
+
+    /// Checks randomly chosen servers other than `failed` until one responds.
+    async fn check_other_links(self: Arc<Self>, failed: ServerId) {
+        let view = self.view();
+        let first = Xoshiro256PlusPlus::from_os_rng().next_u64() as usize;
+        let first = first % view.servers.len().max(1);
+        let servers = view.servers.iter().cycle().skip(first).take(view.servers.len());
+        let others = servers.filter(|(server, _)| **server != failed);
+        for (server, listed) in others.take(SUSPICIOUS_SERVERS) {
+            let target = BackendTarget { server, address: listed.address };
+            if self.pool.check_direct(target, view.health_path(&listed.service)).await {
+                break;
+            }
+        }
     }
 
     /// Probes a server whose identity or weights differ from the server list, after the list has
--- a/src/reverse_proxy/server_link.rs
+++ b/src/reverse_proxy/server_link.rs
@@ -2,7 +2,7 @@
 //! daemons while it reaches no server itself.
 
 use {
-    super::core::ProxyCore,
+    super::{core::ProxyCore, pool::BackendTarget},
     crate::{
         ids::ServerId,
         observe::{events, metrics::TUNNELS},
@@ -89,6 +89,11 @@
         self.lock().is_suspicious(Instant::now(), self.listed())
     }
 
+    /// Whether other servers have to be checked now; see [`ReachMonitor::start_check`].
+    pub fn start_check(&self) -> bool {
+        self.lock().start_check(Instant::now())
+    }
+
     /// Whether the next request has to use a new connection; see [`ReachMonitor::is_trial_due`].
     pub fn is_trial_due(&self) -> bool {
         self.tunnels.get().is_some() && self.lock().is_trial_due(Instant::now(), self.listed())
@@ -202,9 +207,12 @@
             continue;
         }
         number += 1;
-        let servers = view.servers.values();
-        let Some(listed) = servers.cycle().nth(number % view.servers.len()) else { continue };
-        if core.pool.check_direct(listed.address, view.health_path(&listed.service)).await {
+        let servers = view.servers.iter();
+        let Some((server, listed)) = servers.cycle().nth(number % view.servers.len()) else {
+            continue;
+        };
+        let target = BackendTarget { server, address: listed.address };
+        if core.pool.check_direct(target, view.health_path(&listed.service)).await {
             core.pool.links().record_check();
         }
     }
--- a/tests/server_reachability.rs
+++ b/tests/server_reachability.rs
@@ -1,7 +1,9 @@
 //! When a daemon counts as partitioned from the backend servers, and by which path it connects to them.
 
 use {
-    oleandermount::policy::reachability::{ConnectPurpose, ReachChange, ReachMonitor, ServerPath},
+    oleandermount::policy::reachability::{
+        ConnectPurpose, ReachChange, ReachMonitor, SUSPICIOUS_SERVERS, ServerPath,
+    },
     std::time::{Duration, Instant},
 };
 
@@ -160,3 +162,19 @@
         );
     }
 }
+
+/// Guards against a check of other servers for each server of a failed domain, and against a daemon that
+/// needs failed requests at three servers to doubt its links.
+#[test]
+fn one_failure_leads_to_checks() {
+    let (mut monitor, now) = (ReachMonitor::default(), Instant::now());
+    let at = |time: u64| now + Duration::from_millis(time);
+    let started = (0..50).filter(|number| monitor.start_check(at(number * 10))).count();
+    assert_eq!(started, 3, "in half a second");
+    fail_responses(&mut monitor, at(600), SUSPICIOUS_SERVERS - 1);
+    assert!(!monitor.is_suspicious(at(600), LISTED));
+    fail_responses(&mut monitor, at(600), SUSPICIOUS_SERVERS);
+    assert!(monitor.is_suspicious(at(600), LISTED), "the checks suffice");
+    monitor.record_response(true);
+    assert!(!monitor.is_suspicious(at(600), LISTED), "one server that responds ends it");
+}
