--- a/src/transport.rs
+++ b/src/transport.rs
@@ -9,6 +9,8 @@
 pub mod inbound;
 pub mod keys;
 pub mod link;
+#[cfg(feature = "link-faults")]
+pub mod link_faults;
 pub mod message;
 pub mod network;
 pub mod reset_key;
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -207,8 +207,15 @@
         let runtime = quinn::default_runtime().ok_or_else(|| {
             listen(std::io::Error::other("the network must be started within a tokio runtime"))
         })?;
-        let endpoint =
-            Endpoint::new(endpoint_config, Some(pair.server), socket, runtime).map_err(listen)?;
+        let server = Some(pair.server);
+        #[cfg(feature = "link-faults")]
+        let endpoint = super::link_faults::wrap_socket(&*runtime, socket)
+            .and_then(|socket| {
+                Endpoint::new_with_abstract_socket(endpoint_config, server, socket, runtime)
+            })
+            .map_err(listen)?;
+        #[cfg(not(feature = "link-faults"))]
+        let endpoint = Endpoint::new(endpoint_config, server, socket, runtime).map_err(listen)?;
         let address = endpoint.local_addr().map_err(listen)?;
         for reason in ["authority", "name", "release", "full"] {
             metrics::counter!(REFUSED_COUNTER, "reason" => reason).increment(0);
