Log the content of documents where operators and entries meet them

Numbers alone do not tell two documents under one number apart, and reads were not logged, so that the hypotheses of the incident could not be told apart from logs. Entries set oleandermount_config_revision.

--- a/src/control/document.rs
+++ b/src/control/document.rs
@@ -14,6 +14,7 @@
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, sync::Arc},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Maximum number of models with named weights, many times the 15 of the design size.
@@ -31,6 +32,18 @@
     pub body: Arc<str>,
 }
 
+impl NumberedDocument {
+    /// Digest of the body for logs; see [`body_digest`].
+    pub fn digest(&self) -> String {
+        body_digest(&self.body)
+    }
+}
+
+/// Digest of a document's body, which tells documents of the same number apart in logs.
+pub fn body_digest(body: &str) -> String {
+    format!("{:016x}", xxh3_64(body.as_bytes()))
+}
+
 /// Current document and named weights. All numbers only grow.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DocumentState {
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -105,6 +105,15 @@
 /// The stopped replica resumed from the state on its disk.
 pub const REPLICA_RESUMED: &str = "control replica runs again";
 
+/// A document was acknowledged to an operator. `held` is the number in force, `digest` tells documents
+/// of the same number apart.
+pub const DOCUMENT_ACKNOWLEDGED: &str = "document acknowledged";
+/// An acknowledged document is not in force, since another one has its number; `ignored` is its digest.
+pub const DOCUMENT_IGNORED: &str = "document acknowledged, another one of its number is in force";
+/// An operator read the document in force.
+pub const DOCUMENT_READ: &str = "configuration read";
+/// An operator sent an invalid document; `document` is its number, if that can be read.
+pub const DOCUMENT_REFUSED: &str = "invalid configuration refused";
 /// This daemon activated a configuration, which took `parse_ms` to parse and index.
 pub const ROUTES_ACTIVATED: &str = "routes in force";
 
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -7,6 +7,7 @@
         tunnel_service::TunnelService,
     },
     crate::{
+        control::document::body_digest,
         fleet::watch::ListMonitor,
         follow::{
             FollowReply, FollowerKind, SharedState,
@@ -15,7 +16,7 @@
         },
         ids::{DocumentNumber, FailureDomainId, VmId},
         inventory::DecisionObjective,
-        observe::events,
+        observe::{events, metrics::CONFIG_REVISION},
         pipeline::{DispatcherHandle, TraceLog, dispatch::DispatchTask},
         policy::{Dispatcher, DispatcherSettings, PolicyInput, SafeguardSet},
         reverse_proxy::{
@@ -393,8 +394,9 @@
                     let routes = table.routes.len();
                     self.index = Some(Arc::new(RouteIndex::new(Arc::new(table))));
                     let parse_ms = began.elapsed().as_millis() as u64;
-                    log::info!(document = number, routes = routes, parse_ms = parse_ms;
-                        "{}", events::ROUTES_ACTIVATED);
+                    log::info!(document = number, digest = body_digest(body), routes = routes,
+                        parse_ms = parse_ms; "{}", events::ROUTES_ACTIVATED);
+                    metrics::gauge!(CONFIG_REVISION).set(number as f64);
                 }
                 // Documents are validated before they are accepted, so another release accepted it.
                 Err(fault) => log::error!(document = number, fault:% = fault;
--- a/src/roles/operator_service.rs
+++ b/src/roles/operator_service.rs
@@ -3,11 +3,14 @@
 use {
     crate::{
         control::{
-            Command, CommandOutcome, ProposeError, document::NumberedDocument,
-            packed_document::PackedDocument, replica::LocalProposeError,
+            Command, CommandOutcome, ProposeError,
+            document::{NumberedDocument, body_digest},
+            packed_document::PackedDocument,
+            replica::LocalProposeError,
         },
         daemon::control_driver::ControlHandle,
         ids::{DocumentNumber, ModelId, VmId, WeightsNumber},
+        observe::events,
     },
     displaydoc::Display,
 };
@@ -27,6 +30,21 @@
 
 impl std::error::Error for OperatorRefusal {}
 
+/// A valid document that an operator sent.
+#[derive(Clone, Debug)]
+pub struct SubmittedDocument {
+    number: DocumentNumber,
+    digest: String,
+    packed: PackedDocument,
+}
+
+impl SubmittedDocument {
+    /// Packs a document that was validated.
+    pub fn new(number: DocumentNumber, body: &str) -> Self {
+        SubmittedDocument { number, digest: body_digest(body), packed: PackedDocument::new(body) }
+    }
+}
+
 /// Handles operators' requests on one control VM.
 #[derive(Clone)]
 pub struct OperatorService {
@@ -47,13 +65,15 @@
     /// All but [`OperatorRefusal::OutcomeUnknown`] guarantee that nothing came into force.
     pub async fn put_document(
         &self,
-        number: DocumentNumber,
-        packed: PackedDocument,
+        submitted: SubmittedDocument,
     ) -> Result<DocumentNumber, OperatorRefusal> {
+        let SubmittedDocument { number, digest, packed } = submitted;
         let outcome = self.propose(Command::PutPackedDocument { number, packed }).await?;
         match outcome {
             CommandOutcome::DocumentHeld { number: held } => {
-                log::info!(number = number, held = held; "document acknowledged");
+                log::info!(number = number, held = held, digest = digest.as_str();
+                    "{}", events::DOCUMENT_ACKNOWLEDGED);
+                self.log_other_content(number, &digest);
                 Ok(held)
             }
             CommandOutcome::Refused { reason } => Err(OperatorRefusal::Refused(reason)),
@@ -86,7 +106,23 @@
         let documents = self.replica.documents();
         let document = documents.borrow().document().clone();
         // The lease is checked last, so that it covers the moment at which the document was read.
-        if self.replica.lease_valid() { Ok(document) } else { Err(self.not_leader_refusal()) }
+        if !self.replica.lease_valid() {
+            return Err(self.not_leader_refusal());
+        }
+        log::info!(document = document.number, digest = document.digest(),
+            term = self.replica.status().term; "{}", events::DOCUMENT_READ);
+        Ok(document)
+    }
+
+    /// Logs that the document in force has the number of an acknowledged one, but another content:
+    /// the first document under a number wins, and an operator who sent a later one is not told.
+    fn log_other_content(&self, number: DocumentNumber, digest: &str) {
+        let documents = self.replica.documents();
+        let in_force = documents.borrow().document().clone();
+        if in_force.number == number && in_force.digest() != digest {
+            log::warn!(document = number, digest = in_force.digest(), ignored = digest;
+                "{}", events::DOCUMENT_IGNORED);
+        }
     }
 
     fn not_leader_refusal(&self) -> OperatorRefusal {
