Refuse keys that two records of one organisation's name share

Cause: records were merged into a map by name, where the later one replaced the earlier one, and the check judged the map. Evidence: the digest of the acknowledged text is the one in force; names that differ were refused before, equal ones were not. Ruled out: a document changed on its way, and an entry on its own (all six had it, and reads gave it).

RouteTable::add_organisation merges records of one name, so that all their keys are accepted and the stricter isolation holds, and reports a shared key.

An entry uses an accepted document with a fault, and logs it: an earlier release may have accepted it, and an entry that refused it would serve nothing after its start (config_faults::accepted_document_is_used).

--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -23,7 +23,7 @@
             CallerListener, ProxyCore, WireDialect, core::ProxyDependencies,
             server_link::check_server_links, store_monitor::monitor_cache_store, view::ProxyView,
         },
-        routing::{RouteFault, RouteIndex, RouteTable},
+        routing::{ParsedTable, RouteFault, RouteIndex, RouteTable},
         transport::{PeerNetwork, UnauthenticatedSettings},
     },
     http::{Method, StatusCode},
@@ -61,11 +61,20 @@
 
 /// Parses the operators' configuration document.
 pub trait RouteParser: Send + Sync {
-    /// Parses and validates the route table of a document.
+    /// Parses the route table of a document and validates it.
+    ///
+    /// # Errors
+    /// [`RouteFault::Unreadable`] if there is no table to use.
+    fn parse(&self, document: &str) -> Result<ParsedTable, RouteFault>;
+
+    /// Parses the route table of a document that an operator sends.
     ///
     /// # Errors
     /// The first fault of the document, with its remedy.
-    fn parse(&self, document: &str) -> Result<RouteTable, RouteFault>;
+    fn parse_valid(&self, document: &str) -> Result<RouteTable, RouteFault> {
+        let ParsedTable { table, fault } = self.parse(document)?;
+        fault.map_or(Ok(table), Err)
+    }
 }
 
 /// Settings of an entry.
@@ -390,7 +399,12 @@
         if number > self.number {
             let began = StdInstant::now();
             match parser.parse(body) {
-                Ok(table) => {
+                Ok(ParsedTable { table, fault }) => {
+                    // An earlier release may have accepted a document that this one would refuse. It
+                    // is in force until it is replaced.
+                    if let Some(fault) = fault {
+                        log::warn!(document = number, fault:% = fault; "the accepted document has a fault");
+                    }
                     let routes = table.routes.len();
                     self.index = Some(Arc::new(RouteIndex::new(Arc::new(table))));
                     let parse_ms = began.elapsed().as_millis() as u64;
@@ -398,7 +412,7 @@
                         parse_ms = parse_ms; "{}", events::ROUTES_ACTIVATED);
                     metrics::gauge!(CONFIG_REVISION).set(number as f64);
                 }
-                // Documents are validated before they are accepted, so another release accepted it.
+                // Documents are parsed before they are accepted, so another release accepted it.
                 Err(fault) => log::error!(document = number, fault:% = fault;
                     "an accepted document cannot be parsed by this release; the previous routes stay in force"),
             }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -168,3 +168,37 @@
     /// Organisations that may send requests; if empty, no API key is required.
     pub organisations: BTreeMap<OrganisationId, OrganisationAccess>,
 }
+
+impl RouteTable {
+    /// Adds a record of an organisation. A name may have several records, whose keys are all accepted.
+    /// The class of the first record that has one applies, and the cached prompts are shared only if
+    /// all records allow it.
+    ///
+    /// # Errors
+    /// [`RouteFault::SharedKey`] if an earlier record of the name has one of its keys; the record is
+    /// added nevertheless. [`RouteTable::check`] finds keys that are shared by different names.
+    pub fn add_organisation(
+        &mut self,
+        name: OrganisationId,
+        access: OrganisationAccess,
+    ) -> Result<(), RouteFault> {
+        let merged = self.organisations.entry(name.clone()).or_default();
+        let is_shared = !merged.keys.is_disjoint(&access.keys);
+        merged.keys.extend(access.keys);
+        merged.class = merged.class.or(access.class);
+        merged.isolated |= access.isolated;
+        if is_shared {
+            return Err(RouteFault::SharedKey { first: name.clone(), second: name });
+        }
+        Ok(())
+    }
+}
+
+/// A table that was read from a document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ParsedTable {
+    /// The table.
+    pub table: RouteTable,
+    /// Why the document may not be accepted; `None` if it is valid.
+    pub fault: Option<RouteFault>,
+}
