Match routes whose host is written with a port

Cause: requests are looked up by their host without its port, routes were indexed with it. Such a route was acknowledged and never served (404), and a second route for the same place was accepted under the other spelling.

Red before: config_faults::host_with_port (None in place of the route).

--- a/src/routing.rs
+++ b/src/routing.rs
@@ -56,7 +56,7 @@
 pub struct RouteRule {
     /// Name of the route in logs and error messages.
     pub name: String,
-    /// Host name to match, in lower case.
+    /// Host name to match, as [`index::normalise_host`] returns it.
     pub host: String,
     /// Path prefix to match; begins and ends with a slash.
     pub path_prefix: String,
--- a/src/routing/index.rs
+++ b/src/routing/index.rs
@@ -36,8 +36,7 @@
 
     /// The route with the longest matching prefix. `host` may have any case and a port.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _port)| name).to_ascii_lowercase();
-        let routes = self.hosts.get(&host)?;
+        let routes = self.hosts.get(&normalise_host(host))?;
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
@@ -53,6 +52,14 @@
     }
 }
 
+/// The form in which hosts are compared: in lower case and without a port.
+pub fn normalise_host(host: &str) -> String {
+    // The colons within the brackets of an IPv6 address do not precede a port.
+    let name_end = host.rfind(']').map_or(0, |end| end + 1);
+    let port = host[name_end..].find(':').map(|start| name_end + start);
+    host[..port.unwrap_or(host.len())].to_ascii_lowercase()
+}
+
 impl RouteRule {
     /// Selects a service in proportion to the weights; `chance` is a random number in 0 to 1.
     pub fn select_service(&self, chance: f64) -> Option<&ServiceId> {
