Confirm a change of the configuration once a quorum knows that it is committed

Cause: the leader completed a proposal when it had committed the entry. The other replicas learned of the commit with the next heartbeat, up to 250 ms later. A leader that was lost in between left replicas that had the document in their logs and did not know that it was in force, until the next leader was elected: 1 to 2 s, longer after a split vote, and without end while the group had no quorum. Ruled out: an entry that stayed with a stale control VM (`following` names the VM that had the newest), and a lost document (the next leader had it).

Proposals that change what entries serve by (documents, named weights, register, rules) are completed when a quorum of voters has replied to a heartbeat that carried their commit index, which is sent at once. A lost leader then leaves a replica that has applied the change, and entries take the newest document that any replica has. A leader that loses its quorum reports the outcome as unknown, as before. The messages are unchanged; the ledger of calls is not affected. Both stacks use this replica.

Red before: confirmed_changes::confirmed_change_outlives_leader and unknown_commit_is_not_confirmed; confirmation_does_not_wait holds that it costs no heartbeat interval.

--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -179,6 +179,29 @@
 }
 
 impl Command {
+    /// Whether the command changes what entries serve by, so that its effect must not depend on the
+    /// leader once it is confirmed.
+    pub fn changes_followers(&self) -> bool {
+        match self {
+            Command::ApplyRegister { .. }
+            | Command::ApplyRules { .. }
+            | Command::PutDocument { .. }
+            | Command::PutPackedDocument { .. }
+            | Command::NameWeights { .. } => true,
+            Command::Reserve { .. }
+            | Command::Finish { .. }
+            | Command::Release { .. }
+            | Command::MarkUnknown { .. }
+            | Command::NoteLife { .. }
+            | Command::DesireWeights { .. }
+            | Command::NoteSuspect { .. }
+            | Command::ReplaceReplica { .. }
+            | Command::RemoveReplica { .. }
+            | Command::DesireModel { .. }
+            | Command::EndAttempts { .. } => false,
+        }
+    }
+
     /// Size in bytes of the document, register, rules or response body that the command carries; 0
     /// if it carries none.
     pub fn body_bytes(&self) -> usize {
--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -334,7 +334,8 @@
         self.advance_commit(now);
     }
 
-    /// Applies committed entries, completes their proposals, and compacts a long log.
+    /// Applies committed entries, completes their proposals or marks them as unconfirmed, and compacts
+    /// a long log.
     fn apply_committed(&mut self) {
         let revision = self.state.configuration().active().revision;
         let document = self.state.documents().document().number;
@@ -342,15 +343,19 @@
             self.applied += 1;
             let entry = self.log.entry(self.applied).expect("committed entries are held");
             let number = FencingNumber { term: entry.term, index: entry.index };
-            let outcome = match &entry.payload {
-                EntryPayload::Command(command) => self.state.apply(number, command),
+            let (outcome, needs_quorum) = match &entry.payload {
+                EntryPayload::Command(command) => {
+                    (self.state.apply(number, command), command.changes_followers())
+                }
                 EntryPayload::Opening => continue,
-                EntryPayload::Membership(_) => CommandOutcome::MembershipChanged,
+                EntryPayload::Membership(_) => (CommandOutcome::MembershipChanged, false),
             };
             let applied = self.applied;
-            let proposal =
-                self.leader_state_mut().and_then(|state| state.proposals.remove(&applied));
-            if let Some(proposal) = proposal {
+            let Some(leader_state) = self.leader_state_mut() else { continue };
+            let Some(proposal) = leader_state.proposals.remove(&applied) else { continue };
+            if needs_quorum {
+                leader_state.unconfirmed.insert(applied, (proposal, outcome));
+            } else {
                 self.actions.push(ReplicaAction::Completed { proposal, outcome: Ok(outcome) });
             }
         }
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -203,8 +203,10 @@
         }
         let before = std::mem::replace(&mut self.role, RoleState::Follower);
         if let RoleState::Leader(leader_state) = before {
-            // The entries of these proposals may still be committed by a later leader.
-            for proposal in leader_state.proposals.into_values() {
+            // The entries of these proposals may still be committed by a later leader, or are
+            // committed without the knowledge of the others.
+            let unconfirmed = leader_state.unconfirmed.into_values().map(|(proposal, _)| proposal);
+            for proposal in leader_state.proposals.into_values().chain(unconfirmed) {
                 let outcome = Err(LocalProposeError::OutcomeUnknown);
                 self.actions.push(ReplicaAction::Completed { proposal, outcome });
             }
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -29,6 +29,7 @@
             heartbeat_at: now + self.settings.timing.heartbeat,
             followers: BTreeMap::new(),
             proposals: BTreeMap::new(),
+            unconfirmed: BTreeMap::new(),
         };
         leader_state.update_followers(
             self.log.membership(),
@@ -154,6 +155,7 @@
             }
             // Beyond the matched index the follower's log may differ from this one.
             let commit = commit.min(progress.matched);
+            progress.record_sent_commit(round, commit);
             due.push((vm.clone(), progress.incarnation, commit, stuck));
         }
         for (vm, incarnation, commit, stuck) in due {
@@ -183,6 +185,7 @@
         }
         match message.body {
             MessageBody::AppendReply { matched, .. } => progress.advance(matched, now),
+            MessageBody::HeartbeatReply { round } => progress.confirm_commit(round),
             MessageBody::AppendRejected { refused, hint, .. }
                 if refused >= progress.matched
                     && !matches!(progress.mode, SendMode::Snapshot { .. }) =>
@@ -196,6 +199,7 @@
             _ => {}
         }
         self.advance_commit(now);
+        self.complete_confirmed();
         self.promote_learner(now);
         self.send_append(now, &from);
     }
@@ -220,7 +224,7 @@
 
     /// Commits the entries that a quorum of voters has synced, if the last of them belongs to this
     /// term.
-    pub(super) fn advance_commit(&mut self, _now: Instant) {
+    pub(super) fn advance_commit(&mut self, now: Instant) {
         let Some(leader_state) = self.leader_state() else { return };
         let membership = self.log.membership();
         let mut matched: Vec<LogIndex> = membership
@@ -241,6 +245,34 @@
         if held > self.commit && self.log.term(held) == Some(self.term()) {
             self.commit = held;
             self.apply_committed();
+            self.announce_commit(now);
+        }
+    }
+
+    /// Sends a heartbeat at once if proposals wait until a quorum knows of the commit.
+    fn announce_commit(&mut self, now: Instant) {
+        let Some(leader_state) = self.leader_state_mut() else { return };
+        if !leader_state.unconfirmed.is_empty() {
+            leader_state.heartbeat_at = now;
+            self.complete_confirmed();
+        }
+    }
+
+    /// Completes the proposals whose effect a quorum has applied. A configuration that was confirmed
+    /// while only the leader knew of its commit would not be in force if the leader were lost, until
+    /// the next one is elected.
+    fn complete_confirmed(&mut self) {
+        let (membership, commit) = (self.log.membership().clone(), self.commit);
+        let vm = self.settings.vm.clone();
+        let Some(leader_state) = self.leader_state_mut() else { return };
+        if leader_state.unconfirmed.is_empty() {
+            return;
+        }
+        let confirmed = leader_state.quorum_commit(&membership, &vm, commit);
+        let later = leader_state.unconfirmed.split_off(&(confirmed + 1));
+        let completed = std::mem::replace(&mut leader_state.unconfirmed, later);
+        for (proposal, outcome) in completed.into_values() {
+            self.actions.push(ReplicaAction::Completed { proposal, outcome: Ok(outcome) });
         }
     }
 
@@ -287,8 +319,8 @@
         if now >= last_contact + self.settings.timing.lease {
             return Some(LocalProposeError::NoQuorum);
         }
-        (leader_state.proposals.len() >= self.settings.limits.proposals)
-            .then_some(LocalProposeError::Busy)
+        let waiting = leader_state.proposals.len() + leader_state.unconfirmed.len();
+        (waiting >= self.settings.limits.proposals).then_some(LocalProposeError::Busy)
     }
 
     fn append_proposal(
--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         control::{
+            command::CommandOutcome,
             entry::{Membership, SavedSnapshot},
             message::RoundNumber,
             replica::types::ProposalId,
@@ -41,6 +42,9 @@
     pub followers: BTreeMap<VmId, FollowerProgress>,
     /// Proposals by the index of their entry; bounded by the limit on proposals.
     pub proposals: BTreeMap<LogIndex, ProposalId>,
+    /// Outcomes of committed proposals, by the index of their entry, that wait until a quorum knows of
+    /// the commit. Together with `proposals` they are bounded by the limit on proposals.
+    pub unconfirmed: BTreeMap<LogIndex, (ProposalId, CommandOutcome)>,
 }
 
 /// Replication progress of a follower.
@@ -67,6 +71,11 @@
     pub resends: u32,
     /// Start of the latest round that the follower has replied to; `None` before its first reply.
     pub replied_at: Option<Instant>,
+    /// Commit indexes sent in the heartbeats of recent rounds that were not replied to; at most
+    /// `MAX_ROUNDS`.
+    pub sent_commits: BTreeMap<RoundNumber, LogIndex>,
+    /// Commit index that the follower is known to have applied.
+    pub confirmed_commit: LogIndex,
     /// Time at which this leader started to track the follower.
     pub since: Instant,
 }
@@ -101,10 +110,27 @@
             sent_at: now,
             resends: 0,
             replied_at: None,
+            sent_commits: BTreeMap::new(),
+            confirmed_commit: 0,
             since: now,
         }
     }
 
+    /// Records the commit index of a heartbeat that is sent to the follower.
+    pub fn record_sent_commit(&mut self, round: RoundNumber, commit: LogIndex) {
+        self.sent_commits.insert(round, commit);
+        while self.sent_commits.len() > MAX_ROUNDS {
+            self.sent_commits.pop_first();
+        }
+    }
+
+    /// Records the follower's reply to the heartbeat of a round.
+    pub fn confirm_commit(&mut self, round: RoundNumber) {
+        let commit = self.sent_commits.remove(&round).unwrap_or_default();
+        self.confirmed_commit = self.confirmed_commit.max(commit);
+        self.sent_commits = self.sent_commits.split_off(&round);
+    }
+
     /// Whether messages in flight count as lost: the follower has replied to a later round, and
     /// there was no progress for `wait`, doubled with each retransmission.
     ///
@@ -188,6 +214,25 @@
             .collect()
     }
 
+    /// Commit index that a quorum of `membership` has applied; `own` is that of this leader.
+    pub fn quorum_commit(&self, membership: &Membership, vm: &VmId, own: LogIndex) -> LogIndex {
+        let mut commits: Vec<LogIndex> = membership
+            .voters
+            .iter()
+            .map(|(voter, incarnation)| {
+                if voter == vm {
+                    return own;
+                }
+                let progress = self.followers.get(voter);
+                progress
+                    .filter(|progress| progress.incarnation == *incarnation)
+                    .map_or(0, |progress| progress.confirmed_commit)
+            })
+            .collect();
+        commits.sort_unstable_by(|left, right| right.cmp(left));
+        commits.get(membership.quorum() - 1).copied().unwrap_or(0)
+    }
+
     /// Latest time at which a quorum of `membership` is known to have accepted this leader. This is
     /// the start of a round that a quorum replied to, never the arrival of a reply.
     pub fn quorum_contact_at(
