Send no heartbeat for commits that no proposal waits for, and copy no membership for each reply

Cause, read in the change before: while one change of the configuration waited for its confirmation, each further commit sent a heartbeat, also those of the ledger; and each reply of a follower copied the membership before looking whether anything waits.

A heartbeat is sent when a proposal that waits was committed just now.

--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -243,16 +243,18 @@
         matched.sort_unstable_by(|left, right| right.cmp(left));
         let held = matched.get(membership.quorum() - 1).copied().unwrap_or(0);
         if held > self.commit && self.log.term(held) == Some(self.term()) {
-            self.commit = held;
+            let former_commit = std::mem::replace(&mut self.commit, held);
             self.apply_committed();
-            self.announce_commit(now);
+            self.announce_commit(now, former_commit);
         }
     }
 
-    /// Sends a heartbeat at once if proposals wait until a quorum knows of the commit.
-    fn announce_commit(&mut self, now: Instant) {
+    /// Sends a heartbeat at once if proposals that were committed after `former_commit` wait until a
+    /// quorum knows of it. Other commits may follow each other faster than replies return.
+    fn announce_commit(&mut self, now: Instant, former_commit: LogIndex) {
         let Some(leader_state) = self.leader_state_mut() else { return };
-        if !leader_state.unconfirmed.is_empty() {
+        let last = leader_state.unconfirmed.keys().next_back();
+        if last.is_some_and(|last| *last > former_commit) {
             leader_state.heartbeat_at = now;
             self.complete_confirmed();
         }
@@ -262,13 +264,12 @@
     /// while only the leader knew of its commit would not be in force if the leader were lost, until
     /// the next one is elected.
     fn complete_confirmed(&mut self) {
-        let (membership, commit) = (self.log.membership().clone(), self.commit);
-        let vm = self.settings.vm.clone();
-        let Some(leader_state) = self.leader_state_mut() else { return };
+        let RoleState::Leader(leader_state) = &mut self.role else { return };
         if leader_state.unconfirmed.is_empty() {
             return;
         }
-        let confirmed = leader_state.quorum_commit(&membership, &vm, commit);
+        let membership = self.log.membership();
+        let confirmed = leader_state.quorum_commit(membership, &self.settings.vm, self.commit);
         let later = leader_state.unconfirmed.split_off(&(confirmed + 1));
         let completed = std::mem::replace(&mut leader_state.unconfirmed, later);
         for (proposal, outcome) in completed.into_values() {
--- a/tests/confirmed_changes.rs
+++ b/tests/confirmed_changes.rs
@@ -1,11 +1,11 @@
-//! What a confirmed change outlives without an election.
+//! When a change of the configuration is confirmed, and what it then outlives.
 
 #[path = "fakes/replica_group.rs"]
 mod replica_group;
 
 use {
     oleandermount::control::{Command, CommandOutcome, replica::LocalProposeError},
-    replica_group::ReplicaGroup,
+    replica_group::{NetworkFaults, ReplicaGroup},
     std::time::Duration,
 };
 
@@ -47,6 +47,44 @@
     }
 }
 
+/// The same where messages are lost, repeated and overtake each other: a reply to an earlier heartbeat
+/// must not count for a later one.
+#[test]
+fn confirmed_despite_message_faults() {
+    for seed in 0..200 {
+        let (mut group, leader) = settled_group(seed);
+        let delay = Duration::from_millis(60);
+        group.faults = NetworkFaults { drop: 10, duplicate: 20, delay };
+        for number in 1..=5 {
+            let proposal = group.propose(&leader, put(number));
+            let completed = |group: &ReplicaGroup| group.outcomes.contains_key(&proposal);
+            assert!(group.run_until(Duration::from_secs(10), completed), "seed {seed}");
+            if group.outcomes[&proposal].is_ok() {
+                assert!(holders(&group, &leader, number) >= 1, "seed {seed}, document {number}");
+            }
+        }
+    }
+}
+
+/// Guards against a leader that loses its lease to its own changes: the rounds of heartbeats whose
+/// replies are still awaited are limited, and each confirmation needs one.
+#[test]
+fn many_changes_keep_leader() {
+    let (mut group, leader) = settled_group(3);
+    group.faults = NetworkFaults { delay: Duration::from_millis(100), ..group.faults };
+    let before = group.leader_status().expect("one leads").term;
+    let mut proposals = Vec::new();
+    for number in 1..=1_000 {
+        proposals.push(group.propose(&leader, put(number)));
+        group.run_for(Duration::from_millis(1));
+        let status = group.leader_status().expect("the lease is held");
+        assert_eq!(status.term, before, "document {number}");
+    }
+    let all = |group: &ReplicaGroup| proposals.iter().all(|one| group.outcomes.contains_key(one));
+    assert!(group.run_until(Duration::from_secs(10), all));
+    assert!(proposals.iter().all(|proposal| group.outcomes[proposal].is_ok()));
+}
+
 /// Guards against changes that are confirmed by a leader which the others no longer hear.
 #[test]
 fn unknown_commit_is_not_confirmed() {
