Log rejections of backend servers with the load that they report

Cause: the log of a rejected attempt names neither the load of the server, nor this daemon's part of it, nor how often the request was sent, and nothing reads the header by which a server says how many rejections a second it bears, so that the hypotheses on servers that end under their rejections cannot be told apart.

Change: 'request rejected by its server' with running, waiting, in_flight, attempt and the limit; when a service's servers name a limit and when they name none any more; a counter of rejections. No decision depends on it.

--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -105,7 +105,9 @@
         open.attempt = attempt;
         open.tried.push(server.clone());
         self.attempts.insert(attempt, request.clone());
-        *self.in_flight.entry(server.clone()).or_default() += 1;
+        let in_flight = self.in_flight.entry(server.clone()).or_default();
+        *in_flight += 1;
+        let in_flight = *in_flight;
         vec![PolicyAction::Send(SendOrder {
             request,
             attempt,
@@ -118,6 +120,7 @@
             store_use: None,
             priority: 0,
             resume_after: 0,
+            in_flight,
             send_before: now + Duration::from_secs(1),
         })]
     }
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -42,6 +42,13 @@
 pub const SERVER_LIMITED: &str = "backend server limited";
 /// A server does not limit its requests any more.
 pub const SERVER_UNLIMITED: &str = "backend server not limited any more";
+/// The servers of a service end if they have to reject more than `limit` requests in a second.
+pub const REJECTIONS_LIMITED: &str = "rejections of backend servers limited";
+/// The servers of a service name no such limit any more.
+pub const REJECTIONS_UNLIMITED: &str = "rejections of backend servers not limited any more";
+/// A server rejected a request without executing it. `running` and `waiting` are the load that it
+/// reported, `in_flight` is this daemon's part of it, and `attempt` counts from 1.
+pub const REQUEST_REJECTED: &str = "request rejected by its server";
 /// A request is refused from now on, because servers crashed while they ran it. `fingerprint` is the
 /// hash that all its resends have in common.
 pub const REQUEST_ISOLATED: &str = "request isolated";
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -62,6 +62,8 @@
 pub const DRAINING: &str = "oleandermount_draining";
 /// Responses of backend servers that belonged to another attempt and were discarded.
 pub const MISMATCHED_RESPONSES: &str = "oleandermount_crossed_answers_total";
+/// Requests that backend servers rejected without executing them.
+pub const SERVER_REJECTIONS: &str = "oleandermount_server_rejections_total";
 /// Cancel calls, probes and digests that were dropped because too many were queued.
 pub const BACKGROUND_CALLS_DROPPED: &str = "oleandermount_duties_dropped_total";
 /// Claims of non-repeatable calls that were released before a request was sent.
@@ -222,6 +224,7 @@
         "Cancel calls, probes and digests that were dropped."
     );
     describe_counter!(MISMATCHED_RESPONSES, "Responses that belonged to another attempt.");
+    describe_counter!(SERVER_REJECTIONS, "Requests that backend servers rejected.");
     describe_counter!(PEERS_REFUSED, "Daemons rejected because of their keys.");
     describe_counter!(TUNNELS, "Connections to servers through other entries, by result.");
     describe_gauge!(CONNECTIONS, "Open connections of callers and operators.");
@@ -251,6 +254,7 @@
         counter!(FOLLOW_LISTS, "kind" => kind).increment(0);
     }
     counter!(MISMATCHED_RESPONSES).increment(0);
+    counter!(SERVER_REJECTIONS).increment(0);
     counter!(BACKGROUND_CALLS_DROPPED).increment(0);
     counter!(PEERS_REFUSED).increment(0);
     counter!(CLAIMS_RELEASED).increment(0);
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -74,6 +74,8 @@
     pub priority: u32,
     /// Tokens already relayed to the caller; the engine resumes after them.
     pub resume_after: u32,
+    /// This daemon's attempts in flight at the server, including this one.
+    pub in_flight: u32,
     /// Time after which the request must not be sent; report `Failed` with `Stale` instead.
     pub send_before: Instant,
 }
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -114,6 +114,7 @@
             store_use: None,
             priority: state.urgency as u32,
             resume_after: request.history.relayed,
+            in_flight: server.in_flight + 1,
             send_before: if fresh { latest.min(ticket.deadline) } else { latest },
         }
     }
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -14,6 +14,7 @@
 pub mod pool;
 pub mod raw_head;
 pub mod recheck;
+pub mod rejection_limits;
 pub mod relay;
 pub mod request;
 pub mod response;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -5,11 +5,13 @@
         dialect::{ResponseHead, ResponseVerdict, WireDialect},
         pool::ConnectionPool,
         recheck::RecheckList,
+        rejection_limits::{LimitChange, RejectionLimits},
         view::{ProxyView, qualified_model},
     },
     crate::{
         ids::{Incarnation, ModelId, ServerId, ServiceId, VmId, WeightsNumber},
         inventory::DecisionObjective,
+        observe::events,
         pipeline::{DispatcherHandle, DrainGate},
         policy::{LoadReport, PolicyInput, pacing::ServerPace, suspect::CrashReport},
     },
@@ -64,6 +66,8 @@
     reported_weights: Mutex<BTreeMap<ServerId, (u64, WeightsNumber)>>,
     /// The incarnation and the limit of servers of the view that have named one.
     limits: Mutex<BTreeMap<ServerId, (Incarnation, f64)>>,
+    /// The services whose servers end if they have to reject too many requests.
+    rejection_limits: RejectionLimits,
     split_counter: AtomicU64,
     /// The dispatcher's reports on crashes, repeated while there are any.
     crash_reports: watch::Sender<Vec<CrashReport>>,
@@ -85,6 +89,7 @@
             view: ArcSwap::default(),
             reported_weights: Mutex::default(),
             limits: Mutex::default(),
+            rejection_limits: RejectionLimits::default(),
             split_counter: AtomicU64::new(0),
             crash_reports: watch::channel(Vec::new()).0,
         })
@@ -115,6 +120,7 @@
         self.lock_weights().retain(|server, _| view.servers.contains_key(server));
         self.recheck.retain(|server| view.servers.contains_key(server));
         self.lock_limits().retain(|server, _| view.servers.contains_key(server));
+        self.rejection_limits.retain(|service| view.is_routed(service));
         self.pool.links().set_listed(view.servers.len());
         self.view.store(Arc::new(view));
         self.dispatcher.notify_all(inputs);
@@ -220,6 +226,23 @@
             .notify(PolicyInput::ServerLimit { server: server.clone(), limit: head.limit });
     }
 
+    /// Records whether a server of the service, in its response to a request that was sent at `sent`,
+    /// names the rejections after which it ends.
+    pub fn record_rejection_limit(&self, service: &ServiceId, sent: Instant, head: &ResponseHead) {
+        let executed = head.verdict == ResponseVerdict::Executed;
+        let (now, limit) = (Instant::now(), head.rejection_limit);
+        match self.rejection_limits.record(now, service, sent, limit, executed) {
+            Some(LimitChange::Named(limit)) => {
+                log::info!(service = service.as_str(), limit = limit;
+                    "{}", events::REJECTIONS_LIMITED);
+            }
+            Some(LimitChange::Ended) => {
+                log::info!(service = service.as_str(); "{}", events::REJECTIONS_UNLIMITED);
+            }
+            None => {}
+        }
+    }
+
     fn lock_limits(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (Incarnation, f64)>> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -123,6 +123,9 @@
     /// The requests a second that the server takes from all daemons together, if it limits them. A
     /// value that is not positive and finite is ignored.
     pub limit: Option<f64>,
+    /// The requests that the server can reject in a second for lack of capacity, if it names a number.
+    /// It ends if it has to reject more.
+    pub rejection_limit: Option<u32>,
 }
 
 /// Translates between a deployment's headers and the types of this crate. Implementations make
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -61,8 +61,8 @@
     pub(super) runs: u32,
     /// A server's error response, which is passed on if no other server succeeds.
     failure: Option<(response::Parts, Bytes)>,
-    /// Whether the request was sent at least once.
-    is_sent: bool,
+    /// Number of times the request was sent.
+    attempts: u32,
     /// Whether the outcome was logged. If not when this value is dropped, the caller has
     /// disconnected.
     is_logged: bool,
@@ -116,7 +116,7 @@
         handle,
         runs: 0,
         failure: None,
-        is_sent: false,
+        attempts: 0,
         is_logged: false,
     };
     loop {
@@ -200,9 +200,10 @@
         if Instant::now() >= order.send_before {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
-        if !std::mem::replace(&mut self.is_sent, true) {
+        if self.attempts == 0 {
             record_queue_wait(self.request.caller.class, self.request.arrived.elapsed());
         }
+        self.attempts += 1;
         self.log_send(order);
         let request = self.backend_request(order, from);
         let non_repeatable = !self.request.caller.route.kind.is_repeatable();
@@ -271,14 +272,17 @@
                 self.runs += 1;
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
+                self.core.record_rejection_limit(&self.request.service, sent_at, &head);
                 self.core.record_response(&order.server, model, &head);
                 let framing = ResponseFraming::read(&parts);
                 strip_connection(&mut parts.headers);
                 Ok(StartedResponse { parts, head, framing, body, connection })
             }
             ResponseVerdict::NotExecuted => {
+                self.log_rejection(order, &head);
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
+                self.core.record_rejection_limit(&self.request.service, sent_at, &head);
                 self.core.record_response(&order.server, model, &head);
                 let rest = Limited::new(body, MAX_REFUSAL_BYTES).collect();
                 // A server that hangs after the head must not delay the request.
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -4,11 +4,13 @@
     super::HttpExchange,
     crate::{
         ids::ServerId,
-        observe::events,
+        observe::{events, metrics::SERVER_REJECTIONS},
         pipeline::counters::{count_response, record_response_time},
         policy::{AttemptFailure, RefusalReason, SendOrder},
+        reverse_proxy::dialect::ResponseHead,
     },
     http::StatusCode,
+    metrics::counter,
     std::time::Duration,
 };
 
@@ -50,6 +52,22 @@
         );
     }
 
+    /// Logs that a server rejected the request, with the load that it reported.
+    pub(super) fn log_rejection(&self, order: &SendOrder, head: &ResponseHead) {
+        counter!(SERVER_REJECTIONS).increment(1);
+        let load = head.load;
+        log::info!(
+            request_id = self.request.caller.id.as_str(),
+            server = order.server.as_str(),
+            running = load.map(|(running, _)| running),
+            waiting = load.map(|(_, waiting)| waiting),
+            in_flight = order.in_flight,
+            attempt = self.attempts,
+            rejection_limit = head.rejection_limit;
+            "{}", events::REQUEST_REJECTED
+        );
+    }
+
     /// Logs a failed attempt, after which `events` events were relayed.
     pub(super) fn log_attempt_failure(
         &self,
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -84,6 +84,11 @@
         rule.is_some_and(|rule| rule.engine.is_some())
     }
 
+    /// Whether the configuration lists the service.
+    pub fn is_routed(&self, service: &ServiceId) -> bool {
+        self.index.as_ref().is_some_and(|index| index.table.services.contains_key(service))
+    }
+
     /// The path of the health check of a service's servers, `/` if none is configured.
     pub fn health_path(&self, service: &ServiceId) -> &str {
         let rule = self.index.as_ref().and_then(|index| index.table.services.get(service));
