--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -261,7 +261,8 @@
             }
             PolicyInput::Reachable { domains } => self.reachable = Some(domains),
             PolicyInput::Wake => return self.refuse_expired(now),
-            PolicyInput::Progress { .. }
+            PolicyInput::Leased { .. }
+            | PolicyInput::Progress { .. }
             | PolicyInput::Cache(_)
             | PolicyInput::Digest(_)
             | PolicyInput::CrashReports(_)
--- a/src/daemon/peer_service.rs
+++ b/src/daemon/peer_service.rs
@@ -71,7 +71,7 @@
             PeerMessage::ConfigNotice { revision } => {
                 components.dissemination.handle_notice(from, revision)
             }
-            PeerMessage::KeepAlive => {}
+            PeerMessage::KeepAlive | PeerMessage::EndLease { .. } | PeerMessage::HeldLeases(_) => {}
         }
     }
 
@@ -103,7 +103,8 @@
             }
             PeerRequest::Follow(_)
             | PeerRequest::TunnelPeers { .. }
-            | PeerRequest::OpenTunnel { .. } => PeerReply::Refused(
+            | PeerRequest::OpenTunnel { .. }
+            | PeerRequest::LeaseSlot { .. } => PeerReply::Refused(
                 "this daemon does not serve followers; ask a control VM".to_owned(),
             ),
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,11 +4,12 @@
 //! One control VM reads the list and all daemons follow it, so the platform receives one request
 //! for all of them. See [`watch`] for who reads while that VM is unavailable.
 
+pub mod arbiters;
 pub mod history;
 pub mod watch;
 
 use {
-    crate::ids::{FailureDomainId, Incarnation, ModelId, ServerId, ServiceId, WeightsNumber},
+    crate::ids::{FailureDomainId, Incarnation, ModelId, ServerId, ServiceId, VmId, WeightsNumber},
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr},
     xxhash_rust::xxh3::xxh3_64,
@@ -42,6 +43,9 @@
     pub failure_domain: FailureDomainId,
     /// Number of requests that the server processes concurrently.
     pub slots: u32,
+    /// The entry that leases the server's slots while these must not be overrun; `None` if the VM that
+    /// read the list knew no entry.
+    pub arbiter: Option<VmId>,
     /// Determines whether the server receives new work.
     pub phase: ServerPhase,
     /// Incarnation of the server; a restart under the same name has a higher number.
@@ -71,22 +75,25 @@
         FleetSnapshot { servers }
     }
 
-    /// Marks servers as draining that were draining in an earlier snapshot under the same
-    /// incarnation.
+    /// Keeps what is known from an earlier snapshot of the same incarnations: that a server was
+    /// draining, and its arbiter if this snapshot names none.
     ///
     /// A follower that switches to another control VM may receive an older list, in which a server
     /// that is being removed is still ready. The server would then receive new work again shortly
-    /// before it stops.
-    pub fn keep_draining(&mut self, previous: &FleetSnapshot) {
+    /// before it stops. A control VM that has just started knows no arbiters.
+    pub fn keep_known(&mut self, previous: &FleetSnapshot) {
         for server in &mut self.servers {
             let known = previous.servers.binary_search_by(|known| known.id.cmp(&server.id));
             let known = known.ok().map(|index| &previous.servers[index]);
-            let was_draining = known.is_some_and(|known| {
-                known.incarnation == server.incarnation && known.phase == ServerPhase::Draining
-            });
-            if was_draining {
+            let Some(known) = known.filter(|known| known.incarnation == server.incarnation) else {
+                continue;
+            };
+            if known.phase == ServerPhase::Draining {
                 server.phase = ServerPhase::Draining;
             }
+            if server.arbiter.is_none() {
+                server.arbiter.clone_from(&known.arbiter);
+            }
         }
     }
 
--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -9,10 +9,11 @@
 use {
     super::{
         FleetSnapshot, ServerPhase,
+        arbiters::ArbiterAssignment,
         history::{FleetChange, FleetHistory},
     },
     crate::{
-        ids::{Incarnation, ModelId, ServerId, WeightsNumber},
+        ids::{Incarnation, ModelId, ServerId, VmId, WeightsNumber},
         observe::events,
     },
     futures::future::BoxFuture,
@@ -67,6 +68,7 @@
     /// Weights reported by the servers themselves, with the incarnation that reported them; only
     /// servers of the list.
     reported: BTreeMap<ServerId, (Incarnation, BTreeMap<ModelId, WeightsNumber>)>,
+    arbiters: ArbiterAssignment,
 }
 
 impl Default for FleetView {
@@ -99,9 +101,15 @@
         history.change_since(held, &current)
     }
 
-    /// Applies a reading made by this VM.
-    pub fn apply_reading(&self, snapshot: FleetSnapshot) {
+    /// Records the entries that poll control VMs, as far as this VM knows.
+    pub fn record_entries(&self, entries: impl IntoIterator<Item = VmId>) {
+        self.lock().arbiters.record_entries(Instant::now(), entries);
+    }
+
+    /// Applies a reading made by this VM, and assigns the arbiters.
+    pub fn apply_reading(&self, mut snapshot: FleetSnapshot) {
         let mut state = self.lock();
+        state.arbiters.assign(Instant::now(), &mut snapshot);
         state.listed = Arc::new(snapshot);
         state.confirmed = Some(Instant::now());
         self.update_merged(&mut state);
@@ -228,14 +236,16 @@
 }
 
 /// Reads the list whenever this VM is responsible for it. Never returns. `leads` returns whether
-/// this VM currently leads the control replicas.
+/// this VM currently leads the control replicas, and `entries` the entries that poll.
 pub async fn read_list(
     view: Arc<FleetView>,
     source: Arc<dyn FleetSource>,
     leads: impl Fn() -> bool,
+    entries: impl Fn() -> Vec<VmId>,
 ) {
     let mut monitor = ListMonitor::default();
     loop {
+        view.record_entries(entries());
         if leads() || !view.is_fresh(LEADER_TIMEOUT) {
             let reading = source.read().await;
             let known = view.subscribe().borrow().servers.len();
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -20,11 +20,11 @@
     crate::{
         control::document::{NamedWeights, NumberedDocument},
         fleet::{FleetSnapshot, history::FleetDelta},
-        ids::{DocumentNumber, FailureDomainId, Term, VmId},
+        ids::{DocumentNumber, FailureDomainId, ServiceId, Term, VmId},
         policy::suspect::CrashReport,
     },
     serde::{Deserialize, Serialize},
-    std::{sync::Arc, time::Duration},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
     xxhash_rust::xxh3::xxh3_64,
 };
 
@@ -81,6 +81,8 @@
     pub receives_document: bool,
     /// The digest of the crash reports that it received; see [`evidence::evidence_digest`].
     pub evidence: u64,
+    /// The services whose servers have just named how many requests they can reject.
+    pub limited_services: BTreeSet<ServiceId>,
     /// From a control VM, a sample of its entries that reach the backend servers; else empty.
     pub tunnel_peers: Vec<VmId>,
 }
@@ -115,6 +117,8 @@
     pub held: DocumentNumber,
     /// All crash reports, if they differ.
     pub evidence: Option<Vec<CrashReport>>,
+    /// The services whose servers have just named to any entry how many requests they can reject.
+    pub limited_services: BTreeSet<ServiceId>,
     /// To a control VM, a sample of all entries that reach the backend servers; else empty.
     pub tunnel_peers: Vec<VmId>,
     /// The body of `document` as one frame of zstd, if the answering VM has it.
@@ -208,7 +212,7 @@
     fn set_fleet(&mut self, mut fleet: Arc<FleetSnapshot>, digest: u64) {
         self.fleet_digest = digest;
         if let Some(former) = &self.fleet {
-            Arc::make_mut(&mut fleet).keep_draining(former);
+            Arc::make_mut(&mut fleet).keep_known(former);
         }
         self.fleet = Some(fleet);
     }
--- a/src/follow/entry_directory.rs
+++ b/src/follow/entry_directory.rs
@@ -98,6 +98,13 @@
         state.pick(all, FULL_SAMPLE)
     }
 
+    /// All known entries that reach the backend servers.
+    pub fn all(&self, now: Instant) -> Vec<VmId> {
+        let mut state = self.lock();
+        state.expire(now);
+        state.reaching()
+    }
+
     /// The entries through which another entry can connect to servers. Half of them are own
     /// ones, which are mostly in the same failure domain.
     pub fn peers_for(&self, now: Instant, asking: &VmId) -> Vec<VmId> {
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -18,7 +18,7 @@
             history::{FleetChange, FleetDelta},
             watch::{FleetView, LEADER_TIMEOUT},
         },
-        ids::{FailureDomainId, Term, VmId},
+        ids::{FailureDomainId, ServiceId, Term, VmId},
         observe::metrics::{FOLLOW_DOCUMENTS, FOLLOW_LISTS, FOLLOWERS},
         transport::{PeerHandler, PeerMessage, PeerReply, PeerRequest},
     },
@@ -37,6 +37,11 @@
 /// The maximum number of followers that are counted: several times the 380 daemons of the design
 /// size.
 const MAX_FOLLOWERS: usize = 2_048;
+/// How long a service is passed on as one whose servers can reject few requests: followers report it
+/// with each poll, at least once a second.
+const LIMIT_REPORT_TIME: Duration = Duration::from_millis(1_500);
+/// Maximum number of such services.
+const MAX_LIMITED_SERVICES: usize = 256;
 
 /// Answers followers at one control VM, once its replica runs.
 pub struct FollowService {
@@ -46,6 +51,11 @@
     evidence: Arc<SharedEvidence>,
     /// The entries that reach the backend servers.
     directory: EntryDirectory,
+    /// When each service was last reported as one whose servers can reject few requests; at most
+    /// [`MAX_LIMITED_SERVICES`].
+    limited_services: Mutex<BTreeMap<ServiceId, Instant>>,
+    /// The same as reported by the leader, and when. It is passed on to entries only.
+    leader_limits: Mutex<Option<(Instant, BTreeSet<ServiceId>)>>,
     /// The documents that followers may have.
     documents: Mutex<DocumentHistory>,
     /// The time of each follower's last request and the number of entries that it represents; at
@@ -64,6 +74,8 @@
             replica: std::sync::OnceLock::new(),
             evidence: Arc::default(),
             directory: EntryDirectory::default(),
+            limited_services: Mutex::default(),
+            leader_limits: Mutex::default(),
             documents: Mutex::default(),
             followers: Mutex::default(),
             total_entries: Mutex::default(),
@@ -92,6 +104,40 @@
         *self.total_entries.lock().unwrap_or_else(PoisonError::into_inner) = entries;
     }
 
+    /// Records services whose servers have just named how many requests they can reject.
+    pub fn record_limited_services(&self, services: &BTreeSet<ServiceId>) {
+        let mut limited = self.limited_services.lock().unwrap_or_else(PoisonError::into_inner);
+        for service in services {
+            if limited.len() < MAX_LIMITED_SERVICES || limited.contains_key(service) {
+                limited.insert(service.clone(), Instant::now());
+            }
+        }
+    }
+
+    /// The services that followers have just reported as such.
+    pub fn limited_services(&self) -> BTreeSet<ServiceId> {
+        let mut limited = self.limited_services.lock().unwrap_or_else(PoisonError::into_inner);
+        limited.retain(|_, reported_at| reported_at.elapsed() < LIMIT_REPORT_TIME);
+        limited.keys().cloned().collect()
+    }
+
+    /// Sets the services that the leader reported as such.
+    pub fn set_leader_limits(&self, services: BTreeSet<ServiceId>) {
+        let mut limits = self.leader_limits.lock().unwrap_or_else(PoisonError::into_inner);
+        *limits = Some((Instant::now(), services));
+    }
+
+    fn limits_for(&self, follower: FollowerKind) -> BTreeSet<ServiceId> {
+        let mut services = self.limited_services();
+        let limits = self.leader_limits.lock().unwrap_or_else(PoisonError::into_inner);
+        if let (FollowerKind::Entry, Some((reported_at, reported))) = (follower, &*limits)
+            && reported_at.elapsed() < LIMIT_REPORT_TIME
+        {
+            services.extend(reported.iter().cloned());
+        }
+        services
+    }
+
     /// The number of entries that follow this VM, directly or through another control VM.
     pub fn own_entries(&self) -> u32 {
         let mut followers = self.followers.lock().unwrap_or_else(PoisonError::into_inner);
@@ -138,6 +184,7 @@
                 "this replica is starting; ask another control VM".to_owned(),
             );
         };
+        self.record_limited_services(&request.limited_services);
         if request.mode != AnswerMode::Suitability {
             self.record_entries(&from, &request);
             self.record_follower(from, request.follower);
@@ -161,6 +208,7 @@
                 }
             }
         }
+        reply.limited_services = self.limits_for(request.follower);
         reply.held = state.document().number;
         reply.fresh = status.is_fresh;
         reply.term = leader_term(&status);
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -8,12 +8,13 @@
         transfer::DocumentTransfer,
     },
     crate::{
-        ids::{DocumentNumber, FailureDomainId, VmId},
+        ids::{DocumentNumber, FailureDomainId, ServiceId, VmId},
         observe::events,
         transport::{DocumentStream, PeerNetwork, PeerReply, PeerRequest},
     },
     futures::future::join_all,
     std::{
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant as StdInstant},
     },
@@ -54,6 +55,11 @@
         0
     }
 
+    /// The services whose servers have just named how many requests they can reject.
+    fn limited_services(&self) -> BTreeSet<ServiceId> {
+        BTreeSet::new()
+    }
+
     /// A sample of the entries that follow this daemon and reach the backend servers.
     fn tunnel_peers(&self) -> Vec<VmId> {
         Vec::new()
@@ -330,6 +336,7 @@
             needs_full: held.needs_full,
             receives_document: self.transfer.is_some(),
             evidence: self.port.evidence_digest(),
+            limited_services: self.port.limited_services(),
             tunnel_peers: self.port.tunnel_peers(),
         };
         let request = PeerRequest::Follow(Box::new(request));
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -31,6 +31,8 @@
 /// Identifier of one attempt to run a request at a backend server; unique across all daemons and
 /// their restarts.
 pub type AttemptId = u128;
+/// Identifier of the lease of a backend server's slot, drawn at random by its holder.
+pub type LeaseId = u64;
 /// Incarnation of a process or a disk: a restart or an emptied disk starts a new one.
 pub type Incarnation = u64;
 /// Number of an accepted configuration; it never decreases.
--- a/src/operator_client/explain_log.rs
+++ b/src/operator_client/explain_log.rs
@@ -214,7 +214,7 @@
 
 /// Explains a refusal reason to operators.
 fn describe_reason(reason: &str) -> &'static str {
-    const POLICY: [(RefusalReason, &str); 10] = [
+    const POLICY: [(RefusalReason, &str); 11] = [
         (
             RefusalReason::DeadlineUnreachable,
             "load: it could not have completed before its deadline",
@@ -227,6 +227,7 @@
         (RefusalReason::RetriesExhausted, "its attempts failed, and it may not be retried"),
         (RefusalReason::ServerFailed, "its server failed, and it may not be repeated"),
         (RefusalReason::ServersLimited, "all servers limited how many requests they take"),
+        (RefusalReason::NoSlot, "load: no slot of its servers was free in time"),
         (RefusalReason::NotResumable, "its server failed, and no other server could resume it"),
     ];
     const FILTERS: [(&str, &str); 11] = [
@@ -251,6 +252,7 @@
 fn describe_failure(failure: &str) -> &'static str {
     match failure {
         "NotConnected" => "no connection was made, so that server did not run it",
+        "NoSlot" => "no slot of the server was free in time; nothing was sent",
         "Declined" => "the server reported that it did not run it",
         "Stale" => "it was not sent, because the decision was out of date",
         "Unreachable" => {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod safeguard;
+pub mod slot_leases;
 pub mod suspect;
 pub mod tunnel_peers;
 pub mod window;
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -126,11 +126,13 @@
     NotResumable,
     /// All servers limit how many requests they take, and the next one cannot be sent in time.
     ServersLimited,
+    /// The slots of the servers are leased, and none is free in time.
+    NoSlot,
 }
 
 impl RefusalReason {
     /// All reasons, so that counters can be registered at startup.
-    pub const ALL: [RefusalReason; 10] = [
+    pub const ALL: [RefusalReason; 11] = [
         RefusalReason::DeadlineUnreachable,
         RefusalReason::DeadlinePassed,
         RefusalReason::QueueFull,
@@ -141,6 +143,7 @@
         RefusalReason::ServerFailed,
         RefusalReason::NotResumable,
         RefusalReason::ServersLimited,
+        RefusalReason::NoSlot,
     ];
 
     /// Returns the name used in metrics and responses.
@@ -156,6 +159,7 @@
             RefusalReason::ServerFailed => "server_failed",
             RefusalReason::NotResumable => "not_resumable",
             RefusalReason::ServersLimited => "servers_limited",
+            RefusalReason::NoSlot => "no_slot",
         }
     }
 }
@@ -178,13 +182,15 @@
     TimedOut,
     /// The server runs other weights than expected.
     WrongWeights,
+    /// No slot of the server was free in time.
+    NoSlot,
     /// The send order expired while the daemon process was paused.
     Stale,
 }
 
 impl RetryReason {
     /// All reasons, so that counters can be registered at startup.
-    pub const ALL: [RetryReason; 8] = [
+    pub const ALL: [RetryReason; 9] = [
         RetryReason::NotConnected,
         RetryReason::Refused,
         RetryReason::BrokenBeforeToken,
@@ -192,6 +198,7 @@
         RetryReason::ServerError,
         RetryReason::TimedOut,
         RetryReason::WrongWeights,
+        RetryReason::NoSlot,
         RetryReason::Stale,
     ];
 
@@ -205,6 +212,7 @@
             RetryReason::ServerError => "server_error",
             RetryReason::TimedOut => "timed_out",
             RetryReason::WrongWeights => "wrong_weights",
+            RetryReason::NoSlot => "no_slot",
             RetryReason::Stale => "stale",
         }
     }
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -229,6 +229,7 @@
             PolicyInput::FirstToken { attempt, cached_tokens } => {
                 self.record_first_token(now, attempt, cached_tokens);
             }
+            PolicyInput::Leased { attempt } => self.record_lease(now, attempt),
             PolicyInput::Progress { attempt, .. } => {
                 self.record_first_token(now, attempt, None);
             }
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -18,7 +18,10 @@
             retry::{self, MAX_TRIES},
         },
     },
-    std::time::{Duration, Instant},
+    std::{
+        ops::RangeInclusive,
+        time::{Duration, Instant},
+    },
 };
 
 /// Smoothing factor of a pool's mean output, service time and affinity hit ratio.
@@ -32,6 +35,12 @@
 /// retried until its deadline, but at most once per second.
 const UNBUDGETED_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Number of servers that a request asks for a slot before it is refused.
+const MAX_FULL_SERVERS: u32 = 3;
+
+/// How long a server without a free slot is left to the requests that wait for it.
+const FULL_TIME: RangeInclusive<Duration> = Duration::from_millis(20)..=Duration::from_millis(500);
+
 /// Minimum retry delay of a request whose connection failed while no server of its pool is usable,
 /// for example when some engines crash while others load weights. A server restarts within a second
 /// or two. Without the delay, a request uses up its four attempts within 0.1 s on a server that
@@ -57,6 +66,18 @@
 }
 
 impl Dispatcher {
+    /// Counts the time of an attempt from now on, since it was not sent until now.
+    pub(super) fn record_lease(&mut self, now: Instant, attempt: AttemptId) {
+        let Some(state) = self.attempts.get_mut(&attempt) else { return };
+        let waited = now.saturating_duration_since(state.sent);
+        state.sent = now;
+        let server = &mut self.table.servers[state.server];
+        if let Some(unanswered) = server.unanswered.get_mut(&attempt) {
+            unanswered.sent = now;
+            unanswered.due += waited;
+        }
+    }
+
     pub(super) fn record_first_token(
         &mut self,
         now: Instant,
@@ -206,6 +227,10 @@
             }
         }
         let history = sent.history_mut();
+        if failed.failure == AttemptFailure::NoSlot {
+            history.tries = history.tries.saturating_sub(1);
+            history.full_servers += 1;
+        }
         if NotExecutedProof::from_failure(failed.failure).is_none() {
             history.did_run = DidRun::Unknown;
         }
@@ -238,6 +263,10 @@
             self.refuse(name, RefusalReason::DeadlinePassed, None, did_run);
             return;
         }
+        if request.sent.history().full_servers >= MAX_FULL_SERVERS {
+            self.refuse(name, RefusalReason::NoSlot, failed.retry_after, did_run);
+            return;
+        }
         let Some(reason) = retry::reason_of(failed.failure, relayed) else { return };
         let FailedRequest { pool, cost, sent } = request;
         let retry_at = self.retry_time(now, pool, &sent, failed);
@@ -298,7 +327,7 @@
         sent: &SentRequest,
         failed: &FailedAttempt,
     ) -> Option<Instant> {
-        if failed.failure == AttemptFailure::Stale {
+        if matches!(failed.failure, AttemptFailure::Stale | AttemptFailure::NoSlot) {
             return Some(now);
         }
         let chance = self.random_unit();
@@ -335,6 +364,11 @@
         let server = &mut self.table.servers[index];
         let fails = match failed.failure {
             AttemptFailure::Stale => return,
+            AttemptFailure::NoSlot => {
+                let delay = failed.retry_after.unwrap_or(*FULL_TIME.end());
+                server.full_until = Some(now + delay.clamp(*FULL_TIME.start(), *FULL_TIME.end()));
+                return;
+            }
             AttemptFailure::CallerError => {
                 server.failures.record_success();
                 return;
--- a/src/policy/dispatcher/lifecycle.rs
+++ b/src/policy/dispatcher/lifecycle.rs
@@ -47,6 +47,8 @@
 pub struct RequestHistory {
     /// Number of times it was sent.
     pub tries: u32,
+    /// Number of servers without a free slot.
+    pub full_servers: u32,
     /// Whether it may have been executed, for a refusal; changes only from `No` to `Unknown`.
     pub did_run: DidRun,
     /// Tokens already relayed to the caller; never decreases.
@@ -82,7 +84,10 @@
     pub fn from_failure(failure: AttemptFailure) -> Option<Self> {
         matches!(
             failure,
-            AttemptFailure::NotConnected | AttemptFailure::Stale | AttemptFailure::Declined
+            AttemptFailure::NotConnected
+                | AttemptFailure::NoSlot
+                | AttemptFailure::Stale
+                | AttemptFailure::Declined
         )
         .then_some(NotExecutedProof(()))
     }
@@ -93,6 +98,7 @@
     pub fn receive(now: Instant, ticket: RequestTicket) -> Self {
         let history = RequestHistory {
             tries: 0,
+            full_servers: 0,
             did_run: DidRun::No,
             relayed: 0,
             weights: None,
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -346,7 +346,7 @@
         tier: EligibilityTier,
     ) -> Option<Candidate> {
         let eligible = |index: &&ServerIndex| {
-            self.is_eligible(query, **index, tier)
+            self.is_eligible(now, query, **index, tier)
                 && self.table.servers[**index].is_within_limit(now)
         };
         let members = &self.table.pools[query.pool].members;
@@ -369,6 +369,7 @@
 
     fn is_eligible(
         &self,
+        now: Instant,
         query: &PlacementQuery<'_>,
         index: ServerIndex,
         tier: EligibilityTier,
@@ -389,7 +390,9 @@
         }
         match tier {
             EligibilityTier::Usable => {
-                server.is_usable() && !history.avoided_servers.contains(&index)
+                server.is_usable()
+                    && !server.is_full(now)
+                    && !history.avoided_servers.contains(&index)
             }
             EligibilityTier::Responding => {
                 !server.unverified && !history.avoided_servers.contains(&index)
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -71,6 +71,8 @@
     pub unverified: bool,
     /// Limit of this daemon's requests in flight.
     pub window: ServerWindow,
+    /// No slot is expected to be free before this time.
+    pub full_until: Option<Instant>,
     /// The pace of requests, if the server limits them.
     pub pace: Option<ServerPace>,
     /// Measured speed.
@@ -125,6 +127,7 @@
             cache: ServerCacheState::default(),
             unverified: false,
             window: ServerWindow::new(view.slots, daemons),
+            full_until: None,
             pace: None,
             speed: SpeedGauge::default(),
             failures: FailureRecord::default(),
@@ -156,6 +159,11 @@
         self.accepts_requests() && !reserved && !self.failures.is_ejected() && !self.unverified
     }
 
+    /// Returns whether none of its slots is expected to be free.
+    pub fn is_full(&self, now: Instant) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether its limit, if it has one, allows another request.
     pub fn is_within_limit(&self, now: Instant) -> bool {
         self.pace.as_ref().is_none_or(|pace| pace.is_open(now))
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -27,6 +27,11 @@
         /// Prompt tokens that the engine served from its cache; `None` if it did not report them.
         cached_tokens: Option<u32>,
     },
+    /// An attempt that had to wait for the lease of a slot is sent now.
+    Leased {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// More tokens of an attempt arrived after the first one.
     Progress {
         /// The attempt.
@@ -241,6 +246,8 @@
     WrongWeights,
     /// The server proved that it did not execute the request and will not do so later.
     Declined,
+    /// The server's slots are leased, and none is free in time; nothing was sent.
+    NoSlot,
     /// The daemon process was paused until the send order expired; nothing was sent.
     Stale,
 }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -153,6 +153,7 @@
         AttemptFailure::NotConnected => Some(RetryReason::NotConnected),
         AttemptFailure::Refused | AttemptFailure::Declined => Some(RetryReason::Refused),
         AttemptFailure::WrongWeights => Some(RetryReason::WrongWeights),
+        AttemptFailure::NoSlot => Some(RetryReason::NoSlot),
         AttemptFailure::Stale => Some(RetryReason::Stale),
         _ if relayed > 0 => Some(RetryReason::StreamResumed),
         AttemptFailure::Broken | AttemptFailure::Unreachable => {
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -19,6 +19,7 @@
 pub mod request;
 pub mod response;
 pub mod server_link;
+pub mod slot_lease;
 pub mod store_monitor;
 pub mod timeout_stream;
 pub mod view;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -6,6 +6,7 @@
         pool::ConnectionPool,
         recheck::RecheckList,
         rejection_limits::{LimitChange, RejectionLimits},
+        slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
         view::{ProxyView, qualified_model},
     },
     crate::{
@@ -13,17 +14,20 @@
         inventory::DecisionObjective,
         observe::events,
         pipeline::{DispatcherHandle, DrainGate},
-        policy::{LoadReport, PolicyInput, pacing::ServerPace, suspect::CrashReport},
+        policy::{
+            LoadReport, PolicyInput, pacing::ServerPace, slot_leases::choose_servers,
+            suspect::CrashReport,
+        },
     },
     arc_swap::ArcSwap,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex, OnceLock, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::Instant,
+        time::{Duration, Instant},
     },
     tokio::sync::watch,
 };
@@ -68,6 +72,7 @@
     limits: Mutex<BTreeMap<ServerId, (Incarnation, f64)>>,
     /// The services whose servers end if they have to reject too many requests.
     rejection_limits: RejectionLimits,
+    slot_leaser: OnceLock<Arc<dyn SlotLeaser>>,
     split_counter: AtomicU64,
     /// The dispatcher's reports on crashes, repeated while there are any.
     crash_reports: watch::Sender<Vec<CrashReport>>,
@@ -90,6 +95,7 @@
             reported_weights: Mutex::default(),
             limits: Mutex::default(),
             rejection_limits: RejectionLimits::default(),
+            slot_leaser: OnceLock::new(),
             split_counter: AtomicU64::new(0),
             crash_reports: watch::channel(Vec::new()).0,
         })
@@ -113,8 +119,9 @@
     }
 
     /// Replaces the view and passes the changes to the dispatcher.
-    pub fn apply(&self, view: ProxyView) {
+    pub fn apply(&self, mut view: ProxyView) {
         let former = self.view();
+        view.set_aside = self.set_aside(&view);
         let inputs = view.inputs(&self.vm, self.objective, &former);
         let used: BTreeSet<_> = view.servers.values().map(|server| server.address).collect();
         self.lock_weights().retain(|server, _| view.servers.contains_key(server));
@@ -231,16 +238,89 @@
     pub fn record_rejection_limit(&self, service: &ServiceId, sent: Instant, head: &ResponseHead) {
         let executed = head.verdict == ResponseVerdict::Executed;
         let (now, limit) = (Instant::now(), head.rejection_limit);
-        match self.rejection_limits.record(now, service, sent, limit, executed) {
+        let change = self.rejection_limits.record(now, service, sent, limit, executed);
+        self.apply_limit_change(service, change);
+    }
+
+    /// Records the services whose servers have named such a limit to other daemons.
+    pub fn record_limit_reports(&self, services: &BTreeSet<ServiceId>) {
+        let view = self.view();
+        for service in services.iter().filter(|service| view.is_routed(service)) {
+            let change = self.rejection_limits.record_report(Instant::now(), service);
+            self.apply_limit_change(service, change);
+        }
+    }
+
+    /// The services whose servers have just named such a limit to this daemon.
+    pub fn limit_reports(&self) -> BTreeSet<ServiceId> {
+        self.rejection_limits.reports(Instant::now())
+    }
+
+    fn apply_limit_change(&self, service: &ServiceId, change: Option<LimitChange>) {
+        match change {
             Some(LimitChange::Named(limit)) => {
                 log::info!(service = service.as_str(), limit = limit;
                     "{}", events::REJECTIONS_LIMITED);
             }
+            Some(LimitChange::Reported) => {
+                log::info!(service = service.as_str(); "{}", events::REJECTIONS_LIMITED);
+            }
             Some(LimitChange::Ended) => {
                 log::info!(service = service.as_str(); "{}", events::REJECTIONS_UNLIMITED);
             }
-            None => {}
+            None => return,
+        }
+        self.apply(ProxyView::clone(&self.view()));
+    }
+
+    /// The servers that this daemon sets aside while the slots of their service are leased.
+    fn set_aside(&self, view: &ProxyView) -> BTreeSet<ServerId> {
+        let mut services: BTreeMap<&ServiceId, Vec<&ServerId>> = BTreeMap::new();
+        for server in view.servers.values() {
+            services.entry(&server.service).or_default().push(&server.id);
         }
+        let now = Instant::now();
+        services.retain(|service, _| self.rejection_limits.is_limited(now, service));
+        let unused = services.into_values().flat_map(|servers| {
+            let used = choose_servers(&self.vm, servers.iter().copied());
+            servers.into_iter().filter(move |server| !used.contains(*server))
+        });
+        unused.cloned().collect()
+    }
+
+    /// Whether the servers of a service end if they have to reject too many requests.
+    pub fn limits_rejections(&self, service: &ServiceId) -> bool {
+        self.rejection_limits.is_limited(Instant::now(), service)
+    }
+
+    /// Sets how slots are leased; without it none are. A second call has no effect.
+    pub fn set_slot_leaser(&self, leaser: Arc<dyn SlotLeaser>) {
+        if self.slot_leaser.set(leaser).is_err() {
+            log::error!("the slot leaser was set twice");
+        }
+    }
+
+    /// Leases a slot of a server for a request that can wait for `patience`; `None` if the server's
+    /// service needs no leases.
+    ///
+    /// # Errors
+    /// As [`SlotLeaser::lease`].
+    pub async fn lease_slot(
+        &self,
+        server: &ServerId,
+        patience: Duration,
+    ) -> Result<Option<SlotLease>, LeaseFailure> {
+        let view = self.view();
+        let Some(listed) = view.servers.get(server) else { return Ok(None) };
+        let is_limited = self.limits_rejections(&listed.service);
+        let Some(leaser) = self.slot_leaser.get().filter(|_| is_limited) else { return Ok(None) };
+        let demand = SlotDemand {
+            server: server.clone(),
+            arbiter: listed.arbiter.clone(),
+            patience,
+            share: view.slot_share(&listed.service),
+        };
+        Arc::clone(leaser).lease(demand).await.map(Some)
     }
 
     fn lock_limits(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (Incarnation, f64)>> {
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -12,6 +12,7 @@
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
+        slot_lease::{LeaseFailure, SlotLease},
         timeout_stream::ConnectionPhase,
     },
     crate::{
@@ -51,6 +52,8 @@
 /// Delay before a request is placed again after the connection limit of a server was reached: about
 /// the time that an engine takes for one token.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(30);
+/// How much longer than its caller can wait a request may take to get the lease of a slot.
+const LEASE_MARGIN: Duration = Duration::from_millis(500);
 
 /// A request and the state of its attempts.
 pub struct HttpExchange {
@@ -200,6 +203,7 @@
         if Instant::now() >= order.send_before {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
+        let lease = self.lease_slot(order, from).await?;
         if self.attempts == 0 {
             record_queue_wait(self.request.caller.class, self.request.arrived.elapsed());
         }
@@ -223,7 +227,8 @@
             }
         };
         match sent {
-            Ok((response, connection)) => {
+            Ok((response, mut connection)) => {
+                connection.set_lease(lease);
                 let received = ReceivedHead { response, connection, sent_at };
                 self.handle_head(order, from, received).await
             }
@@ -231,6 +236,56 @@
         }
     }
 
+    /// How long the request can wait for a slot: until it would miss its latency objective, and for a
+    /// stream that is resumed, as long as a new one.
+    fn lease_patience(&self, now: Instant, from: &ResumePosition) -> Duration {
+        let objective = self.request.caller.route.latency_objective;
+        let waited = now.saturating_duration_since(self.request.arrived);
+        let left = self.request.deadline.saturating_duration_since(now);
+        let patience = match from.event {
+            Some(_) => objective,
+            None => objective.saturating_sub(waited),
+        };
+        patience.min(left / 2)
+    }
+
+    /// Leases a slot if the server needs that. `None` if it does not.
+    async fn lease_slot(
+        &mut self,
+        order: &SendOrder,
+        from: &ResumePosition,
+    ) -> Result<Option<SlotLease>, AttemptFailure> {
+        let began = Instant::now();
+        let patience = self.lease_patience(began, from);
+        let leased = tokio::select! {
+            leased = self.core.lease_slot(&order.server, patience) => leased,
+            () = wait_withdrawn(&mut self.handle, order.attempt) => {
+                return Err(AttemptFailure::TimedOut);
+            }
+            () = sleep_until(self.request.deadline.into()) => {
+                return Err(self.report(order, AttemptFailure::NoSlot, from, None));
+            }
+        };
+        match leased {
+            // The decision is outdated if this process was paused.
+            _ if began.elapsed() > patience + LEASE_MARGIN => {
+                Err(self.report(order, AttemptFailure::Stale, from, None))
+            }
+            Ok(lease) => {
+                if lease.is_some() {
+                    self.handle.notify(PolicyInput::Leased { attempt: order.attempt });
+                }
+                Ok(lease)
+            }
+            Err(LeaseFailure::Full(delay)) => {
+                Err(self.report(order, AttemptFailure::NoSlot, from, Some(delay)))
+            }
+            Err(LeaseFailure::Unavailable) => {
+                Err(self.report(order, AttemptFailure::NoSlot, from, None))
+            }
+        }
+    }
+
     fn connection_failed(
         &mut self,
         order: &SendOrder,
@@ -379,7 +434,10 @@
     fn step_after_failure(&mut self, failure: AttemptFailure) -> AttemptStep {
         let unsent = matches!(
             failure,
-            AttemptFailure::NotConnected | AttemptFailure::Declined | AttemptFailure::Stale
+            AttemptFailure::NotConnected
+                | AttemptFailure::Declined
+                | AttemptFailure::NoSlot
+                | AttemptFailure::Stale
         );
         if unsent || self.may_run_again() || failure == AttemptFailure::TimedOut {
             return AttemptStep::Continue;
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -15,6 +15,7 @@
     super::{
         dial::{RequestSender, drive, open},
         server_link::ServerLinks,
+        slot_lease::SlotLease,
     },
     crate::{
         ids::ServerId,
@@ -89,10 +90,15 @@
     /// the other daemon can tell whether it is needed.
     is_tunnelled: bool,
     pool: Option<ConnectionPool>,
+    /// The lease of the server's slot for the request in flight.
+    lease: Option<SlotLease>,
 }
 
 impl Drop for LeasedConnection {
     fn drop(&mut self) {
+        if let Some(lease) = self.lease.take() {
+            lease.abandon();
+        }
         // The connection is closed at once, so that the server stops working on an abandoned
         // request.
         self.driver.abort();
@@ -103,9 +109,15 @@
 }
 
 impl LeasedConnection {
+    /// Keeps the lease of a slot until the request in flight has ended.
+    pub fn set_lease(&mut self, lease: Option<SlotLease>) {
+        self.lease = lease;
+    }
+
     /// Returns the connection to the pool for reuse; the response body must have been read to its
     /// end.
     pub fn return_to_pool(mut self, idle_limit: Option<Duration>) {
+        self.lease = None;
         let limit =
             idle_limit.map_or(DEFAULT_IDLE_LIMIT, |limit| limit.saturating_sub(IDLE_MARGIN));
         if self.sender.is_closed() || limit.is_zero() || self.is_tunnelled {
@@ -346,7 +358,8 @@
         let opened = opened.inspect_err(|_| self.release_slot(address))?;
         let OpenedConnection { sender, driver, is_tunnelled } = opened;
         let pool = Some(self.clone());
-        Ok(LeasedConnection { sender, driver, address, is_new: true, is_tunnelled, pool })
+        let (is_new, lease) = (true, None);
+        Ok(LeasedConnection { sender, driver, address, is_new, is_tunnelled, pool, lease })
     }
 
     async fn open_by_path(
--- a/src/reverse_proxy/recheck.rs
+++ b/src/reverse_proxy/recheck.rs
@@ -88,7 +88,10 @@
         let first = Xoshiro256PlusPlus::from_os_rng().next_u64() as usize;
         let first = first % view.servers.len().max(1);
         let servers = view.servers.iter().cycle().skip(first).take(view.servers.len());
-        let others = servers.filter(|(server, _)| **server != failed);
+        // A health check takes a slot of its server, or is rejected.
+        let others = servers.filter(|(server, listed)| {
+            **server != failed && !self.limits_rejections(&listed.service)
+        });
         for (server, listed) in others.take(SUSPICIOUS_SERVERS) {
             let target = BackendTarget { server, address: listed.address };
             if self.pool.check_direct(target, view.health_path(&listed.service)).await {
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -264,7 +264,10 @@
                     return Err(TruncatedResponse::BackendFailed);
                 }
                 Err(
-                    AttemptFailure::Declined | AttemptFailure::NotConnected | AttemptFailure::Stale,
+                    AttemptFailure::Declined
+                    | AttemptFailure::NotConnected
+                    | AttemptFailure::NoSlot
+                    | AttemptFailure::Stale,
                 ) => {
                     continue;
                 }
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -35,6 +35,9 @@
     pub named: NamedWeights,
     /// Servers whose weights are too old for new requests while other servers have newer ones.
     pub outdated: BTreeSet<ServerId>,
+    /// Servers that get requests only while no other server can take them, since their slots are leased
+    /// to other daemons.
+    pub set_aside: BTreeSet<ServerId>,
     /// Number of proxy processes that share the servers; at least 1.
     pub proxy_count: u32,
 }
@@ -74,6 +77,7 @@
             servers,
             named: named.clone(),
             outdated,
+            set_aside: BTreeSet::new(),
             proxy_count: proxy_count.max(1),
         }
     }
@@ -123,6 +127,14 @@
         Some((store.address, store.link_bytes? / token / f64::from(self.proxy_count.max(1))))
     }
 
+    /// Requests that this process may have in flight at the servers of a service without leases of
+    /// their slots: half of its even part of them, and at least one.
+    pub fn slot_share(&self, service: &ServiceId) -> u32 {
+        let servers = self.servers.values().filter(|server| server.service == *service);
+        let slots: u32 = servers.map(|server| server.slots).sum();
+        (slots / (2 * self.proxy_count.max(1))).max(1)
+    }
+
     /// Maximum number of connections of this process to a server of the service.
     pub fn connections(&self, service: &ServiceId) -> u32 {
         let rule = self.index.as_ref().and_then(|index| index.table.services.get(service));
@@ -145,8 +157,12 @@
             vec![PolicyInput::Configure(view), PolicyInput::PeerFetch { rate, newest }];
         for server in self.servers.values() {
             let known = previous.servers.get(&server.id);
-            let was_outdated = previous.outdated.contains(&server.id);
-            if known == Some(server) && was_outdated == self.outdated.contains(&server.id) {
+            let is_same = |former: &BTreeSet<ServerId>, present: &BTreeSet<ServerId>| {
+                former.contains(&server.id) == present.contains(&server.id)
+            };
+            let has_same_use = is_same(&previous.outdated, &self.outdated)
+                && is_same(&previous.set_aside, &self.set_aside);
+            if known == Some(server) && has_same_use {
                 continue;
             }
             let restarted = known.is_none_or(|known| known.incarnation != server.incarnation);
@@ -183,8 +199,12 @@
     pub fn health_input(&self, server: &ListedServer) -> PolicyInput {
         let health = match server.phase {
             _ if self.outdated.contains(&server.id) => ServerHealth::Leaving,
-            ServerPhase::Ready => ServerHealth::Alive { incarnation: server.incarnation },
-            ServerPhase::Loading => ServerHealth::Reserved { incarnation: server.incarnation },
+            ServerPhase::Ready if !self.set_aside.contains(&server.id) => {
+                ServerHealth::Alive { incarnation: server.incarnation }
+            }
+            ServerPhase::Ready | ServerPhase::Loading => {
+                ServerHealth::Reserved { incarnation: server.incarnation }
+            }
             ServerPhase::Draining => ServerHealth::Leaving,
         };
         PolicyInput::Health { server: server.id.clone(), health }
--- a/src/roles.rs
+++ b/src/roles.rs
@@ -13,6 +13,8 @@
 pub mod health;
 pub mod operator_service;
 pub mod required_weights;
+pub mod slot_arbiter;
+pub mod slot_client;
 pub mod tunnel_client;
 pub mod tunnel_service;
 
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -25,7 +25,7 @@
             service::{ControlHandler, FollowService},
             task::{FollowTask, FollowerPort},
         },
-        ids::{FailureDomainId, Incarnation, VmId},
+        ids::{FailureDomainId, Incarnation, ServiceId, VmId},
         observe::{events, memory::report_memory},
         transport::{PeerMessage, PeerNetwork, UnauthenticatedSettings},
     },
@@ -114,7 +114,13 @@
         let replica = start_replica(&settings, &network, &mut tasks)?;
         follow_service.open(replica.clone());
         let lease = replica.clone();
-        tasks.spawn(read_list(Arc::clone(&fleet_view), source, move || lease.lease_valid()));
+        let entries_service = Arc::clone(&follow_service);
+        tasks.spawn(read_list(
+            Arc::clone(&fleet_view),
+            source,
+            move || lease.lease_valid(),
+            move || entries_service.directory().all(Instant::now()),
+        ));
         tasks.spawn(publish_list(Arc::clone(&fleet_view)));
         let (evidence, status) = (Arc::clone(follow_service.evidence()), replica.status_watch());
         tasks.spawn({
@@ -426,6 +432,10 @@
         self.evidence.load(Ordering::Relaxed)
     }
 
+    fn limited_services(&self) -> BTreeSet<ServiceId> {
+        self.follow_service.limited_services()
+    }
+
     fn tunnel_peers(&self) -> Vec<VmId> {
         self.follow_service.directory().own_sample(Instant::now())
     }
@@ -441,6 +451,7 @@
             self.evidence.store(evidence_digest(reports), Ordering::Relaxed);
             self.follow_service.evidence().merge(reports);
         }
+        self.follow_service.set_leader_limits(reply.limited_services.clone());
         self.follow_service.set_total_entries(reply.entries);
         if reply.list_fresh {
             self.fleet_view.apply_leader_list(state.fleet.clone());
--- a/src/roles/control_directory.rs
+++ b/src/roles/control_directory.rs
@@ -22,11 +22,14 @@
     control: BTreeMap<VmId, SocketAddr>,
     /// The entries of [`TunnelPeers`](crate::policy::tunnel_peers::TunnelPeers).
     tunnel: BTreeMap<VmId, SocketAddr>,
+    /// The entries that are arbiters of servers; the server list bounds their number.
+    arbiters: BTreeMap<VmId, SocketAddr>,
 }
 
 impl KnownPeers {
     fn all(&self) -> BTreeMap<VmId, SocketAddr> {
-        self.control.iter().chain(&self.tunnel).map(|(vm, at)| (vm.clone(), *at)).collect()
+        let all = self.control.iter().chain(&self.tunnel).chain(&self.arbiters);
+        all.map(|(vm, at)| (vm.clone(), *at)).collect()
     }
 }
 
@@ -48,7 +51,8 @@
         candidates: watch::Sender<Vec<VmId>>,
     ) -> Self {
         let port = network.local_address().port();
-        let known = KnownPeers { control: known, tunnel: BTreeMap::new() };
+        let known =
+            KnownPeers { control: known, tunnel: BTreeMap::new(), arbiters: BTreeMap::new() };
         ControlDirectory { network, port, known: Mutex::new(known), candidates }
     }
 
@@ -71,6 +75,17 @@
         }
     }
 
+    /// Replaces the entries that are arbiters of servers.
+    pub fn set_arbiters<'a>(&self, arbiters: impl Iterator<Item = &'a VmId>) {
+        let arbiters: BTreeMap<VmId, SocketAddr> =
+            arbiters.filter_map(|vm| Some((vm.clone(), self.peer_address(vm)?))).collect();
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.arbiters != arbiters {
+            known.arbiters = arbiters;
+            self.network.set_peers(known.all());
+        }
+    }
+
     /// Replaces the entries through which backend servers are reached.
     pub fn set_tunnel_peers<'a>(&self, peers: impl Iterator<Item = &'a VmId>) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         NodeError, control_directory::ControlDirectory, health::serve_health_page, random_seed,
-        required_weights::RequiredWeights, tunnel_client::TunnelClient,
-        tunnel_service::TunnelService,
+        required_weights::RequiredWeights, slot_arbiter::SlotArbiter, slot_client::SlotClient,
+        tunnel_client::TunnelClient, tunnel_service::TunnelService,
     },
     crate::{
         control::document::body_digest,
@@ -14,7 +14,7 @@
             evidence::{evidence_digest, send_own_reports},
             task::{FollowTask, FollowerPort},
         },
-        ids::{DocumentNumber, FailureDomainId, VmId},
+        ids::{DocumentNumber, FailureDomainId, ServiceId, VmId},
         inventory::DecisionObjective,
         observe::{events, metrics::CONFIG_REVISION},
         pipeline::{DispatcherHandle, TraceLog, dispatch::DispatchTask},
@@ -28,7 +28,7 @@
     },
     http::{Method, StatusCode},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
@@ -169,6 +169,8 @@
         };
         let core = start_core(core_settings, dialect, &mut tasks);
         tunnel_service.open(Arc::clone(&core));
+        let arbiter = Arc::clone(tunnel_service.arbiter());
+        start_leases(&core, &network, &arbiter, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
         let follower = EntryFollower::start(&core, &network, &mut tasks);
@@ -179,7 +181,13 @@
         start_tunnels(&core, TunnelClient::new(network, directory.clone(), followed), &mut tasks);
         tasks.spawn(update_directory(Arc::clone(&directory), states.clone()));
         let (retry_reserve, reserve_watch) = watch::channel(settings.retry_reserve);
-        tasks.spawn(apply_states(Arc::clone(&core), states, parser, reserve_watch));
+        let applier = StateApplier {
+            core: Arc::clone(&core),
+            directory: Arc::clone(&directory),
+            arbiter,
+            parser,
+        };
+        tasks.spawn(applier.run(states, reserve_watch));
         let stopping = Arc::new(AtomicBool::new(false));
         tasks.spawn(serve_readiness(&settings, Arc::clone(&core), Arc::clone(&stopping)).await?);
         let listener = CallerListener::start(
@@ -242,6 +250,19 @@
     tasks.spawn(check_server_links(Arc::clone(core)));
 }
 
+/// Lets the core lease slots of servers, and answers others that lease them here.
+fn start_leases(
+    core: &Arc<ProxyCore>,
+    network: &PeerNetwork,
+    arbiter: &Arc<SlotArbiter>,
+    tasks: &mut JoinSet<()>,
+) {
+    let client = Arc::new(SlotClient::new(network.clone(), Arc::clone(arbiter)));
+    core.set_slot_leaser(client.clone());
+    tasks.spawn(client.confirm_leases());
+    tasks.spawn(Arc::clone(arbiter).run_expiry());
+}
+
 async fn update_directory(
     directory: Arc<ControlDirectory>,
     mut states: watch::Receiver<SharedState>,
@@ -289,6 +310,10 @@
         self.evidence.load(Ordering::Relaxed)
     }
 
+    fn limited_services(&self) -> BTreeSet<ServiceId> {
+        self.core.limit_reports()
+    }
+
     fn followed(&self, peer: Option<&VmId>) {
         self.followed.send_replace(peer.cloned());
     }
@@ -301,6 +326,7 @@
             self.evidence.store(evidence_digest(reports), Ordering::Relaxed);
             self.core.dispatcher.notify(PolicyInput::CrashReports(reports.clone()));
         }
+        self.core.record_limit_reports(&reply.limited_services);
     }
 }
 
@@ -355,30 +381,43 @@
 }
 
 /// Puts each new state from the control VMs in force.
-async fn apply_states(
+struct StateApplier {
     core: Arc<ProxyCore>,
-    mut states: watch::Receiver<SharedState>,
+    directory: Arc<ControlDirectory>,
+    arbiter: Arc<SlotArbiter>,
     parser: Arc<dyn RouteParser>,
-    mut retry_reserve: watch::Receiver<f64>,
-) {
-    let mut routes = RouteCache::default();
-    let mut requirements = RequiredWeights::default();
-    loop {
-        let due =
-            requirements.next_change().unwrap_or_else(|| StdInstant::now() + REAPPLY_INTERVAL);
-        tokio::select! {
-            changed = states.changed() => if changed.is_err() { return },
-            changed = retry_reserve.changed() => if changed.is_err() { return },
-            () = sleep_until(due.into()) => {}
+}
+
+impl StateApplier {
+    async fn run(
+        self,
+        mut states: watch::Receiver<SharedState>,
+        mut retry_reserve: watch::Receiver<f64>,
+    ) {
+        let mut routes = RouteCache::default();
+        let mut requirements = RequiredWeights::default();
+        loop {
+            let due =
+                requirements.next_change().unwrap_or_else(|| StdInstant::now() + REAPPLY_INTERVAL);
+            tokio::select! {
+                changed = states.changed() => if changed.is_err() { return },
+                changed = retry_reserve.changed() => if changed.is_err() { return },
+                () = sleep_until(due.into()) => {}
+            }
+            let state = states.borrow_and_update().clone();
+            let required = requirements.update(StdInstant::now(), &state.weights, state.term);
+            let index =
+                routes.index_for(state.document.number, &state.document.body, &*self.parser);
+            let fleet = state.fleet.unwrap_or_default();
+            let entries = state.entries.max(1);
+            let retries = (*retry_reserve.borrow_and_update() / f64::from(entries)).max(1.0);
+            self.core.dispatcher.notify(PolicyInput::RetryReserve { retries });
+            let view = ProxyView::new(index, &fleet, &state.weights, &required, entries);
+            let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
+            self.directory.set_arbiters(arbiters);
+            self.arbiter.configure(&self.core.vm, &view.servers);
+            self.core.apply(view);
         }
-        let state = states.borrow_and_update().clone();
-        let required = requirements.update(StdInstant::now(), &state.weights, state.term);
-        let index = routes.index_for(state.document.number, &state.document.body, &*parser);
-        let fleet = state.fleet.unwrap_or_default();
-        let entries = state.entries.max(1);
-        let retries = (*retry_reserve.borrow_and_update() / f64::from(entries)).max(1.0);
-        core.dispatcher.notify(PolicyInput::RetryReserve { retries });
-        core.apply(ProxyView::new(index, &fleet, &state.weights, &required, entries));
     }
 }
 
--- /dev/null
+++ b/src/roles/slot_arbiter.rs
@@ -0,0 +1,149 @@
+//! Leases the slots of the backend servers of which this entry is the arbiter.
+
+use {
+    crate::{
+        fleet::ListedServer,
+        ids::{LeaseId, ServerId, VmId},
+        policy::slot_leases::{ArbitratedServer, LeaseDecision, LeaseRefusal, SlotTable},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        sync::oneshot,
+        time::{sleep, timeout},
+    },
+};
+
+/// How often leases that were not confirmed are looked for.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
+
+#[derive(Default)]
+struct ArbiterState {
+    table: SlotTable,
+    /// Requests that wait for a lease; the table bounds their number.
+    waiting: BTreeMap<LeaseId, oneshot::Sender<()>>,
+    /// The servers of the last list; `None` before the first one.
+    listed: Option<BTreeSet<ServerId>>,
+}
+
+impl ArbiterState {
+    fn wake(&mut self, granted: Vec<LeaseId>) {
+        for lease in granted {
+            // A request that has given up ends its lease itself.
+            let _ = self.waiting.remove(&lease).map(|sender| sender.send(()));
+        }
+    }
+}
+
+/// The leases of the servers of which this entry is the arbiter.
+#[derive(Default)]
+pub struct SlotArbiter(Mutex<ArbiterState>);
+
+impl SlotArbiter {
+    /// Applies a server list.
+    pub fn configure(&self, own: &VmId, servers: &BTreeMap<ServerId, ListedServer>) {
+        let mut state = self.lock();
+        let assigned = servers.values().filter(|server| server.arbiter.as_ref() == Some(own));
+        // Before the first list a former process of this entry may have leased slots.
+        let is_new = |server: &ServerId| {
+            state.listed.as_ref().is_some_and(|listed| !listed.contains(server))
+        };
+        let assigned = assigned.map(|server| {
+            let arbitrated = ArbitratedServer {
+                slots: server.slots,
+                is_engine: !server.weights.is_empty(),
+                had_arbiter: !is_new(&server.id),
+            };
+            (server.id.clone(), arbitrated)
+        });
+        let assigned = assigned.collect();
+        state.table.configure(Instant::now(), assigned);
+        state.listed = Some(servers.keys().cloned().collect());
+    }
+
+    /// Leases a slot to `holder`, which waits for it for at most `patience`.
+    ///
+    /// # Errors
+    /// When no slot becomes free in time, or another entry is the arbiter.
+    pub async fn lease(
+        self: Arc<Self>,
+        server: ServerId,
+        lease: LeaseId,
+        holder: VmId,
+        patience: Duration,
+    ) -> Result<(), LeaseRefusal> {
+        let (decision, receiver) = {
+            let mut state = self.lock();
+            let now = Instant::now();
+            let decision = state.table.request(now, &server, lease, &holder, patience);
+            let receiver = (decision == LeaseDecision::Waiting).then(|| {
+                let (sender, receiver) = oneshot::channel();
+                state.waiting.insert(lease, sender);
+                receiver
+            });
+            (decision, receiver)
+        };
+        match decision {
+            LeaseDecision::Refused(refusal) => return Err(refusal),
+            LeaseDecision::Granted => return Ok(()),
+            LeaseDecision::Waiting => {}
+        }
+        let mut waiting = WaitingRequest { arbiter: self, server, lease, is_granted: false };
+        if let Some(receiver) = receiver
+            && matches!(timeout(patience, receiver).await, Ok(Ok(())))
+        {
+            waiting.is_granted = true;
+            return Ok(());
+        }
+        Err(LeaseRefusal::Full(patience))
+    }
+
+    /// Ends a lease, or a request for one.
+    pub fn end(&self, server: &ServerId, lease: LeaseId) {
+        let mut state = self.lock();
+        state.waiting.remove(&lease);
+        let granted = state.table.end(Instant::now(), server, lease);
+        state.wake(granted);
+    }
+
+    /// Records all leases that a holder has here.
+    pub fn confirm(&self, holder: &VmId, held: Vec<(ServerId, LeaseId)>) {
+        let mut state = self.lock();
+        let held = held.into_iter().collect();
+        let granted = state.table.confirm(Instant::now(), holder, &held);
+        state.wake(granted);
+    }
+
+    /// Ends leases that are not confirmed any more; never returns.
+    pub async fn run_expiry(self: Arc<Self>) {
+        loop {
+            sleep(EXPIRY_INTERVAL).await;
+            let mut state = self.lock();
+            let granted = state.table.expire(Instant::now());
+            state.wake(granted);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ArbiterState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that waits for a lease; dropping it gives up.
+struct WaitingRequest {
+    arbiter: Arc<SlotArbiter>,
+    server: ServerId,
+    lease: LeaseId,
+    is_granted: bool,
+}
+
+impl Drop for WaitingRequest {
+    fn drop(&mut self) {
+        if !self.is_granted {
+            self.arbiter.end(&self.server, self.lease);
+        }
+    }
+}
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -4,11 +4,12 @@
     crate::{
         control::{Command, CommandOutcome, ProposeError, ReplicaMessage},
         follow::{FollowReply, FollowRequest},
-        ids::{RequestId, Revision, ServerId, VmId},
-        policy::DomainDigest,
+        ids::{LeaseId, RequestId, Revision, ServerId, VmId},
+        policy::{DomainDigest, slot_leases::LeaseRefusal},
         transport::config_delta::ConfigDelta,
     },
     serde::{Deserialize, Serialize},
+    std::time::Duration,
 };
 
 /// A message that expects no reply and may be lost.
@@ -31,6 +32,15 @@
     },
     /// Keeps a connection with tunnels open, on which no bytes may be sent for a while.
     KeepAlive,
+    /// A lease of a server's slot, or the request for one, has ended.
+    EndLease {
+        /// The server.
+        server: ServerId,
+        /// The lease.
+        lease: LeaseId,
+    },
+    /// All leases that the sender has of the receiver.
+    HeldLeases(Vec<(ServerId, LeaseId)>),
 }
 
 /// A request that gets exactly one reply, or fails.
@@ -70,6 +80,15 @@
         /// The server, which must be in the peer's server list.
         server: ServerId,
     },
+    /// Lease a slot of a server, of which the peer is the arbiter.
+    LeaseSlot {
+        /// The server.
+        server: ServerId,
+        /// The identifier of the lease.
+        lease: LeaseId,
+        /// How long the caller waits for a slot.
+        patience: Duration,
+    },
 }
 
 /// Why a peer did not open a tunnel; nothing was sent to the server.
@@ -108,4 +127,6 @@
     TunnelPeers(Vec<VmId>),
     /// Whether the tunnel is open.
     TunnelOpened(Result<(), TunnelRefusal>),
+    /// Whether the slot is leased.
+    SlotLeased(Result<(), LeaseRefusal>),
 }
--- a/tests/dispatch_outcomes.rs
+++ b/tests/dispatch_outcomes.rs
@@ -164,9 +164,14 @@
             AttemptFailure::WrongWeights,
             AttemptFailure::Stale,
             AttemptFailure::CallerError,
+            AttemptFailure::NoSlot,
         ];
         let failure = failures.get(usize::from(kind) % 12).copied();
-        let unsent = [Some(AttemptFailure::NotConnected), Some(AttemptFailure::Stale)];
+        let unsent = [
+            Some(AttemptFailure::NotConnected),
+            Some(AttemptFailure::NoSlot),
+            Some(AttemptFailure::Stale),
+        ];
         if !unsent.contains(&failure) {
             self.reached_server.insert(request.clone());
             *self.reached_attempts.entry(request.clone()).or_default() += 1;
