Log the software version of servers, and which stream a caller resumes

Cause: neither the list's software versions nor the request that a caller's resumption names were read, so that the log cannot tell a resumption at another version, nor that a request is one.

Change: the server list carries the software version; 'stream answered whole' and 'stream resumed' name it, the latter with the former one; 'stream resumed by its caller' names the earlier request and the last event. No decision depends on them.

--- a/examples/capacity_slopes.rs
+++ b/examples/capacity_slopes.rs
@@ -110,6 +110,7 @@
     });
     let servers = (0..case.servers).map(|index| {
         let view = ServerView {
+            software: String::new(),
             failure_domain: format!("domain-{}", index % 7),
             kind: ServerKind::Engine,
             models: vec![format!("model-{}", index % case.models)],
--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -109,6 +109,7 @@
         *in_flight += 1;
         let in_flight = *in_flight;
         vec![PolicyAction::Send(SendOrder {
+            software: String::new(),
             request,
             attempt,
             server,
--- a/examples/policy_report/site.rs
+++ b/examples/policy_report/site.rs
@@ -141,6 +141,7 @@
     fn server_view(&self, placement: &ServerPlacement) -> ServerView {
         let engine = placement.kind == ServerKind::Engine;
         ServerView {
+            software: String::new(),
             failure_domain: self.domains[placement.domain].clone(),
             kind: placement.kind,
             models: if engine { vec![MODEL.into()] } else { Vec::new() },
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,7 +9,10 @@
 pub mod watch;
 
 use {
-    crate::ids::{FailureDomainId, Incarnation, ModelId, ServerId, ServiceId, VmId, WeightsNumber},
+    crate::ids::{
+        FailureDomainId, Incarnation, ModelId, ServerId, ServiceId, SoftwareVersion, VmId,
+        WeightsNumber,
+    },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr},
     xxhash_rust::xxh3::xxh3_64,
@@ -41,6 +44,8 @@
     pub address: SocketAddr,
     /// Failure domain of the server.
     pub failure_domain: FailureDomainId,
+    /// Version of the software that the server runs; empty if the list names none.
+    pub software: SoftwareVersion,
     /// Number of requests that the server processes concurrently.
     pub slots: u32,
     /// The entry that leases the server's slots while these must not be overrun; `None` if the VM that
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -20,6 +20,8 @@
 pub type WeightsVersion = String;
 /// Version of a model's weights where operators number them; a higher number is newer.
 pub type WeightsNumber = u64;
+/// Version of the software that a backend server runs, as its list names it.
+pub type SoftwareVersion = String;
 /// Number assigned by the operator to a configuration document; the highest accepted one is active.
 pub type DocumentNumber = u64;
 /// Idempotency key of a caller, unique within one organisation.
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -15,8 +15,11 @@
 pub const RESPONSE_COMPLETED: &str = "answered whole";
 /// A stream was forwarded to its end.
 pub const STREAM_COMPLETED: &str = "stream answered whole";
-/// A stream continues on another server.
+/// A stream continues on another server; `software` and `former_software` are the versions of both.
 pub const STREAM_RESUMED: &str = "stream resumed";
+/// A caller resumes a stream that an earlier request, `resumed_id`, has begun, after the event
+/// `last_event`.
+pub const CALLER_RESUMES: &str = "stream resumed by its caller";
 /// A stream was terminated before its end, in a way that the caller can detect.
 pub const STREAM_INTERRUPTED: &str = "stream cut";
 /// The error response of a server was forwarded, because no other server could be tried or succeeded.
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{DomainDigest, PrefixLevel},
-    crate::ids::{AttemptId, Incarnation, RequestId, ServerId, WeightsVersion},
+    crate::ids::{AttemptId, Incarnation, RequestId, ServerId, SoftwareVersion, WeightsVersion},
     serde::{Deserialize, Serialize},
     std::time::{Duration, Instant},
 };
@@ -58,6 +58,8 @@
     /// Incarnation of the server that the decision assumed, if known. If the server has another
     /// one, the expected cache hit is void, but the request may still run there.
     pub incarnation: Option<Incarnation>,
+    /// Version of the server's software; empty if unknown.
+    pub software: SoftwareVersion,
     /// Weights that the decision assumed, if known. A stream must not be continued on other
     /// weights.
     pub weights: Option<WeightsVersion>,
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -3,7 +3,10 @@
 use {
     super::AttemptState,
     crate::{
-        ids::{AttemptId, FailureDomainId, Incarnation, ModelId, ServerId, WeightsVersion},
+        ids::{
+            AttemptId, FailureDomainId, Incarnation, ModelId, ServerId, SoftwareVersion,
+            WeightsVersion,
+        },
         policy::{
             PolicyView, RequestWork, ServerHealth, ServerView,
             admission::DrainRate,
@@ -56,6 +59,8 @@
     pub name_hash: u64,
     /// Its failure domain.
     pub domain: FailureDomainId,
+    /// Version of its software; empty if unknown.
+    pub software: SoftwareVersion,
     /// Whether the current configuration lists it.
     pub listed: bool,
     /// Whether its failure domain is reachable.
@@ -120,6 +125,7 @@
             id: id.clone(),
             name_hash: xxh3_64(id.as_bytes()),
             domain: view.failure_domain.clone(),
+            software: view.software.clone(),
             listed: true,
             reachable: true,
             health: ServerHealth::Alive { incarnation: 0 },
@@ -359,6 +365,7 @@
     fn list(&mut self, id: &ServerId, view: &ServerView, daemons: usize) -> ServerIndex {
         if let Some(index) = self.by_id.get(id) {
             self.servers[*index].domain.clone_from(&view.failure_domain);
+            self.servers[*index].software.clone_from(&view.software);
             return *index;
         }
         let mut state = ServerState::new(id, view, daemons);
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -107,6 +107,7 @@
             attempt,
             server: server.id.clone(),
             incarnation: server.certain_incarnation(),
+            software: server.software.clone(),
             weights: state.weights.clone(),
             expected_hit: best.hit,
             import: best.import,
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -5,7 +5,7 @@
     crate::{
         ids::{
             AdapterId, AttemptId, FailureDomainId, Incarnation, ModelId, OrganisationId, RequestId,
-            Revision, ServerId, ServiceId, VmId, WeightsVersion,
+            Revision, ServerId, ServiceId, SoftwareVersion, VmId, WeightsVersion,
         },
         inventory::{DecisionObjective, RequestClass, ServerKind},
     },
@@ -169,6 +169,8 @@
     pub service: Option<ServiceId>,
     /// Requests that it runs concurrently; at least 1.
     pub slots: u32,
+    /// Version of its software; empty if unknown.
+    pub software: SoftwareVersion,
 }
 
 /// A request as submitted to the dispatcher.
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -26,6 +26,15 @@
     pub expected_output_tokens: Option<u32>,
 }
 
+/// The stream that a request resumes, because an earlier response was interrupted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// The request whose response began with the first event, if the caller names it.
+    pub first_request: Option<RequestId>,
+    /// The last event that the caller has received.
+    pub last_event: String,
+}
+
 /// The head of a caller's request, decoded.
 #[derive(Clone, Debug)]
 pub struct CallerRequest {
@@ -43,6 +52,8 @@
     pub time_left: Option<Duration>,
     /// How long the caller waits for the beginning of the response.
     pub response_start_timeout: Duration,
+    /// The stream that the request resumes, if it does.
+    pub resumes: Option<ResumedStream>,
     /// The prompt; set for requests to model engines.
     pub work: Option<PromptWork>,
 }
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -4,6 +4,7 @@
 mod stream_start;
 
 use {
+    self::logging::log_resumption,
     super::{
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
@@ -112,6 +113,7 @@
     open: OpenRequest,
 ) -> ProxyResult {
     count_request(request.caller.class);
+    log_resumption(&request);
     let handle = core.dispatcher.submit(request.ticket());
     let mut exchange = HttpExchange {
         core,
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -7,7 +7,7 @@
         observe::{events, metrics::SERVER_REJECTIONS},
         pipeline::counters::{count_response, record_response_time},
         policy::{AttemptFailure, RefusalReason, SendOrder},
-        reverse_proxy::dialect::ResponseHead,
+        reverse_proxy::{dialect::ResponseHead, request::BufferedRequest},
     },
     http::StatusCode,
     metrics::counter,
@@ -28,6 +28,17 @@
     }
 }
 
+/// Logs that a request resumes a stream.
+pub(super) fn log_resumption(request: &BufferedRequest) {
+    let Some(resumed) = &request.caller.resumes else { return };
+    log::info!(
+        request_id = request.caller.id.as_str(),
+        resumed_id = resumed.first_request.as_deref(),
+        last_event = resumed.last_event.as_str();
+        "{}", events::CALLER_RESUMES
+    );
+}
+
 impl HttpExchange {
     /// Milliseconds since the request arrived.
     pub(in crate::reverse_proxy) fn waited_ms(&self) -> u64 {
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -227,6 +227,7 @@
             request_id = request.caller.id.as_str(),
             route = request.caller.route.name.as_str(),
             server = self.order.server.as_str(),
+            software = self.order.software.as_str(),
             document = request.document,
             weights = weights.as_deref(),
             sent_to = self.exchange.runs,
@@ -315,7 +316,8 @@
     /// Relays the response of another server from now on.
     fn continue_with(&mut self, order: SendOrder, response: StartedResponse) {
         log::warn!(request_id = self.exchange.request.caller.id.as_str(),
-            server = order.server.as_str(), relayed_events = self.position.events;
+            server = order.server.as_str(), software = order.software.as_str(),
+            former_software = self.order.software.as_str(), relayed_events = self.position.events;
             "{}", events::STREAM_RESUMED);
         let attempt = order.attempt;
         self.exchange.handle.notify(PolicyInput::FirstToken { attempt, cached_tokens: None });
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -220,6 +220,7 @@
                 models: if engine { models.collect() } else { Vec::new() },
                 service: (!engine).then(|| server.service.clone()),
                 slots: server.slots.max(1),
+                software: server.software.clone(),
             };
             (server.id.clone(), view)
         });
--- a/tests/atomic_inputs.rs
+++ b/tests/atomic_inputs.rs
@@ -23,6 +23,7 @@
 
 fn view(servers: &[&str]) -> PolicyInput {
     let server = ServerView {
+        software: String::new(),
         failure_domain: "suva".to_owned(),
         kind: ServerKind::Service,
         models: Vec::new(),
--- a/tests/cache_identity.rs
+++ b/tests/cache_identity.rs
@@ -54,6 +54,7 @@
 
     fn set_desired_weights(&mut self, weights: &str) {
         let server = ServerView {
+            software: String::new(),
             failure_domain: "a".to_owned(),
             kind: ServerKind::Engine,
             models: vec![MODEL.to_owned()],
--- a/tests/cache_store.rs
+++ b/tests/cache_store.rs
@@ -37,6 +37,7 @@
             disabled: SafeguardSet::default(),
         };
         let engine = ServerView {
+            software: String::new(),
             failure_domain: "ub-north".to_owned(),
             kind: ServerKind::Engine,
             models: vec![MODEL.to_owned()],
--- a/tests/dispatch_outcomes.rs
+++ b/tests/dispatch_outcomes.rs
@@ -24,6 +24,7 @@
 fn server(kind: ServerKind) -> ServerView {
     let engine = kind == ServerKind::Engine;
     ServerView {
+        software: String::new(),
         failure_domain: "ub-north".to_owned(),
         kind,
         models: if engine { vec![MODEL.to_owned()] } else { Vec::new() },
--- a/tests/disputed_crashes.rs
+++ b/tests/disputed_crashes.rs
@@ -23,6 +23,7 @@
 
 fn start_dispatcher(now: Instant, daemon: &str) -> Dispatcher {
     let server = ServerView {
+        software: String::new(),
         failure_domain: "d1".to_owned(),
         kind: ServerKind::Engine,
         models: vec![MODEL.to_owned()],
--- a/tests/document_transfer.rs
+++ b/tests/document_transfer.rs
@@ -159,6 +159,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         failure_domain: "near".to_owned(),
         slots: 1,
+        software: "v1".to_owned(),
         arbiter: None,
         phase: ServerPhase::Ready,
         incarnation,
--- a/tests/fleet_affinity.rs
+++ b/tests/fleet_affinity.rs
@@ -70,6 +70,7 @@
     let domain = |index: usize| format!("d{}", index % size.domains);
     let servers = (0..size.engines).filter(|index| is_listed(*index)).map(|index| {
         let engine = ServerView {
+            software: String::new(),
             failure_domain: domain(index),
             kind: ServerKind::Engine,
             models: vec![MODEL.to_owned()],
--- a/tests/fleet_list.rs
+++ b/tests/fleet_list.rs
@@ -21,6 +21,7 @@
         address: "127.0.0.1:9".parse().expect("it is an address"),
         failure_domain: "d1".to_owned(),
         slots: 8,
+        software: "v1".to_owned(),
         arbiter: None,
         phase,
         incarnation,
--- a/tests/full_servers.rs
+++ b/tests/full_servers.rs
@@ -26,6 +26,7 @@
         disabled: SafeguardSet::default(),
     });
     let server = ServerView {
+        software: String::new(),
         failure_domain: "d1".to_owned(),
         kind: ServerKind::Service,
         models: Vec::new(),
--- a/tests/long_prefix_affinity.rs
+++ b/tests/long_prefix_affinity.rs
@@ -33,6 +33,7 @@
         disabled: SafeguardSet::default(),
     };
     let engine = ServerView {
+        software: String::new(),
         failure_domain: "suva".to_owned(),
         kind: ServerKind::Engine,
         models: vec![MODEL.to_owned()],
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -205,6 +205,7 @@
         address: "127.0.0.1:9".parse().expect("the address is valid"),
         failure_domain: "d1".to_owned(),
         slots: 8,
+        software: "v1".to_owned(),
         arbiter: None,
         phase,
         incarnation: 0,
--- a/tests/policy_switches.rs
+++ b/tests/policy_switches.rs
@@ -41,6 +41,7 @@
 
 fn view(servers: &[&str]) -> PolicyInput {
     let engine = ServerView {
+        software: String::new(),
         failure_domain: "d1".to_owned(),
         kind: ServerKind::Engine,
         models: vec![MODEL.to_owned()],
--- a/tests/prefix_fetch.rs
+++ b/tests/prefix_fetch.rs
@@ -38,6 +38,7 @@
             disabled: SafeguardSet::default(),
         };
         let engine = ServerView {
+            software: String::new(),
             failure_domain: "ub-north".to_owned(),
             kind: ServerKind::Engine,
             models: vec![MODEL.to_owned()],
--- a/tests/slot_arbiters.rs
+++ b/tests/slot_arbiters.rs
@@ -16,6 +16,7 @@
         address: "127.0.0.1:9".parse().expect("it is an address"),
         failure_domain: "d1".to_owned(),
         slots: 8,
+        software: "v1".to_owned(),
         arbiter: None,
         phase: ServerPhase::Ready,
         incarnation: 1,
--- a/tests/unreachable_servers.rs
+++ b/tests/unreachable_servers.rs
@@ -29,6 +29,7 @@
         disabled: SafeguardSet::default(),
     });
     let server = ServerView {
+        software: String::new(),
         failure_domain: "d1".to_owned(),
         kind: ServerKind::Service,
         models: Vec::new(),
