Lease slots at once where no entry has leased them before

Cause: the first arbiters of a deployment counted as successors of others, so that its servers' slots were not leased for the first three seconds.

Change: an entry takes a server for one with a former arbiter only if its last list named one, or before its first list.

--- a/src/roles/slot_arbiter.rs
+++ b/src/roles/slot_arbiter.rs
@@ -7,7 +7,7 @@
         policy::slot_leases::{ArbitratedServer, LeaseDecision, LeaseRefusal, SlotTable},
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
@@ -25,8 +25,8 @@
     table: SlotTable,
     /// Requests that wait for a lease; the table bounds their number.
     waiting: BTreeMap<LeaseId, oneshot::Sender<()>>,
-    /// The servers of the last list; `None` before the first one.
-    listed: Option<BTreeSet<ServerId>>,
+    /// The servers of the last list and their arbiters; `None` before the first list.
+    listed: Option<BTreeMap<ServerId, Option<VmId>>>,
 }
 
 impl ArbiterState {
@@ -48,20 +48,22 @@
         let mut state = self.lock();
         let assigned = servers.values().filter(|server| server.arbiter.as_ref() == Some(own));
         // Before the first list a former process of this entry may have leased slots.
-        let is_new = |server: &ServerId| {
-            state.listed.as_ref().is_some_and(|listed| !listed.contains(server))
+        let had_arbiter = |server: &ServerId| match &state.listed {
+            Some(listed) => listed.get(server).is_some_and(Option::is_some),
+            None => true,
         };
         let assigned = assigned.map(|server| {
             let arbitrated = ArbitratedServer {
                 slots: server.slots,
                 is_engine: !server.weights.is_empty(),
-                had_arbiter: !is_new(&server.id),
+                had_arbiter: had_arbiter(&server.id),
             };
             (server.id.clone(), arbitrated)
         });
         let assigned = assigned.collect();
         state.table.configure(Instant::now(), assigned);
-        state.listed = Some(servers.keys().cloned().collect());
+        let arbiters = servers.values().map(|server| (server.id.clone(), server.arbiter.clone()));
+        state.listed = Some(arbiters.collect());
     }
 
     /// Leases a slot to `holder`, which waits for it for at most `patience`.
