Resume a stream only at servers of the software version that began it

What callers saw: an entry resumes an interrupted stream inside one response at a server of another software version, whose events do not fit.

Cause: nothing read the software version of servers. An entry resumed at any server with the same weights.

What two versions share is not told by weights: all servers had the same.

Fix: the history of a request holds the version of the server that generated the relayed events, as it was when the request was sent, since a list may name another one for the same id meanwhile. Only servers of that version are eligible, and if there is none, the stream ends at once. Before its first event a stream is not bound.

--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -35,7 +35,9 @@
         suspect::SuspectList,
     },
     crate::{
-        ids::{AttemptId, FailureDomainId, ModelId, RequestId, VmId, WeightsVersion},
+        ids::{
+            AttemptId, FailureDomainId, ModelId, RequestId, SoftwareVersion, VmId, WeightsVersion,
+        },
         inventory::ServerKind,
     },
     rand_core::{RngCore, SeedableRng},
@@ -142,6 +144,8 @@
     generation: u32,
     /// Weights it was sent for, if known.
     weights: Option<WeightsVersion>,
+    /// Software version of the server when it was sent; a list may name another one later.
+    software: SoftwareVersion,
     /// Output tokens charged in advance.
     charged_output: u64,
     urgency: servers::Urgency,
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -242,6 +242,7 @@
         if failed.relayed_tokens > history.relayed {
             history.relayed = failed.relayed_tokens;
             history.weights.clone_from(&state.weights);
+            history.software = Some(state.software.clone());
         }
     }
 
--- a/src/policy/dispatcher/lifecycle.rs
+++ b/src/policy/dispatcher/lifecycle.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        ids::{AttemptId, WeightsVersion},
+        ids::{AttemptId, SoftwareVersion, WeightsVersion},
         policy::{AttemptFailure, DidRun, RequestTicket, RetryReason, prefix::ServerIndex},
     },
     std::{marker::PhantomData, time::Instant},
@@ -56,6 +56,9 @@
     /// Weights that generated the relayed tokens. Set exactly if `relayed` is positive and the
     /// weights were known.
     pub weights: Option<WeightsVersion>,
+    /// Software version of the server that generated the relayed tokens. Set exactly if `relayed` is
+    /// positive.
+    pub software: Option<SoftwareVersion>,
     /// Servers that failed it. They are used again only if no other server is eligible.
     pub avoided_servers: Vec<ServerIndex>,
     /// When it arrived.
@@ -102,6 +105,7 @@
             did_run: DidRun::No,
             relayed: 0,
             weights: None,
+            software: None,
             avoided_servers: Vec::new(),
             arrived: now,
         };
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -238,6 +238,11 @@
             .map(|index| &servers[*index])
             .filter(|server| server.accepts_requests())
             .collect();
+        if let Some(software) = &request.history.software
+            && !available.iter().any(|server| server.software == *software)
+        {
+            return PlacementDecision::Refuse(RefusalReason::NotResumable);
+        }
         if let (Some(pin), RequestWork::Model { model, .. }) =
             (&request.history.weights, &request.ticket.work)
             && !available.iter().any(|server| server.certain_weights(model) == Some(pin))
@@ -382,6 +387,10 @@
         if query.suspect && server.suspects > 0 {
             return false;
         }
+        // What two software versions generate does not fit together.
+        if history.software.as_ref().is_some_and(|software| *software != server.software) {
+            return false;
+        }
         if let (Some(pin), RequestWork::Model { model, .. }) =
             (&history.weights, &query.request.ticket.work)
             && server.certain_weights(model) != Some(pin)
