Let callers resume a stream only at the service and version that began it

What callers saw: a stream that a caller resumes with a new request, often at another entry, goes on at a server of another software version.

Cause: an entry that gets the request does not know where the stream began, and nothing told it: the request names the earlier one, which another entry has served, or one that has been killed since.

Fix: while a service has, or within 30 s had, several versions, an entry reports the streams that it begins to the control VM that it follows, eight bytes a stream, at most ten times a second; that one sends a copy to the next. An entry that gets a resumption asks all control VMs, which answer from memory, and binds the request to the origin. A stream that none knows is refused at once, without a time to come back, if any of them knows of several versions; otherwise it goes on anywhere. What began before the second version is reported when that appears. A route that is split between services sends the resumption to the service that began the stream.

Weighed and not taken: a home for each stream by a hash over all entries (links between all entries), asking all entries (380), a version that follows from the request's id (wrong whenever two entries see other shares), records in the replicated log (a sync for each stream).

--- a/src/daemon/peer_service.rs
+++ b/src/daemon/peer_service.rs
@@ -71,7 +71,10 @@
             PeerMessage::ConfigNotice { revision } => {
                 components.dissemination.handle_notice(from, revision)
             }
-            PeerMessage::KeepAlive | PeerMessage::EndLease { .. } | PeerMessage::HeldLeases(_) => {}
+            PeerMessage::KeepAlive
+            | PeerMessage::EndLease { .. }
+            | PeerMessage::HeldLeases(_)
+            | PeerMessage::StreamOrigins { .. } => {}
         }
     }
 
@@ -104,7 +107,8 @@
             PeerRequest::Follow(_)
             | PeerRequest::TunnelPeers { .. }
             | PeerRequest::OpenTunnel { .. }
-            | PeerRequest::LeaseSlot { .. } => PeerReply::Refused(
+            | PeerRequest::LeaseSlot { .. }
+            | PeerRequest::StreamOrigin { .. } => PeerReply::Refused(
                 "this daemon does not serve followers; ask a control VM".to_owned(),
             ),
         }
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -6,6 +6,7 @@
         document_delta::{DocumentChange, DocumentDelta, DocumentHistory},
         entry_directory::EntryDirectory,
         evidence::SharedEvidence,
+        origin_service::OriginService,
     },
     crate::{
         control::{
@@ -49,6 +50,7 @@
     fleet: Arc<FleetView>,
     replica: std::sync::OnceLock<ControlHandle>,
     evidence: Arc<SharedEvidence>,
+    origins: Arc<OriginService>,
     /// The entries that reach the backend servers.
     directory: EntryDirectory,
     /// When each service was last reported as one whose servers can reject few requests; at most
@@ -73,6 +75,7 @@
             fleet,
             replica: std::sync::OnceLock::new(),
             evidence: Arc::default(),
+            origins: Arc::default(),
             directory: EntryDirectory::default(),
             limited_services: Mutex::default(),
             leader_limits: Mutex::default(),
@@ -94,6 +97,11 @@
         &self.evidence
     }
 
+    /// The origins of streams.
+    pub fn origins(&self) -> &Arc<OriginService> {
+        &self.origins
+    }
+
     /// The entries that reach the backend servers, as far as this VM knows.
     pub fn directory(&self) -> &EntryDirectory {
         &self.directory
@@ -363,6 +371,9 @@
         match (message, self.service.replica.get()) {
             (PeerMessage::Replica(message), Some(replica)) => replica.deliver(from, *message),
             (PeerMessage::Digest(digest), _) => self.service.evidence.merge(&digest.suspects),
+            (PeerMessage::StreamOrigins { origins, is_copy }, _) => {
+                self.service.origins.record(origins, is_copy);
+            }
             _ => {}
         }
     }
@@ -372,6 +383,9 @@
         Box::pin(async move {
             match request {
                 PeerRequest::Follow(request) => service.answer(from, *request).await,
+                PeerRequest::StreamOrigin { service: name, stream } => {
+                    PeerReply::StreamOrigin(service.origins.answer(&name, stream))
+                }
                 PeerRequest::TunnelPeers { is_partitioned } => {
                     let (directory, now) = (&service.directory, StdInstant::now());
                     if is_partitioned {
--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -164,6 +164,7 @@
             &caller.organisation,
             &[&prompt.fingerprint.to_le_bytes()],
         ),
+        software: None,
         work: RequestWork::Model {
             model: prompt.model.clone(),
             adapter: prompt.adapter.clone(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,6 +19,7 @@
 pub mod rollout;
 pub mod safeguard;
 pub mod slot_leases;
+pub mod software_history;
 pub mod suspect;
 pub mod tunnel_peers;
 pub mod window;
--- a/src/policy/dispatcher/lifecycle.rs
+++ b/src/policy/dispatcher/lifecycle.rs
@@ -56,8 +56,8 @@
     /// Weights that generated the relayed tokens. Set exactly if `relayed` is positive and the
     /// weights were known.
     pub weights: Option<WeightsVersion>,
-    /// Software version of the server that generated the relayed tokens. Set exactly if `relayed` is
-    /// positive.
+    /// Software version of the server that generated the relayed tokens, or the earlier part of a stream
+    /// that the caller resumes.
     pub software: Option<SoftwareVersion>,
     /// Servers that failed it. They are used again only if no other server is eligible.
     pub avoided_servers: Vec<ServerIndex>,
@@ -105,7 +105,7 @@
             did_run: DidRun::No,
             relayed: 0,
             weights: None,
-            software: None,
+            software: ticket.software.clone(),
             avoided_servers: Vec::new(),
             arrived: now,
         };
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -190,6 +190,8 @@
     /// Hash of the organisation and the complete request, identical for every resend; see
     /// [`suspect::fingerprint`](super::suspect::fingerprint). Identifies requests that crash servers.
     pub fingerprint: u64,
+    /// The software version that its server must have, if it resumes a stream.
+    pub software: Option<SoftwareVersion>,
     /// The requested work.
     pub work: RequestWork,
 }
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -21,6 +21,7 @@
 pub mod server_link;
 pub mod slot_lease;
 pub mod store_monitor;
+pub mod stream_origin;
 pub mod timeout_stream;
 pub mod view;
 
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -2,15 +2,17 @@
 
 use {
     super::{
-        dialect::{ResponseHead, ResponseVerdict, WireDialect},
+        dialect::{ResponseHead, ResponseVerdict, ResumedStream, WireDialect},
         pool::ConnectionPool,
         recheck::RecheckList,
         rejection_limits::{LimitChange, RejectionLimits},
         slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
+        stream_origin::{OriginFinder, ResumeTarget},
         view::{ProxyView, qualified_model},
     },
     crate::{
-        ids::{Incarnation, ModelId, ServerId, ServiceId, VmId, WeightsNumber},
+        follow::stream_origins::StreamOrigin,
+        ids::{Incarnation, ModelId, RequestId, ServerId, ServiceId, VmId, WeightsNumber},
         inventory::DecisionObjective,
         observe::events,
         pipeline::{DispatcherHandle, DrainGate},
@@ -73,6 +75,7 @@
     /// The services whose servers end if they have to reject too many requests.
     rejection_limits: RejectionLimits,
     slot_leaser: OnceLock<Arc<dyn SlotLeaser>>,
+    origin_finder: OnceLock<Arc<dyn OriginFinder>>,
     split_counter: AtomicU64,
     /// The dispatcher's reports on crashes, repeated while there are any.
     crash_reports: watch::Sender<Vec<CrashReport>>,
@@ -96,6 +99,7 @@
             limits: Mutex::default(),
             rejection_limits: RejectionLimits::default(),
             slot_leaser: OnceLock::new(),
+            origin_finder: OnceLock::new(),
             split_counter: AtomicU64::new(0),
             crash_reports: watch::channel(Vec::new()).0,
         })
@@ -293,6 +297,29 @@
         self.rejection_limits.is_limited(Instant::now(), service)
     }
 
+    /// Sets how the origins of streams are known; without it a resumed stream goes on at any server. A
+    /// second call has no effect.
+    pub fn set_origin_finder(&self, finder: Arc<dyn OriginFinder>) {
+        if self.origin_finder.set(finder).is_err() {
+            log::error!("the origin finder was set twice");
+        }
+    }
+
+    /// Records that the stream which `request` has begun goes on at this origin.
+    pub fn record_origin(&self, request: &RequestId, origin: StreamOrigin) {
+        if let Some(finder) = self.origin_finder.get() {
+            finder.record(request, origin);
+        }
+    }
+
+    /// Finds out where a stream can go on that is resumed by a request to `service`.
+    pub async fn find_origin(&self, service: &ServiceId, resumed: &ResumedStream) -> ResumeTarget {
+        match self.origin_finder.get() {
+            Some(finder) => Arc::clone(finder).find(service.clone(), resumed.clone()).await,
+            None => ResumeTarget::AnyServer,
+        }
+    }
+
     /// Sets how slots are leased; without it none are. A second call has no effect.
     pub fn set_slot_leaser(&self, leaser: Arc<dyn SlotLeaser>) {
         if self.slot_leaser.set(leaser).is_err() {
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -14,10 +14,12 @@
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
         slot_lease::{LeaseFailure, SlotLease},
+        stream_origin::ResumeTarget,
         timeout_stream::ConnectionPhase,
     },
     crate::{
         backend::sse::is_interrupted,
+        follow::stream_origins::StreamOrigin,
         ids::AttemptId,
         observe::{events, metrics::refusal},
         pipeline::{
@@ -108,12 +110,12 @@
 /// Runs a request until its response begins; the response body continues to relay a stream.
 pub async fn run(
     core: Arc<ProxyCore>,
-    request: BufferedRequest,
+    mut request: BufferedRequest,
     phase: ConnectionPhase,
     open: OpenRequest,
 ) -> ProxyResult {
     count_request(request.caller.class);
-    log_resumption(&request);
+    bind_resumption(&core, &mut request).await?;
     let handle = core.dispatcher.submit(request.ticket());
     let mut exchange = HttpExchange {
         core,
@@ -157,6 +159,35 @@
     }
 }
 
+/// Binds a request that resumes a stream to the service and the software version that began it.
+///
+/// # Errors
+/// The refusal of a stream that cannot go on, because it is not known where it began.
+async fn bind_resumption(
+    core: &ProxyCore,
+    request: &mut BufferedRequest,
+) -> Result<(), ProxyRefusal> {
+    let Some(resumed) = &request.caller.resumes else { return Ok(()) };
+    let target = core.find_origin(&request.service, resumed).await;
+    log_resumption(request, resumed, &target);
+    match target {
+        ResumeTarget::AnyServer => {}
+        ResumeTarget::Origin(StreamOrigin { service, software }) => {
+            let services = &request.caller.route.services;
+            let is_routed = services.iter().any(|(known, _)| *known == service);
+            let view = core.view();
+            if is_routed && view.is_engine(&service) == view.is_engine(&request.service) {
+                request.service = service;
+            }
+            request.software = Some(software);
+        }
+        ResumeTarget::Unknown => {
+            return Err(dispatch_refusal(RefusalReason::NotResumable, None, DidRun::No));
+        }
+    }
+    Ok(())
+}
+
 impl HttpExchange {
     /// Ends the request at its deadline.
     fn expire(self, phase: ConnectionPhase, open: OpenRequest) -> ProxyResult {
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -7,7 +7,11 @@
         observe::{events, metrics::SERVER_REJECTIONS},
         pipeline::counters::{count_response, record_response_time},
         policy::{AttemptFailure, RefusalReason, SendOrder},
-        reverse_proxy::{dialect::ResponseHead, request::BufferedRequest},
+        reverse_proxy::{
+            dialect::{ResponseHead, ResumedStream},
+            request::BufferedRequest,
+            stream_origin::ResumeTarget,
+        },
     },
     http::StatusCode,
     metrics::counter,
@@ -28,13 +32,22 @@
     }
 }
 
-/// Logs that a request resumes a stream.
-pub(super) fn log_resumption(request: &BufferedRequest) {
-    let Some(resumed) = &request.caller.resumes else { return };
+/// Logs that a request resumes a stream, and at which servers it can go on.
+pub(super) fn log_resumption(
+    request: &BufferedRequest,
+    resumed: &ResumedStream,
+    target: &ResumeTarget,
+) {
+    let software = match target {
+        ResumeTarget::Origin(origin) => Some(origin.software.as_str()),
+        ResumeTarget::AnyServer | ResumeTarget::Unknown => None,
+    };
     log::info!(
         request_id = request.caller.id.as_str(),
         resumed_id = resumed.first_request.as_deref(),
-        last_event = resumed.last_event.as_str();
+        last_event = resumed.last_event.as_str(),
+        software = software,
+        is_known = *target != ResumeTarget::Unknown;
         "{}", events::CALLER_RESUMES
     );
 }
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -10,10 +10,12 @@
         exchange::{HttpExchange, ResumePosition, StartedResponse},
         headers::ResponseFraming,
         pool::{LeasedConnection, broken_attempt},
+        request::BufferedRequest,
         response::TruncatedResponse,
     },
     crate::{
         backend::sse::{EventBuffer, EventScanner, is_event_stream},
+        follow::stream_origins::StreamOrigin,
         observe::events,
         pipeline::{DispatchDirective, counters::record_first_token},
         policy::{AttemptFailure, PolicyInput, RefusalReason, SendOrder},
@@ -112,6 +114,17 @@
     }
 }
 
+/// Records where a stream that callers can resume begins or goes on.
+fn record_origin(exchange: &HttpExchange, order: &SendOrder) {
+    let BufferedRequest { caller, service, .. } = &exchange.request;
+    if !caller.route.kind.is_repeatable() {
+        return;
+    }
+    let resumed = caller.resumes.as_ref().and_then(|resumed| resumed.first_request.as_ref());
+    let origin = StreamOrigin { service: service.clone(), software: order.software.clone() };
+    exchange.core.record_origin(resumed.unwrap_or(&caller.id), origin);
+}
+
 impl RelayedStream {
     pub(super) fn new(exchange: HttpExchange, start: StreamStart) -> Self {
         let StreamStart { head, framing, content, body, connection, first, order, .. } = start;
@@ -123,6 +136,7 @@
         if let Some(work) = &caller.work {
             record_first_token(work.model.as_str(), caller.class, timing.first);
         }
+        record_origin(&exchange, &order);
         RelayedStream {
             resumable: content != StreamContent::Other
                 && exchange.request.caller.route.kind.is_repeatable(),
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -7,7 +7,7 @@
         view::qualified_model,
     },
     crate::{
-        ids::{DocumentNumber, ServiceId},
+        ids::{DocumentNumber, ServiceId, SoftwareVersion},
         observe::metrics::refusal,
         policy::{
             PrefixLevel, RequestTicket, RequestWork,
@@ -39,6 +39,8 @@
     pub body: Bytes,
     /// The service that the request is forwarded to.
     pub service: ServiceId,
+    /// The software version that the servers must have, if the request resumes a stream.
+    pub software: Option<SoftwareVersion>,
     /// The number of the configuration document that the request is processed by.
     pub document: DocumentNumber,
     /// When the head had arrived.
@@ -85,6 +87,7 @@
         head,
         body,
         service,
+        software: None,
         document,
         arrived,
         deadline: arrived + time_limit,
@@ -131,6 +134,7 @@
             deadline: first.min(self.deadline),
             repeatable: caller.route.kind.is_repeatable(),
             fingerprint: self.fingerprint(),
+            software: self.software.clone(),
             work: match &caller.work {
                 Some(work) => RequestWork::Model {
                     model: qualified_model(&self.service, &work.model),
--- a/src/reverse_proxy/response.rs
+++ b/src/reverse_proxy/response.rs
@@ -140,11 +140,13 @@
     let code = reason.as_str();
     count_refusal(code);
     if did_run == DidRun::No {
+        let refusal = ProxyRefusal::new(StatusCode::SERVICE_UNAVAILABLE, code);
         let default = match reason {
+            // A stream that cannot go on now cannot later either.
+            RefusalReason::NotResumable => return refusal,
             RefusalReason::CrashesServers => CRASH_RETRY_AFTER,
             _ => DEFAULT_RETRY_AFTER,
         };
-        let refusal = ProxyRefusal::new(StatusCode::SERVICE_UNAVAILABLE, code);
         return refusal.retry_after(retry_after.unwrap_or(default));
     }
     let status = match reason {
--- a/src/roles.rs
+++ b/src/roles.rs
@@ -12,6 +12,7 @@
 pub mod fleet_orders;
 pub mod health;
 pub mod operator_service;
+pub mod origin_client;
 pub mod required_weights;
 pub mod slot_arbiter;
 pub mod slot_client;
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -22,7 +22,8 @@
         follow::{
             FollowReply, FollowerKind, SharedState,
             evidence::evidence_digest,
-            service::{ControlHandler, FollowService},
+            origin_service::copy_receiver,
+            service::{ControlHandler, FollowService, control_vms},
             task::{FollowTask, FollowerPort},
         },
         ids::{FailureDomainId, Incarnation, ServiceId, VmId},
@@ -128,6 +129,7 @@
             let leader = move || status.borrow().leader.clone();
             async move { evidence.report_to_leader(network, leader).await }
         });
+        spawn_origins(&follow_service, &network, &replica, &fleet_view, &mut tasks);
         let service = Arc::clone(&follow_service);
         tasks.spawn(async move { evidence.publish(move || service.follower_count()).await });
         spawn_follower(&settings, &network, &replica, &follow_service, &fleet_view, &mut tasks);
@@ -233,6 +235,21 @@
     tasks.spawn(task.run());
 }
 
+/// Records the software versions of servers, and copies the origins of streams to another control VM.
+fn spawn_origins(
+    follow_service: &Arc<FollowService>,
+    network: &PeerNetwork,
+    replica: &ControlHandle,
+    fleet_view: &Arc<FleetView>,
+    tasks: &mut JoinSet<()>,
+) {
+    let origins = follow_service.origins();
+    tasks.spawn(Arc::clone(origins).run_lists(Arc::clone(fleet_view)));
+    let (status, own) = (replica.status_watch(), network.vm().clone());
+    let next = move || copy_receiver(&own, &control_vms(&status.borrow())).cloned();
+    tasks.spawn(Arc::clone(origins).run_copies(network.clone(), next));
+}
+
 fn spawn_orders(
     settings: &ControlSettings,
     replica: &ControlHandle,
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        NodeError, control_directory::ControlDirectory, health::serve_health_page, random_seed,
-        required_weights::RequiredWeights, slot_arbiter::SlotArbiter, slot_client::SlotClient,
-        tunnel_client::TunnelClient, tunnel_service::TunnelService,
+        NodeError, control_directory::ControlDirectory, health::serve_health_page,
+        origin_client::OriginClient, random_seed, required_weights::RequiredWeights,
+        slot_arbiter::SlotArbiter, slot_client::SlotClient, tunnel_client::TunnelClient,
+        tunnel_service::TunnelService,
     },
     crate::{
         control::document::body_digest,
@@ -175,6 +176,7 @@
         let domain = settings.failure_domain.clone();
         let follower = EntryFollower::start(&core, &network, &mut tasks);
         let followed = follower.followed.subscribe();
+        let origins = start_origins(&core, &network, followed.clone(), &mut tasks);
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
         tasks.spawn(task.run());
         let directory = Arc::new(ControlDirectory::new(network.clone(), control, candidates));
@@ -185,6 +187,7 @@
             core: Arc::clone(&core),
             directory: Arc::clone(&directory),
             arbiter,
+            origins,
             parser,
         };
         tasks.spawn(applier.run(states, reserve_watch));
@@ -263,6 +266,19 @@
     tasks.spawn(Arc::clone(arbiter).run_expiry());
 }
 
+/// Lets the core find out where streams have begun.
+fn start_origins(
+    core: &Arc<ProxyCore>,
+    network: &PeerNetwork,
+    followed: watch::Receiver<Option<VmId>>,
+    tasks: &mut JoinSet<()>,
+) -> Arc<OriginClient> {
+    let client = Arc::new(OriginClient::new(network.clone(), followed));
+    core.set_origin_finder(client.clone());
+    tasks.spawn(Arc::clone(&client).run_reports());
+    client
+}
+
 async fn update_directory(
     directory: Arc<ControlDirectory>,
     mut states: watch::Receiver<SharedState>,
@@ -385,6 +401,7 @@
     core: Arc<ProxyCore>,
     directory: Arc<ControlDirectory>,
     arbiter: Arc<SlotArbiter>,
+    origins: Arc<OriginClient>,
     parser: Arc<dyn RouteParser>,
 }
 
@@ -416,6 +433,8 @@
             let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
             self.directory.set_arbiters(arbiters);
             self.arbiter.configure(&self.core.vm, &view.servers);
+            let servers = view.servers.values().map(|server| (&server.service, &server.software));
+            self.origins.apply(servers, &state.control, entries);
             self.core.apply(view);
         }
     }
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -3,8 +3,11 @@
 use {
     crate::{
         control::{Command, CommandOutcome, ProposeError, ReplicaMessage},
-        follow::{FollowReply, FollowRequest},
-        ids::{LeaseId, RequestId, Revision, ServerId, VmId},
+        follow::{
+            FollowReply, FollowRequest,
+            stream_origins::{OriginAnswer, OriginReport, StreamKey},
+        },
+        ids::{LeaseId, RequestId, Revision, ServerId, ServiceId, VmId},
         policy::{DomainDigest, slot_leases::LeaseRefusal},
         transport::config_delta::ConfigDelta,
     },
@@ -41,6 +44,13 @@
     },
     /// All leases that the sender has of the receiver.
     HeldLeases(Vec<(ServerId, LeaseId)>),
+    /// Where streams have begun.
+    StreamOrigins {
+        /// The streams by origin.
+        origins: Vec<OriginReport>,
+        /// Whether another control VM sends what an entry has reported.
+        is_copy: bool,
+    },
 }
 
 /// A request that gets exactly one reply, or fails.
@@ -89,6 +99,13 @@
         /// How long the caller waits for a slot.
         patience: Duration,
     },
+    /// Return where a stream began.
+    StreamOrigin {
+        /// The service that a request to resume it would be sent to.
+        service: ServiceId,
+        /// The stream.
+        stream: StreamKey,
+    },
 }
 
 /// Why a peer did not open a tunnel; nothing was sent to the server.
@@ -129,4 +146,6 @@
     TunnelOpened(Result<(), TunnelRefusal>),
     /// Whether the slot is leased.
     SlotLeased(Result<(), LeaseRefusal>),
+    /// What the peer knows of a stream.
+    StreamOrigin(OriginAnswer),
 }
--- a/tests/cache_identity.rs
+++ b/tests/cache_identity.rs
@@ -95,6 +95,7 @@
             deadline: self.now + Duration::from_secs(20),
             repeatable: true,
             fingerprint: u64::from(self.sent_count),
+            software: None,
             work: RequestWork::Model {
                 model: MODEL.to_owned(),
                 adapter: None,
--- a/tests/prefix_fetch.rs
+++ b/tests/prefix_fetch.rs
@@ -93,6 +93,7 @@
             deadline: self.now + Duration::from_secs(10),
             repeatable: true,
             fingerprint: u64::from(self.count),
+            software: None,
             work: RequestWork::Model {
                 model: MODEL.to_owned(),
                 adapter: None,
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -64,6 +64,11 @@
 }
 
 fn stream(now: Instant) -> PolicyInput {
+    resumed(now, None)
+}
+
+/// A request that resumes a stream of this software version.
+fn resumed(now: Instant, software: Option<&str>) -> PolicyInput {
     PolicyInput::Arrive(RequestTicket {
         request: "r".to_owned(),
         organisation: "org".to_owned(),
@@ -71,6 +76,7 @@
         deadline: now + Duration::from_secs(4),
         repeatable: true,
         fingerprint: 1,
+        software: software.map(ToOwned::to_owned),
         work: RequestWork::Model {
             model: MODEL.to_owned(),
             adapter: None,
@@ -139,3 +145,25 @@
     let second = send(&dispatcher.handle(now, broken(&first, 0))).expect("it is sent again");
     assert_ne!(first.software, second.software);
 }
+
+/// Guards against a stream that its caller resumes at another software version.
+#[test]
+fn caller_keeps_version() {
+    for seed in 0..20 {
+        let now = Instant::now();
+        let mut dispatcher = dispatcher(now, &["v1", "v1", "v2", "v1"], seed);
+        let first = send(&dispatcher.handle(now, resumed(now, Some("v2")))).expect("it is sent");
+        assert_eq!(first.software, "v2");
+        let second = dispatcher.handle(now, broken(&first, 0));
+        assert!(send(&second).is_none_or(|order| order.software == "v2"), "seed {seed}");
+    }
+}
+
+/// Guards against a caller who waits for a server of a version that has none.
+#[test]
+fn gone_version_is_refused_at_once() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(now, &["v2", "v2"], 1);
+    let actions = dispatcher.handle(now, resumed(now, Some("v1")));
+    assert_eq!(refusal(&actions), Some(RefusalReason::NotResumable));
+}
--- a/tests/unreachable_servers.rs
+++ b/tests/unreachable_servers.rs
@@ -57,6 +57,7 @@
         // A repeatable request would be sent again by the dispatcher itself.
         repeatable: false,
         fingerprint: 1,
+        software: None,
         work: RequestWork::Service { service: SERVICE.to_owned() },
     };
     let actions = dispatcher.handle(now, PolicyInput::Arrive(ticket));
