Take the software version of backend servers from the register, too

Cause: the daemon with an asset register resumes streams as well, and its servers had no software version, so that engines of two versions could not be told apart there.

Change: an optional field 'software' of a server in the register; the dispatcher binds a stream to it as elsewhere. Without it all servers count as one version.

Result: stream_order::stream_stays_at_its_software_version, red without the field's use (the second engine got the request).

--- a/examples/fakes/lone_daemon.rs
+++ b/examples/fakes/lone_daemon.rs
@@ -41,10 +41,28 @@
 impl LoneDaemon {
     /// Starts a daemon for these backend servers and waits until all of them are alive.
     pub async fn start(engines: &[SocketAddr], services: &[SocketAddr]) -> Self {
+        Self::start_with_register(register(engines, services), engines.len(), services).await
+    }
+
+    /// Starts a daemon for engines with these software versions.
+    pub async fn start_with_versions(engines: &[(SocketAddr, &str)]) -> Self {
+        let addresses: Vec<SocketAddr> = engines.iter().map(|(address, _)| *address).collect();
+        let mut register = register(&addresses, &[]);
+        for (server, (_, software)) in register.servers.iter_mut().zip(engines) {
+            server.software = (*software).to_owned();
+        }
+        Self::start_with_register(register, engines.len(), &[]).await
+    }
+
+    async fn start_with_register(
+        register: AssetRegister,
+        engines: usize,
+        services: &[SocketAddr],
+    ) -> Self {
         let directory = TempDir::new().expect("a temporary directory can be created");
         let daemon = Daemon::new(options(&directory)).start().await.expect("the daemon starts");
         let started = LoneDaemon { daemon, _directory: directory };
-        let register = json!(register(engines, services));
+        let register = json!(register);
         let change = json!({ "operation": "r", "expected": 0, "register": register });
         started.apply("/v1/register", change).await;
         started
@@ -54,7 +72,7 @@
             )
             .await;
         started.wait_revision(2).await;
-        started.wait_servers(engines.len() + services.len()).await;
+        started.wait_servers(engines + services.len()).await;
         started
     }
 
@@ -155,6 +173,7 @@
         models: if kind == ServerKind::Engine { vec![MODEL.to_owned()] } else { Vec::new() },
         service: (kind == ServerKind::Service).then(|| SERVICE.to_owned()),
         slots: 4096,
+        software: String::new(),
         checks_fencing: true,
     };
     let engine_records = engines
--- a/src/inventory/register.rs
+++ b/src/inventory/register.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::ids::{
-        AdapterId, DigestHex, FailureDomainId, ModelId, OrganisationId, ServerId, ServiceId, VmId,
-        WeightsVersion,
+        AdapterId, DigestHex, FailureDomainId, ModelId, OrganisationId, ServerId, ServiceId,
+        SoftwareVersion, VmId, WeightsVersion,
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -118,6 +118,10 @@
     /// Requests that the server runs concurrently without queueing them internally; at least 1.
     #[serde(default = "default_slots")]
     pub slots: u32,
+    /// Version of the software that the server runs, if servers of several versions serve side by side:
+    /// a stream goes on only at the version that began it.
+    #[serde(default)]
+    pub software: SoftwareVersion,
     /// Whether the server rejects orders with a lower fencing number than the highest it received.
     #[serde(default)]
     pub checks_fencing: bool,
--- a/src/pipeline/core.rs
+++ b/src/pipeline/core.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         daemon::ControlPort,
-        ids::{Incarnation, OrganisationId, RequestId, ServerId, SoftwareVersion, VmId},
+        ids::{Incarnation, OrganisationId, RequestId, ServerId, VmId},
         inventory::{ActiveConfig, OrganisationRule, ServerKind},
         policy::{PolicyInput, PolicyView, ServerView},
     },
@@ -68,7 +68,7 @@
                     models: server.models.clone(),
                     service: server.service.clone(),
                     slots: server.slots,
-                    software: SoftwareVersion::new(),
+                    software: server.software.clone(),
                 };
                 (server.id.clone(), view)
             },
--- a/src/roles/fleet_orders.rs
+++ b/src/roles/fleet_orders.rs
@@ -79,6 +79,7 @@
             models: server.weights.keys().cloned().collect(),
             service: None,
             slots: server.slots,
+            software: server.software.clone(),
             checks_fencing: fenced,
         })
         .collect();
--- a/tests/leaving_server.rs
+++ b/tests/leaving_server.rs
@@ -36,6 +36,7 @@
         models: Vec::new(),
         service: None,
         slots: 1,
+        software: String::new(),
         checks_fencing: false,
     }));
     config
--- a/tests/stream_order.rs
+++ b/tests/stream_order.rs
@@ -92,3 +92,18 @@
     let response = chat(daemon.callers(), "second", false).await;
     assert_eq!(response.status, 502, "{}", String::from_utf8_lossy(&response.body));
 }
+
+/// Guards against a stream that goes on at an engine whose software version writes something else.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_stays_at_its_software_version() {
+    let engines = start_engines(2).await;
+    engines.iter().for_each(|engine| engine.controls.break_after.store(25, Ordering::SeqCst));
+    let versions = [(engines[0].address(), "v1"), (engines[1].address(), "v2")];
+    let daemon = LoneDaemon::start_with_versions(&versions).await;
+    let response = chat(daemon.callers(), "first", true).await;
+    let text = String::from_utf8_lossy(&response.body);
+    assert_eq!(streamed_words(&response.body).split_whitespace().count(), 25, "{text}");
+    assert!(text.contains("event: error\n"), "{text}");
+    let started = engines.iter().map(|engine| engine.controls.started.load(Ordering::SeqCst));
+    assert_eq!(started.min(), Some(0), "the engine of the other version got the request");
+}
