--- a/tests/slot_leases.rs
+++ b/tests/slot_leases.rs
@@ -9,6 +9,7 @@
             ArbitratedServer, LeaseDecision, LeaseRefusal, MAX_SERVERS, SETTLE_TIME, SlotTable,
             choose_arbiter, choose_servers,
         },
+        transport::{PeerMessage, PeerReply, PeerRequest},
     },
     rand_core::{RngCore, SeedableRng},
     rand_xoshiro::Xoshiro256PlusPlus,
@@ -353,3 +354,19 @@
     assert_eq!(users.len(), servers.len());
     assert!(users.values().all(|count| *count <= 32), "{:?}", users.values().max());
 }
+
+/// Each request takes a question, an answer and the end of its lease while slots are leased.
+#[test]
+fn lease_messages_are_small() {
+    let server = "i-7f3a91c2aa".to_owned();
+    let lease = u64::MAX;
+    let question = PeerRequest::LeaseSlot { server: server.clone(), lease, patience: PATIENCE };
+    let answer = PeerReply::SlotLeased(Err(LeaseRefusal::Full(PATIENCE)));
+    let end = PeerMessage::EndLease { server, lease };
+    let lengths = [
+        postcard::to_stdvec(&question).unwrap().len(),
+        postcard::to_stdvec(&answer).unwrap().len(),
+        postcard::to_stdvec(&end).unwrap().len(),
+    ];
+    assert!(lengths.iter().sum::<usize>() <= 70, "{lengths:?}");
+}
