--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -1,10 +1,12 @@
 //! Runs a request: executes the dispatcher's decisions until there is a response.
 
 mod logging;
+mod resumption;
+mod slot;
 mod stream_start;
 
 use {
-    self::logging::log_resumption,
+    self::resumption::bind_resumption,
     super::{
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
@@ -13,13 +15,10 @@
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
-        slot_lease::{LeaseFailure, SlotLease},
-        stream_origin::ResumeTarget,
         timeout_stream::ConnectionPhase,
     },
     crate::{
         backend::sse::is_interrupted,
-        follow::stream_origins::StreamOrigin,
         ids::AttemptId,
         observe::{events, metrics::refusal},
         pipeline::{
@@ -55,9 +54,6 @@
 /// Delay before a request is placed again after the connection limit of a server was reached: about
 /// the time that an engine takes for one token.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(30);
-/// How much longer than its caller can wait a request may take to get the lease of a slot.
-const LEASE_MARGIN: Duration = Duration::from_millis(500);
-
 /// A request and the state of its attempts.
 pub struct HttpExchange {
     pub(super) core: Arc<ProxyCore>,
@@ -159,35 +155,6 @@
     }
 }
 
-/// Binds a request that resumes a stream to the service and the software version that began it.
-///
-/// # Errors
-/// The refusal of a stream that cannot go on, because it is not known where it began.
-async fn bind_resumption(
-    core: &ProxyCore,
-    request: &mut BufferedRequest,
-) -> Result<(), ProxyRefusal> {
-    let Some(resumed) = &request.caller.resumes else { return Ok(()) };
-    let target = core.find_origin(&request.service, resumed).await;
-    log_resumption(request, resumed, &target);
-    match target {
-        ResumeTarget::AnyServer => {}
-        ResumeTarget::Origin(StreamOrigin { service, software }) => {
-            let services = &request.caller.route.services;
-            let is_routed = services.iter().any(|(known, _)| *known == service);
-            let view = core.view();
-            if is_routed && view.is_engine(&service) == view.is_engine(&request.service) {
-                request.service = service;
-            }
-            request.software = Some(software);
-        }
-        ResumeTarget::Unknown => {
-            return Err(dispatch_refusal(RefusalReason::NotResumable, None, DidRun::No));
-        }
-    }
-    Ok(())
-}
-
 impl HttpExchange {
     /// Ends the request at its deadline.
     fn expire(self, phase: ConnectionPhase, open: OpenRequest) -> ProxyResult {
@@ -269,56 +236,6 @@
         }
     }
 
-    /// How long the request can wait for a slot: until it would miss its latency objective, and for a
-    /// stream that is resumed, as long as a new one.
-    fn lease_patience(&self, now: Instant, from: &ResumePosition) -> Duration {
-        let objective = self.request.caller.route.latency_objective;
-        let waited = now.saturating_duration_since(self.request.arrived);
-        let left = self.request.deadline.saturating_duration_since(now);
-        let patience = match from.event {
-            Some(_) => objective,
-            None => objective.saturating_sub(waited),
-        };
-        patience.min(left / 2)
-    }
-
-    /// Leases a slot if the server needs that. `None` if it does not.
-    async fn lease_slot(
-        &mut self,
-        order: &SendOrder,
-        from: &ResumePosition,
-    ) -> Result<Option<SlotLease>, AttemptFailure> {
-        let began = Instant::now();
-        let patience = self.lease_patience(began, from);
-        let leased = tokio::select! {
-            leased = self.core.lease_slot(&order.server, patience) => leased,
-            () = wait_withdrawn(&mut self.handle, order.attempt) => {
-                return Err(AttemptFailure::TimedOut);
-            }
-            () = sleep_until(self.request.deadline.into()) => {
-                return Err(self.report(order, AttemptFailure::NoSlot, from, None));
-            }
-        };
-        match leased {
-            // The decision is outdated if this process was paused.
-            _ if began.elapsed() > patience + LEASE_MARGIN => {
-                Err(self.report(order, AttemptFailure::Stale, from, None))
-            }
-            Ok(lease) => {
-                if lease.is_some() {
-                    self.handle.notify(PolicyInput::Leased { attempt: order.attempt });
-                }
-                Ok(lease)
-            }
-            Err(LeaseFailure::Full(delay)) => {
-                Err(self.report(order, AttemptFailure::NoSlot, from, Some(delay)))
-            }
-            Err(LeaseFailure::Unavailable) => {
-                Err(self.report(order, AttemptFailure::NoSlot, from, None))
-            }
-        }
-    }
-
     fn connection_failed(
         &mut self,
         order: &SendOrder,
--- a/src/roles.rs
+++ b/src/roles.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod control_directory;
 pub mod entry;
+pub mod entry_service;
 pub mod file_watch;
 pub mod fleet_orders;
 pub mod health;
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -1,30 +1,30 @@
 //! An entry: serves callers by route, with routes and servers learned from the control VMs.
 
+mod state_applier;
+
 use {
+    self::state_applier::StateApplier,
     super::{
-        NodeError, control_directory::ControlDirectory, health::serve_health_page,
-        origin_client::OriginClient, random_seed, required_weights::RequiredWeights,
+        NodeError, control_directory::ControlDirectory, entry_service::EntryService,
+        health::serve_health_page, origin_client::OriginClient, random_seed,
         slot_arbiter::SlotArbiter, slot_client::SlotClient, tunnel_client::TunnelClient,
-        tunnel_service::TunnelService,
     },
     crate::{
-        control::document::body_digest,
         fleet::watch::ListMonitor,
         follow::{
             FollowReply, FollowerKind, SharedState,
             evidence::{evidence_digest, send_own_reports},
             task::{FollowTask, FollowerPort},
         },
-        ids::{DocumentNumber, FailureDomainId, ServiceId, VmId},
+        ids::{FailureDomainId, ServiceId, VmId},
         inventory::DecisionObjective,
-        observe::{events, metrics::CONFIG_REVISION},
         pipeline::{DispatcherHandle, TraceLog, dispatch::DispatchTask},
         policy::{Dispatcher, DispatcherSettings, PolicyInput, SafeguardSet},
         reverse_proxy::{
             CallerListener, ProxyCore, WireDialect, core::ProxyDependencies,
-            server_link::check_server_links, store_monitor::monitor_cache_store, view::ProxyView,
+            server_link::check_server_links, store_monitor::monitor_cache_store,
         },
-        routing::{ParsedTable, RouteFault, RouteIndex, RouteTable},
+        routing::{ParsedTable, RouteFault, RouteTable},
         transport::{PeerNetwork, UnauthenticatedSettings},
     },
     http::{Method, StatusCode},
@@ -35,12 +35,12 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::{Duration, Instant as StdInstant},
+        time::Duration,
     },
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{Instant, sleep, sleep_until, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -54,9 +54,6 @@
 /// keeps sending requests here, and an answer that starts later could not end before the process is
 /// killed.
 const REFUSE_AFTER: Duration = Duration::from_millis(2_900);
-/// How often the state is applied again when nothing has changed, which also closes connections that
-/// were idle for too long.
-const REAPPLY_INTERVAL: Duration = Duration::from_secs(5);
 /// The time at the end of the grace period that is reserved for sending the last bytes.
 const FLUSH_TIME: Duration = Duration::from_millis(400);
 
@@ -105,6 +102,17 @@
     pub disabled: SafeguardSet,
 }
 
+impl EntrySettings {
+    fn core_settings(&self) -> CoreSettings {
+        CoreSettings {
+            vm: self.vm.clone(),
+            failure_domain: self.failure_domain.clone(),
+            objective: self.objective,
+            disabled: self.disabled.clone(),
+        }
+    }
+}
+
 /// Settings of the core of an entry, which serves requests.
 #[derive(Clone, Debug)]
 pub struct CoreSettings {
@@ -153,25 +161,12 @@
     ) -> Result<Self, NodeError> {
         let mut tasks = JoinSet::new();
         let (candidates, candidate_watch) = watch::channel(control.keys().cloned().collect());
-        let network_settings = UnauthenticatedSettings {
-            vm: settings.vm.clone(),
-            listen: settings.peer_listen,
-            peers: control.clone(),
-        };
-        let tunnel_service = Arc::new(TunnelService::default());
-        let network = PeerNetwork::start_unauthenticated(network_settings, tunnel_service.clone())
-            .map_err(NodeError::Network)?;
+        let service = Arc::new(EntryService::default());
+        let network = start_network(&settings, &control, &service)?;
         settings.disabled.warn_if_any();
-        let core_settings = CoreSettings {
-            vm: settings.vm.clone(),
-            failure_domain: settings.failure_domain.clone(),
-            objective: settings.objective,
-            disabled: settings.disabled.clone(),
-        };
-        let core = start_core(core_settings, dialect, &mut tasks);
-        tunnel_service.open(Arc::clone(&core));
-        let arbiter = Arc::clone(tunnel_service.arbiter());
-        start_leases(&core, &network, &arbiter, &mut tasks);
+        let core = start_core(settings.core_settings(), dialect, &mut tasks);
+        service.tunnels.open(Arc::clone(&core));
+        start_leases(&core, &network, &service.arbiter, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
         let follower = EntryFollower::start(&core, &network, &mut tasks);
@@ -186,7 +181,7 @@
         let applier = StateApplier {
             core: Arc::clone(&core),
             directory: Arc::clone(&directory),
-            arbiter,
+            arbiter: Arc::clone(&service.arbiter),
             origins,
             parser,
         };
@@ -245,6 +240,20 @@
     }
 }
 
+fn start_network(
+    settings: &EntrySettings,
+    control: &BTreeMap<VmId, SocketAddr>,
+    service: &Arc<EntryService>,
+) -> Result<PeerNetwork, NodeError> {
+    let network_settings = UnauthenticatedSettings {
+        vm: settings.vm.clone(),
+        listen: settings.peer_listen,
+        peers: control.clone(),
+    };
+    PeerNetwork::start_unauthenticated(network_settings, service.clone())
+        .map_err(NodeError::Network)
+}
+
 /// Lets the core connect to servers through other entries.
 fn start_tunnels(core: &Arc<ProxyCore>, client: TunnelClient, tasks: &mut JoinSet<()>) {
     let client = Arc::new(client);
@@ -396,90 +405,6 @@
     }
 }
 
-/// Puts each new state from the control VMs in force.
-struct StateApplier {
-    core: Arc<ProxyCore>,
-    directory: Arc<ControlDirectory>,
-    arbiter: Arc<SlotArbiter>,
-    origins: Arc<OriginClient>,
-    parser: Arc<dyn RouteParser>,
-}
-
-impl StateApplier {
-    async fn run(
-        self,
-        mut states: watch::Receiver<SharedState>,
-        mut retry_reserve: watch::Receiver<f64>,
-    ) {
-        let mut routes = RouteCache::default();
-        let mut requirements = RequiredWeights::default();
-        loop {
-            let due =
-                requirements.next_change().unwrap_or_else(|| StdInstant::now() + REAPPLY_INTERVAL);
-            tokio::select! {
-                changed = states.changed() => if changed.is_err() { return },
-                changed = retry_reserve.changed() => if changed.is_err() { return },
-                () = sleep_until(due.into()) => {}
-            }
-            let state = states.borrow_and_update().clone();
-            let required = requirements.update(StdInstant::now(), &state.weights, state.term);
-            let index =
-                routes.index_for(state.document.number, &state.document.body, &*self.parser);
-            let fleet = state.fleet.unwrap_or_default();
-            let entries = state.entries.max(1);
-            let retries = (*retry_reserve.borrow_and_update() / f64::from(entries)).max(1.0);
-            self.core.dispatcher.notify(PolicyInput::RetryReserve { retries });
-            let view = ProxyView::new(index, &fleet, &state.weights, &required, entries);
-            let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
-            self.directory.set_arbiters(arbiters);
-            self.arbiter.configure(&self.core.vm, &view.servers);
-            let servers = view.servers.values().map(|server| (&server.service, &server.software));
-            self.origins.apply(servers, &state.control, entries);
-            self.core.apply(view);
-        }
-    }
-}
-
-/// The routes in force. Each document is parsed once.
-#[derive(Default)]
-struct RouteCache {
-    number: DocumentNumber,
-    index: Option<Arc<RouteIndex>>,
-}
-
-impl RouteCache {
-    fn index_for(
-        &mut self,
-        number: DocumentNumber,
-        body: &str,
-        parser: &dyn RouteParser,
-    ) -> Option<Arc<RouteIndex>> {
-        if number > self.number {
-            let began = StdInstant::now();
-            match parser.parse(body) {
-                Ok(ParsedTable { table, fault }) => {
-                    // An earlier release may have accepted a document that this one would refuse. It
-                    // is in force until it is replaced.
-                    if let Some(fault) = fault {
-                        log::warn!(document = number, fault:% = fault; "the accepted document has a fault");
-                    }
-                    let routes = table.routes.len();
-                    self.index = Some(Arc::new(RouteIndex::new(Arc::new(table))));
-                    let parse_ms = began.elapsed().as_millis() as u64;
-                    log::info!(document = number, digest = body_digest(body), routes = routes,
-                        parse_ms = parse_ms; "{}", events::ROUTES_ACTIVATED);
-                    metrics::gauge!(CONFIG_REVISION).set(number as f64);
-                }
-                // Documents are parsed before they are accepted, so another release accepted it.
-                Err(fault) => log::error!(document = number, fault:% = fault;
-                    "an accepted document cannot be parsed by this release; the previous routes stay in force"),
-            }
-            self.number = number;
-        }
-        self.index.clone()
-    }
-}
-
 async fn serve_readiness(
     settings: &EntrySettings,
     core: Arc<ProxyCore>,
--- a/src/roles/tunnel_service.rs
+++ b/src/roles/tunnel_service.rs
@@ -1,8 +1,6 @@
-//! Handles requests of other entries: connects to backend servers for those that reach none themselves,
-//! and leases slots of servers.
+//! Connects to backend servers for entries that reach none themselves.
 
 use {
-    super::slot_arbiter::SlotArbiter,
     crate::{
         follow::service::EntryHandler,
         ids::{ServerId, VmId},
@@ -31,22 +29,16 @@
 pub struct TunnelService {
     core: OnceLock<Arc<ProxyCore>>,
     permits: Arc<Semaphore>,
-    arbiter: Arc<SlotArbiter>,
 }
 
 impl Default for TunnelService {
     fn default() -> Self {
         let permits = Arc::new(Semaphore::new(MAX_TUNNELS));
-        TunnelService { core: OnceLock::new(), permits, arbiter: Arc::default() }
+        TunnelService { core: OnceLock::new(), permits }
     }
 }
 
 impl TunnelService {
-    /// The leases of the servers of which this entry is the arbiter.
-    pub fn arbiter(&self) -> &Arc<SlotArbiter> {
-        &self.arbiter
-    }
-
     /// Starts to open tunnels; a second call has no effect.
     pub fn open(&self, core: Arc<ProxyCore>) {
         if self.core.set(core).is_err() {
@@ -57,21 +49,11 @@
 
 impl PeerHandler for TunnelService {
     fn message(&self, from: VmId, message: PeerMessage) {
-        match message {
-            PeerMessage::EndLease { server, lease } => self.arbiter.end(&server, lease),
-            PeerMessage::HeldLeases(held) => self.arbiter.confirm(&from, held),
-            other => EntryHandler.message(from, other),
-        }
+        EntryHandler.message(from, message);
     }
 
     fn request(&self, from: VmId, request: PeerRequest) -> BoxFuture<'static, PeerReply> {
-        match request {
-            PeerRequest::LeaseSlot { server, lease, patience } => {
-                let leased = Arc::clone(&self.arbiter).lease(server, lease, from, patience);
-                Box::pin(async move { PeerReply::SlotLeased(leased.await) })
-            }
-            other => EntryHandler.request(from, other),
-        }
+        EntryHandler.request(from, request)
     }
 
     fn open_tunnel(
