Replace the view of an entry one after another

Cause: a server that names its rejection limit, or whose limit ends, makes the entry apply its present view again, from the task of a request. It clones the view, works out the inputs and stores the result, while the task that follows the fleet may store a newer view in between. The older one, with the older configuration, was then back in force until the next list: an accepted configuration would have reverted.

Change: a lock is held from reading the present view to storing the next. Requests read the view without it.

--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -68,6 +68,8 @@
     store_reachable: AtomicBool,
     objective: DecisionObjective,
     view: ArcSwap<ProxyView>,
+    /// Held while the view is replaced, so that none is replaced by an older one.
+    applying: Mutex<()>,
     /// The weights and the incarnation that responses have reported, by server of the view.
     reported_weights: Mutex<BTreeMap<ServerId, (u64, WeightsNumber)>>,
     /// The incarnation and the limit of servers of the view that have named one.
@@ -95,6 +97,7 @@
             store_reachable: AtomicBool::new(false),
             objective,
             view: ArcSwap::default(),
+            applying: Mutex::default(),
             reported_weights: Mutex::default(),
             limits: Mutex::default(),
             rejection_limits: RejectionLimits::default(),
@@ -123,7 +126,18 @@
     }
 
     /// Replaces the view and passes the changes to the dispatcher.
-    pub fn apply(&self, mut view: ProxyView) {
+    pub fn apply(&self, view: ProxyView) {
+        let _applying = self.lock_view();
+        self.replace_view(view);
+    }
+
+    /// Applies the present view again, since the use of its servers has changed.
+    fn reapply(&self) {
+        let _applying = self.lock_view();
+        self.replace_view(ProxyView::clone(&self.view()));
+    }
+
+    fn replace_view(&self, mut view: ProxyView) {
         let former = self.view();
         view.set_aside = self.set_aside(&view);
         let inputs = view.inputs(&self.vm, self.objective, &former);
@@ -139,6 +153,10 @@
         self.pool.close_unused(&used);
     }
 
+    fn lock_view(&self) -> std::sync::MutexGuard<'_, ()> {
+        self.applying.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sets whether the engines' shared cache store is reachable.
     pub fn set_store_reachable(&self, reachable: bool) {
         self.store_reachable.store(reachable, Ordering::Relaxed);
@@ -274,7 +292,7 @@
             }
             None => return,
         }
-        self.apply(ProxyView::clone(&self.view()));
+        self.reapply();
     }
 
     /// The servers that this daemon sets aside while the slots of their service are leased.
