--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -54,6 +54,7 @@
 /// Delay before a request is placed again after the connection limit of a server was reached: about
 /// the time that an engine takes for one token.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(30);
+
 /// A request and the state of its attempts.
 pub struct HttpExchange {
     pub(super) core: Arc<ProxyCore>,
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -25,6 +25,7 @@
 /// How often the state is applied again when nothing has changed, which also closes connections that
 /// were idle for too long.
 const REAPPLY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Puts each new state from the control VMs in force.
 pub(super) struct StateApplier {
     pub(super) core: Arc<ProxyCore>,
--- a/src/roles/origin_client.rs
+++ b/src/roles/origin_client.rs
@@ -32,7 +32,7 @@
 /// a control VM receives.
 const REPORT_PAUSE: Duration = Duration::from_millis(100);
 const REPORT_PAUSE_PER_ENTRY: Duration = Duration::from_micros(700);
-/// Maximum number of streams that wait to be reported. The oldest ones are dropped.
+/// Maximum number of streams that wait to be reported. Further ones are not reported.
 const MAX_PENDING: usize = 16_384;
 /// Maximum number of streams of one report, whose message then takes about 32 KB.
 const MAX_REPORTED: usize = 4_096;
