Log whether a rejected request had a lease, and its size

The log of a rejection told the load of the server alone, so that requests without a lease and requests that lack memory at a server with free slots looked the same. No decision is changed.

--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -285,7 +285,7 @@
                 Ok(StartedResponse { parts, head, framing, body, connection })
             }
             ResponseVerdict::NotExecuted => {
-                self.log_rejection(order, &head);
+                self.log_rejection(order, &head, connection.has_lease());
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
                 self.core.record_rejection_limit(&self.request.service, sent_at, &head);
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -76,10 +76,12 @@
         );
     }
 
-    /// Logs that a server rejected the request, with the load that it reported.
-    pub(super) fn log_rejection(&self, order: &SendOrder, head: &ResponseHead) {
+    /// Logs that a server rejected the request, with the load that it reported, and whether the request
+    /// was sent under a lease.
+    pub(super) fn log_rejection(&self, order: &SendOrder, head: &ResponseHead, is_leased: bool) {
         counter!(SERVER_REJECTIONS).increment(1);
         let load = head.load;
+        let work = self.request.caller.work.as_ref();
         log::info!(
             request_id = self.request.caller.id.as_str(),
             server = order.server.as_str(),
@@ -87,6 +89,9 @@
             waiting = load.map(|(_, waiting)| waiting),
             in_flight = order.in_flight,
             attempt = self.attempts,
+            is_leased = is_leased,
+            prompt_tokens = work.map(|work| work.prompt_tokens),
+            max_output_tokens = work.map(|work| work.max_output_tokens),
             rejection_limit = head.rejection_limit;
             "{}", events::REQUEST_REJECTED
         );
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -109,6 +109,11 @@
 }
 
 impl LeasedConnection {
+    /// Whether the request in flight has the lease of a slot.
+    pub fn has_lease(&self) -> bool {
+        self.lease.is_some()
+    }
+
     /// Keeps the lease of a slot until the request in flight has ended.
     pub fn set_lease(&mut self, lease: Option<SlotLease>) {
         self.lease = lease;
