Lease the memory of engines beside their slots

Cause: the lease counted something else than what fills an engine. It counted slots, and long prompts fill the memory first; what does not fit waits, the short queue is full, and the next requests are rejected. To be safe, a quarter of the slots was never leased, which is lost where no prompt is long.

Evidence: tests/engine_leases.rs, red before. Ruled out there: requests without a lease (all had one), and the code before the leases.

Change: a request names the leading parts of its prompt and the tokens that are its own; the arbiter counts each part in use once and leases no more than the configured memory. What it cannot know shows as a rejection of a leased request, after which it leases what the engine held then, and more with each second. It works because one participant sees all that fills the engine.

The tests of the leases name the new argument; their checks are unchanged.

--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -1,4 +1,5 @@
-//! Leases of the slots of servers that must not be sent more requests than they have room for.
+//! Leases of the slots of servers that must not be sent more requests than they have room for, and of the
+//! memory of those that are engines: long prompts fill it before the slots.
 //!
 //! Some servers end if they have to reject too many requests in a second. Each daemon knows only its
 //! own requests, so that with hundreds of daemons even one request too many from each of them ends a
@@ -8,8 +9,17 @@
 //!
 //! A request for a lease waits in the order of arrival for at most the time that its caller can
 //! spare. If the wait would be longer, it is refused at once.
+//!
+//! What a server keeps beside leased requests is not known here. If it rejects a leased request, its
+//! arbiter therefore leases no more than what the server holds at that time, and twice as much more with
+//! each further second.
+
+mod memory;
+
+pub use self::memory::{MAX_PARTS, MemoryDemand, PartHash};
 
 use {
+    self::memory::LeasedMemory,
     crate::ids::{LeaseId, ServerId, VmId},
     serde::{Deserialize, Serialize},
     std::{
@@ -19,9 +29,12 @@
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
-/// Slots of an engine that are leased, as a fraction of all, and at least one: long prompts fill its
-/// memory before its slots. A plain service leases all of them.
-const ENGINE_FRACTION: f64 = 0.75;
+/// An arbiter grants no lease of a server for this time after the second rejection in this time: servers end
+/// by the rejections of a second.
+pub const REJECTION_PAUSE: Duration = Duration::from_secs(1);
+
+/// The time after a rejection in which what an arbiter leases in addition doubles.
+const RECOVERY_STEP: Duration = Duration::from_secs(1);
 
 /// An arbiter that has just become one leases nothing for this time, in which the holders of leases
 /// of its predecessor confirm them or their requests end.
@@ -80,6 +93,7 @@
 #[derive(Clone, Debug)]
 struct SlotLease {
     holder: VmId,
+    memory: MemoryDemand,
     granted_at: Instant,
     confirmed_at: Instant,
 }
@@ -89,15 +103,38 @@
 struct WaitingLease {
     lease: LeaseId,
     holder: VmId,
+    memory: MemoryDemand,
     until: Instant,
 }
 
+/// The rejection of a leased request, and what the server held beside it.
+#[derive(Clone, Copy, Debug)]
+struct LeaseRejection {
+    at: Instant,
+    leases: usize,
+    tokens: u64,
+}
+
+impl LeaseRejection {
+    /// Leases that are granted beyond those that the server held; doubles with each second.
+    fn additional(&self, now: Instant) -> usize {
+        let steps = now.saturating_duration_since(self.at).as_secs() / RECOVERY_STEP.as_secs();
+        (1_usize << steps.min(16)) - 1
+    }
+}
+
 /// The slots of one server.
 #[derive(Clone, Debug)]
 struct ServerSlots {
     /// Maximum number of leases; at least 1.
     usable: usize,
+    /// Nothing is leased before.
     leases_from: Instant,
+    /// Nothing is leased before, because the server has rejected several leased requests.
+    paused_until: Instant,
+    /// The last rejection of a leased request.
+    rejection: Option<LeaseRejection>,
+    memory: LeasedMemory,
     /// At most `usable`, or [`MAX_TAKEN_OVER`] times as many with those that a former arbiter has granted.
     leases: BTreeMap<LeaseId, SlotLease>,
     /// At most [`MAX_WAITING`].
@@ -111,20 +148,56 @@
         ServerSlots {
             usable,
             leases_from,
+            paused_until: leases_from,
+            rejection: None,
+            memory: LeasedMemory::default(),
             leases: BTreeMap::new(),
             waiting: VecDeque::new(),
             hold: INITIAL_HOLD.as_secs_f64(),
         }
     }
 
-    fn grant(&mut self, now: Instant, lease: LeaseId, holder: VmId) {
-        self.leases.insert(lease, SlotLease { holder, granted_at: now, confirmed_at: now });
+    fn grant(&mut self, now: Instant, lease: LeaseId, holder: VmId, memory: MemoryDemand) {
+        self.memory.take(&memory);
+        self.leases.insert(lease, SlotLease { holder, memory, granted_at: now, confirmed_at: now });
+    }
+
+    fn remove(&mut self, lease: LeaseId) -> Option<SlotLease> {
+        let removed = self.leases.remove(&lease)?;
+        self.memory.free(&removed.memory);
+        Some(removed)
+    }
+
+    /// Leases that may be granted at this time; from 1 to `usable`.
+    fn allowed_leases(&self, now: Instant) -> usize {
+        let Some(rejection) = self.rejection else { return self.usable };
+        (rejection.leases + rejection.additional(now)).clamp(1, self.usable)
+    }
+
+    /// Tokens that may be leased at this time; `None` if they are not bounded.
+    fn allowed_tokens(&self, now: Instant) -> Option<u64> {
+        let capacity = self.memory.capacity?;
+        let Some(rejection) = self.rejection else { return Some(capacity) };
+        let step = capacity / self.usable as u64;
+        Some((rejection.tokens + step * rejection.additional(now) as u64).min(capacity))
+    }
+
+    fn has_room(&self, now: Instant, memory: &MemoryDemand) -> bool {
+        now >= self.paused_until
+            && self.leases.len() < self.allowed_leases(now)
+            && self.memory.fits(memory, self.allowed_tokens(now))
     }
 
     /// The expected wait of a request behind all that wait.
-    fn expected_wait(&self) -> Duration {
+    fn expected_wait(&self, now: Instant) -> Duration {
         let ahead = (self.waiting.len() + 1) as f64;
-        Duration::from_secs_f64(ahead * self.hold / self.usable as f64)
+        // Less than all slots run at a time if memory or a rejection holds requests back.
+        let parallel = match self.leases.len() {
+            0 => self.allowed_leases(now),
+            running => running.min(self.allowed_leases(now)),
+        };
+        let pause = self.paused_until.saturating_duration_since(now);
+        pause + Duration::from_secs_f64(ahead * self.hold / parallel as f64)
     }
 
     fn request(
@@ -132,42 +205,56 @@
         now: Instant,
         lease: LeaseId,
         holder: &VmId,
-        patience: Duration,
+        demand: LeaseDemand,
     ) -> LeaseDecision {
+        let LeaseDemand { patience, memory } = demand;
         let settles_in = self.leases_from.saturating_duration_since(now);
         if !settles_in.is_zero() {
             return LeaseDecision::Refused(LeaseRefusal::Full(settles_in));
         }
-        if self.waiting.is_empty() && self.leases.len() < self.usable {
-            self.grant(now, lease, holder.clone());
+        if self.waiting.is_empty() && self.has_room(now, &memory) {
+            self.grant(now, lease, holder.clone(), memory);
             return LeaseDecision::Granted;
         }
-        let wait = self.expected_wait();
+        let wait = self.expected_wait(now);
         if wait > patience.mul_f64(MAX_WAIT_FRACTION) || self.waiting.len() >= MAX_WAITING {
             return LeaseDecision::Refused(LeaseRefusal::Full(wait.max(MIN_RETRY_AFTER)));
         }
         let (holder, until) = (holder.clone(), now + patience);
-        self.waiting.push_back(WaitingLease { lease, holder, until });
+        self.waiting.push_back(WaitingLease { lease, holder, memory, until });
         LeaseDecision::Waiting
     }
 
     fn end(&mut self, now: Instant, lease: LeaseId) {
         self.waiting.retain(|waiting| waiting.lease != lease);
-        if let Some(ended) = self.leases.remove(&lease) {
+        if let Some(ended) = self.remove(lease) {
             let held = now.saturating_duration_since(ended.granted_at).as_secs_f64();
             self.hold += (held - self.hold) * HOLD_STEP;
         }
     }
 
+    /// Takes note that the server had no room for a leased request.
+    fn reject(&mut self, now: Instant, lease: LeaseId) {
+        if self.remove(lease).is_none() {
+            return;
+        }
+        let last = self.rejection.map(|rejection| rejection.at);
+        if last.is_some_and(|at| now.saturating_duration_since(at) < REJECTION_PAUSE) {
+            self.paused_until = now + REJECTION_PAUSE;
+        }
+        let (leases, tokens) = (self.leases.len(), self.memory.used());
+        self.rejection = Some(LeaseRejection { at: now, leases, tokens });
+    }
+
     /// Grants free slots to those that wait.
     fn grant_waiting(&mut self, now: Instant) -> Vec<LeaseId> {
         self.waiting.retain(|waiting| now < waiting.until);
         let mut granted = Vec::new();
-        while self.leases.len() < self.usable
+        while self.waiting.front().is_some_and(|next| self.has_room(now, &next.memory))
             && let Some(next) = self.waiting.pop_front()
         {
             granted.push(next.lease);
-            self.grant(now, next.lease, next.holder);
+            self.grant(now, next.lease, next.holder, next.memory);
         }
         granted
     }
@@ -178,12 +265,21 @@
 pub struct ArbitratedServer {
     /// Requests that it runs concurrently.
     pub slots: u32,
-    /// Whether it runs models.
-    pub is_engine: bool,
+    /// Tokens that fit into its memory; `None` if it runs no models.
+    pub memory: Option<u64>,
     /// Whether another daemon may have leased its slots until now.
     pub had_arbiter: bool,
 }
 
+/// What a request asks of an arbiter.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseDemand {
+    /// How long its caller can wait.
+    pub patience: Duration,
+    /// What it takes beside a slot; nothing at a plain service.
+    pub memory: MemoryDemand,
+}
+
 /// The leases of all servers of which this daemon is the arbiter.
 #[derive(Clone, Debug, Default)]
 pub struct SlotTable {
@@ -195,26 +291,27 @@
     /// Replaces the servers of which this daemon is the arbiter. The leases of those that stay are kept.
     pub fn configure(&mut self, now: Instant, assigned: BTreeMap<ServerId, ArbitratedServer>) {
         self.servers.retain(|server, _| assigned.contains_key(server));
-        for (server, ArbitratedServer { slots, is_engine, had_arbiter }) in assigned {
-            let fraction = if is_engine { ENGINE_FRACTION } else { 1.0 };
-            let usable = ((f64::from(slots) * fraction) as usize).max(1);
+        for (server, ArbitratedServer { slots, memory, had_arbiter }) in assigned {
+            let usable = (slots as usize).max(1);
             let leases_from = if had_arbiter { now + SETTLE_TIME } else { now };
             let known = self.servers.entry(server);
-            known.or_insert_with(|| ServerSlots::new(usable, leases_from)).usable = usable;
+            let known = known.or_insert_with(|| ServerSlots::new(usable, leases_from));
+            known.usable = usable;
+            known.memory.capacity = memory;
         }
     }
 
-    /// Requests a lease for a holder that can wait for `patience`.
+    /// Requests a lease for a holder.
     pub fn request(
         &mut self,
         now: Instant,
         server: &ServerId,
         lease: LeaseId,
         holder: &VmId,
-        patience: Duration,
+        demand: LeaseDemand,
     ) -> LeaseDecision {
         match self.servers.get_mut(server) {
-            Some(slots) => slots.request(now, lease, holder, patience),
+            Some(slots) => slots.request(now, lease, holder, demand),
             None => LeaseDecision::Refused(LeaseRefusal::NotArbiter),
         }
     }
@@ -226,6 +323,18 @@
         slots.grant_waiting(now)
     }
 
+    /// Ends a lease whose request the server has rejected for want of room.
+    pub fn reject(&mut self, now: Instant, server: &ServerId, lease: LeaseId) {
+        if let Some(slots) = self.servers.get_mut(server) {
+            slots.reject(now, lease);
+        }
+    }
+
+    /// Grants to those that wait what may be leased by now.
+    pub fn resume(&mut self, now: Instant, server: &ServerId) -> Vec<LeaseId> {
+        self.servers.get_mut(server).map_or(Vec::new(), |slots| slots.grant_waiting(now))
+    }
+
     /// Records all leases that a holder has here. Unknown ones were granted by a former arbiter or by
     /// this daemon before it restarted. Returns the leases that others get instead of ended ones.
     pub fn confirm(
@@ -257,7 +366,11 @@
                 && slots.leases.len() < slots.usable * MAX_TAKEN_OVER
                 && now < slots.leases_from
             {
-                slots.grant(now, *lease, holder.clone());
+                // What it takes is not known; an even part, until it ends.
+                let even = slots.memory.capacity.unwrap_or(0) / slots.usable as u64;
+                let own_tokens = u32::try_from(even).unwrap_or(u32::MAX);
+                let memory = MemoryDemand { parts: Vec::new(), own_tokens };
+                slots.grant(now, *lease, holder.clone(), memory);
             }
         }
         granted
@@ -268,9 +381,14 @@
     pub fn expire(&mut self, now: Instant) -> Vec<LeaseId> {
         let mut granted = Vec::new();
         for slots in self.servers.values_mut() {
-            slots.leases.retain(|_, lease| {
-                now.saturating_duration_since(lease.confirmed_at) < CONFIRM_LIMIT
-            });
+            let is_lost = |lease: &SlotLease| {
+                now.saturating_duration_since(lease.confirmed_at) >= CONFIRM_LIMIT
+            };
+            let lost = slots.leases.iter().filter(|(_, lease)| is_lost(lease));
+            let lost: Vec<LeaseId> = lost.map(|(lease, _)| *lease).collect();
+            for lease in lost {
+                slots.remove(lease);
+            }
             granted.extend(slots.grant_waiting(now));
         }
         granted
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -17,7 +17,9 @@
         observe::events,
         pipeline::{DispatcherHandle, DrainGate},
         policy::{
-            LoadReport, PolicyInput, pacing::ServerPace, slot_leases::choose_servers,
+            LoadReport, PolicyInput,
+            pacing::ServerPace,
+            slot_leases::{LeaseDemand, choose_servers},
             suspect::CrashReport,
         },
     },
@@ -29,7 +31,7 @@
             Arc, Mutex, OnceLock, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::{Duration, Instant},
+        time::Instant,
     },
     tokio::sync::watch,
 };
@@ -345,15 +347,14 @@
         }
     }
 
-    /// Leases a slot of a server for a request that can wait for `patience`; `None` if the server's
-    /// service needs no leases.
+    /// Leases a slot of a server for a request; `None` if the server's service needs no leases.
     ///
     /// # Errors
     /// As [`SlotLeaser::lease`].
     pub async fn lease_slot(
         &self,
         server: &ServerId,
-        patience: Duration,
+        demand: LeaseDemand,
     ) -> Result<Option<SlotLease>, LeaseFailure> {
         let view = self.view();
         let Some(listed) = view.servers.get(server) else { return Ok(None) };
@@ -362,7 +363,7 @@
         let demand = SlotDemand {
             server: server.clone(),
             arbiter: listed.arbiter.clone(),
-            patience,
+            demand,
             share: view.slot_share(&listed.service),
         };
         Arc::clone(leaser).lease(demand).await.map(Some)
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -286,6 +286,9 @@
             }
             ResponseVerdict::NotExecuted => {
                 self.log_rejection(order, &head, connection.has_lease());
+                if parts.status == StatusCode::SERVICE_UNAVAILABLE {
+                    connection.report_rejection();
+                }
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
                 self.core.record_rejection_limit(&self.request.service, sent_at, &head);
--- a/src/reverse_proxy/exchange/slot.rs
+++ b/src/reverse_proxy/exchange/slot.rs
@@ -3,7 +3,7 @@
 use {
     super::{HttpExchange, ResumePosition, wait_withdrawn},
     crate::{
-        policy::{AttemptFailure, PolicyInput, SendOrder},
+        policy::{AttemptFailure, PolicyInput, SendOrder, slot_leases::LeaseDemand},
         reverse_proxy::slot_lease::{LeaseFailure, SlotLease},
     },
     std::time::{Duration, Instant},
@@ -35,8 +35,9 @@
     ) -> Result<Option<SlotLease>, AttemptFailure> {
         let began = Instant::now();
         let patience = self.lease_patience(began, from);
+        let demand = LeaseDemand { patience, memory: self.request.memory_demand() };
         let leased = tokio::select! {
-            leased = self.core.lease_slot(&order.server, patience) => leased,
+            leased = self.core.lease_slot(&order.server, demand) => leased,
             () = wait_withdrawn(&mut self.handle, order.attempt) => {
                 return Err(AttemptFailure::TimedOut);
             }
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -114,6 +114,13 @@
         self.lease.is_some()
     }
 
+    /// Tells the arbiter of the lease, if there is one, that the server had no room for the request.
+    pub fn report_rejection(&self) {
+        if let Some(lease) = &self.lease {
+            lease.report_rejection();
+        }
+    }
+
     /// Keeps the lease of a slot until the request in flight has ended.
     pub fn set_lease(&mut self, lease: Option<SlotLease>) {
         self.lease = lease;
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -12,6 +12,7 @@
         policy::{
             PrefixLevel, RequestTicket, RequestWork,
             prefix::{self, PromptSegment},
+            slot_leases::MemoryDemand,
             suspect,
         },
         routing::CallerLimits,
@@ -163,6 +164,13 @@
         prefix::levels(self.cache_owner(), &work.model, None, &segments)
     }
 
+    /// What the request takes from the memory of an engine.
+    pub fn memory_demand(&self) -> MemoryDemand {
+        self.caller.work.as_ref().map_or_else(MemoryDemand::default, |work| {
+            MemoryDemand::new(&self.levels(work), work.prompt_tokens, work.max_output_tokens)
+        })
+    }
+
     /// Hash of the request without its id, equal for retries by the caller.
     fn fingerprint(&self) -> u64 {
         let uri = &self.head.uri;
--- a/src/reverse_proxy/slot_lease.rs
+++ b/src/reverse_proxy/slot_lease.rs
@@ -1,9 +1,12 @@
 //! Leases of the slots of servers that end if they have to reject too many requests.
 
 use {
-    crate::ids::{ServerId, VmId},
+    crate::{
+        ids::{ServerId, VmId},
+        policy::slot_leases::LeaseDemand,
+    },
     futures::future::BoxFuture,
-    std::{any::Any, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -17,30 +20,43 @@
     pub server: ServerId,
     /// The daemon that leases the server's slots, if there is one.
     pub arbiter: Option<VmId>,
-    /// How long the caller can wait for a slot.
-    pub patience: Duration,
+    /// How long the caller can wait, and what the request needs.
+    pub demand: LeaseDemand,
     /// Requests that this daemon may have in flight without leases while it reaches no arbiter; at
     /// least 1.
     pub share: u32,
 }
 
+/// Ends a lease when it is dropped.
+pub trait LeaseHolder: Send + Sync {
+    /// Tells the arbiter that the server had no room for the request.
+    fn report_rejection(&self);
+}
+
 /// The lease of a slot; dropping it ends the lease.
-pub struct SlotLease(Option<Box<dyn Any + Send + Sync>>);
+pub struct SlotLease(Option<Box<dyn LeaseHolder>>);
 
 impl SlotLease {
-    /// A lease that ends when `guard` is dropped.
-    pub fn new(guard: impl Any + Send + Sync) -> Self {
-        SlotLease(Some(Box::new(guard)))
+    /// A lease that ends when `holder` is dropped.
+    pub fn new(holder: impl LeaseHolder + 'static) -> Self {
+        SlotLease(Some(Box::new(holder)))
+    }
+
+    /// Tells the arbiter that the server had no room for the request.
+    pub fn report_rejection(&self) {
+        if let Some(holder) = &self.0 {
+            holder.report_rejection();
+        }
     }
 
     /// Ends the lease of a request that its server may still run.
     pub fn abandon(mut self) {
-        let guard = self.0.take();
+        let holder = self.0.take();
         // Without a runtime the process is ending.
         if let Ok(runtime) = tokio::runtime::Handle::try_current() {
             runtime.spawn(async move {
                 sleep(ABANDONED_TIME).await;
-                drop(guard);
+                drop(holder);
             });
         }
     }
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -88,6 +88,13 @@
         rule.is_some_and(|rule| rule.engine.is_some())
     }
 
+    /// Tokens that fit into the memory of a server of the service; `None` if it runs no models, or if
+    /// that is not configured.
+    pub fn engine_memory(&self, service: &ServiceId) -> Option<u64> {
+        let rule = self.index.as_ref()?.table.services.get(service)?;
+        rule.engine.as_ref().map(|engine| engine.cache_tokens).filter(|tokens| *tokens > 0)
+    }
+
     /// Whether the configuration lists the service.
     pub fn is_routed(&self, service: &ServiceId) -> bool {
         self.index.as_ref().is_some_and(|index| index.table.services.contains_key(service))
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -5,7 +5,7 @@
     crate::{
         control::document::body_digest,
         follow::SharedState,
-        ids::DocumentNumber,
+        ids::{DocumentNumber, ServiceId},
         observe::{events, metrics::CONFIG_REVISION},
         policy::PolicyInput,
         reverse_proxy::{ProxyCore, view::ProxyView},
@@ -63,7 +63,8 @@
             let view = ProxyView::new(index, &fleet, &state.weights, &required, entries);
             let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
             self.directory.set_arbiters(arbiters);
-            self.arbiter.configure(&self.core.vm, &view.servers);
+            let memory = |service: &ServiceId| view.engine_memory(service);
+            self.arbiter.configure(&self.core.vm, &view.servers, memory);
             let servers = view.servers.values().map(|server| (&server.service, &server.software));
             self.origins.apply(servers, &state.control, entries);
             self.core.apply(view);
--- a/src/roles/entry_service.rs
+++ b/src/roles/entry_service.rs
@@ -4,6 +4,7 @@
     super::{slot_arbiter::SlotArbiter, tunnel_service::TunnelService},
     crate::{
         ids::{ServerId, VmId},
+        policy::slot_leases::LeaseDemand,
         transport::{
             PeerHandler, PeerMessage, PeerReply, PeerRequest, TunnelRefusal, TunnelTarget,
         },
@@ -25,6 +26,7 @@
     fn message(&self, from: VmId, message: PeerMessage) {
         match message {
             PeerMessage::EndLease { server, lease } => self.arbiter.end(&server, lease),
+            PeerMessage::LeaseRejected { server, lease } => self.arbiter.reject(server, lease),
             PeerMessage::HeldLeases(held) => self.arbiter.confirm(&from, held),
             other => self.tunnels.message(from, other),
         }
@@ -32,8 +34,9 @@
 
     fn request(&self, from: VmId, request: PeerRequest) -> BoxFuture<'static, PeerReply> {
         match request {
-            PeerRequest::LeaseSlot { server, lease, patience } => {
-                let leased = Arc::clone(&self.arbiter).lease(server, lease, from, patience);
+            PeerRequest::LeaseSlot { server, lease, patience, memory } => {
+                let demand = LeaseDemand { patience, memory };
+                let leased = Arc::clone(&self.arbiter).lease(server, lease, from, demand);
                 Box::pin(async move { PeerReply::SlotLeased(leased.await) })
             }
             other => self.tunnels.request(from, other),
--- a/src/roles/slot_arbiter.rs
+++ b/src/roles/slot_arbiter.rs
@@ -3,8 +3,10 @@
 use {
     crate::{
         fleet::ListedServer,
-        ids::{LeaseId, ServerId, VmId},
-        policy::slot_leases::{ArbitratedServer, LeaseDecision, LeaseRefusal, SlotTable},
+        ids::{LeaseId, ServerId, ServiceId, VmId},
+        policy::slot_leases::{
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, REJECTION_PAUSE, SlotTable,
+        },
     },
     std::{
         collections::BTreeMap,
@@ -43,8 +45,14 @@
 pub struct SlotArbiter(Mutex<ArbiterState>);
 
 impl SlotArbiter {
-    /// Applies a server list.
-    pub fn configure(&self, own: &VmId, servers: &BTreeMap<ServerId, ListedServer>) {
+    /// Applies a server list. `memory` returns the tokens that fit into the memory of a server of an engine
+    /// service.
+    pub fn configure(
+        &self,
+        own: &VmId,
+        servers: &BTreeMap<ServerId, ListedServer>,
+        memory: impl Fn(&ServiceId) -> Option<u64>,
+    ) {
         let mut state = self.lock();
         let assigned = servers.values().filter(|server| server.arbiter.as_ref() == Some(own));
         // Before the first list a former process of this entry may have leased slots.
@@ -55,7 +63,7 @@
         let assigned = assigned.map(|server| {
             let arbitrated = ArbitratedServer {
                 slots: server.slots,
-                is_engine: !server.weights.is_empty(),
+                memory: memory(&server.service),
                 had_arbiter: had_arbiter(&server.id),
             };
             (server.id.clone(), arbitrated)
@@ -66,7 +74,7 @@
         state.listed = Some(arbiters.collect());
     }
 
-    /// Leases a slot to `holder`, which waits for it for at most `patience`.
+    /// Leases a slot, and the memory that a request needs, to `holder`.
     ///
     /// # Errors
     /// When no slot becomes free in time, or another entry is the arbiter.
@@ -75,12 +83,13 @@
         server: ServerId,
         lease: LeaseId,
         holder: VmId,
-        patience: Duration,
+        demand: LeaseDemand,
     ) -> Result<(), LeaseRefusal> {
+        let patience = demand.patience;
         let (decision, receiver) = {
             let mut state = self.lock();
             let now = Instant::now();
-            let decision = state.table.request(now, &server, lease, &holder, patience);
+            let decision = state.table.request(now, &server, lease, &holder, demand);
             let receiver = (decision == LeaseDecision::Waiting).then(|| {
                 let (sender, receiver) = oneshot::channel();
                 state.waiting.insert(lease, sender);
@@ -111,6 +120,21 @@
         state.wake(granted);
     }
 
+    /// Records that a server has rejected the request of a lease, which has ended by that. Leases nothing
+    /// of the server for a while.
+    pub fn reject(self: &Arc<Self>, server: ServerId, lease: LeaseId) {
+        self.lock().table.reject(Instant::now(), &server, lease);
+        // Without a runtime the process is ending.
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        let arbiter = Arc::clone(self);
+        runtime.spawn(async move {
+            sleep(REJECTION_PAUSE).await;
+            let mut state = arbiter.lock();
+            let granted = state.table.resume(Instant::now(), &server);
+            state.wake(granted);
+        });
+    }
+
     /// Records all leases that a holder has here.
     pub fn confirm(&self, holder: &VmId, held: Vec<(ServerId, LeaseId)>) {
         let mut state = self.lock();
--- a/src/roles/slot_client.rs
+++ b/src/roles/slot_client.rs
@@ -5,7 +5,7 @@
     crate::{
         ids::{LeaseId, ServerId, VmId},
         policy::slot_leases::LeaseRefusal,
-        reverse_proxy::slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
+        reverse_proxy::slot_lease::{LeaseFailure, LeaseHolder, SlotDemand, SlotLease, SlotLeaser},
         transport::{PeerMessage, PeerNetwork, PeerReply, PeerRequest},
     },
     futures::future::BoxFuture,
@@ -96,7 +96,8 @@
         demand: SlotDemand,
         arbiter: VmId,
     ) -> Result<SlotLease, LeaseFailure> {
-        let SlotDemand { server, patience, .. } = demand;
+        let SlotDemand { server, demand, .. } = demand;
+        let patience = demand.patience;
         let lease = {
             let mut state = self.lock();
             let lease = state.random.next_u64();
@@ -113,9 +114,10 @@
             is_refused: false,
         };
         let result = if arbiter == holder {
-            Arc::clone(&self.own).lease(server, lease, holder, patience).await
+            Arc::clone(&self.own).lease(server, lease, holder, demand).await
         } else {
-            let request = PeerRequest::LeaseSlot { server, lease, patience };
+            let memory = demand.memory;
+            let request = PeerRequest::LeaseSlot { server, lease, patience, memory };
             let reply = self.network.call(&arbiter, request, patience + REPLY_MARGIN).await;
             let Ok(PeerReply::SlotLeased(result)) = reply else {
                 self.lock().pause(arbiter);
@@ -167,6 +169,15 @@
         }
     }
 
+    fn reject(&self, arbiter: &VmId, server: &ServerId, lease: LeaseId) {
+        if arbiter == self.network.vm() {
+            self.own.reject(server.clone(), lease);
+        } else {
+            let message = PeerMessage::LeaseRejected { server: server.clone(), lease };
+            self.network.send(arbiter, message);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, ClientState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -231,6 +242,12 @@
     }
 }
 
+impl LeaseHolder for LeaseGuard {
+    fn report_rejection(&self) {
+        self.client.reject(&self.arbiter, &self.server, self.lease);
+    }
+}
+
 impl Drop for LeaseGuard {
     fn drop(&mut self) {
         match self.is_refused {
@@ -243,6 +260,10 @@
 /// Ends the use of a share when it is dropped.
 struct ShareGuard(Arc<SlotClient>);
 
+impl LeaseHolder for ShareGuard {
+    fn report_rejection(&self) {}
+}
+
 impl Drop for ShareGuard {
     fn drop(&mut self) {
         self.0.lock().unleased -= 1;
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -8,7 +8,10 @@
             stream_origins::{OriginAnswer, OriginReport, StreamKey},
         },
         ids::{LeaseId, RequestId, Revision, ServerId, ServiceId, VmId},
-        policy::{DomainDigest, slot_leases::LeaseRefusal},
+        policy::{
+            DomainDigest,
+            slot_leases::{LeaseRefusal, MemoryDemand},
+        },
         transport::config_delta::ConfigDelta,
     },
     serde::{Deserialize, Serialize},
@@ -51,6 +54,13 @@
         /// Whether another control VM sends what an entry has reported.
         is_copy: bool,
     },
+    /// The server had no room for the request of a lease, which ends by that.
+    LeaseRejected {
+        /// The server.
+        server: ServerId,
+        /// The lease.
+        lease: LeaseId,
+    },
 }
 
 /// A request that gets exactly one reply, or fails.
@@ -98,6 +108,8 @@
         lease: LeaseId,
         /// How long the caller waits for a slot.
         patience: Duration,
+        /// What the request takes beside a slot.
+        memory: MemoryDemand,
     },
     /// Return where a stream began.
     StreamOrigin {
--- a/tests/engine_leases.rs
+++ b/tests/engine_leases.rs
@@ -5,7 +5,10 @@
 use {
     oleandermount::{
         ids::{LeaseId, ServerId},
-        policy::slot_leases::{ArbitratedServer, LeaseDecision, SlotTable, choose_servers},
+        policy::slot_leases::{
+            ArbitratedServer, LeaseDecision, LeaseDemand, MemoryDemand, REJECTION_PAUSE, SlotTable,
+            choose_servers,
+        },
     },
     rand_core::{RngCore, SeedableRng},
     rand_xoshiro::Xoshiro256PlusPlus,
@@ -38,6 +41,8 @@
     long_tokens: u32,
     shared_tokens: u32,
     short_tokens: u32,
+    /// Tokens of an engine's memory that something else than leased requests takes.
+    hidden_tokens: u32,
 }
 
 /// A tenth of the prompts takes three quarters of an engine's memory.
@@ -50,6 +55,7 @@
     long_tokens: 12_000,
     shared_tokens: 0,
     short_tokens: 850,
+    hidden_tokens: 0,
 };
 /// Most prompts are long, and all slots together need more than the memory, unless parts are shared.
 const MANY_LONG: FleetShape = FleetShape {
@@ -61,9 +67,12 @@
     long_tokens: 9_190,
     shared_tokens: 6_300,
     short_tokens: 826,
+    hidden_tokens: 0,
 };
 /// The same at hundreds of entries and engines.
 const MANY_ENTRIES: FleetShape = FleetShape { entries: 295, engines: 320, ..MANY_LONG };
+/// Two fifths of the memory are taken by what no arbiter knows of.
+const HIDDEN_USE: FleetShape = FleetShape { hidden_tokens: 35_000, ..MANY_LONG };
 /// No prompt is long.
 const ALL_SHORT: FleetShape = FleetShape { long_part: 0.0, ..RARE_LONG };
 
@@ -230,7 +239,11 @@
         request: &FleetRequest,
     ) -> LeaseDecision {
         let holder = format!("vm-{}", request.entry);
-        self.table.request(now, &self.names[request.engine], id, &holder, PATIENCE)
+        let shared = request.part.map_or(0, |_| self.shape.shared_tokens);
+        let parts = request.part.map(|part| (part, shared)).into_iter().collect();
+        let memory = MemoryDemand { parts, own_tokens: request.tokens - shared };
+        let demand = LeaseDemand { patience: PATIENCE, memory };
+        self.table.request(now, &self.names[request.engine], id, &holder, demand)
     }
 
     fn retry(&mut self, now: Instant, id: LeaseId) {
@@ -267,7 +280,7 @@
             known.part.map(|part| parts.insert(part, shared));
         }
         engine.running.len() < self.shape.slots
-            && used + parts.values().sum::<u32>() <= self.shape.memory
+            && used + parts.values().sum::<u32>() + self.shape.hidden_tokens <= self.shape.memory
     }
 
     fn start_waiting(&mut self, now: Instant, engine: usize) {
@@ -302,10 +315,15 @@
     }
 
     fn report_rejection(&mut self, now: Instant, id: LeaseId) {
-        self.end_lease(now, id);
+        let engine = self.requests[&id].engine;
+        self.table.reject(now, &self.names[engine], id);
+        self.schedule(now + REJECTION_PAUSE, FleetEvent::Resume { engine });
     }
 
-    fn resume(&mut self, _now: Instant, _engine: usize) {}
+    fn resume(&mut self, now: Instant, engine: usize) {
+        let granted = self.table.resume(now, &self.names[engine]);
+        self.send_granted(now, granted);
+    }
 
     fn finish(&mut self, now: Instant, id: LeaseId) {
         // It may have been lost with its engine.
@@ -334,7 +352,8 @@
 }
 
 fn arbitrated(shape: FleetShape) -> ArbitratedServer {
-    ArbitratedServer { slots: shape.slots as u32, is_engine: true, had_arbiter: false }
+    let memory = Some(u64::from(shape.memory));
+    ArbitratedServer { slots: shape.slots as u32, memory, had_arbiter: false }
 }
 
 /// Guards against engines that end under requests which found a slot and no memory.
@@ -381,3 +400,16 @@
         assert!(served >= least, "{} entries at {load}: {served}", shape.entries);
     }
 }
+
+/// Guards against engines that end because their memory is not what the arbiters know.
+#[test]
+fn rejections_pause_leases() {
+    let now = Instant::now();
+    let mut fleet = EngineFleet::new(now, HIDDEN_USE, 13);
+    let served = fleet.run(now, 1.2);
+    let EngineFleet { ended, rejected, .. } = fleet;
+    println!("{ended} ended, {rejected} rejected, {served:.3} served");
+    assert!(rejected > 0, "the memory is short");
+    assert!(ended <= 2 + HIDDEN_USE.engines as u32 / 10, "{ended} ended");
+    assert!(served >= 0.4, "{served}");
+}
--- a/tests/slot_arbiter.rs
+++ b/tests/slot_arbiter.rs
@@ -4,7 +4,7 @@
     oleandermount::{
         fleet::{ListedServer, ServerPhase},
         ids::{ServerId, VmId},
-        policy::slot_leases::{LeaseRefusal, SETTLE_TIME},
+        policy::slot_leases::{LeaseDemand, LeaseRefusal, MemoryDemand, SETTLE_TIME},
         roles::slot_arbiter::SlotArbiter,
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -32,7 +32,8 @@
 }
 
 async fn lease(arbiter: &Arc<SlotArbiter>, server: &str, lease: u64) -> Result<(), LeaseRefusal> {
-    Arc::clone(arbiter).lease(server.to_owned(), lease, "vm-2".to_owned(), PATIENCE).await
+    let demand = LeaseDemand { patience: PATIENCE, memory: MemoryDemand::default() };
+    Arc::clone(arbiter).lease(server.to_owned(), lease, "vm-2".to_owned(), demand).await
 }
 
 fn is_settling(result: Result<(), LeaseRefusal>) -> bool {
@@ -44,9 +45,12 @@
 async fn unleased_slots_are_leased() {
     let (arbiter, own): (Arc<SlotArbiter>, VmId) = (Arc::default(), "vm-1".to_owned());
     assert_eq!(lease(&arbiter, "a", 1).await, Err(LeaseRefusal::NotArbiter));
-    arbiter.configure(&own, &list(&[("a", None), ("b", Some("vm-9"))]));
-    arbiter
-        .configure(&own, &list(&[("a", Some("vm-1")), ("b", Some("vm-1")), ("c", Some("vm-1"))]));
+    arbiter.configure(&own, &list(&[("a", None), ("b", Some("vm-9"))]), |_| None);
+    arbiter.configure(
+        &own,
+        &list(&[("a", Some("vm-1")), ("b", Some("vm-1")), ("c", Some("vm-1"))]),
+        |_| None,
+    );
     assert_eq!(lease(&arbiter, "a", 1).await, Ok(()), "it had no arbiter");
     assert_eq!(lease(&arbiter, "c", 2).await, Ok(()), "it is new");
     assert!(is_settling(lease(&arbiter, "b", 3).await), "another entry was its arbiter");
@@ -56,7 +60,7 @@
 #[tokio::test]
 async fn restarted_arbiter_settles() {
     let (arbiter, own): (Arc<SlotArbiter>, VmId) = (Arc::default(), "vm-1".to_owned());
-    arbiter.configure(&own, &list(&[("a", Some("vm-1"))]));
+    arbiter.configure(&own, &list(&[("a", Some("vm-1"))]), |_| None);
     assert!(is_settling(lease(&arbiter, "a", 1).await));
 }
 
@@ -64,8 +68,8 @@
 #[tokio::test]
 async fn waiting_request_gets_lease() {
     let (arbiter, own): (Arc<SlotArbiter>, VmId) = (Arc::default(), "vm-1".to_owned());
-    arbiter.configure(&own, &list(&[]));
-    arbiter.configure(&own, &list(&[("a", Some("vm-1"))]));
+    arbiter.configure(&own, &list(&[]), |_| None);
+    arbiter.configure(&own, &list(&[("a", Some("vm-1"))]), |_| None);
     assert_eq!(lease(&arbiter, "a", 1).await, Ok(()));
     let waiting = lease(&arbiter, "a", 2);
     tokio::pin!(waiting);
--- a/tests/slot_leases.rs
+++ b/tests/slot_leases.rs
@@ -6,8 +6,8 @@
     oleandermount::{
         ids::{LeaseId, ServerId, VmId},
         policy::slot_leases::{
-            ArbitratedServer, LeaseDecision, LeaseRefusal, MAX_SERVERS, SETTLE_TIME, SlotTable,
-            choose_arbiter, choose_servers,
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, MAX_SERVERS, MemoryDemand,
+            SETTLE_TIME, SlotTable, choose_arbiter, choose_servers,
         },
         transport::{PeerMessage, PeerReply, PeerRequest},
     },
@@ -30,7 +30,12 @@
 }
 
 fn assigned(slots: u32, had_arbiter: bool) -> ArbitratedServer {
-    ArbitratedServer { slots, is_engine: false, had_arbiter }
+    ArbitratedServer { slots, memory: None, had_arbiter }
+}
+
+/// What a request to a plain service asks of an arbiter.
+fn demand(patience: Duration) -> LeaseDemand {
+    LeaseDemand { patience, memory: MemoryDemand::default() }
 }
 
 /// A table with one server of `slots` slots.
@@ -196,7 +201,7 @@
             return;
         }
         let (name, holder) = (self.servers[server].clone(), format!("vm-{entry}"));
-        let decision = self.tables[arbiter].request(now, &name, request, &holder, PATIENCE);
+        let decision = self.tables[arbiter].request(now, &name, request, &holder, demand(PATIENCE));
         if decision != LeaseDecision::Waiting && decision != LeaseDecision::Granted {
             if tries + 1 < TRIES {
                 self.ask(now, entry, tries + 1);
@@ -287,7 +292,9 @@
     let mut table = table(now, 4, false);
     let server = "s".to_owned();
     let decisions: Vec<LeaseDecision> = (0..100)
-        .map(|lease| table.request(now, &server, lease, &format!("vm-{lease}"), seconds(2.0)))
+        .map(|lease| {
+            table.request(now, &server, lease, &format!("vm-{lease}"), demand(seconds(2.0)))
+        })
         .collect();
     let count = |wanted| decisions.iter().filter(|decision| **decision == wanted).count();
     assert_eq!(count(LeaseDecision::Granted), 4);
@@ -301,8 +308,9 @@
 fn late_slots_are_refused() {
     let now = Instant::now();
     let (mut table, server) = (table(now, 1, false), "s".to_owned());
-    let mut request =
-        |lease, patience| table.request(now, &server, lease, &"vm".to_owned(), seconds(patience));
+    let mut request = |lease, patience| {
+        table.request(now, &server, lease, &"vm".to_owned(), demand(seconds(patience)))
+    };
     assert_eq!(request(1, 0.3), LeaseDecision::Granted);
     assert_eq!(request(2, 0.3), LeaseDecision::Refused(LeaseRefusal::Full(seconds(0.5))));
     assert_eq!(request(3, 1.0), LeaseDecision::Waiting);
@@ -315,8 +323,8 @@
     let now = Instant::now();
     let (mut table, server) = (table(now, 2, false), "s".to_owned());
     let (first, second) = ("vm-1".to_owned(), "vm-2".to_owned());
-    table.request(now, &server, 1, &first, seconds(1.0));
-    table.request(now, &server, 2, &second, seconds(1.0));
+    table.request(now, &server, 1, &first, demand(seconds(1.0)));
+    table.request(now, &server, 2, &second, demand(seconds(1.0)));
     let held = BTreeSet::from([(server.clone(), 2)]);
     table.confirm(now + seconds(3.0), &second, &held);
     table.expire(now + seconds(4.5));
@@ -331,13 +339,16 @@
     let now = Instant::now();
     let (mut table, server) = (table(now, 2, true), "s".to_owned());
     let holder = "vm-1".to_owned();
-    let refused = table.request(now, &server, 9, &holder, seconds(1.0));
+    let refused = table.request(now, &server, 9, &holder, demand(seconds(1.0)));
     assert_eq!(refused, LeaseDecision::Refused(LeaseRefusal::Full(SETTLE_TIME)));
     let held = BTreeSet::from([(server.clone(), 1)]);
     table.confirm(now + seconds(1.0), &holder, &held);
     let later = now + SETTLE_TIME;
-    assert_eq!(table.request(later, &server, 2, &holder, seconds(0.1)), LeaseDecision::Granted);
-    let third = table.request(later, &server, 3, &holder, seconds(0.1));
+    assert_eq!(
+        table.request(later, &server, 2, &holder, demand(seconds(0.1))),
+        LeaseDecision::Granted
+    );
+    let third = table.request(later, &server, 3, &holder, demand(seconds(0.1)));
     assert!(matches!(third, LeaseDecision::Refused(_)), "{third:?}");
 }
 
@@ -360,7 +371,12 @@
 fn lease_messages_are_small() {
     let server = "i-7f3a91c2aa".to_owned();
     let lease = u64::MAX;
-    let question = PeerRequest::LeaseSlot { server: server.clone(), lease, patience: PATIENCE };
+    let question = PeerRequest::LeaseSlot {
+        server: server.clone(),
+        lease,
+        patience: PATIENCE,
+        memory: MemoryDemand::default(),
+    };
     let answer = PeerReply::SlotLeased(Err(LeaseRefusal::Full(PATIENCE)));
     let end = PeerMessage::EndLease { server, lease };
     let lengths = [
