--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -61,8 +61,6 @@
     /// Logs an attempt with the inputs of its decision; at debug level, because each request has at
     /// least one attempt.
     pub(super) fn log_send(&self, order: &SendOrder) {
-        let work = self.request.caller.work.as_ref();
-        let parts = work.map(|work| work.parts.iter().map(|(id, tokens)| format!("{id}:{tokens}")));
         log::debug!(
             request_id = self.request.caller.id.as_str(),
             server = order.server.as_str(),
@@ -70,12 +68,19 @@
             keep:? = order.store_use,
             weights = order.weights.as_deref(),
             expected_hit = order.expected_hit,
-            parts = parts.map(|parts| parts.collect::<Vec<_>>().join(",")).unwrap_or_default(),
+            parts = self.prompt_parts(),
             waited_ms = self.waited_ms();
             "{}", events::REQUEST_SENT
         );
     }
 
+    /// The parts of the prompt with their tokens, in order; empty for other requests.
+    fn prompt_parts(&self) -> String {
+        let parts = self.request.caller.work.iter().flat_map(|work| &work.parts);
+        let parts: Vec<String> = parts.map(|(id, tokens)| format!("{id}:{tokens}")).collect();
+        parts.join(",")
+    }
+
     /// Logs that a server rejected the request, with the load that it reported, and whether the request
     /// was sent under a lease.
     pub(super) fn log_rejection(&self, order: &SendOrder, head: &ResponseHead, is_leased: bool) {
@@ -111,6 +116,7 @@
             expected_hit = order.expected_hit,
             weights = order.weights.as_deref(),
             relayed_events = events,
+            parts = self.prompt_parts(),
             sent_to = self.runs,
             waited_ms = self.waited_ms();
             "{}", events::ATTEMPT_FAILED
