Find the part of prompts that crashes servers, and refuse requests with it

Cause: evidence was collected for whole requests alone. Each request with the part is another one, ends two servers, and nothing is known of the next.

Change: parts are recorded like requests, and a completed request clears its parts at all entries. That tells the crashing part from those that are in flight beside it: a shared part completes within a fraction of a second somewhere. Requests with a suspected part run one at a time; it is refused after three confirmed crashes that span half a second, so that servers that end together convict none. A refused part explains the requests that broke with it. Both stacks use it; the last part is left out.

--- a/examples/capacity_slopes.rs
+++ b/examples/capacity_slopes.rs
@@ -161,6 +161,7 @@
         deadline: now + Duration::from_secs(60),
         repeatable: true,
         fingerprint: number,
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Model {
             model: format!("model-{}", organisation % case.models),
--- a/examples/policy_report/callers.rs
+++ b/examples/policy_report/callers.rs
@@ -105,6 +105,7 @@
             deadline: epoch + self.deadline,
             repeatable: self.request.repeatable,
             fingerprint: mix_hash(0xf1f1, index as u64),
+            parts: Vec::new(),
             software: None,
             work,
         }
--- a/src/pipeline/prompt.rs
+++ b/src/pipeline/prompt.rs
@@ -8,6 +8,7 @@
         policy::{
             PrefixLevel,
             prefix::{self, PromptSegment},
+            suspect,
         },
     },
     serde_json::Value,
@@ -112,6 +113,11 @@
         })
     }
 
+    /// Fingerprints of the chunks that other prompts of the organisation may share.
+    pub fn part_fingerprints(&self, organisation: &OrganisationId) -> Vec<u64> {
+        suspect::part_fingerprints(organisation, self.chunks.iter().map(Vec::as_slice))
+    }
+
     /// The prefix levels of the prompt, which are separate for each organisation.
     pub fn levels(&self, organisation: &OrganisationId) -> Vec<PrefixLevel> {
         let segments: Vec<PromptSegment<'_>> = self
--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -164,6 +164,7 @@
             &caller.organisation,
             &[&prompt.fingerprint.to_le_bytes()],
         ),
+        parts: prompt.part_fingerprints(&caller.organisation),
         software: None,
         work: RequestWork::Model {
             model: prompt.model.clone(),
--- a/src/pipeline/service_call.rs
+++ b/src/pipeline/service_call.rs
@@ -238,6 +238,7 @@
             &call.caller.organisation,
             &[call_digest(call).as_bytes()],
         ),
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Service { service: call.service.clone() },
     }
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -77,8 +77,8 @@
     prefix_rates: PrefixRateTable,
     budgets: RetryBudgets,
     suspects: SuspectList,
-    /// Fingerprints recorded at crashes that are in flight from this daemon; at most one request
-    /// for each.
+    /// Fingerprints recorded at crashes, of requests and of parts, that are in flight from this daemon; at
+    /// most one request for each.
     running_suspects: BTreeSet<u64>,
     /// Requests without a final outcome. Waiting ones are bounded by the queues of the pools,
     /// running ones by the windows.
@@ -150,8 +150,8 @@
     charged_output: u64,
     urgency: servers::Urgency,
     answered: bool,
-    /// Its fingerprint, if it had been recorded at a crash.
-    suspect: Option<u64>,
+    /// The fingerprints, of it and of its parts, for which it runs apart from other such requests.
+    suspects: Vec<u64>,
 }
 
 impl Dispatcher {
--- a/src/policy/dispatcher/arrivals.rs
+++ b/src/policy/dispatcher/arrivals.rs
@@ -68,7 +68,7 @@
         if ticket.deadline <= now {
             return Some((RefusalReason::DeadlinePassed, None));
         }
-        if self.has_crashed_servers(now, ticket.fingerprint) {
+        if self.has_crashed_servers(now, ticket) {
             return Some((RefusalReason::CrashesServers, None));
         }
         let pool = self.table.by_key.get(&PoolKey::of(&ticket.work));
@@ -79,8 +79,24 @@
         (!served && !waits).then_some((RefusalReason::NoServer, Some(NO_SERVER_RETRY_AFTER)))
     }
 
-    pub(super) fn has_crashed_servers(&self, now: Instant, fingerprint: u64) -> bool {
-        self.is_enabled(PolicySafeguard::Suspect) && self.suspects.is_refused(now, fingerprint)
+    /// Returns whether the request, or a part of its prompt, has crashed servers.
+    pub(super) fn has_crashed_servers(&self, now: Instant, ticket: &RequestTicket) -> bool {
+        let is_refused = |part: &u64| self.suspects.is_part_refused(now, *part);
+        self.is_enabled(PolicySafeguard::Suspect)
+            && (self.suspects.is_refused(now, ticket.fingerprint)
+                || ticket.parts.iter().any(is_refused))
+    }
+
+    /// Returns the fingerprints, of the request and of the parts of its prompt, that may have crashed
+    /// servers.
+    pub(super) fn suspected(&self, now: Instant, ticket: &RequestTicket) -> Vec<u64> {
+        if !self.is_enabled(PolicySafeguard::Suspect) {
+            return Vec::new();
+        }
+        let is_isolated = |part: &&u64| self.suspects.is_part_isolated(now, **part);
+        let parts = ticket.parts.iter().filter(is_isolated).copied();
+        let own = self.suspects.crash_count(now, ticket.fingerprint) > 0;
+        parts.chain(own.then_some(ticket.fingerprint)).collect()
     }
 
     /// Estimates the cost of a request in tokens: the part of the prompt that no server holds, and
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -165,7 +165,9 @@
         self.cancel_deadline(state.number, entry.phase.ticket().deadline);
         let ticket = entry.phase.ticket();
         self.numbers.remove(&ticket.request);
-        self.suspects.clear(now, ticket.fingerprint);
+        for fingerprint in ticket.parts.iter().chain([&ticket.fingerprint]) {
+            self.suspects.clear(now, *fingerprint);
+        }
         let pool = &mut self.table.pools[entry.pool];
         pool.output += (f64::from(output_tokens) - pool.output) * MEAN_STEP;
         pool.service += (taken.as_secs_f64() - pool.service) * MEAN_STEP;
@@ -182,8 +184,8 @@
     pub(super) fn end_attempt(&mut self, attempt: AttemptId) -> Option<AttemptState> {
         let state = self.attempts.remove(&attempt)?;
         self.table.servers[state.server].end_attempt(attempt, &state);
-        if let Some(fingerprint) = state.suspect {
-            self.running_suspects.remove(&fingerprint);
+        for fingerprint in &state.suspects {
+            self.running_suspects.remove(fingerprint);
         }
         self.mark_dirty(state.server);
         Some(state)
@@ -200,6 +202,7 @@
         self.numbers.remove(&sent.ticket().request);
         if failed.failure == AttemptFailure::CallerError {
             // The server responded, so it did not crash, and the caller gets its response.
+            // Nothing was written to its prompt, so that its parts are not cleared.
             self.suspects.clear(now, sent.ticket().fingerprint);
             return;
         }
@@ -215,13 +218,15 @@
         failed: &FailedAttempt,
         sent: &mut SentRequest,
     ) {
-        let fingerprint = sent.ticket().fingerprint;
+        let ticket = sent.ticket();
         let server = &self.table.servers[state.server];
         if failed.failure == AttemptFailure::Broken && server.reachable {
             let site = server.crash_site(state.server);
-            self.suspects.record_crash(now, fingerprint, site, state.answered);
-            if self.has_crashed_servers(now, fingerprint) {
-                log::warn!(fingerprint:% = format_args!("{fingerprint:016x}"),
+            for fingerprint in ticket.parts.iter().chain([&ticket.fingerprint]) {
+                self.suspects.record_crash(now, *fingerprint, site, state.answered);
+            }
+            if self.has_crashed_servers(now, ticket) {
+                log::warn!(fingerprint:% = format_args!("{:016x}", ticket.fingerprint),
                     server = self.table.servers[state.server].id.as_str();
                     "{}", events::REQUEST_ISOLATED);
             }
@@ -249,9 +254,9 @@
     /// Schedules a retry of a failed request or refuses it.
     fn retry_or_refuse(&mut self, now: Instant, request: FailedRequest, failed: &FailedAttempt) {
         let ticket = request.sent.ticket();
-        let (name, fingerprint) = (ticket.request.clone(), ticket.fingerprint);
+        let name = ticket.request.clone();
         let did_run = request.sent.history().did_run;
-        if self.has_crashed_servers(now, fingerprint) {
+        if self.has_crashed_servers(now, ticket) {
             self.refuse(name, RefusalReason::CrashesServers, None, did_run);
             return;
         }
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -183,16 +183,14 @@
         if request.stage.not_before > now {
             return PlacementDecision::Wait;
         }
-        let fingerprint = request.ticket.fingerprint;
-        if self.has_crashed_servers(now, fingerprint) {
+        if self.has_crashed_servers(now, &request.ticket) {
             return PlacementDecision::Refuse(RefusalReason::CrashesServers);
         }
-        let suspect = self.is_enabled(PolicySafeguard::Suspect)
-            && self.suspects.crash_count(now, fingerprint) > 0;
-        if suspect && self.running_suspects.contains(&fingerprint) {
+        let suspected = self.suspected(now, &request.ticket);
+        if suspected.iter().any(|fingerprint| self.running_suspects.contains(fingerprint)) {
             return PlacementDecision::Wait;
         }
-        let query = self.placement_query(now, pool, request, suspect);
+        let query = self.placement_query(now, pool, request, !suspected.is_empty());
         let candidates = self.candidates(&query, draws);
         let best = [EligibilityTier::Usable, EligibilityTier::Responding, EligibilityTier::Any]
             .into_iter()
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -217,7 +217,7 @@
     /// Records an attempt that was sent.
     pub fn begin_attempt(&mut self, attempt: AttemptId, state: &AttemptState) {
         self.in_flight += 1;
-        self.suspects += u32::from(state.suspect.is_some());
+        self.suspects += u32::from(!state.suspects.is_empty());
         self.pending_tokens[state.urgency] += u64::from(state.computed);
         let due = state.sent + state.predicted;
         let unanswered = UnansweredAttempt {
@@ -240,7 +240,7 @@
     pub fn end_attempt(&mut self, attempt: AttemptId, state: &AttemptState) {
         self.record_first_token(attempt);
         self.in_flight -= 1;
-        self.suspects -= u32::from(state.suspect.is_some());
+        self.suspects -= u32::from(!state.suspects.is_empty());
     }
 }
 
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -7,7 +7,7 @@
         selection::Candidate,
         servers::PoolIndex,
     },
-    crate::policy::{PolicyAction, PolicySafeguard, RequestWork, SendOrder},
+    crate::policy::{PolicyAction, RequestWork, SendOrder},
     rand_core::RngCore,
     std::time::{Duration, Instant},
 };
@@ -28,9 +28,7 @@
         }
         let state = self.attempt_state(now, number, pool, &request, &best);
         self.charge(now, pool, cost, &request, &state);
-        if let Some(fingerprint) = state.suspect {
-            self.running_suspects.insert(fingerprint);
-        }
+        self.running_suspects.extend(&state.suspects);
         let store_use = self.plan_store_use(now, &request, &best, state.weights.as_ref());
         let send_order =
             SendOrder { store_use, ..self.send_order(now, attempt, &request, &best, &state) };
@@ -62,8 +60,6 @@
     ) -> AttemptState {
         let ticket = &request.ticket;
         let server = &self.table.servers[best.server];
-        let crash_count = self.suspects.crash_count(now, ticket.fingerprint);
-        let suspect = crash_count > 0 && self.is_enabled(PolicySafeguard::Suspect);
         let (weights, output, age) = match &ticket.work {
             RequestWork::Model { model, max_output_tokens, levels, .. } => (
                 server.certain_weights(model).cloned(),
@@ -87,7 +83,7 @@
             software: server.software.clone(),
             charged_output: output,
             answered: false,
-            suspect: suspect.then_some(ticket.fingerprint),
+            suspects: self.suspected(now, ticket),
         }
     }
 
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -190,6 +190,9 @@
     /// Hash of the organisation and the complete request, identical for every resend; see
     /// [`suspect::fingerprint`](super::suspect::fingerprint). Identifies requests that crash servers.
     pub fingerprint: u64,
+    /// Hashes of the parts of its prompt that other requests may share; see
+    /// [`suspect::part_fingerprints`](super::suspect::part_fingerprints). Identify parts that crash servers.
+    pub parts: Vec<u64>,
     /// The software version that its server must have, if it resumes a stream.
     pub software: Option<SoftwareVersion>,
     /// The requested work.
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -25,7 +25,12 @@
 //! ones break. A daemon that gets a response from the server itself knows that it has not ended, and
 //! ignores the report.
 
+mod parts;
+
+pub use self::parts::{MAX_PARTS, part_fingerprints};
+
 use {
+    self::parts::{is_part, make_crash_room},
     super::prefix::ServerIndex,
     crate::ids::Incarnation,
     serde::{Deserialize, Serialize},
@@ -54,7 +59,7 @@
 /// Maximum number of fingerprints; the one with the oldest crash is evicted first.
 const MAX_SUSPECTS: usize = 1_024;
 
-/// Maximum number of crashes recorded for a fingerprint.
+/// Maximum number of crashes recorded for the fingerprint of a request.
 const MAX_CRASHES: usize = 4;
 
 /// Maximum number of servers that are recorded as ended at the same time.
@@ -98,7 +103,7 @@
     }
     let content_bits = u64::BITS - ORGANISATION_BITS;
     let organisation = xxh3_64(organisation.as_bytes()) >> content_bits << content_bits;
-    organisation | content.digest() >> ORGANISATION_BITS
+    parts::of_request(organisation | content.digest() >> ORGANISATION_BITS)
 }
 
 /// Identifier of a crash: a hash of the server and its incarnation, equal on every daemon.
@@ -204,7 +209,8 @@
     }
 }
 
-/// Crashes of one fingerprint; at most [`MAX_CRASHES`].
+/// Crashes of one fingerprint; at most [`MAX_CRASHES`], or of a part
+/// [`parts::MAX_CRASHES`].
 type CrashMap = BTreeMap<CrashId, CrashRecord>;
 
 /// Fingerprints of requests that were in flight when a server crashed.
@@ -228,12 +234,14 @@
         let crashes = self.records.get(&fingerprint);
         let own = crashes.map_or(0, |crashes| counted(now, crashes).count());
         let is_explained = move |crash: CrashId| {
-            self.records.values().any(|other| {
+            let is_explained = self.records.iter().any(|(key, other)| {
                 // Most fingerprints have one crash, so that the lengths decide.
-                other.len() > own
+                !is_part(*key)
+                    && other.len() > own
                     && other.get(&crash).is_some_and(|record| record.counts(now))
                     && counted(now, other).count() > own
-            })
+            });
+            is_explained || self.is_explained_by_part(now, crash)
         };
         crashes
             .into_iter()
@@ -260,7 +268,9 @@
                 && counted(now, crashes)
                     .all(|crash| other.get(&crash).is_some_and(|record| record.counts(now)))
         };
-        self.records.iter().any(|(other, records)| *other != fingerprint && was_in_flight(records))
+        self.records.iter().any(|(other, records)| {
+            *other != fingerprint && !is_part(*other) && was_in_flight(records)
+        })
     }
 
     /// Records that a request was in flight when its connection to a server broke, and whether the
@@ -275,7 +285,7 @@
         self.make_room(fingerprint);
         let crashes = self.records.entry(fingerprint).or_default();
         crashes.retain(|_, record| record.is_retained(now));
-        if crashes.len() >= MAX_CRASHES && !crashes.contains_key(&site.crash) {
+        if !make_crash_room(crashes, fingerprint, site.crash) {
             return;
         }
         let record = crashes.entry(site.crash).or_insert(CrashRecord {
@@ -377,7 +387,7 @@
                 changed |= record.advance(since, report.evidence);
                 changed |= report.is_weak && !record.is_weak;
                 record.is_weak |= report.is_weak;
-            } else if crashes.len() < MAX_CRASHES {
+            } else if make_crash_room(crashes, report.fingerprint, report.crash) {
                 let evidence = report.evidence;
                 let is_weak = report.is_weak;
                 let record = CrashRecord { evidence, since, is_weak, site: None, is_own: false };
@@ -425,7 +435,11 @@
     fn reports(&self, now: Instant, included: impl Fn(&CrashRecord) -> bool) -> Vec<CrashReport> {
         let mut reports = Vec::new();
         for (fingerprint, crashes) in &self.records {
-            let crash_count = counted(now, crashes).count();
+            // That a part is cleared is as important as its crashes.
+            let crash_count = match is_part(*fingerprint) {
+                true => crashes.len(),
+                false => counted(now, crashes).count(),
+            };
             for (crash, record) in crashes {
                 let age = now.saturating_duration_since(record.since);
                 let is_due = crash_count > 1 || age < SINGLE_REPORT_TIME;
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -132,6 +132,7 @@
             organisation = self.request.caller.organisation.as_str(),
             route = self.request.caller.route.name.as_str(),
             document = self.request.document,
+            parts = self.prompt_parts(),
             sent_to = self.runs,
             waited_ms = self.waited_ms(),
             retry_after_ms = retry_after.map(|delay| delay.as_millis() as u64);
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -135,6 +135,7 @@
             deadline: first.min(self.deadline),
             repeatable: caller.route.kind.is_repeatable(),
             fingerprint: self.fingerprint(),
+            parts: self.part_fingerprints(),
             software: self.software.clone(),
             work: match &caller.work {
                 Some(work) => RequestWork::Model {
@@ -155,6 +156,11 @@
         if self.caller.isolated { &self.caller.organisation } else { "" }
     }
 
+    fn part_fingerprints(&self) -> Vec<u64> {
+        let parts = self.caller.work.iter().flat_map(|work| &work.parts);
+        suspect::part_fingerprints(self.cache_owner(), parts.map(|(id, _)| id.as_bytes()))
+    }
+
     fn levels(&self, work: &PromptWork) -> Vec<PrefixLevel> {
         let segments: Vec<PromptSegment<'_>> = work
             .parts
--- a/tests/atomic_inputs.rs
+++ b/tests/atomic_inputs.rs
@@ -48,6 +48,7 @@
         deadline: now + Duration::from_secs(60),
         repeatable: false,
         fingerprint: u64::from(number),
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Service { service: SERVICE.to_owned() },
     })
--- a/tests/cache_identity.rs
+++ b/tests/cache_identity.rs
@@ -95,6 +95,7 @@
             deadline: self.now + Duration::from_secs(20),
             repeatable: true,
             fingerprint: u64::from(self.sent_count),
+            parts: Vec::new(),
             software: None,
             work: RequestWork::Model {
                 model: MODEL.to_owned(),
--- a/tests/cache_store.rs
+++ b/tests/cache_store.rs
@@ -91,6 +91,7 @@
             deadline: self.now + Duration::from_secs(15),
             repeatable: true,
             fingerprint: self.count,
+            parts: Vec::new(),
             software: None,
             work: RequestWork::Model {
                 model: MODEL.to_owned(),
--- a/tests/dispatch_outcomes.rs
+++ b/tests/dispatch_outcomes.rs
@@ -83,6 +83,7 @@
         deadline,
         repeatable: true,
         fingerprint: request.len() as u64,
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Model {
             model: MODEL.to_owned(),
--- a/tests/disputed_crashes.rs
+++ b/tests/disputed_crashes.rs
@@ -73,6 +73,7 @@
         deadline: now + Duration::from_secs(9),
         repeatable: true,
         fingerprint,
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Model {
             model: MODEL.to_owned(),
--- a/tests/fleet_affinity.rs
+++ b/tests/fleet_affinity.rs
@@ -136,6 +136,7 @@
         deadline: now + Duration::from_secs(5),
         repeatable: true,
         fingerprint: number,
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Model {
             model: MODEL.to_owned(),
--- a/tests/full_servers.rs
+++ b/tests/full_servers.rs
@@ -52,6 +52,7 @@
         deadline: now + Duration::from_secs(4),
         repeatable,
         fingerprint: 1,
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Service { service: "app".to_owned() },
     })
--- a/tests/long_prefix_affinity.rs
+++ b/tests/long_prefix_affinity.rs
@@ -84,6 +84,7 @@
         deadline: now + Duration::from_secs(10),
         repeatable: true,
         fingerprint: number,
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Model {
             model: MODEL.to_owned(),
--- a/tests/policy_switches.rs
+++ b/tests/policy_switches.rs
@@ -63,6 +63,7 @@
         deadline: now + Duration::from_secs(5),
         repeatable: true,
         fingerprint: 1,
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Model {
             model: MODEL.to_owned(),
--- a/tests/prefix_fetch.rs
+++ b/tests/prefix_fetch.rs
@@ -93,6 +93,7 @@
             deadline: self.now + Duration::from_secs(10),
             repeatable: true,
             fingerprint: u64::from(self.count),
+            parts: Vec::new(),
             software: None,
             work: RequestWork::Model {
                 model: MODEL.to_owned(),
--- a/tests/reserved_engine.rs
+++ b/tests/reserved_engine.rs
@@ -81,6 +81,7 @@
             deadline: self.now + Duration::from_secs(15),
             repeatable: true,
             fingerprint: u64::from(self.count),
+            parts: Vec::new(),
             software: None,
             work: RequestWork::Model {
                 model: MODEL.to_owned(),
--- a/tests/software_versions.rs
+++ b/tests/software_versions.rs
@@ -76,6 +76,7 @@
         deadline: now + Duration::from_secs(4),
         repeatable: true,
         fingerprint: 1,
+        parts: Vec::new(),
         software: software.map(ToOwned::to_owned),
         work: RequestWork::Model {
             model: MODEL.to_owned(),
--- a/tests/unreachable_servers.rs
+++ b/tests/unreachable_servers.rs
@@ -57,6 +57,7 @@
         // A repeatable request would be sent again by the dispatcher itself.
         repeatable: false,
         fingerprint: 1,
+        parts: Vec::new(),
         software: None,
         work: RequestWork::Service { service: SERVICE.to_owned() },
     };
