--- a/tests/slot_leases.rs
+++ b/tests/slot_leases.rs
@@ -6,8 +6,8 @@
     oleandermount::{
         ids::{LeaseId, ServerId, VmId},
         policy::slot_leases::{
-            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, MAX_SERVERS, MemoryDemand,
-            SETTLE_TIME, SlotTable, choose_arbiter, choose_servers,
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, MAX_PARTS, MAX_SERVERS,
+            MemoryDemand, SETTLE_TIME, SlotTable, choose_arbiter, choose_servers,
         },
         transport::{PeerMessage, PeerReply, PeerRequest},
     },
@@ -377,6 +377,10 @@
         patience: PATIENCE,
         memory: MemoryDemand::default(),
     };
+    let parts = vec![(u64::MAX, u32::MAX); MAX_PARTS];
+    let memory = MemoryDemand { parts, own_tokens: u32::MAX };
+    let longest =
+        PeerRequest::LeaseSlot { server: server.clone(), lease, patience: PATIENCE, memory };
     let answer = PeerReply::SlotLeased(Err(LeaseRefusal::Full(PATIENCE)));
     let end = PeerMessage::EndLease { server, lease };
     let lengths = [
@@ -385,4 +389,6 @@
         postcard::to_stdvec(&end).unwrap().len(),
     ];
     assert!(lengths.iter().sum::<usize>() <= 70, "{lengths:?}");
+    let longest = postcard::to_stdvec(&longest).unwrap().len();
+    assert!(longest <= lengths[0] + 4 + 15 * MAX_PARTS, "{longest}");
 }
