--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -11,8 +11,8 @@
 //! spare. If the wait would be longer, it is refused at once.
 //!
 //! What a server keeps beside leased requests is not known here. If it rejects a leased request, its
-//! arbiter therefore leases no more than what the server holds at that time, and twice as much more with
-//! each further second.
+//! arbiter therefore leases no more than the server held at that time. The limit rises by 1, 3, 7, ..
+//! slots and their part of the memory after 1, 2, 3, .. seconds.
 
 mod memory;
 
@@ -33,7 +33,7 @@
 /// by the rejections of a second.
 pub const REJECTION_PAUSE: Duration = Duration::from_secs(1);
 
-/// The time after a rejection in which what an arbiter leases in addition doubles.
+/// Time between two steps in which the limit rises after a rejection.
 const RECOVERY_STEP: Duration = Duration::from_secs(1);
 
 /// An arbiter that has just become one leases nothing for this time, in which the holders of leases
@@ -116,7 +116,7 @@
 }
 
 impl LeaseRejection {
-    /// Leases that are granted beyond those that the server held; doubles with each second.
+    /// Leases that are granted beyond those that the server held: 0, 1, 3, 7, .. after each step.
     fn additional(&self, now: Instant) -> usize {
         let steps = now.saturating_duration_since(self.at).as_secs() / RECOVERY_STEP.as_secs();
         (1_usize << steps.min(16)) - 1
@@ -191,7 +191,7 @@
     /// The expected wait of a request behind all that wait.
     fn expected_wait(&self, now: Instant) -> Duration {
         let ahead = (self.waiting.len() + 1) as f64;
-        // Less than all slots run at a time if memory or a rejection holds requests back.
+        // Fewer than all slots are in use if the memory is full or the limit is lowered.
         let parallel = match self.leases.len() {
             0 => self.allowed_leases(now),
             running => running.min(self.allowed_leases(now)),
@@ -233,7 +233,7 @@
         }
     }
 
-    /// Takes note that the server had no room for a leased request.
+    /// Lowers the limit after the server had no room for a leased request.
     fn reject(&mut self, now: Instant, lease: LeaseId) {
         if self.remove(lease).is_none() {
             return;
@@ -366,7 +366,7 @@
                 && slots.leases.len() < slots.usable * MAX_TAKEN_OVER
                 && now < slots.leases_from
             {
-                // What it takes is not known; an even part, until it ends.
+                // Its memory demand is unknown and counts as an even part.
                 let even = slots.memory.capacity.unwrap_or(0) / slots.usable as u64;
                 let own_tokens = u32::try_from(even).unwrap_or(u32::MAX);
                 let memory = MemoryDemand { parts: Vec::new(), own_tokens };
--- a/src/policy/slot_leases/memory.rs
+++ b/src/policy/slot_leases/memory.rs
@@ -1,4 +1,5 @@
-//! The memory of engines that leased requests take.
+//! Engine memory (KV cache) that leased requests take. A prompt part that several of them share counts
+//! once.
 
 use {
     crate::policy::PrefixLevel,
@@ -6,7 +7,7 @@
     std::collections::BTreeMap,
 };
 
-/// Maximum parts of a prompt that a request for a lease names, the leading ones.
+/// Maximum leading parts of a prompt that a request for a lease names.
 pub const MAX_PARTS: usize = 8;
 
 /// Tokens of an engine's memory that a request needs.
@@ -45,7 +46,7 @@
     pub(super) capacity: Option<u64>,
     /// The parts in use, with their tokens and the number of leases; bounded by the leases.
     parts: BTreeMap<PartHash, (u32, usize)>,
-    /// Tokens that one lease each takes.
+    /// Sum of the tokens that are not shared.
     own_tokens: u64,
 }
 
@@ -55,14 +56,14 @@
         self.own_tokens + shared.sum::<u64>()
     }
 
-    /// Whether a request fits beside the others within a part of the memory, in tokens. One alone always
-    /// does: if the server cannot hold it, only the server knows.
-    pub(super) fn fits(&self, demand: &MemoryDemand, part: Option<u64>) -> bool {
-        let Some(capacity) = part else { return true };
+    /// Whether a request fits beside the others within `limit` tokens; `None` is unlimited. A single
+    /// request always fits, because only the server can tell that it is too large.
+    pub(super) fn fits(&self, demand: &MemoryDemand, limit: Option<u64>) -> bool {
+        let Some(limit) = limit else { return true };
         let used = self.used();
         let missing = demand.parts.iter().filter(|(part, _)| !self.parts.contains_key(part));
         let missing = missing.map(|(_, tokens)| u64::from(*tokens)).sum::<u64>();
-        used == 0 || used + missing + u64::from(demand.own_tokens) <= capacity
+        used == 0 || used + missing + u64::from(demand.own_tokens) <= limit
     }
 
     pub(super) fn take(&mut self, demand: &MemoryDemand) {
--- a/src/policy/suspect/parts.rs
+++ b/src/policy/suspect/parts.rs
@@ -1,13 +1,13 @@
-//! Which part of prompts crashes servers, when no two requests with it are alike.
+//! Isolates prompt parts that crash backend servers although no two requests with the part are equal.
 //!
-//! At a crash some requests are in flight, and most of their parts are shared by harmless ones. What
-//! tells the crashing part apart: it is in flight at many crashes, and no request with it completes.
-//! A completed request clears all its parts, at all daemons. A part is suspected only for crashes
-//! that neither a part with more of them nor one request that was sent repeatedly explains.
+//! Several requests are in flight at a crash, and harmless requests share most of their parts. The
+//! crashing part is in flight at many crashes, and no request with it ever completes. A completed
+//! request therefore clears all its parts, at all daemons. A crash does not count against a part if
+//! another part has more crashes, or if one repeated request has as many.
 //!
-//! Requests with a suspected part run one at a time, apart from other suspected ones. A part is
-//! refused after three confirmed crashes that span some time, since servers that end together end
-//! under all parts in flight there.
+//! Requests with a suspected part run one at a time, apart from other suspected requests. A part is
+//! refused after three confirmed crashes that span [`MIN_SPAN`]: servers that end at the same time
+//! interrupt all parts in flight there.
 
 use {
     super::{CrashEvidence, CrashId, CrashMap, CrashRecord, SuspectList, counted, fingerprint},
@@ -136,9 +136,9 @@
 
     /// Returns whether a part that is refused was in flight at a crash.
     pub(super) fn is_explained_by_part(&self, now: Instant, crash: CrashId) -> bool {
-        let with_crash = self.records.iter().filter(|(other, records)| {
+        let mut with_crash = self.records.iter().filter(|(other, records)| {
             is_part(**other) && records.get(&crash).is_some_and(|record| record.counts(now))
         });
-        with_crash.into_iter().any(|(part, _)| self.is_part_refused(now, *part))
+        with_crash.any(|(part, _)| self.is_part_refused(now, *part))
     }
 }
