Count retries by model or service

Retries were counted by their reason alone, which does not tell whether a service's retries exceed what its requests earn. The new counter oleandermount_service_retries_total has the model or service as its label; the former one is unchanged.

--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -22,6 +22,8 @@
 pub const REFUSALS: &str = "oleandermount_refusals_total";
 /// Retried requests, by `reason`.
 pub const RETRIES: &str = "oleandermount_retries_total";
+/// Name of the counter of retried requests, by model or service.
+pub const SERVICE_RETRIES: &str = "oleandermount_service_retries_total";
 /// Time to first token in seconds from the arrival of a request, by `model` and `class`.
 pub const FIRST_TOKEN: &str = "oleandermount_first_token_seconds";
 /// Seconds from the arrival of a request to its first attempt at a backend server, by `class`.
@@ -204,6 +206,7 @@
     describe_counter!(RESPONSES, "Requests with a complete response, by class.");
     describe_counter!(REFUSALS, "Refused requests, by reason.");
     describe_counter!(RETRIES, "Retried requests, by reason.");
+    describe_counter!(SERVICE_RETRIES, "Retried requests, by model or service.");
     describe_histogram!(FIRST_TOKEN, "Seconds from arrival to the first token.");
     describe_histogram!(QUEUE_WAIT, "Seconds from arrival to the first attempt.");
     describe_histogram!(RESPONSE_TIME, "Seconds from arrival to the end of the response.");
--- a/src/pipeline/counters.rs
+++ b/src/pipeline/counters.rs
@@ -6,6 +6,7 @@
         observe::metrics::{
             CACHE_HIT_TOKENS, FIRST_TOKEN, INTER_TOKEN, MISMATCHED_RESPONSES, PROMPT_TOKENS,
             QUEUE_WAIT, RECOMPUTED_TOKENS, REFUSALS, REQUESTS, RESPONSE_TIME, RESPONSES, RETRIES,
+            SERVICE_RETRIES,
         },
         policy::RetryReason,
     },
@@ -18,9 +19,10 @@
     counter!(REFUSALS, "reason" => code).increment(1);
 }
 
-/// Counts a retry under its reason.
-pub fn count_retry(reason: RetryReason) {
+/// Counts a retry under its reason, and under its model or service.
+pub fn count_retry(service: impl Into<String>, reason: RetryReason) {
     counter!(RETRIES, "reason" => reason.as_str()).increment(1);
+    counter!(SERVICE_RETRIES, "service" => service.into()).increment(1);
 }
 
 /// Counts a response that was dropped because it belongs to another attempt.
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -184,8 +184,8 @@
                 self.trace.record(&request, format!("refuse: {}", reason.as_str()));
                 state.deliver(&request, DispatchDirective::Refuse { reason, retry_after, did_run });
             }
-            PolicyAction::CountRetry { request, reason } => {
-                count_retry(reason);
+            PolicyAction::CountRetry { request, service, reason } => {
+                count_retry(service, reason);
                 self.trace.record(&request, format!("retry: {}", reason.as_str()));
             }
             PolicyAction::Cancel { attempt, server } => {
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -41,6 +41,8 @@
     CountRetry {
         /// The request.
         request: RequestId,
+        /// The model or service that the request is for.
+        service: String,
         /// The reason, for metrics and responses.
         reason: RetryReason,
     },
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -4,14 +4,14 @@
     super::{
         AttemptState, Dispatcher, RequestEntry,
         lifecycle::{Admitted, NotExecutedProof, RequestPhase, SentRequest, StagedRequest},
-        servers::PoolIndex,
+        servers::{PoolIndex, PoolKey},
     },
     crate::{
         ids::AttemptId,
         observe::events,
         policy::{
-            AttemptFailure, DidRun, PolicyAction, PolicySafeguard, RefusalReason, RequestWork,
-            RetryReason,
+            AttemptFailure, DidRun, PolicyAction, PolicySafeguard, RefusalReason, RequestTicket,
+            RequestWork, RetryReason,
             fairness::{MIN_COST, OUTPUT_TOKEN_COST, QueuePosition},
             outlier,
             prefix::{HitReport, ServerIndex},
@@ -420,8 +420,9 @@
         }
     }
 
-    pub(super) fn count_retry(&mut self, request: &str, reason: RetryReason) {
-        let request = request.to_owned();
-        self.actions.push(PolicyAction::CountRetry { request, reason });
+    pub(super) fn count_retry(&mut self, ticket: &RequestTicket, reason: RetryReason) {
+        let service = PoolKey::of(&ticket.work).name().to_owned();
+        let request = ticket.request.clone();
+        self.actions.push(PolicyAction::CountRetry { request, service, reason });
     }
 }
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -22,7 +22,7 @@
         let attempt =
             (u128::from(self.random.next_u64()) << 64) | u128::from(self.random.next_u64());
         if let Some(reason) = request.stage.retry {
-            self.count_retry(&request.ticket.request, reason);
+            self.count_retry(&request.ticket, reason);
         } else {
             self.budgets.deposit(&request.ticket.organisation);
         }
--- a/tests/service_retries.rs
+++ b/tests/service_retries.rs
@@ -192,13 +192,8 @@
     assert!(!log.retries.is_empty(), "{} daemons, seed {seed}: no retry at all", load.daemons);
 }
 
-const SMALL: FleetLoad = FleetLoad {
-    daemons: 6,
-    failing_rate: 30.0,
-    sound_rate: 150.0,
-    slack: 50.0,
-    restart_at: None,
-};
+const SMALL: FleetLoad =
+    FleetLoad { daemons: 6, failing_rate: 30.0, sound_rate: 150.0, slack: 50.0, restart_at: None };
 const GROWN: FleetLoad = FleetLoad {
     daemons: 67,
     failing_rate: 140.0,
