Pay for retries from budgets by service

Cause: an entry had one budget for all services, which every first send fills. A service with a quarter of the traffic was sent four times the retries that its own requests earn.

Evidence: the bound breaks in virtual time with another service's traffic and holds without it, with and without restarts; what is exempt from the budgets never reaches a server. Now each service has a budget, filled by its own first sends; models of one service share it. The part of a fleet's slack is no longer rounded up to one retry, does not follow a count of entries that is too low for a moment, and a process starts with half of it, since the one before may have just spent it.

--- a/examples/policy_report/site.rs
+++ b/examples/policy_report/site.rs
@@ -135,6 +135,7 @@
             shares: BTreeMap::new(),
             daemons,
             weights: [(MODEL.into(), WEIGHTS.into())].into(),
+            model_services: BTreeMap::new(),
         }
     }
 
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -41,7 +41,7 @@
     CountRetry {
         /// The request.
         request: RequestId,
-        /// The model or service that the request is for.
+        /// The service that the request is for, or its model if that has none.
         service: String,
         /// The reason, for metrics and responses.
         reason: RetryReason,
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -31,7 +31,7 @@
         placement::PrefixRateTable,
         prefix::{MAX_PREFIXES, PrefixTable, ServerIndex},
         reachability::LinkFailure,
-        retry::RetryBudgets,
+        retry::{RetryBudgets, name_phase},
         suspect::SuspectList,
     },
     crate::{
@@ -277,7 +277,10 @@
                     None => cache_store::StoreLink::new(rate),
                 });
             }
-            PolicyInput::RetryReserve { retries } => self.budgets.limit_reserve(retries),
+            PolicyInput::RetryReserve { retries } => {
+                let phase = name_phase(&self.settings.daemon);
+                self.budgets.limit_reserve(retries, phase);
+            }
             PolicyInput::Wake => {}
         }
     }
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -4,10 +4,10 @@
     super::{
         AttemptState, Dispatcher, RequestEntry,
         lifecycle::{Admitted, NotExecutedProof, RequestPhase, SentRequest, StagedRequest},
-        servers::{PoolIndex, PoolKey},
+        servers::PoolIndex,
     },
     crate::{
-        ids::AttemptId,
+        ids::{AttemptId, ServiceId},
         observe::events,
         policy::{
             AttemptFailure, DidRun, PolicyAction, PolicySafeguard, RefusalReason, RequestTicket,
@@ -350,7 +350,7 @@
         let exempt = self.budgets.is_strict() && !reached;
         let covered = exempt
             || !self.is_enabled(PolicySafeguard::RetryBudget)
-            || self.budgets.withdraw(&ticket.organisation);
+            || self.budgets.withdraw(&self.service_of(&ticket.work), &ticket.organisation);
         if ticket.is_status_call() && (covered || !self.budgets.is_strict()) {
             let earliest = now + UNBUDGETED_RETRY_DELAY.mul_f64(1.0 + chance);
             return Some(if covered { at } else { at.max(earliest) });
@@ -360,6 +360,17 @@
         (covered && fits && !exhausted).then_some(at)
     }
 
+    /// Returns the service that runs `work`. The budget for retries is one of the service, whichever of
+    /// its models is asked for.
+    pub(super) fn service_of(&self, work: &RequestWork) -> ServiceId {
+        match work {
+            RequestWork::Service { service } => service.clone(),
+            RequestWork::Model { model, .. } => {
+                self.view.model_services.get(model).unwrap_or(model).clone()
+            }
+        }
+    }
+
     fn has_usable_server(&self, pool: PoolIndex) -> bool {
         let members = &self.table.pools[pool].members;
         members.iter().any(|index| self.table.servers[*index].is_usable())
@@ -421,7 +432,7 @@
     }
 
     pub(super) fn count_retry(&mut self, ticket: &RequestTicket, reason: RetryReason) {
-        let service = PoolKey::of(&ticket.work).name().to_owned();
+        let service = self.service_of(&ticket.work);
         let request = ticket.request.clone();
         self.actions.push(PolicyAction::CountRetry { request, service, reason });
     }
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -24,7 +24,8 @@
         if let Some(reason) = request.stage.retry {
             self.count_retry(&request.ticket, reason);
         } else {
-            self.budgets.deposit(&request.ticket.organisation);
+            let service = self.service_of(&request.ticket.work);
+            self.budgets.deposit(&service, &request.ticket.organisation);
         }
         let state = self.attempt_state(now, number, pool, &request, &best);
         self.charge(now, pool, cost, &request, &state);
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -102,9 +102,10 @@
         /// expected to load them soon.
         newest: BTreeMap<ModelId, WeightsVersion>,
     },
-    /// The retry reserve of this daemon, sent when operators limit retries across all daemons.
+    /// The retry reserve of this daemon at each service, sent when operators limit retries across all
+    /// daemons.
     RetryReserve {
-        /// Maximum number of unused retries; at least 1.
+        /// This daemon's share of the retries that first sends need not earn; positive.
         retries: f64,
     },
     /// A server named the requests a second that it takes from all daemons together, or named none.
@@ -154,6 +155,8 @@
     pub daemons: BTreeMap<FailureDomainId, BTreeMap<VmId, f64>>,
     /// Desired weights by model. Blocks cached under other weights never count as cache hits.
     pub weights: BTreeMap<ModelId, WeightsVersion>,
+    /// The services whose servers run the models. A model without one counts as a service of its own.
+    pub model_services: BTreeMap<ModelId, ServiceId>,
 }
 
 /// The part of a backend server's registration that the dispatcher uses.
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -4,26 +4,36 @@
 //! If each of them were retried immediately, the remaining servers would get the load twice and
 //! fail as well, and the retry storm would outlast its cause.
 //!
-//! Each retry is charged to two budgets that first sends fill: one of the daemon and one of the
-//! organisation. A first send earns a tenth of a retry, so the long-term amplification is at most
-//! 1.1, whatever fails. The reserve covers the crash of one server under low load.
+//! Each retry is charged to two budgets that first sends fill: one of its service and one of the
+//! organisation. A first send earns a tenth of a retry at its own service, so the long-term
+//! amplification is at most 1.1 at each service, whatever fails: what a sound service earns cannot
+//! be spent at a failing one. The reserve covers the crash of one server under low load.
 //! Non-repeatable requests that may have run are never retried: see
 //! [`super::dispatcher::lifecycle`].
 
 use {
     super::{AttemptFailure, RetryReason},
-    crate::ids::OrganisationId,
+    crate::ids::{OrganisationId, ServiceId},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Retries earned by one first send.
 const RETRIES_PER_SEND: f64 = 0.1;
 
-/// Maximum unused retries of a daemon, enough for the requests in flight on a few crashing servers.
-const DAEMON_RESERVE: f64 = 48.0;
+/// Maximum unused retries of a service, enough for the requests in flight on a few crashing servers.
+const SERVICE_RESERVE: f64 = 48.0;
+
+/// The part of its share of a fleet's limit that a daemon starts with. The process before it may have
+/// spent the whole share in the same time span.
+const STARTING_FRACTION: f64 = 0.5;
+
+/// Services with a budget of their own. Beyond this limit, one is evicted and starts again with the
+/// initial balance. Services are configured, so that there are few.
+const MAX_SERVICES: usize = 1_024;
 
 /// Maximum unused retries of one organisation, its share of such a crash.
 const ORGANISATION_RESERVE: f64 = 12.0;
@@ -69,10 +79,31 @@
     }
 }
 
+/// The budgets of the services that a daemon has sent requests to.
+#[derive(Debug)]
+struct ServiceBudgets {
+    /// At most [`MAX_SERVICES`].
+    budgets: BTreeMap<ServiceId, RetryBudget>,
+    /// Balance of a new budget.
+    initial: f64,
+    /// Reserve of each budget.
+    reserve: f64,
+}
+
+impl ServiceBudgets {
+    fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
+        if !self.budgets.contains_key(service) && self.budgets.len() >= MAX_SERVICES {
+            self.budgets.pop_first();
+        }
+        let (balance, reserve) = (self.initial.min(self.reserve), self.reserve);
+        self.budgets.entry(service.clone()).or_insert(RetryBudget { balance, reserve })
+    }
+}
+
 /// The retry budgets of one daemon.
 #[derive(Debug)]
 pub struct RetryBudgets {
-    daemon: RetryBudget,
+    services: ServiceBudgets,
     /// Budgets below their reserve; at most [`MAX_BUDGETS`].
     organisations: BTreeMap<OrganisationId, RetryBudget>,
     /// Whether operators limit the retries of all daemons together.
@@ -82,7 +113,11 @@
 impl Default for RetryBudgets {
     fn default() -> Self {
         RetryBudgets {
-            daemon: RetryBudget::new(DAEMON_RESERVE),
+            services: ServiceBudgets {
+                budgets: BTreeMap::new(),
+                initial: SERVICE_RESERVE,
+                reserve: SERVICE_RESERVE,
+            },
             organisations: BTreeMap::new(),
             has_fleet_limit: false,
         }
@@ -90,11 +125,20 @@
 }
 
 impl RetryBudgets {
-    /// Limits the reserve of this daemon. If operators limit the retries of all daemons together in
-    /// a time span, each daemon gets its share. A larger reserve would let a crash that all daemons
-    /// see at once exceed that limit many times over.
-    pub fn limit_reserve(&mut self, retries: f64) {
-        self.daemon.resize(retries);
+    /// Limits the reserves of this daemon. If operators limit the retries of all daemons together at
+    /// each service in a time span, `share` is this daemon's part. A larger reserve would let a crash
+    /// that all daemons see at once exceed that limit many times over. A share of less than one retry
+    /// is held by some daemons as a whole one, by their [`name_phase`].
+    pub fn limit_reserve(&mut self, share: f64, phase: f64) {
+        let services = &mut self.services;
+        services.reserve = share.max(1.0);
+        services.initial = match share < 1.0 {
+            true => f64::from(u8::from(phase < share)),
+            false => (share * STARTING_FRACTION).max(1.0),
+        };
+        for budget in services.budgets.values_mut() {
+            budget.resize(services.reserve);
+        }
         self.has_fleet_limit = true;
     }
 
@@ -103,9 +147,9 @@
         self.has_fleet_limit
     }
 
-    /// Credits the budgets for a first send.
-    pub fn deposit(&mut self, organisation: &OrganisationId) {
-        self.daemon.deposit();
+    /// Credits the budgets for a first send to a service.
+    pub fn deposit(&mut self, service: &ServiceId, organisation: &OrganisationId) {
+        self.services.budget(service).deposit();
         if let Some(budget) = self.organisations.get_mut(organisation) {
             budget.deposit();
             // A full budget is equivalent to no entry.
@@ -115,16 +159,17 @@
         }
     }
 
-    /// Charges one retry if both budgets cover it, and returns whether they do.
-    pub fn withdraw(&mut self, organisation: &OrganisationId) -> bool {
+    /// Charges one retry at a service if both budgets cover it, and returns whether they do.
+    pub fn withdraw(&mut self, service: &ServiceId, organisation: &OrganisationId) -> bool {
         let saved = self.organisations.get(organisation);
-        if !self.daemon.covers() || saved.is_some_and(|budget| !budget.covers()) {
+        if saved.is_some_and(|budget| !budget.covers()) || !self.services.budget(service).covers() {
             return false;
         }
-        if saved.is_none() && self.organisations.len() >= MAX_BUDGETS {
+        if !self.organisations.contains_key(organisation) && self.organisations.len() >= MAX_BUDGETS
+        {
             self.organisations.pop_first();
         }
-        self.daemon.balance -= 1.0;
+        self.services.budget(service).balance -= 1.0;
         self.organisations
             .entry(organisation.clone())
             .or_insert_with(|| RetryBudget::new(ORGANISATION_RESERVE))
@@ -133,6 +178,12 @@
     }
 }
 
+/// Returns a number from 0 (inclusive) to 1 (exclusive) that stays the same for all lives of a daemon
+/// and is evenly distributed over daemons.
+pub fn name_phase(daemon: &str) -> f64 {
+    (xxh3_64(daemon.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
 /// Returns the earliest time of a retry after `tries` sends. The backoff is jittered by `chance`, a
 /// random number from 0 to 1, and extended to the delay `requested` by the server, up to the
 /// maximum.
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -107,14 +107,21 @@
     }
 
     fn newest_weights(&self) -> BTreeMap<ModelId, WeightsVersion> {
-        let Some(index) = &self.index else { return BTreeMap::new() };
+        let models = self.models().into_iter();
+        models
+            .filter_map(|(id, model)| {
+                Some((qualified_model(id, model), self.named.get(model)?.to_string()))
+            })
+            .collect()
+    }
+
+    /// The configured models, each with its service.
+    fn models(&self) -> Vec<(&ServiceId, &ModelId)> {
+        let Some(index) = &self.index else { return Vec::new() };
         let services = index.table.services.iter();
         let engines = services.filter_map(|(id, rule)| Some((id, rule.engine.as_ref()?)));
         engines
             .flat_map(|(id, engine)| engine.models.iter().map(move |model| (id, model)))
-            .filter_map(|(id, model)| {
-                Some((qualified_model(id, model), self.named.get(model)?.to_string()))
-            })
             .collect()
     }
 
@@ -242,6 +249,11 @@
             daemons: [(String::new(), daemons)].into(),
             // Empty, because each attempt requires the weights that its server reports.
             weights: BTreeMap::new(),
+            model_services: self
+                .models()
+                .into_iter()
+                .map(|(service, model)| (qualified_model(service, model), service.clone()))
+                .collect(),
         }
     }
 }
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -7,7 +7,7 @@
         follow::SharedState,
         ids::{DocumentNumber, ServiceId},
         observe::{events, metrics::CONFIG_REVISION},
-        policy::PolicyInput,
+        policy::{PolicyInput, pacing::DaemonCount},
         reverse_proxy::{ProxyCore, view::ProxyView},
         roles::{
             control_directory::ControlDirectory, origin_client::OriginClient,
@@ -44,6 +44,7 @@
     ) {
         let mut routes = RouteCache::default();
         let mut requirements = RequiredWeights::default();
+        let mut entry_count = DaemonCount::default();
         loop {
             let due =
                 requirements.next_change().unwrap_or_else(|| StdInstant::now() + REAPPLY_INTERVAL);
@@ -58,7 +59,8 @@
                 routes.index_for(state.document.number, &state.document.body, &*self.parser);
             let fleet = state.fleet.unwrap_or_default();
             let entries = state.entries.max(1);
-            let retries = (*retry_reserve.borrow_and_update() / f64::from(entries)).max(1.0);
+            let sharing = entry_count.update(StdInstant::now(), entries as usize);
+            let retries = *retry_reserve.borrow_and_update() / sharing as f64;
             self.core.dispatcher.notify(PolicyInput::RetryReserve { retries });
             let view = ProxyView::new(index, &fleet, &state.weights, &required, entries);
             let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
--- a/tests/service_retries.rs
+++ b/tests/service_retries.rs
@@ -227,3 +227,9 @@
         check(FleetLoad { restart_at, sound_rate: 0.0, ..load }, 7);
     }
 }
+
+/// Guards against reserves of less than one retry a daemon that are rounded up.
+#[test]
+fn small_reserves_are_shared() {
+    check(FleetLoad { slack: 40.0, sound_rate: 0.0, ..LARGE }, 9);
+}
