--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -97,7 +97,8 @@
             is_leased = is_leased,
             prompt_tokens = work.map(|work| work.prompt_tokens),
             max_output_tokens = work.map(|work| work.max_output_tokens),
-            rejection_limit = head.rejection_limit;
+            rejection_limit = head.rejection_limit,
+            retry_after_ms = head.retry_after.map(|delay| delay.as_millis() as u64);
             "{}", events::REQUEST_REJECTED
         );
     }
