Leave servers alone that ask for rest, and send their requests elsewhere

Cause: the request waited and not the server. A rejection shrank the window of its server and delayed the next attempt of its request. Ruled out: health checks and requests under way, of which the record has none there; they are kept away as well, since a server at rest wants nothing.

Now the dispatcher passes a server by until its rest ends, and each request goes on at once. The process checks again after the wait for a slot, before health checks, probes and tunnels for others. A rest ends with the server's process and after an hour at most. While all servers rest, requests wait for half a second at most; otherwise they are refused with a time to come back that is spread over a second.

--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -271,6 +271,7 @@
             | PolicyInput::PeerFetch { .. }
             | PolicyInput::CacheStoreLink { .. }
             | PolicyInput::RetryReserve { .. }
+            | PolicyInput::ServerRest { .. }
             | PolicyInput::ServerLimit { .. }
             | PolicyInput::ServerEnded { .. }
             | PolicyInput::ServerIdentified { .. }
--- a/src/operator_client/explain_log.rs
+++ b/src/operator_client/explain_log.rs
@@ -214,7 +214,7 @@
 
 /// Explains a refusal reason to operators.
 fn describe_reason(reason: &str) -> &'static str {
-    const POLICY: [(RefusalReason, &str); 11] = [
+    const POLICY: [(RefusalReason, &str); 12] = [
         (
             RefusalReason::DeadlineUnreachable,
             "load: it could not have completed before its deadline",
@@ -228,6 +228,7 @@
         (RefusalReason::ServerFailed, "its server failed, and it may not be repeated"),
         (RefusalReason::ServersLimited, "all servers limited how many requests they take"),
         (RefusalReason::NoSlot, "load: no slot of its servers was free in time"),
+        (RefusalReason::ServersResting, "all its servers had asked not to be used for a while"),
         (RefusalReason::NotResumable, "its server failed, and no other server could resume it"),
     ];
     const FILTERS: [(&str, &str); 11] = [
--- a/src/pipeline/refusal.rs
+++ b/src/pipeline/refusal.rs
@@ -133,6 +133,10 @@
         RefusalReason::ServersLimited => {
             (503, "all backend servers limit their requests; retry after the time in Retry-After")
         }
+        RefusalReason::ServersResting => (
+            503,
+            "all backend servers have asked not to be used; retry after the time in Retry-After",
+        ),
         RefusalReason::NoSlot => {
             (503, "the backend servers have no free slot; retry after the time in Retry-After")
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod safeguard;
+pub mod server_rest;
 pub mod slot_leases;
 pub mod software_history;
 pub mod suspect;
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -132,11 +132,13 @@
     ServersLimited,
     /// The slots of the servers are leased, and none is free in time.
     NoSlot,
+    /// All servers have asked not to be used for a while.
+    ServersResting,
 }
 
 impl RefusalReason {
     /// All reasons, so that counters can be registered at startup.
-    pub const ALL: [RefusalReason; 11] = [
+    pub const ALL: [RefusalReason; 12] = [
         RefusalReason::DeadlineUnreachable,
         RefusalReason::DeadlinePassed,
         RefusalReason::QueueFull,
@@ -148,6 +150,7 @@
         RefusalReason::NotResumable,
         RefusalReason::ServersLimited,
         RefusalReason::NoSlot,
+        RefusalReason::ServersResting,
     ];
 
     /// Returns the name used in metrics and responses.
@@ -164,6 +167,7 @@
             RefusalReason::NotResumable => "not_resumable",
             RefusalReason::ServersLimited => "servers_limited",
             RefusalReason::NoSlot => "no_slot",
+            RefusalReason::ServersResting => "servers_resting",
         }
     }
 }
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -339,7 +339,10 @@
         let chance = self.random_unit();
         let ticket = sent.ticket();
         let tries = sent.history().tries;
-        let mut at = retry::retry_at(now, tries, failed.retry_after, chance);
+        // A server that rejects a request rests; the request may go to another one at once.
+        let rests = matches!(failed.failure, AttemptFailure::Refused | AttemptFailure::Declined);
+        let requested = failed.retry_after.filter(|_| !rests);
+        let mut at = retry::retry_at(now, tries, requested, chance);
         if failed.failure == AttemptFailure::NotConnected && !self.has_usable_server(pool) {
             at = at.max(now + NO_USABLE_SERVER_DELAY.mul_f64(1.0 + chance));
         }
@@ -391,9 +394,11 @@
                 return;
             }
             AttemptFailure::Refused | AttemptFailure::Declined => {
-                server
-                    .window
-                    .record_refused(now, failed.retry_after.unwrap_or(FAILURE_RETRY_AFTER));
+                if let Some(delay) = failed.retry_after {
+                    server.rest.record(now, delay);
+                }
+                let interval = failed.retry_after.unwrap_or(FAILURE_RETRY_AFTER);
+                server.window.record_refused(now, interval);
                 return;
             }
             AttemptFailure::WrongWeights => {
--- a/src/policy/dispatcher/peer_fetch.rs
+++ b/src/policy/dispatcher/peer_fetch.rs
@@ -16,6 +16,7 @@
         selection::{Candidate, PlacementQuery},
     },
     crate::policy::{PrefixLevel, RequestWork, placement, prefix::ServerIndex},
+    std::time::Instant,
 };
 
 /// Fixed time of a fetch in seconds: the request and its response.
@@ -45,6 +46,7 @@
     /// Adjusts the cost of a candidate for what it can fetch.
     pub(super) fn estimate_fetch(
         &self,
+        now: Instant,
         query: &PlacementQuery<'_>,
         candidate: &mut Candidate,
         rate: f64,
@@ -53,7 +55,7 @@
         if self.fetch_rate.is_some() && query.affinity.tokens < MIN_AFFINITY_TOKENS {
             candidate.cost.spillover = false;
         }
-        let source = self.find_fetch_source(query, candidate);
+        let source = self.find_fetch_source(now, query, candidate);
         candidate.source = source.map(|source| source.server);
         let Some((source, fetch_rate)) = source.zip(self.fetch_rate) else { return };
         let fetched = source.tokens.min(*prompt_tokens);
@@ -73,6 +75,7 @@
     /// Returns the best source for a candidate.
     fn find_fetch_source(
         &self,
+        now: Instant,
         query: &PlacementQuery<'_>,
         candidate: &Candidate,
     ) -> Option<FetchSource> {
@@ -91,7 +94,10 @@
         }
         let is_valid_source = |source: ServerIndex| {
             let from = &self.table.servers[source];
-            source != target && from.is_usable() && from.certain_weights(model) == Some(weights)
+            source != target
+                && from.is_usable()
+                && !from.rest.is_active(now)
+                && from.certain_weights(model) == Some(weights)
         };
         let mut known = query.hits.iter().filter(|(_, tokens)| *tokens > candidate.hit);
         let known = known.find(|(source, _)| is_valid_source(*source));
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -7,10 +7,10 @@
         observe::events,
         policy::{
             CacheEvent, LoadReport, PolicySafeguard, ServerHealth, pacing::ServerPace,
-            prefix::ServerIndex,
+            prefix::ServerIndex, server_rest::ServerRest,
         },
     },
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 /// Maximum hashes used from one cache event. The rest is ignored, since events are only hints.
@@ -101,6 +101,12 @@
         }
     }
 
+    pub(super) fn record_rest(&mut self, now: Instant, server: &ServerId, delay: Duration) {
+        let Some(index) = self.table.by_id.get(server).copied() else { return };
+        self.table.servers[index].rest.record(now, delay);
+        self.mark_dirty(index);
+    }
+
     pub(super) fn record_limit(&mut self, now: Instant, server: &ServerId, limit: Option<f64>) {
         let Some(index) = self.table.by_id.get(server).copied() else { return };
         let (phase, daemons) = (self.random_unit(), self.daemon_count.current());
@@ -166,6 +172,7 @@
         if known.is_some_and(|known| known != incarnation) {
             self.confirm_crashes(now, index);
             self.table.servers[index].pace = None;
+            self.table.servers[index].rest = ServerRest::default();
             self.limited.remove(&index);
         }
     }
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -13,6 +13,7 @@
         pacing::ServerPace,
         placement::{CandidateCost, SMALL_POOL},
         prefix::ServerIndex,
+        server_rest,
         window::WindowPart,
     },
     rand_core::RngCore,
@@ -127,12 +128,15 @@
         }
     }
 
-    /// Returns whether any member has capacity, or no member accepts requests.
+    /// Returns whether any member has capacity, or no member may be used.
     fn has_room(&self, now: Instant, pool: PoolIndex) -> bool {
         let servers = &self.table.servers;
         let members = &self.table.pools[pool].members;
-        let mut usable =
-            members.iter().filter(|index| servers[**index].accepts_requests()).peekable();
+        let is_usable = |index: &&ServerIndex| {
+            let server = &servers[**index];
+            server.accepts_requests() && !server.rest.is_active(now)
+        };
+        let mut usable = members.iter().filter(is_usable).peekable();
         usable.peek().is_none()
             || usable.any(|index| self.is_open(now, &servers[*index], WindowPart::Full))
     }
@@ -160,6 +164,10 @@
                     RefusalReason::ServersLimited => {
                         Some(admission::clamp_retry_after(self.limit_delay(now, pool)))
                     }
+                    RefusalReason::ServersResting => {
+                        let chance = self.random_unit();
+                        Some(server_rest::return_delay(self.rest_delay(now, pool), chance))
+                    }
                     _ => Some(self.drain_delay(pool, work.cost)),
                 };
                 self.refuse_waiting(now, work.number, reason, retry_after);
@@ -250,8 +258,19 @@
         if available.is_empty() && !request.ticket.is_status_call() {
             return PlacementDecision::Refuse(RefusalReason::NoServer);
         }
-        let is_limited = !available.iter().any(|server| server.is_within_limit(now));
         let is_resumed = request.history.relayed > 0;
+        let rest = available.iter().map(|server| server.rest.remaining(now)).min();
+        if let Some(rest) = rest.filter(|rest| !rest.is_zero()) {
+            let waits =
+                is_resumed || server_rest::is_waited_for(now, rest, request.ticket.deadline);
+            return match waits {
+                true => PlacementDecision::Wait,
+                false => PlacementDecision::Refuse(RefusalReason::ServersResting),
+            };
+        }
+        let is_limited = !available
+            .iter()
+            .any(|server| !server.rest.is_active(now) && server.is_within_limit(now));
         if is_limited && !is_resumed && now + self.limit_delay(now, pool) >= request.ticket.deadline
         {
             return PlacementDecision::Refuse(RefusalReason::ServersLimited);
@@ -259,6 +278,14 @@
         PlacementDecision::Wait
     }
 
+    /// Returns the time until the first of the pool's servers may be used again.
+    fn rest_delay(&self, now: Instant, pool: PoolIndex) -> Duration {
+        let servers =
+            self.table.pools[pool].members.iter().map(|index| &self.table.servers[*index]);
+        let rests = servers.filter(|server| server.accepts_requests());
+        rests.map(|server| server.rest.remaining(now)).min().unwrap_or_default()
+    }
+
     /// Returns how long the limits of the pool's servers delay the last waiting request.
     fn limit_delay(&self, now: Instant, pool: PoolIndex) -> Duration {
         let state = &self.table.pools[pool];
@@ -379,7 +406,10 @@
     ) -> bool {
         let server = &self.table.servers[index];
         let history = &query.request.history;
-        if !server.accepts_requests() || !server.pools.contains(&query.pool) {
+        if !server.accepts_requests()
+            || server.rest.is_active(now)
+            || !server.pools.contains(&query.pool)
+        {
             return false;
         }
         if query.suspect && server.suspects > 0 {
@@ -480,7 +510,7 @@
         if !has_affinity && !self.is_enabled(PolicySafeguard::PrefixReplication) {
             candidate.cost.slot_wait += f64::from(u16::MAX);
         }
-        self.estimate_fetch(query, candidate, rate);
+        self.estimate_fetch(now, query, candidate, rate);
         if let Some((level, seconds)) = self.import(levels, hit, rate) {
             let rest = f64::from(prompt_tokens.saturating_sub(level.tokens));
             candidate.cost.prefill = seconds + rest / rate;
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -15,6 +15,7 @@
             pacing::ServerPace,
             placement::{AffinityRing, SpeedGauge},
             prefix::{ServerCacheState, ServerIndex},
+            server_rest::ServerRest,
             suspect::CrashSite,
             window::ServerWindow,
         },
@@ -78,6 +79,8 @@
     pub window: ServerWindow,
     /// No slot is expected to be free before this time.
     pub full_until: Option<Instant>,
+    /// Whether it has asked not to be used for a while.
+    pub rest: ServerRest,
     /// The pace of requests, if the server limits them.
     pub pace: Option<ServerPace>,
     /// Measured speed.
@@ -134,6 +137,7 @@
             unverified: false,
             window: ServerWindow::new(view.slots, daemons),
             full_until: None,
+            rest: ServerRest::default(),
             pace: None,
             speed: SpeedGauge::default(),
             failures: FailureRecord::default(),
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -10,7 +10,11 @@
         inventory::{DecisionObjective, RequestClass, ServerKind},
     },
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, sync::Arc, time::Instant},
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// An event that the dispatcher handles.
@@ -57,7 +61,7 @@
         /// Tokens already relayed to the caller, which must not be relayed again.
         relayed_tokens: u32,
         /// The delay that the server requested with `Retry-After`, if any.
-        retry_after: Option<std::time::Duration>,
+        retry_after: Option<Duration>,
     },
     /// The caller disconnected.
     CallerDisconnected {
@@ -108,6 +112,13 @@
         /// This daemon's share of the retries that first sends need not earn; positive.
         retries: f64,
     },
+    /// A server asked not to be used by this daemon.
+    ServerRest {
+        /// The server.
+        server: ServerId,
+        /// For how long, from now on.
+        delay: Duration,
+    },
     /// A server named the requests a second that it takes from all daemons together, or named none.
     ServerLimit {
         /// The server.
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -205,6 +205,10 @@
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
         let lease = self.lease_slot(order, from).await?;
+        // The server may have asked not to be used since the decision.
+        if self.core.is_resting(&order.server) {
+            return Err(self.report(order, AttemptFailure::Stale, from, None));
+        }
         if self.attempts == 0 {
             record_queue_wait(self.request.caller.class, self.request.arrived.elapsed());
         }
@@ -273,6 +277,9 @@
         let (mut parts, body) = response.into_parts();
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
         let model = self.request.caller.work.as_ref().map(|work| &work.model);
+        if head.verdict != ResponseVerdict::OtherRequest {
+            self.core.record_rest(&order.server, parts.status, &head);
+        }
         match head.verdict {
             ResponseVerdict::Executed => {
                 self.runs += 1;
--- a/src/reverse_proxy/recheck.rs
+++ b/src/reverse_proxy/recheck.rs
@@ -90,7 +90,9 @@
         let servers = view.servers.iter().cycle().skip(first).take(view.servers.len());
         // A health check takes a slot of its server, or is rejected.
         let others = servers.filter(|(server, listed)| {
-            **server != failed && !self.limits_rejections(&listed.service)
+            **server != failed
+                && !self.limits_rejections(&listed.service)
+                && !self.is_resting(server)
         });
         for (server, listed) in others.take(SUSPICIOUS_SERVERS) {
             let target = BackendTarget { server, address: listed.address };
@@ -121,6 +123,10 @@
         for _ in 0..MAX_PROBES {
             let view = self.view();
             let Some(listed) = view.servers.get(&server) else { break };
+            if self.is_resting(&server) {
+                sleep(PROBE_INTERVAL).await;
+                continue;
+            }
             let target = BackendTarget { server: &server, address: listed.address };
             match self.pool.probe(target).await {
                 ProbeResult::Accepted => {
@@ -144,11 +150,11 @@
     pub async fn probe(&self, server: ServerId) {
         let address = self.view().servers.get(&server).map(|listed| listed.address);
         let answered = match address {
-            Some(address) => {
+            Some(address) if !self.is_resting(&server) => {
                 let target = BackendTarget { server: &server, address };
                 self.pool.probe(target).await == ProbeResult::Accepted
             }
-            None => false,
+            _ => false,
         };
         self.dispatcher.notify(PolicyInput::Probed { server, answered });
     }
--- a/src/reverse_proxy/server_link.rs
+++ b/src/reverse_proxy/server_link.rs
@@ -211,6 +211,9 @@
         let Some((server, listed)) = servers.cycle().nth(number % view.servers.len()) else {
             continue;
         };
+        if core.is_resting(server) {
+            continue;
+        }
         let target = BackendTarget { server, address: listed.address };
         if core.pool.check_direct(target, view.health_path(&listed.service)).await {
             core.pool.links().record_check();
--- a/src/roles/tunnel_service.rs
+++ b/src/roles/tunnel_service.rs
@@ -74,6 +74,9 @@
                 return Err(TunnelRefusal::Unavailable);
             }
             let address = core.address(&server).ok_or(TunnelRefusal::Unavailable)?;
+            if core.is_resting(&server) {
+                return Err(TunnelRefusal::ServerUnreachable);
+            }
             let target = BackendTarget { server: &server, address };
             let stream = connect(&core, target).await?;
             Ok(TunnelTarget { stream, guard: Box::new((open, permit)) })
