Send nothing new to servers whose responses say that they leave

Cause: the header by which servers say that they leave was not read; only the server list counted, which lags behind or does not show it. Now the dispatcher treats such a server as leaving, and requests whose decision is older, health checks, probes and tunnels for other entries pass it by as well. Streams in progress end in peace. The mark ends with the server's process, or with a response without it to a request that was sent half a second after the last one with it. What servers ask for is one table now (reverse_proxy/server_demands.rs).

--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -272,6 +272,7 @@
             | PolicyInput::CacheStoreLink { .. }
             | PolicyInput::RetryReserve { .. }
             | PolicyInput::ServerRest { .. }
+            | PolicyInput::ServerLeaving { .. }
             | PolicyInput::ServerLimit { .. }
             | PolicyInput::ServerEnded { .. }
             | PolicyInput::ServerIdentified { .. }
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -41,6 +41,10 @@
 pub const SERVERS_REACHED: &str = "backend servers reached again";
 /// A backend server reports attributes that contradict the server list.
 pub const SERVER_MISMATCHED: &str = "backend server is not as listed";
+/// The responses of a server say that it leaves.
+pub const SERVER_LEAVES: &str = "backend server leaves";
+/// The responses of a server do not say any more that it leaves.
+pub const SERVER_STAYS: &str = "backend server leaves no more";
 /// A server limits the requests that it takes; `limit` is the number a second from all daemons.
 pub const SERVER_LIMITED: &str = "backend server limited";
 /// A server does not limit its requests any more.
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -261,6 +261,9 @@
             }
             PolicyInput::Digest(digest) => self.merge_digest(now, digest),
             PolicyInput::ServerRest { server, delay } => self.record_rest(now, &server, delay),
+            PolicyInput::ServerLeaving { server, leaving } => {
+                self.record_leaving(&server, leaving);
+            }
             PolicyInput::ServerLimit { server, limit } => self.record_limit(now, &server, limit),
             PolicyInput::ServerEnded { server } => self.record_end(now, &server),
             PolicyInput::ServerIdentified { server, incarnation, sent } => {
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -107,6 +107,12 @@
         self.mark_dirty(index);
     }
 
+    pub(super) fn record_leaving(&mut self, server: &ServerId, leaving: bool) {
+        let Some(index) = self.table.by_id.get(server).copied() else { return };
+        self.table.servers[index].announced_leaving = leaving;
+        self.mark_dirty(index);
+    }
+
     pub(super) fn record_limit(&mut self, now: Instant, server: &ServerId, limit: Option<f64>) {
         let Some(index) = self.table.by_id.get(server).copied() else { return };
         let (phase, daemons) = (self.random_unit(), self.daemon_count.current());
@@ -173,6 +179,7 @@
             self.confirm_crashes(now, index);
             self.table.servers[index].pace = None;
             self.table.servers[index].rest = ServerRest::default();
+            self.table.servers[index].announced_leaving = false;
             self.limited.remove(&index);
         }
     }
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -70,6 +70,8 @@
     pub health: ServerHealth,
     /// Whether it was shutting down according to its last load report.
     pub leaving: bool,
+    /// Whether its responses say that it leaves, whatever the server list says.
+    pub announced_leaving: bool,
     /// What is known about its prefix cache.
     pub cache: ServerCacheState,
     /// Whether a connection broke and neither a load report nor membership has reported its
@@ -133,6 +135,7 @@
             reachable: true,
             health: ServerHealth::Alive { incarnation: 0 },
             leaving: false,
+            announced_leaving: false,
             cache: ServerCacheState::default(),
             unverified: false,
             window: ServerWindow::new(view.slots, daemons),
@@ -158,6 +161,7 @@
         self.listed
             && self.reachable
             && !self.leaving
+            && !self.announced_leaving
             && matches!(self.health, ServerHealth::Alive { .. } | ServerHealth::Reserved { .. })
     }
 
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -119,6 +119,13 @@
         /// For how long, from now on.
         delay: Duration,
     },
+    /// The responses of a server say that it leaves, or no longer say so.
+    ServerLeaving {
+        /// The server.
+        server: ServerId,
+        /// Whether it leaves.
+        leaving: bool,
+    },
     /// A server named the requests a second that it takes from all daemons together, or named none.
     ServerLimit {
         /// The server.
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -18,6 +18,7 @@
 pub mod relay;
 pub mod request;
 pub mod response;
+pub mod server_demands;
 pub mod server_link;
 pub mod slot_lease;
 pub mod store_monitor;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -6,6 +6,7 @@
         pool::ConnectionPool,
         recheck::RecheckList,
         rejection_limits::{LimitChange, RejectionLimits},
+        server_demands::DemandTable,
         slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
         stream_origin::{OriginFinder, ResumeTarget},
         view::{ProxyView, qualified_model},
@@ -19,7 +20,6 @@
         policy::{
             LoadReport, PolicyInput,
             pacing::ServerPace,
-            server_rest::ServerRest,
             slot_leases::{LeaseDemand, choose_servers},
             suspect::CrashReport,
         },
@@ -78,8 +78,8 @@
     reported_weights: Mutex<BTreeMap<ServerId, (u64, WeightsNumber)>>,
     /// The incarnation and the limit of servers of the view that have named one.
     limits: Mutex<BTreeMap<ServerId, (Incarnation, f64)>>,
-    /// The incarnation and the rest of servers of the view that have asked not to be used.
-    rests: Mutex<BTreeMap<ServerId, (Incarnation, ServerRest)>>,
+    /// What servers of the view ask for.
+    demands: DemandTable,
     /// The services whose servers end if they have to reject too many requests.
     rejection_limits: RejectionLimits,
     slot_leaser: OnceLock<Arc<dyn SlotLeaser>>,
@@ -106,7 +106,7 @@
             applying: Mutex::default(),
             reported_weights: Mutex::default(),
             limits: Mutex::default(),
-            rests: Mutex::default(),
+            demands: DemandTable::default(),
             rejection_limits: RejectionLimits::default(),
             slot_leaser: OnceLock::new(),
             origin_finder: OnceLock::new(),
@@ -152,9 +152,7 @@
         self.lock_weights().retain(|server, _| view.servers.contains_key(server));
         self.recheck.retain(|server| view.servers.contains_key(server));
         self.lock_limits().retain(|server, _| view.servers.contains_key(server));
-        let now = Instant::now();
-        self.lock_rests()
-            .retain(|server, (_, rest)| view.servers.contains_key(server) && rest.is_active(now));
+        self.demands.retain(Instant::now(), |server| view.servers.contains_key(server));
         self.rejection_limits.retain(|service| view.is_routed(service));
         self.pool.links().set_listed(view.servers.len());
         self.view.store(Arc::new(view));
@@ -265,35 +263,36 @@
             .notify(PolicyInput::ServerLimit { server: server.clone(), limit: head.limit });
     }
 
-    /// Records the rest that a server asks for in a response with this status.
-    pub fn record_rest(&self, server: &ServerId, status: StatusCode, head: &ResponseHead) {
-        let Some(delay) = head.retry_after.filter(|delay| !delay.is_zero()) else { return };
+    /// Records what a server asks for in its response to a request that was sent at `sent`: not to be used
+    /// for a while, if it rejects requests, or not any more, since it leaves.
+    pub fn record_demand(
+        &self,
+        server: &ServerId,
+        sent: Instant,
+        status: StatusCode,
+        head: &ResponseHead,
+    ) {
         let view = self.view();
         let Some(listed) = view.servers.get(server) else { return };
-        if status != StatusCode::SERVICE_UNAVAILABLE {
-            return;
+        let (now, incarnation) = (Instant::now(), listed.incarnation);
+        let rest = head.retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+        if let Some(delay) = rest.filter(|delay| !delay.is_zero()) {
+            self.demands.record_rest(now, server, incarnation, delay);
+            self.dispatcher.notify(PolicyInput::ServerRest { server: server.clone(), delay });
         }
-        // The dispatcher has to know first: an order that this table rejects is decided on again.
-        self.dispatcher.notify(PolicyInput::ServerRest { server: server.clone(), delay });
-        let mut rests = self.lock_rests();
-        let entry = rests
-            .entry(server.clone())
-            .and_modify(|known| {
-                if known.0 != listed.incarnation {
-                    *known = (listed.incarnation, ServerRest::default());
-                }
-            })
-            .or_insert((listed.incarnation, ServerRest::default()));
-        entry.1.record(Instant::now(), delay);
-    }
-
-    /// Whether a server has asked not to be used now, by requests, health checks or tunnels.
-    pub fn is_resting(&self, server: &ServerId) -> bool {
-        let view = self.view();
-        let Some(listed) = view.servers.get(server) else { return false };
-        let now = Instant::now();
-        self.lock_rests().get(server).is_some_and(|(incarnation, rest)| {
-            *incarnation == listed.incarnation && rest.is_active(now)
+        let change = self.demands.record_leaving(now, server, incarnation, sent, head.leaving);
+        if let Some(leaving) = change {
+            let event = if leaving { events::SERVER_LEAVES } else { events::SERVER_STAYS };
+            log::info!(server = server.as_str(); "{event}");
+            self.dispatcher.notify(PolicyInput::ServerLeaving { server: server.clone(), leaving });
+        }
+    }
+
+    /// Whether a server may be used now, by requests, health checks or tunnels: it has neither asked not to
+    /// be used nor said that it leaves.
+    pub fn accepts_calls(&self, server: &ServerId) -> bool {
+        self.view().servers.get(server).is_none_or(|listed| {
+            self.demands.accepts_calls(Instant::now(), server, listed.incarnation)
         })
     }
 
@@ -409,12 +408,6 @@
         Arc::clone(leaser).lease(demand).await.map(Some)
     }
 
-    fn lock_rests(
-        &self,
-    ) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (Incarnation, ServerRest)>> {
-        self.rests.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn lock_limits(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (Incarnation, f64)>> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -137,6 +137,8 @@
     /// The requests that the server can reject in a second for lack of capacity, if it names a number.
     /// It ends if it has to reject more.
     pub rejection_limit: Option<u32>,
+    /// Whether the server says that it leaves. It gets no new requests then.
+    pub leaving: bool,
 }
 
 /// Translates between a deployment's headers and the types of this crate. Implementations make
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -205,8 +205,8 @@
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
         let lease = self.lease_slot(order, from).await?;
-        // The server may have asked not to be used since the decision.
-        if self.core.is_resting(&order.server) {
+        // The server may have asked not to be used, or said that it leaves, since the decision.
+        if !self.core.accepts_calls(&order.server) {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
         if self.attempts == 0 {
@@ -278,7 +278,7 @@
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
         let model = self.request.caller.work.as_ref().map(|work| &work.model);
         if head.verdict != ResponseVerdict::OtherRequest {
-            self.core.record_rest(&order.server, parts.status, &head);
+            self.core.record_demand(&order.server, sent_at, parts.status, &head);
         }
         match head.verdict {
             ResponseVerdict::Executed => {
--- a/src/reverse_proxy/recheck.rs
+++ b/src/reverse_proxy/recheck.rs
@@ -92,7 +92,7 @@
         let others = servers.filter(|(server, listed)| {
             **server != failed
                 && !self.limits_rejections(&listed.service)
-                && !self.is_resting(server)
+                && self.accepts_calls(server)
         });
         for (server, listed) in others.take(SUSPICIOUS_SERVERS) {
             let target = BackendTarget { server, address: listed.address };
@@ -123,7 +123,7 @@
         for _ in 0..MAX_PROBES {
             let view = self.view();
             let Some(listed) = view.servers.get(&server) else { break };
-            if self.is_resting(&server) {
+            if !self.accepts_calls(&server) {
                 sleep(PROBE_INTERVAL).await;
                 continue;
             }
@@ -150,7 +150,7 @@
     pub async fn probe(&self, server: ServerId) {
         let address = self.view().servers.get(&server).map(|listed| listed.address);
         let answered = match address {
-            Some(address) if !self.is_resting(&server) => {
+            Some(address) if self.accepts_calls(&server) => {
                 let target = BackendTarget { server: &server, address };
                 self.pool.probe(target).await == ProbeResult::Accepted
             }
--- a/src/reverse_proxy/server_link.rs
+++ b/src/reverse_proxy/server_link.rs
@@ -211,7 +211,7 @@
         let Some((server, listed)) = servers.cycle().nth(number % view.servers.len()) else {
             continue;
         };
-        if core.is_resting(server) {
+        if !core.accepts_calls(server) {
             continue;
         }
         let target = BackendTarget { server, address: listed.address };
--- a/src/roles/tunnel_service.rs
+++ b/src/roles/tunnel_service.rs
@@ -74,7 +74,7 @@
                 return Err(TunnelRefusal::Unavailable);
             }
             let address = core.address(&server).ok_or(TunnelRefusal::Unavailable)?;
-            if core.is_resting(&server) {
+            if !core.accepts_calls(&server) {
                 return Err(TunnelRefusal::ServerUnreachable);
             }
             let target = BackendTarget { server: &server, address };
--- a/tests/server_rests.rs
+++ b/tests/server_rests.rs
@@ -8,6 +8,7 @@
             RequestTicket, RequestWork, SafeguardSet, ServerHealth, ServerView,
             server_rest::{ServerRest, is_waited_for, return_delay},
         },
+        reverse_proxy::server_demands::DemandTable,
     },
     rand_core::{RngCore, SeedableRng},
     rand_xoshiro::Xoshiro256PlusPlus,
@@ -156,3 +157,25 @@
     assert!(!is_waited_for(now, Duration::from_millis(200), now + Duration::from_millis(100)));
     assert!(!is_waited_for(now, REST, now + REST * 3));
 }
+
+/// Guards against a mark of a leaving server that outlives its process, or that a response which was
+/// overtaken ends.
+#[test]
+fn leaving_ends_with_its_process() {
+    let (now, server) = (Instant::now(), "server-0".to_owned());
+    let table = DemandTable::default();
+    let at = |millis| now + Duration::from_millis(millis);
+    assert_eq!(table.record_leaving(now, &server, 1, now, false), None);
+    assert_eq!(table.record_leaving(at(10), &server, 1, now, true), Some(true));
+    assert_eq!(table.record_leaving(at(20), &server, 1, now, true), None);
+    assert!(!table.accepts_calls(at(20), &server, 1));
+    assert_eq!(table.record_leaving(at(30), &server, 1, now, false), None);
+    assert!(!table.accepts_calls(at(3_600_000), &server, 1));
+    assert!(table.accepts_calls(at(30), &server, 2));
+    assert_eq!(table.record_leaving(at(2_000), &server, 1, at(1_000), false), Some(false));
+    assert!(table.accepts_calls(at(2_000), &server, 1));
+    table.record_rest(at(2_000), &server, 2, REST);
+    assert!(!table.accepts_calls(at(2_000), &server, 2));
+    table.retain(at(2_000) + REST, |_| true);
+    assert!(table.accepts_calls(at(2_000), &server, 2));
+}
