Break connections on which a server sends bytes that make no progress

Cause: the HTTP library reads both for as long as bytes come, in one go. Now a stream below the library counts what it has read since the request was sent, the head was complete, or a piece of the body was taken; 64 KiB break the connection.

--- a/src/reverse_proxy/dial.rs
+++ b/src/reverse_proxy/dial.rs
@@ -1,7 +1,10 @@
 //! Opens connections to backend servers and hands them to the HTTP library.
 
 use {
-    super::server_link::ByteStream,
+    super::{
+        read_meter::{MeteredStream, ReadMeter},
+        server_link::ByteStream,
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::{Builder, SendRequest},
@@ -24,13 +27,20 @@
 /// Sends requests on a connection.
 pub(super) type RequestSender = SendRequest<Full<Bytes>>;
 
+/// A connection that the HTTP library drives.
+pub(super) struct DrivenConnection {
+    pub sender: RequestSender,
+    /// The task that drives it; aborting the task closes the connection.
+    pub driver: JoinHandle<()>,
+    /// Counts what is read from it.
+    pub meter: ReadMeter,
+}
+
 /// Connects to a server directly.
 ///
 /// # Errors
 /// The error of the connect.
-pub(super) async fn open(
-    address: SocketAddr,
-) -> Result<(RequestSender, JoinHandle<()>), io::Error> {
+pub(super) async fn open(address: SocketAddr) -> Result<DrivenConnection, io::Error> {
     drive(open_stream(address).await?).await
 }
 
@@ -49,14 +59,15 @@
     Ok(stream)
 }
 
-/// Hands a connection to the HTTP library. The returned task drives it; aborting the task closes the
-/// connection.
+/// Hands a connection to the HTTP library.
 ///
 /// # Errors
 /// When the HTTP library rejects the connection.
 pub(super) async fn drive(
     stream: impl ByteStream + 'static,
-) -> Result<(RequestSender, JoinHandle<()>), io::Error> {
+) -> Result<DrivenConnection, io::Error> {
+    let meter = ReadMeter::default();
+    let stream = MeteredStream::new(stream, meter.clone());
     let (sender, connection) = Builder::new()
         .read_buf_exact_size(Some(READ_BUFFER_BYTES))
         .handshake(TokioIo::new(stream))
@@ -67,5 +78,5 @@
             log::debug!(error:% = error; "a connection to a backend server ended");
         }
     });
-    Ok((sender, driver))
+    Ok(DrivenConnection { sender, driver, meter })
 }
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -12,6 +12,7 @@
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
         headers::{ResponseFraming, strip_connection},
         pool::{BackendTarget, LeasedConnection, PoolError, broken_attempt},
+        read_meter::MeteredBody,
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
@@ -76,7 +77,7 @@
     pub parts: response::Parts,
     pub head: ResponseHead,
     pub framing: ResponseFraming,
-    pub body: Incoming,
+    pub body: MeteredBody,
     pub connection: LeasedConnection,
 }
 
@@ -275,6 +276,7 @@
     ) -> Result<StartedResponse, AttemptFailure> {
         let ReceivedHead { response, connection, sent_at } = received;
         let (mut parts, body) = response.into_parts();
+        let body = MeteredBody::new(body, connection.meter().clone());
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
         let model = self.request.caller.work.as_ref().map(|work| &work.model);
         if head.verdict != ResponseVerdict::OtherRequest {
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -13,7 +13,8 @@
 use {
     self::failure::ConnectError,
     super::{
-        dial::{RequestSender, drive, open},
+        dial::{DrivenConnection, RequestSender, drive, open},
+        read_meter::ReadMeter,
         server_link::ServerLinks,
         slot_lease::SlotLease,
     },
@@ -83,6 +84,8 @@
 pub struct LeasedConnection {
     sender: RequestSender,
     driver: JoinHandle<()>,
+    /// Counts what is read from it.
+    meter: ReadMeter,
     address: SocketAddr,
     /// Whether no request has been sent on it.
     is_new: bool,
@@ -109,6 +112,11 @@
 }
 
 impl LeasedConnection {
+    /// The meter of what is read from it.
+    pub fn meter(&self) -> &ReadMeter {
+        &self.meter
+    }
+
     /// Whether the request in flight has the lease of a slot.
     pub fn has_lease(&self) -> bool {
         self.lease.is_some()
@@ -169,10 +177,9 @@
     links: Arc<ServerLinks>,
 }
 
-/// A connection that the HTTP library drives.
+/// A connection that was opened.
 struct OpenedConnection {
-    sender: RequestSender,
-    driver: JoinHandle<()>,
+    connection: DrivenConnection,
     is_tunnelled: bool,
 }
 
@@ -247,6 +254,7 @@
         let is_tunnelled = connection.is_tunnelled;
         let is_new = std::mem::replace(&mut connection.is_new, false);
         let sent_at = Instant::now();
+        connection.meter.reset();
         let sent = connection.sender.try_send_request(request);
         tokio::pin!(sent);
         let result = tokio::select! {
@@ -284,7 +292,7 @@
         let host = host.expect("an address is a valid header value");
         request.headers_mut().insert(header::HOST, host);
         let Ok(opened) = self.open_direct(target).await else { return false };
-        let OpenedConnection { mut sender, driver, .. } = opened;
+        let DrivenConnection { mut sender, driver, .. } = opened.connection;
         let response = timeout(SILENCE_LIMIT, sender.send_request(request)).await;
         driver.abort();
         let responded = matches!(response, Ok(Ok(_)));
@@ -368,10 +376,11 @@
         self.reserve_slot(address, connection_limit)?;
         let opened = self.open_by_path(target, purpose).await;
         let opened = opened.inspect_err(|_| self.release_slot(address))?;
-        let OpenedConnection { sender, driver, is_tunnelled } = opened;
+        let OpenedConnection { connection, is_tunnelled } = opened;
+        let DrivenConnection { sender, driver, meter } = connection;
         let pool = Some(self.clone());
         let (is_new, lease) = (true, None);
-        Ok(LeasedConnection { sender, driver, address, is_new, is_tunnelled, pool, lease })
+        Ok(LeasedConnection { sender, driver, meter, address, is_new, is_tunnelled, pool, lease })
     }
 
     async fn open_by_path(
@@ -405,8 +414,7 @@
         };
         self.record_tunnelled(false);
         let opened = drive(stream).await;
-        let opened =
-            opened.map(|(sender, driver)| OpenedConnection { sender, driver, is_tunnelled: true });
+        let opened = opened.map(|connection| OpenedConnection { connection, is_tunnelled: true });
         Some(opened.map_err(|_error| ConnectError::Failed))
     }
 
@@ -416,9 +424,9 @@
     ) -> Result<OpenedConnection, ConnectError> {
         let address = target.address;
         match timeout(CONNECT_TIMEOUT, open(address)).await {
-            Ok(Ok((sender, driver))) => {
+            Ok(Ok(connection)) => {
                 self.links.record_connected();
-                Ok(OpenedConnection { sender, driver, is_tunnelled: false })
+                Ok(OpenedConnection { connection, is_tunnelled: false })
             }
             failed => {
                 self.links.record_connect_failure(target.server);
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -10,6 +10,7 @@
         exchange::{HttpExchange, ResumePosition, StartedResponse},
         headers::ResponseFraming,
         pool::{LeasedConnection, broken_attempt},
+        read_meter::MeteredBody,
         request::BufferedRequest,
         response::TruncatedResponse,
     },
@@ -24,7 +25,6 @@
     futures::stream::{self, BoxStream, StreamExt},
     http::{Method, StatusCode, header, response},
     http_body_util::BodyExt,
-    hyper::body::Incoming,
     std::time::{Duration, Instant},
     tokio::time::sleep_until,
 };
@@ -68,7 +68,7 @@
     pub head: ResponseHead,
     pub framing: ResponseFraming,
     pub content: StreamContent,
-    pub body: Incoming,
+    pub body: MeteredBody,
     pub connection: LeasedConnection,
     pub first: Bytes,
     pub order: SendOrder,
@@ -79,7 +79,7 @@
     exchange: HttpExchange,
     order: SendOrder,
     /// The body of the current server's response; `None` once it has ended.
-    source: Option<(Incoming, LeasedConnection)>,
+    source: Option<(MeteredBody, LeasedConnection)>,
     head: ResponseHead,
     framing: ResponseFraming,
     /// Received bytes that have not been relayed yet.
