Bound the memory of all buffered responses together

Cause: a buffered response has a limit of 4 MiB and all together had none. Now what exceeds 64 KiB of a response is taken from 8 MiB that all share, and returned once the response has been passed on; an attempt that finds none left fails as with an error of its server, which is no evidence of a crash. Shorter responses are not affected.

--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -19,6 +19,7 @@
 pub mod relay;
 pub mod request;
 pub mod response;
+pub mod response_buffer;
 pub mod server_demands;
 pub mod server_link;
 pub mod slot_lease;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -6,6 +6,7 @@
         pool::ConnectionPool,
         recheck::RecheckList,
         rejection_limits::{LimitChange, RejectionLimits},
+        response_buffer::BufferBudget,
         server_demands::DemandTable,
         slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
         stream_origin::{OriginFinder, ResumeTarget},
@@ -64,6 +65,8 @@
     pub dispatcher: Arc<DispatcherHandle>,
     /// Pooled connections to backend servers.
     pub pool: ConnectionPool,
+    /// Memory for responses that are buffered until they are complete.
+    pub buffers: BufferBudget,
     /// Admits requests until the process drains.
     pub gate: DrainGate,
     /// Servers that are being probed after a connection failure.
@@ -98,6 +101,7 @@
             dialect,
             dispatcher,
             pool: ConnectionPool::default(),
+            buffers: BufferBudget::default(),
             gate: DrainGate::default(),
             recheck: RecheckList::default(),
             store_reachable: AtomicBool::new(false),
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -16,6 +16,7 @@
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, dispatch_refusal},
+        response_buffer::BufferError,
         timeout_stream::ConnectionPhase,
     },
     crate::{
@@ -46,8 +47,6 @@
     tokio::time::{sleep_until, timeout},
 };
 
-/// Maximum size of a response that is buffered until it is complete; only streams may be longer.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Maximum size of a refusal's body that is read so that its connection can be reused.
 const MAX_REFUSAL_BYTES: usize = 4 << 10;
 /// How long to wait for the body of a refusal, which usually arrives with its head.
@@ -426,20 +425,26 @@
         let StartedResponse { mut parts, head, framing, body, connection } = response;
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
-            collected = Limited::new(body, MAX_RESPONSE_BYTES).collect() => collected,
+            collected = self.core.buffers.collect(body) => collected,
             () = wait_withdrawn(&mut self.handle, order.attempt) => return AttemptStep::Continue,
             () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
         };
-        let collected = match collected {
-            Ok(collected) => collected,
+        let body = match collected {
+            Ok(body) => body,
             Err(error) => {
-                self.core.recheck(&order.server);
-                let failure = broken_attempt(error.as_ref());
+                log::debug!(server = order.server.as_str(); "a response was not buffered: {error}");
+                let failure = match error {
+                    BufferError::Broken(error) => broken_attempt(&error),
+                    BufferError::TooLong => AttemptFailure::Broken,
+                    BufferError::NoMemory => AttemptFailure::ServerError,
+                };
+                if failure != AttemptFailure::ServerError {
+                    self.core.recheck(&order.server);
+                }
                 let failure = self.report(order, failure, &from_start, None);
                 return self.step_after_failure(failure);
             }
         };
-        let body = collected.to_bytes();
         let content_type = parts.headers.get(http::header::CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
         if is_interrupted(content_type, &body) {
