Take demands only from the listed server, and move delays into a file of their own

A response that says that another server runs at the address could have named a rest or a leaving server of its own, which would have counted for the listed one (wrong_server_asks_for_nothing).

--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -9,6 +9,7 @@
 pub mod arrivals;
 pub mod attempts;
 mod cache_store;
+mod delays;
 pub mod digests;
 pub mod lifecycle;
 mod peer_fetch;
@@ -31,7 +32,7 @@
         placement::PrefixRateTable,
         prefix::{MAX_PREFIXES, PrefixTable, ServerIndex},
         reachability::LinkFailure,
-        retry::{RetryBudgets, name_phase},
+        retry::RetryBudgets,
         suspect::SuspectList,
     },
     crate::{
@@ -282,8 +283,7 @@
                 });
             }
             PolicyInput::RetryReserve { retries } => {
-                let phase = name_phase(&self.settings.daemon);
-                self.budgets.limit_reserve(retries, phase);
+                self.budgets.limit_reserve(retries, &self.settings.daemon);
             }
             PolicyInput::Wake => {}
         }
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -10,14 +10,13 @@
     crate::policy::{
         PolicySafeguard, PrefixLevel, RefusalReason, RequestWork, admission,
         fairness::QueuedWork,
-        pacing::ServerPace,
         placement::{CandidateCost, SMALL_POOL},
         prefix::ServerIndex,
         server_rest,
         window::WindowPart,
     },
     rand_core::RngCore,
-    std::time::{Duration, Instant},
+    std::time::Instant,
 };
 
 /// Maximum waiting requests considered for each free slot. Those before them wait for a server that
@@ -37,9 +36,6 @@
 /// Maximum affinity servers evaluated for one request.
 const MAX_AFFINITY_SERVERS: usize = 8;
 
-/// Maximum delay that is calculated from the limits of servers; no caller waits as long.
-const MAX_LIMIT_DELAY: Duration = Duration::from_secs(3_600);
-
 /// Prefill time in seconds from which a prompt counts as long: twice that of a typical chat without
 /// cache hits.
 const LONG_PREFILL: f64 = 1.0;
@@ -278,30 +274,6 @@
         PlacementDecision::Wait
     }
 
-    /// Returns the time until the first of the pool's servers may be used again.
-    fn rest_delay(&self, now: Instant, pool: PoolIndex) -> Duration {
-        let servers =
-            self.table.pools[pool].members.iter().map(|index| &self.table.servers[*index]);
-        let rests = servers.filter(|server| server.accepts_requests());
-        rests.map(|server| server.rest.remaining(now)).min().unwrap_or_default()
-    }
-
-    /// Returns how long the limits of the pool's servers delay the last waiting request.
-    fn limit_delay(&self, now: Instant, pool: PoolIndex) -> Duration {
-        let state = &self.table.pools[pool];
-        let paces = || {
-            let servers = state.members.iter().map(|index| &self.table.servers[*index]);
-            servers
-                .filter(|server| server.accepts_requests())
-                .filter_map(|server| server.pace.as_ref())
-        };
-        let first = paces().map(|pace| pace.delay(now)).min().unwrap_or_default();
-        let rate: f64 = paces().map(ServerPace::rate).sum();
-        let others = state.queue.len().saturating_sub(1) as f64;
-        let others = Duration::try_from_secs_f64(others / rate).unwrap_or(Duration::MAX);
-        first.saturating_add(others).min(MAX_LIMIT_DELAY)
-    }
-
     fn placement_query<'a>(
         &self,
         now: Instant,
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -13,7 +13,7 @@
 
 use {
     super::{AttemptFailure, RetryReason},
-    crate::ids::{OrganisationId, ServiceId},
+    crate::ids::{OrganisationId, ServiceId, VmId},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -128,12 +128,12 @@
     /// Limits the reserves of this daemon. If operators limit the retries of all daemons together at
     /// each service in a time span, `share` is this daemon's part. A larger reserve would let a crash
     /// that all daemons see at once exceed that limit many times over. A share of less than one retry
-    /// is held by some daemons as a whole one, by their [`name_phase`].
-    pub fn limit_reserve(&mut self, share: f64, phase: f64) {
+    /// is held as a whole one by some daemons, chosen by their names.
+    pub fn limit_reserve(&mut self, share: f64, daemon: &VmId) {
         let services = &mut self.services;
         services.reserve = share.max(1.0);
         services.initial = match share < 1.0 {
-            true => f64::from(u8::from(phase < share)),
+            true => f64::from(u8::from(name_phase(daemon) < share)),
             false => (share * STARTING_FRACTION).max(1.0),
         };
         for budget in services.budgets.values_mut() {
@@ -180,7 +180,7 @@
 
 /// Returns a number from 0 (inclusive) to 1 (exclusive) that stays the same for all lives of a daemon
 /// and is evenly distributed over daemons.
-pub fn name_phase(daemon: &str) -> f64 {
+fn name_phase(daemon: &str) -> f64 {
     (xxh3_64(daemon.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64
 }
 
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -51,8 +51,8 @@
 const MAX_REFUSAL_BYTES: usize = 4 << 10;
 /// How long to wait for the body of a refusal, which usually arrives with its head.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
-/// Delay before a request is placed again after the connection limit of a server was reached: about
-/// the time that an engine takes for one token.
+/// How long a server gets no requests after its connection limit was reached: about the time that an
+/// engine takes for one token.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(30);
 
 /// A request and the state of its attempts.
@@ -278,7 +278,7 @@
         let body = MeteredBody::new(body, connection.meter().clone());
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
         let model = self.request.caller.work.as_ref().map(|work| &work.model);
-        if head.verdict != ResponseVerdict::OtherRequest {
+        if matches!(head.verdict, ResponseVerdict::Executed | ResponseVerdict::NotExecuted) {
             self.core.record_demand(&order.server, sent_at, parts.status, &head);
         }
         match head.verdict {
