--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -125,6 +125,9 @@
     pub verdict: ResponseVerdict,
     /// Numbers of requests that run and that wait at the server.
     pub load: Option<(u32, u32)>,
+    /// How long work takes at this moment on the machine of the server, which it shares with others, as a
+    /// multiple of the usual time; positive and finite. `None` if the server does not say.
+    pub work_time: Option<f64>,
     /// The weights that generate the response.
     pub weights: Option<WeightsNumber>,
     /// How long the server keeps idle connections open, if it reports that.
