Lease the slots of servers that share their machines with others

Such servers say in their responses how long work takes there at the moment. Their slots and memory are now leased from the arbiters, as those of servers with a rejection limit are; no server is set aside. Services whose servers do not say so are served as before.

Not measured yet.

--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -53,6 +53,10 @@
 pub const REJECTIONS_LIMITED: &str = "rejections of backend servers limited";
 /// The servers of a service name no such limit any more.
 pub const REJECTIONS_UNLIMITED: &str = "rejections of backend servers not limited any more";
+/// The servers of a service share their machines with others; their slots are leased from now on.
+pub const MACHINES_SHARED: &str = "machines of backend servers shared";
+/// The servers of a service do not share their machines any more.
+pub const MACHINES_UNSHARED: &str = "machines of backend servers not shared any more";
 /// A server rejected a request without executing it. `running` and `waiting` are the load that it
 /// reported, `in_flight` is this daemon's part of it, and `attempt` counts from 1.
 pub const REQUEST_REJECTED: &str = "request rejected by its server";
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -22,6 +22,7 @@
 pub mod response_buffer;
 pub mod server_demands;
 pub mod server_link;
+pub mod shared_machines;
 pub mod slot_lease;
 pub mod store_monitor;
 pub mod stream_origin;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -8,6 +8,7 @@
         rejection_limits::{LimitChange, RejectionLimits},
         response_buffer::BufferBudget,
         server_demands::DemandTable,
+        shared_machines::SharedMachines,
         slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
         stream_origin::{OriginFinder, ResumeTarget},
         view::{ProxyView, qualified_model},
@@ -85,6 +86,8 @@
     demands: DemandTable,
     /// The services whose servers end if they have to reject too many requests.
     rejection_limits: RejectionLimits,
+    /// The services whose servers share their machines with others.
+    shared_machines: SharedMachines,
     slot_leaser: OnceLock<Arc<dyn SlotLeaser>>,
     origin_finder: OnceLock<Arc<dyn OriginFinder>>,
     split_counter: AtomicU64,
@@ -112,6 +115,7 @@
             limits: Mutex::default(),
             demands: DemandTable::default(),
             rejection_limits: RejectionLimits::default(),
+            shared_machines: SharedMachines::default(),
             slot_leaser: OnceLock::new(),
             origin_finder: OnceLock::new(),
             split_counter: AtomicU64::new(0),
@@ -158,6 +162,7 @@
         self.lock_limits().retain(|server, _| view.servers.contains_key(server));
         self.demands.retain(Instant::now(), |server| view.servers.contains_key(server));
         self.rejection_limits.retain(|service| view.is_routed(service));
+        self.shared_machines.retain(|service| view.is_routed(service));
         self.pool.links().set_listed(view.servers.len());
         self.view.store(Arc::new(view));
         self.dispatcher.notify_all(inputs);
@@ -309,6 +314,18 @@
         self.apply_limit_change(service, change);
     }
 
+    /// Records whether a server of the service, in its response to a request that was sent at `sent`, says
+    /// that it shares its machine with others.
+    pub fn record_sharing(&self, service: &ServiceId, sent: Instant, head: &ResponseHead) {
+        let executed = head.verdict == ResponseVerdict::Executed;
+        let (now, is_shared) = (Instant::now(), head.work_time.is_some());
+        match self.shared_machines.record(now, service, sent, is_shared, executed) {
+            Some(true) => log::info!(service = service.as_str(); "{}", events::MACHINES_SHARED),
+            Some(false) => log::info!(service = service.as_str(); "{}", events::MACHINES_UNSHARED),
+            None => {}
+        }
+    }
+
     /// Records the services whose servers have named such a limit to other daemons.
     pub fn record_limit_reports(&self, services: &BTreeSet<ServiceId>) {
         let view = self.view();
@@ -360,6 +377,11 @@
         self.rejection_limits.is_limited(Instant::now(), service)
     }
 
+    /// Whether requests to the servers of a service need leases of their slots.
+    pub fn leases_slots(&self, service: &ServiceId) -> bool {
+        self.shared_machines.contains(service) || self.limits_rejections(service)
+    }
+
     /// Sets how the origins of streams are known; without it a resumed stream goes on at any server. A
     /// second call has no effect.
     pub fn set_origin_finder(&self, finder: Arc<dyn OriginFinder>) {
@@ -401,8 +423,8 @@
     ) -> Result<Option<SlotLease>, LeaseFailure> {
         let view = self.view();
         let Some(listed) = view.servers.get(server) else { return Ok(None) };
-        let is_limited = self.limits_rejections(&listed.service);
-        let Some(leaser) = self.slot_leaser.get().filter(|_| is_limited) else { return Ok(None) };
+        let is_leased = self.leases_slots(&listed.service);
+        let Some(leaser) = self.slot_leaser.get().filter(|_| is_leased) else { return Ok(None) };
         let demand = SlotDemand {
             server: server.clone(),
             arbiter: listed.arbiter.clone(),
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -287,6 +287,7 @@
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
                 self.core.record_rejection_limit(&self.request.service, sent_at, &head);
+                self.core.record_sharing(&self.request.service, sent_at, &head);
                 self.core.record_response(&order.server, model, &head);
                 let framing = ResponseFraming::read(&parts);
                 strip_connection(&mut parts.headers);
@@ -300,6 +301,7 @@
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
                 self.core.record_rejection_limit(&self.request.service, sent_at, &head);
+                self.core.record_sharing(&self.request.service, sent_at, &head);
                 self.core.record_response(&order.server, model, &head);
                 let rest = Limited::new(body, MAX_REFUSAL_BYTES).collect();
                 // A server that hangs after the head must not delay the request.
