Use all cache stores for servers that share their machines, each for its part of the prompts

Each prefix now belongs to one store by a hash that is the same on every daemon, and the budget is that of all reachable links. Services on machines of their own are served as before.

Not measured yet.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,6 +21,7 @@
 pub mod server_rest;
 pub mod slot_leases;
 pub mod software_history;
+pub mod store_choice;
 pub mod suspect;
 pub mod tunnel_peers;
 pub mod window;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -23,6 +23,7 @@
             LoadReport, PolicyInput,
             pacing::ServerPace,
             slot_leases::{LeaseDemand, choose_servers},
+            store_choice::choose_store,
             suspect::CrashReport,
         },
     },
@@ -33,7 +34,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, OnceLock, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::Instant,
     },
@@ -72,8 +73,8 @@
     pub gate: DrainGate,
     /// Servers that are being probed after a connection failure.
     pub recheck: RecheckList,
-    /// Whether the engines' shared cache store is reachable.
-    store_reachable: AtomicBool,
+    /// The reachable ones of the engines' shared cache stores; the configuration bounds their number.
+    reachable_stores: Mutex<BTreeSet<SocketAddr>>,
     objective: DecisionObjective,
     view: ArcSwap<ProxyView>,
     /// Held while the view is replaced, so that none is replaced by an older one.
@@ -107,7 +108,7 @@
             buffers: BufferBudget::default(),
             gate: DrainGate::default(),
             recheck: RecheckList::default(),
-            store_reachable: AtomicBool::new(false),
+            reachable_stores: Mutex::default(),
             objective,
             view: ArcSwap::default(),
             applying: Mutex::default(),
@@ -174,23 +175,47 @@
         self.applying.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets whether the engines' shared cache store is reachable.
-    pub fn set_store_reachable(&self, reachable: bool) {
-        self.store_reachable.store(reachable, Ordering::Relaxed);
+    /// Sets whether one of the engines' shared cache stores is reachable.
+    pub fn set_store_reachable(&self, store: SocketAddr, reachable: bool) {
+        let mut stores = self.lock_stores();
+        match reachable {
+            true => stores.insert(store),
+            false => stores.remove(&store),
+        };
+        drop(stores);
         self.notify_store_link();
     }
 
-    /// The address of the engines' shared cache store; `None` while it is unreachable.
-    pub fn store_address(&self) -> Option<SocketAddr> {
-        let store =
-            self.view().cache_store().filter(|_| self.store_reachable.load(Ordering::Relaxed))?;
-        Some(store.0)
+    /// The engines' shared cache stores that are used, each with this process's share of its link rate in
+    /// tokens per second: all of them for servers that share their machines, and otherwise one.
+    pub fn cache_stores(&self) -> BTreeMap<SocketAddr, f64> {
+        let view = self.view();
+        let mut stores = view.cache_stores();
+        if !self.shared_machines.is_any() {
+            let first = view.first_cache_store();
+            stores.retain(|store, _| Some(*store) == first);
+        }
+        stores
+    }
+
+    /// The cache store that holds the prompts with this prefix, by its hash: each daemon chooses the same
+    /// one. `None` if no store is reachable.
+    pub fn store_address(&self, prefix: u64) -> Option<SocketAddr> {
+        let reachable = self.lock_stores().clone();
+        let stores = self.cache_stores().into_keys().filter(|store| reachable.contains(store));
+        choose_store(prefix, stores)
     }
 
     fn notify_store_link(&self) {
-        let store =
-            self.view().cache_store().filter(|_| self.store_reachable.load(Ordering::Relaxed));
-        self.dispatcher.notify(PolicyInput::CacheStoreLink { rate: store.map(|(_, rate)| rate) });
+        let reachable = self.lock_stores().clone();
+        let stores = self.cache_stores().into_iter();
+        let rates = stores.filter(|(store, _)| reachable.contains(store)).map(|(_, rate)| rate);
+        let rate = rates.reduce(|sum, rate| sum + rate);
+        self.dispatcher.notify(PolicyInput::CacheStoreLink { rate });
+    }
+
+    fn lock_stores(&self) -> std::sync::MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.reachable_stores.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The address of a server; `None` if the server is not listed.
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -337,7 +337,7 @@
         let weights = from.weights.or(current);
         let source = order.source.as_ref().filter(|_| weights.is_some() && weights == decided);
         let store = order.store_use.filter(|_| weights.is_some() && weights == decided);
-        let store = store.zip(self.core.store_address());
+        let store = store.zip(self.core.store_address(self.request.shared_prefix()));
         let salt = model.map(|model| {
             let weights = weights.map(|version| version.to_string()).unwrap_or_default();
             cache_salt(self.request.cache_owner(), model, None, &weights)
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -170,6 +170,12 @@
         prefix::levels(self.cache_owner(), &work.model, None, &segments)
     }
 
+    /// Hash of the longest prefix of the prompt that other prompts may share; 0 if there is none.
+    pub fn shared_prefix(&self) -> u64 {
+        let levels = self.caller.work.as_ref().map(|work| self.levels(work)).unwrap_or_default();
+        levels.iter().rev().nth(1).map_or(0, |level| level.hash)
+    }
+
     /// What the request takes from the memory of an engine.
     pub fn memory_demand(&self) -> MemoryDemand {
         self.caller.work.as_ref().map_or_else(MemoryDemand::default, |work| {
--- a/src/reverse_proxy/shared_machines.rs
+++ b/src/reverse_proxy/shared_machines.rs
@@ -52,6 +52,11 @@
         self.lock().contains_key(service)
     }
 
+    /// Whether the servers of any service share their machines.
+    pub fn is_any(&self) -> bool {
+        !self.lock().is_empty()
+    }
+
     /// Keeps only the services that `is_routed` accepts.
     pub fn retain(&self, is_routed: impl Fn(&ServiceId) -> bool) {
         self.lock().retain(|service, _| is_routed(service));
--- a/src/reverse_proxy/store_monitor.rs
+++ b/src/reverse_proxy/store_monitor.rs
@@ -1,23 +1,24 @@
-//! Monitors whether the engines' shared KV cache store is reachable.
+//! Monitors whether the engines' shared KV cache stores are reachable.
 //!
 //! An engine that is directed to import from an unreachable store waits some hundred milliseconds
-//! for it with every long prompt. The store is not on the server list. Therefore each proxy process
-//! holds an idle connection to it: the end of the connection indicates a crash at once, and an
-//! accepted connection indicates that the store is reachable again.
+//! for it with every long prompt. Stores are not on the server list. Therefore each proxy process
+//! holds an idle connection to each of them: the end of the connection indicates a crash at once, and
+//! an accepted connection indicates that the store is reachable again.
 
 use {
     super::{core::ProxyCore, pool::CONNECT_TIMEOUT},
     crate::observe::events,
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::AsyncReadExt,
         net::TcpStream,
+        task::{AbortHandle, JoinSet},
         time::{Instant, sleep, timeout},
     },
 };
 
-/// Interval at which the configuration is checked for a store or a changed address.
+/// Interval at which the configuration is checked for other stores.
 const ADDRESS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between attempts to connect to an unreachable store.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(500);
@@ -27,17 +28,27 @@
 /// idle connections only after seconds.
 const MIN_CONNECTION_TIME: Duration = Duration::from_millis(50);
 
-/// Monitors the store; never returns.
-pub async fn monitor_cache_store(core: Arc<ProxyCore>) {
-    let mut reachable = false;
+/// Monitors all stores in use; never returns.
+pub async fn monitor_cache_stores(core: Arc<ProxyCore>) {
+    let mut monitored = BTreeMap::new();
+    let mut monitors = JoinSet::new();
     loop {
-        let Some((address, _)) = core.view().cache_store() else {
-            if std::mem::take(&mut reachable) {
-                core.set_store_reachable(false);
-            }
-            sleep(ADDRESS_CHECK_INTERVAL).await;
-            continue;
-        };
+        let stores = core.cache_stores();
+        monitored.retain(|_, monitor: &mut AbortHandle| !monitor.is_finished());
+        for store in stores.into_keys() {
+            monitored
+                .entry(store)
+                .or_insert_with(|| monitors.spawn(monitor_store(Arc::clone(&core), store)));
+        }
+        while monitors.try_join_next().is_some() {}
+        sleep(ADDRESS_CHECK_INTERVAL).await;
+    }
+}
+
+/// Monitors a store until it is not used any more.
+async fn monitor_store(core: Arc<ProxyCore>, address: SocketAddr) {
+    let mut reachable = false;
+    while is_used(&core, address) {
         let began = Instant::now();
         let connected = timeout(CONNECT_TIMEOUT, connect(address)).await;
         if let Ok(Ok(mut stream)) = connected {
@@ -50,9 +61,16 @@
         set_reachable(&core, &mut reachable, false, address);
         sleep(RECONNECT_INTERVAL).await;
     }
+    if reachable {
+        core.set_store_reachable(address, false);
+    }
+}
+
+fn is_used(core: &ProxyCore, address: SocketAddr) -> bool {
+    core.cache_stores().contains_key(&address)
 }
 
-/// Waits until the connection ends or the configured address changes.
+/// Waits until the connection ends or the store is not used any more.
 async fn wait_closed(core: &ProxyCore, stream: &mut TcpStream, address: SocketAddr) {
     let mut bytes = [0; 1];
     loop {
@@ -60,7 +78,7 @@
         if timeout(ADDRESS_CHECK_INTERVAL, stream.read(&mut bytes)).await.is_ok() {
             return;
         }
-        if core.view().cache_store().is_none_or(|(configured, _)| configured != address) {
+        if !is_used(core, address) {
             return;
         }
     }
@@ -71,7 +89,7 @@
         return;
     }
     *reachable = is_reachable;
-    core.set_store_reachable(is_reachable);
+    core.set_store_reachable(address, is_reachable);
     match is_reachable {
         true => log::info!(address:% = address; "{}", events::CACHE_STORE_RECOVERED),
         false => log::warn!(address:% = address; "{}", events::CACHE_STORE_UNAVAILABLE),
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -132,13 +132,22 @@
         rates.min_by(f64::total_cmp).map(|rate| rate / REMOTE_FETCH_FACTOR)
     }
 
-    /// The address of the engines' shared cache store, and this process's share of its link rate in
+    /// The addresses of the engines' shared cache stores, each with this process's share of its link rate in
     /// tokens per second.
-    pub fn cache_store(&self) -> Option<(SocketAddr, f64)> {
+    pub fn cache_stores(&self) -> BTreeMap<SocketAddr, f64> {
         let services = || self.index.iter().flat_map(|index| index.table.services.values());
-        let store = services().find_map(|rule| rule.cache_store.as_ref())?;
-        let token = services().find_map(|rule| rule.engine.as_ref()?.token_bytes)?;
-        Some((store.address, store.link_bytes? / token / f64::from(self.proxy_count.max(1))))
+        let token = services().find_map(|rule| rule.engine.as_ref()?.token_bytes);
+        let Some(token) = token else { return BTreeMap::new() };
+        let share = |link: f64| link / token / f64::from(self.proxy_count.max(1));
+        let stores = services().filter_map(|rule| rule.cache_store.as_ref());
+        stores.filter_map(|store| Some((store.address, share(store.link_bytes?)))).collect()
+    }
+
+    /// The store of [`Self::cache_stores`] whose service has the first name.
+    pub fn first_cache_store(&self) -> Option<SocketAddr> {
+        let services = self.index.iter().flat_map(|index| index.table.services.values());
+        let store = services.into_iter().find_map(|rule| rule.cache_store.as_ref())?;
+        store.link_bytes.map(|_| store.address)
     }
 
     /// Requests that this process may have in flight at the servers of a service without leases of
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -22,7 +22,7 @@
         policy::{Dispatcher, DispatcherSettings, PolicyInput, SafeguardSet},
         reverse_proxy::{
             CallerListener, ProxyCore, WireDialect, core::ProxyDependencies,
-            server_link::check_server_links, store_monitor::monitor_cache_store,
+            server_link::check_server_links, store_monitor::monitor_cache_stores,
         },
         routing::{ParsedTable, RouteFault, RouteTable},
         transport::{PeerNetwork, UnauthenticatedSettings},
@@ -383,7 +383,7 @@
     });
     tasks.spawn(async move { handle.run_wakeups().await });
     tasks.spawn(run_dispatch_tasks(Arc::clone(&core), task_queue));
-    tasks.spawn(monitor_cache_store(Arc::clone(&core)));
+    tasks.spawn(monitor_cache_stores(Arc::clone(&core)));
     core
 }
 
