Read usage caps of organisations from the configuration

Operators limit what an organisation may use over all daemons; nothing read these fields. Of several records of a name the lowest rate and burst apply.

Needs the types of the decision module; not built alone.

--- a/src/routing.rs
+++ b/src/routing.rs
@@ -13,6 +13,7 @@
     crate::{
         ids::{DocumentNumber, FailureDomainId, ModelId, OrganisationId, ServiceId},
         inventory::RequestClass,
+        policy::usage_caps::UsageCap,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -152,6 +153,8 @@
     pub class: Option<RequestClass>,
     /// Whether its cached prompts are shared with no other organisation.
     pub isolated: bool,
+    /// What it may use, over all daemons together; `None` if that is not limited.
+    pub cap: Option<UsageCap>,
 }
 
 /// The complete routing configuration, under one document number.
@@ -172,11 +175,12 @@
 impl RouteTable {
     /// Adds a record of an organisation. A name may have several records, whose keys are all accepted.
     /// The class of the first record that has one applies, and the cached prompts are shared only if
-    /// all records allow it.
+    /// all records allow it. Of several caps the lowest rate and the lowest burst apply.
     ///
     /// # Errors
-    /// [`RouteFault::SharedKey`] if an earlier record of the name has one of its keys; the record is
-    /// added nevertheless. [`RouteTable::check`] finds keys that are shared by different names.
+    /// [`RouteFault::SharedKey`] if an earlier record of the name has one of its keys, and
+    /// [`RouteFault::InvalidCap`] if their caps have different units, of which the first applies; the
+    /// record is added nevertheless. [`RouteTable::check`] finds keys that are shared by different names.
     pub fn add_organisation(
         &mut self,
         name: OrganisationId,
@@ -187,13 +191,30 @@
         merged.keys.extend(access.keys);
         merged.class = merged.class.or(access.class);
         merged.isolated |= access.isolated;
+        let caps = merge_caps(merged.cap, access.cap);
+        merged.cap = caps.or(merged.cap);
         if is_shared {
             return Err(RouteFault::SharedKey { first: name.clone(), second: name });
         }
+        if caps.is_none() && access.cap.is_some() {
+            let reason = "its records count by different units; use the same one".to_owned();
+            return Err(RouteFault::InvalidCap { organisation: name, reason });
+        }
         Ok(())
     }
 }
 
+/// The cap that keeps both caps; `None` if there is none or if they have different units.
+fn merge_caps(first: Option<UsageCap>, second: Option<UsageCap>) -> Option<UsageCap> {
+    let (Some(first), Some(second)) = (first, second) else { return first.or(second) };
+    (first.unit == second.unit).then(|| UsageCap {
+        rate: first.rate.min(second.rate),
+        burst: first.burst.min(second.burst),
+        unit: first.unit,
+        plain_tokens: first.plain_tokens.max(second.plain_tokens),
+    })
+}
+
 /// A table that was read from a document.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ParsedTable {
--- a/src/routing/fault.rs
+++ b/src/routing/fault.rs
@@ -55,6 +55,13 @@
         /// Another organisation with the key.
         second: OrganisationId,
     },
+    /// the usage cap of organisation {organisation} is invalid: {reason}
+    InvalidCap {
+        /// Organisation with the cap.
+        organisation: OrganisationId,
+        /// What is wrong, with the remedy.
+        reason: String,
+    },
 }
 
 impl std::error::Error for RouteFault {}
