--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,6 +23,7 @@
 pub mod software_history;
 pub mod suspect;
 pub mod tunnel_peers;
+pub mod usage_caps;
 pub mod window;
 
 pub use self::{
