Ask the usage arbiter of an organisation before a request is placed

What organisations used was limited by nobody. An entry now pays for each request of an organisation with a cap, from units that the entry chosen for the organisation grants, before the dispatcher sees it; what is beyond the cap is refused with 429 and has not run. Units of runs that did not take place are given back when the request ends, and another run of the same request is paid for before it begins.

The decision module is still an outline, so that nothing is refused yet. Compiles; no test run.

--- a/src/daemon/peer_service.rs
+++ b/src/daemon/peer_service.rs
@@ -75,7 +75,9 @@
             | PeerMessage::EndLease { .. }
             | PeerMessage::LeaseRejected { .. }
             | PeerMessage::HeldLeases(_)
-            | PeerMessage::StreamOrigins { .. } => {}
+            | PeerMessage::StreamOrigins { .. }
+            | PeerMessage::ReturnUsage(_)
+            | PeerMessage::ReleaseUsage => {}
         }
     }
 
@@ -109,7 +111,9 @@
             | PeerRequest::TunnelPeers { .. }
             | PeerRequest::OpenTunnel { .. }
             | PeerRequest::LeaseSlot { .. }
-            | PeerRequest::StreamOrigin { .. } => PeerReply::Refused(
+            | PeerRequest::StreamOrigin { .. }
+            | PeerRequest::AcquireUsage(_)
+            | PeerRequest::RenewUsage(_) => PeerReply::Refused(
                 "this daemon does not serve followers; ask a control VM".to_owned(),
             ),
         }
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -58,6 +58,13 @@
 pub const PEERS_REFUSED: &str = "oleandermount_peers_refused_total";
 /// Connections to backend servers through other entries, by `result`.
 pub const TUNNELS: &str = "oleandermount_tunnels_total";
+/// Units of usage caps that arbiters have granted to this daemon.
+pub const USAGE_GRANTED: &str = "oleandermount_usage_granted_units_total";
+/// Units of usage caps that admitted requests have paid.
+pub const USAGE_PAID: &str = "oleandermount_usage_paid_units_total";
+/// Requests beyond the usage caps of their organisations, by `decision`: `arbiter` asked, `silent` arbiter,
+/// or `local`.
+pub const USAGE_REFUSED: &str = "oleandermount_usage_refused_total";
 /// Open connections of callers and operators.
 pub const CONNECTIONS: &str = "oleandermount_open_connections";
 /// 1 while this daemon drains.
@@ -110,11 +117,13 @@
     /// The request failed because of an interrupted or invalid response of a backend server.
     pub const BACKEND_FAILED: &str = "backend_failed";
 
+    /// The request is beyond the usage cap of its organisation.
+    pub const USAGE_CAP: &str = "usage_cap";
     /// No route table is active yet.
     pub const NO_ROUTES: &str = "no_routes";
 
     /// All reasons; their counters are initialised at startup.
-    pub const ALL: [&str; 17] = [
+    pub const ALL: [&str; 18] = [
         BAD_REQUEST,
         NO_KEY,
         UNKNOWN_KEY,
@@ -131,10 +140,24 @@
         LEDGER_FULL,
         TOO_MANY_OPEN,
         BACKEND_FAILED,
+        USAGE_CAP,
         NO_ROUTES,
     ];
 }
 
+/// Who decided that a request is beyond a usage cap.
+pub mod usage_decision {
+    /// The arbiter of the organisation.
+    pub const ARBITER: &str = "arbiter";
+    /// This daemon, since the arbiter did not reply.
+    pub const SILENT: &str = "silent";
+    /// This daemon, by what it knows from earlier replies.
+    pub const LOCAL: &str = "local";
+
+    /// All decisions; their counters are initialised at startup.
+    pub const ALL: [&str; 3] = [ARBITER, SILENT, LOCAL];
+}
+
 /// Bucket bounds in seconds, densest around the target of half a second to the first token.
 const FIRST_TOKEN_BUCKETS: [f64; 16] =
     [0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.18, 0.27, 0.4, 0.54, 0.8, 1.2, 2.5, 5.0, 10.0, 30.0];
@@ -230,6 +253,9 @@
     describe_counter!(SERVER_REJECTIONS, "Requests that backend servers rejected.");
     describe_counter!(PEERS_REFUSED, "Daemons rejected because of their keys.");
     describe_counter!(TUNNELS, "Connections to servers through other entries, by result.");
+    describe_counter!(USAGE_GRANTED, "Units of usage caps granted to this daemon.");
+    describe_counter!(USAGE_PAID, "Units of usage caps that admitted requests have paid.");
+    describe_counter!(USAGE_REFUSED, "Requests beyond usage caps, by decision.");
     describe_gauge!(CONNECTIONS, "Open connections of callers and operators.");
     describe_gauge!(DRAINING, "1 while this daemon drains.");
     describe_counter!(CLAIMS_RELEASED, "Claims released before a request was sent.");
@@ -256,6 +282,11 @@
         counter!(FOLLOW_DOCUMENTS, "kind" => kind).increment(0);
         counter!(FOLLOW_LISTS, "kind" => kind).increment(0);
     }
+    for decision in usage_decision::ALL {
+        counter!(USAGE_REFUSED, "decision" => decision).increment(0);
+    }
+    counter!(USAGE_GRANTED).increment(0);
+    counter!(USAGE_PAID).increment(0);
     counter!(MISMATCHED_RESPONSES).increment(0);
     counter!(SERVER_REJECTIONS).increment(0);
     counter!(BACKGROUND_CALLS_DROPPED).increment(0);
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -27,6 +27,7 @@
 pub mod store_monitor;
 pub mod stream_origin;
 pub mod timeout_stream;
+pub mod usage_limit;
 pub mod view;
 
 pub use self::{
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -11,11 +11,12 @@
         shared_machines::SharedMachines,
         slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
         stream_origin::{OriginFinder, ResumeTarget},
+        usage_limit::{CapExceeded, UsageCharge, UsageLimiter},
         view::{ProxyView, qualified_model},
     },
     crate::{
         follow::stream_origins::StreamOrigin,
-        ids::{Incarnation, ModelId, RequestId, ServerId, ServiceId, VmId, WeightsNumber},
+        ids::{Incarnation, ModelId, OrganisationId, RequestId, ServerId, ServiceId, VmId, WeightsNumber},
         inventory::DecisionObjective,
         observe::events,
         pipeline::{DispatcherHandle, DrainGate},
@@ -90,6 +91,7 @@
     shared_machines: SharedMachines,
     slot_leaser: OnceLock<Arc<dyn SlotLeaser>>,
     origin_finder: OnceLock<Arc<dyn OriginFinder>>,
+    usage_limiter: OnceLock<Arc<dyn UsageLimiter>>,
     split_counter: AtomicU64,
     /// The dispatcher's reports on crashes, repeated while there are any.
     crash_reports: watch::Sender<Vec<CrashReport>>,
@@ -118,6 +120,7 @@
             shared_machines: SharedMachines::default(),
             slot_leaser: OnceLock::new(),
             origin_finder: OnceLock::new(),
+            usage_limiter: OnceLock::new(),
             split_counter: AtomicU64::new(0),
             crash_reports: watch::channel(Vec::new()).0,
         })
@@ -434,6 +437,28 @@
         Arc::clone(leaser).lease(demand).await.map(Some)
     }
 
+    /// Sets how usage caps are kept; without it they are not. A second call has no effect.
+    pub fn set_usage_limiter(&self, limiter: Arc<dyn UsageLimiter>) {
+        if self.usage_limiter.set(limiter).is_err() {
+            log::error!("the usage limiter was set twice");
+        }
+    }
+
+    /// Pays for a request of an organisation with a cap. `None` if nothing limits it any more.
+    ///
+    /// # Errors
+    /// As [`UsageLimiter::acquire`].
+    pub async fn acquire_usage(
+        &self,
+        organisation: &OrganisationId,
+        cost: f64,
+    ) -> Result<Option<UsageCharge>, CapExceeded> {
+        match self.usage_limiter.get() {
+            Some(limiter) => Arc::clone(limiter).acquire(organisation.clone(), cost).await,
+            None => Ok(None),
+        }
+    }
+
     fn lock_limits(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (Incarnation, f64)>> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -4,6 +4,7 @@
     crate::{
         ids::{ModelId, OrganisationId, RequestId, ServerId, WeightsNumber},
         inventory::RequestClass,
+        policy::usage_caps::UsageCap,
         routing::{RouteIndex, RouteRule},
     },
     http::{HeaderMap, Response, StatusCode, request, response},
@@ -56,6 +57,10 @@
     pub resumes: Option<ResumedStream>,
     /// The prompt; set for requests to model engines.
     pub work: Option<PromptWork>,
+    /// The usage cap of the organisation, if it has one.
+    pub cap: Option<UsageCap>,
+    /// Tokens of the prompt and of the response at most, if the request says.
+    pub tokens: Option<u64>,
 }
 
 /// An error response to a caller.
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -4,9 +4,10 @@
 mod resumption;
 mod slot;
 mod stream_start;
+mod usage;
 
 use {
-    self::resumption::bind_resumption,
+    self::{resumption::bind_resumption, usage::acquire_usage},
     super::{
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
@@ -18,6 +19,7 @@
         response::{ProxyResult, ResponseBody, dispatch_refusal},
         response_buffer::BufferError,
         timeout_stream::ConnectionPhase,
+        usage_limit::UsageCharge,
     },
     crate::{
         backend::sse::is_interrupted,
@@ -62,6 +64,8 @@
     pub(super) handle: RequestHandle,
     /// Number of servers that may have begun to run the request.
     pub(super) runs: u32,
+    /// What the request has paid, if its organisation has a usage cap.
+    charge: Option<UsageCharge>,
     /// A server's error response, which is passed on if no other server succeeds.
     failure: Option<(response::Parts, Bytes)>,
     /// Number of times the request was sent.
@@ -113,12 +117,14 @@
 ) -> ProxyResult {
     count_request(request.caller.class);
     bind_resumption(&core, &mut request).await?;
+    let charge = acquire_usage(&core, &request).await?;
     let handle = core.dispatcher.submit(request.ticket());
     let mut exchange = HttpExchange {
         core,
         request,
         handle,
         runs: 0,
+        charge,
         failure: None,
         attempts: 0,
         is_logged: false,
@@ -223,11 +229,11 @@
             sent = self.core.pool.send(target, request, non_repeatable, limit) => sent,
             () = wait_withdrawn(&mut self.handle, order.attempt) => {
                 // The dispatcher has withdrawn the attempt; its next directive ends the request.
-                self.runs += 1;
+                self.record_run();
                 return Err(AttemptFailure::TimedOut);
             }
             () = sleep_until(self.request.deadline.into()) => {
-                self.runs += 1;
+                self.record_run();
                 return Err(self.report(order, AttemptFailure::TimedOut, from, None));
             }
         };
@@ -260,7 +266,7 @@
                     PoolError::Unreachable => AttemptFailure::Unreachable,
                     _ => AttemptFailure::Broken,
                 };
-                self.runs += 1;
+                self.record_run();
                 self.core.recheck(&order.server);
                 self.report(order, failure, from, None)
             }
@@ -277,18 +283,17 @@
         let (mut parts, body) = response.into_parts();
         let body = MeteredBody::new(body, connection.meter().clone());
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
-        let model = self.request.caller.work.as_ref().map(|work| &work.model);
         if matches!(head.verdict, ResponseVerdict::Executed | ResponseVerdict::NotExecuted) {
             self.core.record_demand(&order.server, sent_at, parts.status, &head);
         }
         match head.verdict {
             ResponseVerdict::Executed => {
-                self.runs += 1;
+                self.record_run();
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
                 self.core.record_rejection_limit(&self.request.service, sent_at, &head);
                 self.core.record_sharing(&self.request.service, sent_at, &head);
-                self.core.record_response(&order.server, model, &head);
+                self.record_response(order, &head);
                 let framing = ResponseFraming::read(&parts);
                 strip_connection(&mut parts.headers);
                 Ok(StartedResponse { parts, head, framing, body, connection })
@@ -302,7 +307,7 @@
                 self.core.record_limit(&order.server, &head);
                 self.core.record_rejection_limit(&self.request.service, sent_at, &head);
                 self.core.record_sharing(&self.request.service, sent_at, &head);
-                self.core.record_response(&order.server, model, &head);
+                self.record_response(order, &head);
                 let rest = Limited::new(body, MAX_REFUSAL_BYTES).collect();
                 // A server that hangs after the head must not delay the request.
                 if matches!(timeout(REFUSAL_TIMEOUT, rest).await, Ok(Ok(_))) {
@@ -320,13 +325,18 @@
             }
             ResponseVerdict::OtherRequest => {
                 count_mismatched_response();
-                self.runs += 1;
+                self.record_run();
                 self.core.recheck(&order.server);
                 Err(self.report(order, AttemptFailure::Broken, from, None))
             }
         }
     }
 
+    fn record_response(&self, order: &SendOrder, head: &ResponseHead) {
+        let model = self.request.caller.work.as_ref().map(|work| &work.model);
+        self.core.record_response(&order.server, model, head);
+    }
+
     fn backend_request(&self, order: &SendOrder, from: &ResumePosition) -> Request<Full<Bytes>> {
         let BufferedRequest { caller, head, body, service, deadline, .. } = &self.request;
         let model = caller.work.as_ref().map(|work| &work.model);
@@ -387,12 +397,6 @@
         failure
     }
 
-    /// Whether another server may begin to run the request.
-    pub(super) fn may_run_again(&self) -> bool {
-        let route = &self.request.caller.route;
-        route.kind.is_repeatable() && self.runs < route.attempts
-    }
-
     /// Determines the step after a reported failure: the dispatcher decides on the next attempt,
     /// unless the route allows no more runs.
     fn step_after_failure(&mut self, failure: AttemptFailure) -> AttemptStep {
--- a/src/roles.rs
+++ b/src/roles.rs
@@ -19,6 +19,8 @@
 pub mod slot_client;
 pub mod tunnel_client;
 pub mod tunnel_service;
+pub mod usage_arbiter;
+pub mod usage_client;
 
 use {
     crate::{ids::VmId, transport::TransportError},
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -8,6 +8,7 @@
         NodeError, control_directory::ControlDirectory, entry_service::EntryService,
         health::serve_health_page, origin_client::OriginClient, random_seed,
         slot_arbiter::SlotArbiter, slot_client::SlotClient, tunnel_client::TunnelClient,
+        usage_arbiter::UsageGranter, usage_client::UsageClient,
     },
     crate::{
         fleet::watch::ListMonitor,
@@ -35,7 +36,7 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant as StdInstant},
     },
     tokio::{
         sync::{mpsc, watch},
@@ -142,6 +143,7 @@
     settings: EntrySettings,
     retry_reserve: watch::Sender<f64>,
     core: Arc<ProxyCore>,
+    usage: Arc<UsageClient>,
     listener: CallerListener,
     stopping: Arc<AtomicBool>,
     directory: Arc<ControlDirectory>,
@@ -161,15 +163,16 @@
     ) -> Result<Self, NodeError> {
         let mut tasks = JoinSet::new();
         let (candidates, candidate_watch) = watch::channel(control.keys().cloned().collect());
-        let service = Arc::new(EntryService::default());
+        let service = Arc::new(EntryService::new(settings.vm.clone()));
         let network = start_network(&settings, &control, &service)?;
         settings.disabled.warn_if_any();
         let core = start_core(settings.core_settings(), dialect, &mut tasks);
         service.tunnels.open(Arc::clone(&core));
         start_leases(&core, &network, &service.arbiter, &mut tasks);
+        let usage = start_usage(&core, &network, &service.usage, &mut tasks);
         let (state, states) = watch::channel(SharedState::default());
         let domain = settings.failure_domain.clone();
-        let follower = EntryFollower::start(&core, &network, &mut tasks);
+        let follower = EntryFollower::start(&core, &network, &usage, &mut tasks);
         let followed = follower.followed.subscribe();
         let origins = start_origins(&core, &network, followed.clone(), &mut tasks);
         let task = FollowTask::new(network.clone(), domain, candidate_watch, state, follower);
@@ -182,6 +185,7 @@
             core: Arc::clone(&core),
             directory: Arc::clone(&directory),
             arbiter: Arc::clone(&service.arbiter),
+            usage: Arc::clone(&usage),
             origins,
             parser,
         };
@@ -204,6 +208,7 @@
             settings,
             retry_reserve,
             core,
+            usage,
             listener,
             stopping,
             directory,
@@ -231,6 +236,7 @@
         self.listener.close_idle();
         sleep(REFUSE_AFTER - ACCEPT_WHILE_STOPPING).await;
         self.core.gate.begin_drain();
+        self.usage.release();
         let left = self.settings.grace.saturating_sub(began.elapsed() + FLUSH_TIME);
         if timeout(left, self.core.gate.wait_empty()).await.is_err() {
             log::error!(cut = self.core.gate.in_flight(); "requests cut off: the grace period is over");
@@ -275,6 +281,19 @@
     tasks.spawn(Arc::clone(arbiter).run_expiry());
 }
 
+/// Lets the core keep usage caps, for which other entries grant units here.
+fn start_usage(
+    core: &Arc<ProxyCore>,
+    network: &PeerNetwork,
+    own: &Arc<UsageGranter>,
+    tasks: &mut JoinSet<()>,
+) -> Arc<UsageClient> {
+    let client = Arc::new(UsageClient::new(network.clone(), Arc::clone(own)));
+    core.set_usage_limiter(client.clone());
+    tasks.spawn(Arc::clone(&client).run_reports());
+    client
+}
+
 /// Lets the core find out where streams have begun.
 fn start_origins(
     core: &Arc<ProxyCore>,
@@ -310,11 +329,19 @@
     /// The digest of the last crash reports.
     evidence: AtomicU64,
     followed: watch::Sender<Option<VmId>>,
+    usage: Arc<UsageClient>,
+    /// The next poll is sent after this time.
+    polls_after: Mutex<StdInstant>,
 }
 
 impl EntryFollower {
     /// Starts to send the crash reports of the entry to the control VM that it follows.
-    fn start(core: &Arc<ProxyCore>, network: &PeerNetwork, tasks: &mut JoinSet<()>) -> Arc<Self> {
+    fn start(
+        core: &Arc<ProxyCore>,
+        network: &PeerNetwork,
+        usage: &Arc<UsageClient>,
+        tasks: &mut JoinSet<()>,
+    ) -> Arc<Self> {
         let (followed, followed_watch) = watch::channel(None);
         tasks.spawn(send_own_reports(network.clone(), core.crash_reports(), followed_watch));
         Arc::new(EntryFollower {
@@ -322,10 +349,20 @@
             list_monitor: Mutex::default(),
             evidence: AtomicU64::new(0),
             followed,
+            usage: Arc::clone(usage),
+            polls_after: Mutex::new(StdInstant::now()),
         })
     }
 }
 
+impl EntryFollower {
+    /// Records that another poll follows; returns a time before the former one was sent.
+    fn begin_poll(&self) -> StdInstant {
+        let mut polls_after = self.polls_after.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut polls_after, StdInstant::now())
+    }
+}
+
 impl FollowerPort for EntryFollower {
     fn kind(&self) -> FollowerKind {
         FollowerKind::Entry
@@ -340,6 +377,7 @@
     }
 
     fn followed(&self, peer: Option<&VmId>) {
+        self.begin_poll();
         self.followed.send_replace(peer.cloned());
     }
 
@@ -352,6 +390,10 @@
             self.core.dispatcher.notify(PolicyInput::CrashReports(reports.clone()));
         }
         self.core.record_limit_reports(&reply.limited_services);
+        let polled = self.begin_poll();
+        if reply.fresh {
+            self.usage.confirm(polled);
+        }
     }
 }
 
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -12,6 +12,7 @@
         roles::{
             control_directory::ControlDirectory, origin_client::OriginClient,
             required_weights::RequiredWeights, slot_arbiter::SlotArbiter,
+            usage_client::UsageClient,
         },
         routing::{ParsedTable, RouteIndex},
     },
@@ -31,6 +32,7 @@
     pub(super) core: Arc<ProxyCore>,
     pub(super) directory: Arc<ControlDirectory>,
     pub(super) arbiter: Arc<SlotArbiter>,
+    pub(super) usage: Arc<UsageClient>,
     pub(super) origins: Arc<OriginClient>,
     pub(super) parser: Arc<dyn RouteParser>,
 }
@@ -67,6 +69,7 @@
             self.directory.set_arbiters(arbiters);
             let memory = |service: &ServiceId| view.engine_memory(service);
             self.arbiter.configure(&self.core.vm, &view.servers, memory);
+            self.usage.configure(&view, sharing as usize);
             let servers = view.servers.values().map(|server| (&server.service, &server.software));
             self.origins.apply(servers, &state.control, entries);
             self.core.apply(view);
--- a/src/roles/entry_service.rs
+++ b/src/roles/entry_service.rs
@@ -1,7 +1,9 @@
 //! Handles messages and requests of other daemons at an entry.
 
 use {
-    super::{slot_arbiter::SlotArbiter, tunnel_service::TunnelService},
+    super::{
+        slot_arbiter::SlotArbiter, tunnel_service::TunnelService, usage_arbiter::UsageGranter,
+    },
     crate::{
         ids::{ServerId, VmId},
         policy::slot_leases::LeaseDemand,
@@ -13,13 +15,25 @@
     std::sync::Arc,
 };
 
-/// Opens tunnels and leases slots for other entries.
-#[derive(Default)]
+/// Opens tunnels, leases slots and grants units of usage caps for other entries.
 pub struct EntryService {
     /// Opens tunnels to servers.
     pub tunnels: TunnelService,
     /// Leases the slots of the servers of which this entry is the arbiter.
     pub arbiter: Arc<SlotArbiter>,
+    /// Grants units of the usage caps of which this entry is the arbiter.
+    pub usage: Arc<UsageGranter>,
+}
+
+impl EntryService {
+    /// Creates the service of the entry on `vm`.
+    pub fn new(vm: VmId) -> Self {
+        EntryService {
+            tunnels: TunnelService::default(),
+            arbiter: Arc::default(),
+            usage: Arc::new(UsageGranter::new(vm)),
+        }
+    }
 }
 
 impl PeerHandler for EntryService {
@@ -28,6 +42,8 @@
             PeerMessage::EndLease { server, lease } => self.arbiter.end(&server, lease),
             PeerMessage::LeaseRejected { server, lease } => self.arbiter.reject(server, lease),
             PeerMessage::HeldLeases(held) => self.arbiter.confirm(&from, held),
+            PeerMessage::ReturnUsage(units) => self.usage.give_back(units),
+            PeerMessage::ReleaseUsage => self.usage.release(&from),
             other => self.tunnels.message(from, other),
         }
     }
@@ -39,6 +55,14 @@
                 let leased = Arc::clone(&self.arbiter).lease(server, lease, from, demand);
                 Box::pin(async move { PeerReply::SlotLeased(leased.await) })
             }
+            PeerRequest::AcquireUsage(request) => {
+                let reply = PeerReply::UsageAcquired(self.usage.acquire(&from, &request));
+                Box::pin(async move { reply })
+            }
+            PeerRequest::RenewUsage(reports) => {
+                let reply = PeerReply::UsageRenewed(self.usage.renew(&from, reports));
+                Box::pin(async move { reply })
+            }
             other => self.tunnels.request(from, other),
         }
     }
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -7,10 +7,11 @@
             FollowReply, FollowRequest,
             stream_origins::{OriginAnswer, OriginReport, StreamKey},
         },
-        ids::{LeaseId, RequestId, Revision, ServerId, ServiceId, VmId},
+        ids::{LeaseId, OrganisationId, RequestId, Revision, ServerId, ServiceId, VmId},
         policy::{
             DomainDigest,
             slot_leases::{LeaseRefusal, MemoryDemand},
+            usage_caps::{ShareGrant, ShareReport, UsageReply, UsageRequest},
         },
         transport::config_delta::ConfigDelta,
     },
@@ -61,6 +62,10 @@
         /// The lease.
         lease: LeaseId,
     },
+    /// Units that the receiver granted and the sender did not use; negative ones were used in excess.
+    ReturnUsage(Vec<(OrganisationId, f64)>),
+    /// The sender stops and uses none of its shares of usage caps any more.
+    ReleaseUsage,
 }
 
 /// A request that gets exactly one reply, or fails.
@@ -118,6 +123,10 @@
         /// The stream.
         stream: StreamKey,
     },
+    /// Grant units of the usage cap of an organisation, of which the peer is the arbiter.
+    AcquireUsage(Box<UsageRequest>),
+    /// Renew the sender's shares of usage caps.
+    RenewUsage(Vec<ShareReport>),
 }
 
 /// Why a peer did not open a tunnel; nothing was sent to the server.
@@ -160,4 +169,8 @@
     SlotLeased(Result<(), LeaseRefusal>),
     /// What the peer knows of a stream.
     StreamOrigin(OriginAnswer),
+    /// Whether units were granted.
+    UsageAcquired(UsageReply),
+    /// The caller's shares from now on.
+    UsageRenewed(Vec<ShareGrant>),
 }
