--- a/src/policy/usage_caps.rs
+++ b/src/policy/usage_caps.rs
@@ -86,6 +86,8 @@
     pub held: f64,
     /// Whether the holder spends the fraction without the receiver, or has lent it to another entry.
     pub in_use: bool,
+    /// Whether the holder has callers of the organisation. If not, it holds no share of the receiver any more.
+    pub wanted: bool,
     /// The fraction of another arbiter that is lent to the receiver until it ends, or 0.
     pub lent: f64,
     /// When the lent fraction ends.
@@ -126,10 +128,14 @@
     Refused {
         /// When there will be room.
         retry_after: Duration,
+        /// Whether more than the rate of a second was used in excess, so that repeats have to end, too.
+        in_debt: bool,
         /// As in [`ShareGrant`].
         share: Option<f64>,
     },
-    /// The entry knows of no cap of the organisation.
+    /// The organisation has no cap, by a newer document than the holder's or an older one.
+    Uncapped,
+    /// The entry has no document that the control VMs have confirmed.
     NotArbiter,
 }
 
