--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -16,7 +16,10 @@
     },
     crate::{
         follow::stream_origins::StreamOrigin,
-        ids::{Incarnation, ModelId, OrganisationId, RequestId, ServerId, ServiceId, VmId, WeightsNumber},
+        ids::{
+            Incarnation, ModelId, OrganisationId, RequestId, ServerId, ServiceId, VmId,
+            WeightsNumber,
+        },
         inventory::DecisionObjective,
         observe::events,
         pipeline::{DispatcherHandle, DrainGate},
--- a/src/reverse_proxy/usage_limit.rs
+++ b/src/reverse_proxy/usage_limit.rs
@@ -1,6 +1,10 @@
 //! What requests take from the usage caps of their organisations.
 
-use {crate::ids::OrganisationId, futures::future::BoxFuture, std::{sync::Arc, time::Duration}};
+use {
+    crate::ids::OrganisationId,
+    futures::future::BoxFuture,
+    std::{sync::Arc, time::Duration},
+};
 
 /// A request is beyond the usage cap of its organisation. Nothing was sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,11 +47,7 @@
 
 impl UsageCharge {
     /// The charge of a request that was paid for once.
-    pub fn new(
-        limiter: Arc<dyn UsageLimiter>,
-        organisation: OrganisationId,
-        cost: f64,
-    ) -> Self {
+    pub fn new(limiter: Arc<dyn UsageLimiter>, organisation: OrganisationId, cost: f64) -> Self {
         UsageCharge { limiter, organisation, cost, paid: 1, runs: 0 }
     }
 
--- a/src/roles/usage_client.rs
+++ b/src/roles/usage_client.rs
@@ -198,9 +198,7 @@
                 let decision = state.holder.record_reply(now, arbiter, request, sent, reply);
                 (decision, usage_decision::ARBITER)
             }
-            None => {
-                (state.holder.record_failure(now, arbiter, request), usage_decision::SILENT)
-            }
+            None => (state.holder.record_failure(now, arbiter, request), usage_decision::SILENT),
         }
     }
 
--- a/src/roles/usage_client/refused_organisations.rs
+++ b/src/roles/usage_client/refused_organisations.rs
@@ -51,8 +51,7 @@
         } else if self.spans.len() < MAX_REFUSED {
             log::warn!(organisation = organisation.as_str(), rate = cap.rate, burst = cap.burst,
                 unit:? = cap.unit, units = cost; "{}", events::CAP_EXCEEDED);
-            let span =
-                RefusalSpan { began: now, last: now, cap: *cap, paid: 0.0, refused: cost };
+            let span = RefusalSpan { began: now, last: now, cap: *cap, paid: 0.0, refused: cost };
             self.spans.insert(organisation.clone(), span);
         }
     }
