--- a/src/operator_client/explain_log.rs
+++ b/src/operator_client/explain_log.rs
@@ -31,7 +31,7 @@
 const SHOWN_RECORDS: usize = 50;
 
 /// State changes that can explain the failure of a request in the process that logs them.
-const RELATED_EVENTS: [&str; 9] = [
+const RELATED_EVENTS: [&str; 11] = [
     events::SERVER_UNAVAILABLE,
     events::SERVER_RECOVERED,
     events::SERVER_MISMATCHED,
@@ -41,6 +41,8 @@
     events::LIST_CONFIRMED,
     events::ROUTES_ACTIVATED,
     events::RECORDS_DROPPED,
+    events::CAP_EXCEEDED,
+    events::CAP_KEPT,
 ];
 
 /// Explanation of one request from the logs.
@@ -191,10 +193,29 @@
         0 => "no server began it".to_owned(),
         count => format!("{count} server(s) may have run it: its outcome is unknown here"),
     };
-    format!(
+    let mut text = format!(
         "It was refused after {} ms and {ran}. {reason}: {}.",
         last.number("waited_ms"),
         describe_reason(reason)
+    );
+    if reason == refusal::USAGE_CAP {
+        let _ = write!(text, " {}", describe_cap(last));
+    }
+    text
+}
+
+/// Describes the usage cap that a request was beyond.
+fn describe_cap(last: &LogRecord) -> String {
+    let figure = |key: &str| last.fields.get(key).map(ToString::to_string).unwrap_or_default();
+    format!(
+        "It needed {} units of organisation {}, which may use {} a second and {} at once, in {} over all \
+         entries. There was room after {} ms.",
+        figure("units"),
+        last.text("organisation"),
+        figure("rate"),
+        figure("burst"),
+        last.text("unit").to_lowercase(),
+        last.number("retry_after_ms")
     )
 }
 
@@ -231,7 +252,7 @@
         (RefusalReason::ServersResting, "all its servers had asked not to be used for a while"),
         (RefusalReason::NotResumable, "its server failed, and no other server could resume it"),
     ];
-    const FILTERS: [(&str, &str); 11] = [
+    const FILTERS: [(&str, &str); 12] = [
         (refusal::BAD_REQUEST, "the request is malformed"),
         (refusal::NO_KEY, "it has no API key"),
         (refusal::UNKNOWN_KEY, "its API key belongs to no organisation of the configuration"),
@@ -242,6 +263,7 @@
         (refusal::BODY_TIMEOUT, "its body was not received in time"),
         (refusal::TOO_MANY_OPEN, "this daemon had reached its limit of open requests"),
         (refusal::BACKEND_FAILED, "its server failed, and it may not be repeated"),
+        (refusal::USAGE_CAP, "its organisation was beyond its usage cap"),
         (refusal::NO_ROUTES, "this daemon had no configuration yet"),
     ];
     let policy_text = POLICY.iter().find(|(known, _)| known.as_str() == reason);
