Release shares of usage caps when an entry stops

It now tells the arbiters when it begins to refuse requests, reports nothing after that, and ends 100 ms later at the earliest.

--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -41,7 +41,7 @@
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{Instant, sleep, timeout},
+        time::{Instant, sleep, sleep_until, timeout},
     },
 };
 
@@ -55,6 +55,8 @@
 /// keeps sending requests here, and an answer that starts later could not end before the process is
 /// killed.
 const REFUSE_AFTER: Duration = Duration::from_millis(2_900);
+/// Time for the messages that release shares of usage caps, also to an arbiter that has to be dialled.
+const RELEASE_TIME: Duration = Duration::from_millis(100);
 /// The time at the end of the grace period that is reserved for sending the last bytes.
 const FLUSH_TIME: Duration = Duration::from_millis(400);
 
@@ -236,11 +238,14 @@
         self.listener.close_idle();
         sleep(REFUSE_AFTER - ACCEPT_WHILE_STOPPING).await;
         self.core.gate.begin_drain();
-        self.usage.release();
+        let has_shares = self.usage.release();
         let left = self.settings.grace.saturating_sub(began.elapsed() + FLUSH_TIME);
         if timeout(left, self.core.gate.wait_empty()).await.is_err() {
             log::error!(cut = self.core.gate.in_flight(); "requests cut off: the grace period is over");
         }
+        if has_shares {
+            sleep_until(began + REFUSE_AFTER + RELEASE_TIME).await;
+        }
         self.listener.stop();
         log::info!("stopped");
     }
--- a/src/roles/usage_client.rs
+++ b/src/roles/usage_client.rs
@@ -52,6 +52,8 @@
     /// The settings that are in force.
     settings: UsageSettings,
     refused: RefusedOrganisations,
+    /// Whether this entry stops and has released its shares.
+    is_released: bool,
 }
 
 /// What decides on caps and their arbiters.
@@ -72,20 +74,23 @@
     /// Applies the caps and the arbiters of a view; `entries` is the number of entries that share the caps.
     pub fn configure(&self, view: &ProxyView, entries: usize) {
         let Some(table) = view.index.as_ref().map(|index| &index.table) else { return };
-        let organisations = table.organisations.iter();
-        let caps: BTreeMap<OrganisationId, UsageCap> =
-            organisations.filter_map(|(name, access)| Some((name.clone(), access.cap?))).collect();
-        let is_used = !caps.is_empty();
+        let is_used = table.organisations.values().any(|access| access.cap.is_some());
         if !is_used && !*self.has_caps.borrow() {
             return;
         }
         let arbiters = view.servers.values().filter_map(|server| server.arbiter.clone()).collect();
         let settings = UsageSettings { document: table.number, arbiters, entries };
         let mut state = self.lock();
-        if state.settings == settings {
+        if state.settings == settings || state.is_released {
             return;
         }
+        let organisations = table.organisations.iter();
+        let caps: BTreeMap<OrganisationId, UsageCap> =
+            organisations.filter_map(|(name, access)| Some((name.clone(), access.cap?))).collect();
         let (now, arbiters) = (Instant::now(), settings.arbiters.clone());
+        if !is_used {
+            state.refused.end_all();
+        }
         self.own.configure(caps.clone(), arbiters.clone());
         state.holder.configure(now, caps, arbiters, entries);
         state.settings = settings;
@@ -107,6 +112,9 @@
         // The sender is kept by this client.
         while has_caps.wait_for(|has_caps| *has_caps).await.is_ok() {
             sleep(REPORT_INTERVAL).await;
+            if !*self.has_caps.borrow() {
+                continue;
+            }
             let now = Instant::now();
             let (reports, returns) = {
                 let mut state = self.lock();
@@ -151,15 +159,20 @@
         }
     }
 
-    /// Tells all arbiters that this entry stops and uses no shares any more.
-    pub fn release(&self) {
-        if !*self.has_caps.borrow() {
-            return;
+    /// Tells all arbiters that this entry stops and uses no shares any more. Returns whether there are caps.
+    pub fn release(&self) -> bool {
+        if !self.has_caps.send_replace(false) {
+            return false;
         }
-        let arbiters = self.lock().settings.arbiters.clone();
+        let arbiters = {
+            let mut state = self.lock();
+            state.is_released = true;
+            state.settings.arbiters.clone()
+        };
         for arbiter in arbiters.iter().filter(|arbiter| *arbiter != self.network.vm()) {
             self.network.send(arbiter, PeerMessage::ReleaseUsage);
         }
+        true
     }
 
     /// Asks entries for the units of a request until one has replied.
--- a/src/roles/usage_client/refused_organisations.rs
+++ b/src/roles/usage_client/refused_organisations.rs
@@ -58,16 +58,25 @@
 
     /// Ends the spans of organisations that are not refused any more.
     pub(super) fn expire(&mut self, now: Instant) {
+        self.end(|span| now.saturating_duration_since(span.last) >= REFUSAL_GAP);
+    }
+
+    /// Ends all spans, since there are no caps any more.
+    pub(super) fn end_all(&mut self) {
+        self.end(|_span| true);
+    }
+
+    fn end(&mut self, has_ended: impl Fn(&RefusalSpan) -> bool) {
         self.spans.retain(|organisation, span| {
-            let is_refused = now.saturating_duration_since(span.last) < REFUSAL_GAP;
-            if !is_refused {
+            let has_ended = has_ended(span);
+            if has_ended {
                 let length = span.last.saturating_duration_since(span.began);
                 log::info!(organisation = organisation.as_str(), rate = span.cap.rate,
                     burst = span.cap.burst, unit:? = span.cap.unit, paid = span.paid,
                     refused = span.refused, duration_ms = length.as_millis() as u64;
                     "{}", events::CAP_KEPT);
             }
-            is_refused
+            !has_ended
         });
     }
 }
