--- a/src/policy/usage_caps/arbiter.rs
+++ b/src/policy/usage_caps/arbiter.rs
@@ -81,6 +81,15 @@
     to.saturating_duration_since(from).as_secs_f64()
 }
 
+/// What of the rate of an organisation is this arbiter's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RateHold {
+    /// All but the shares that their holders spend.
+    Whole,
+    /// The shares that holders report or lend. A new arbiter adopts them until a former one's have ended.
+    Shares { adopts: bool },
+}
+
 /// The token bucket of one organisation.
 #[derive(Clone, Debug)]
 struct UsageAccount {
@@ -90,28 +99,29 @@
     /// Units that were refused and whose callers may return.
     backlog: f64,
     used: Instant,
-    /// Whether the whole rate was this arbiter's at `updated`.
-    is_whole: bool,
+    /// What of the rate was this arbiter's at `updated`.
+    hold: RateHold,
     /// At most [`MAX_SHARES`].
     shares: BTreeMap<VmId, UsageShare>,
 }
 
 impl UsageAccount {
-    fn new(now: Instant, cap: &UsageCap, is_whole: bool) -> Self {
+    fn new(now: Instant, cap: &UsageCap, hold: RateHold) -> Self {
         // Whoever used the cap before has not done so for a term.
         let earned = cap.rate * SHARE_TERM.as_secs_f64();
-        let balance = if is_whole { cap.burst.min(earned) } else { 0.0 };
+        let balance = if hold == RateHold::Whole { cap.burst.min(earned) } else { 0.0 };
         let shares = BTreeMap::new();
-        UsageAccount { balance, updated: now, backlog: 0.0, used: now, is_whole, shares }
+        UsageAccount { balance, updated: now, backlog: 0.0, used: now, hold, shares }
     }
 
     /// Adds what has been earned until now.
-    fn refill(&mut self, now: Instant, cap: &UsageCap, is_whole: bool) {
+    fn refill(&mut self, now: Instant, cap: &UsageCap, hold: RateHold) {
         let span = (self.updated, now.max(self.updated));
         let elapsed = overlap(span, span);
-        let mut earned = if self.is_whole { elapsed } else { 0.0 };
+        let is_whole = self.hold == RateHold::Whole;
+        let mut earned = if is_whole { elapsed } else { 0.0 };
         for share in self.shares.values() {
-            if self.is_whole {
+            if is_whole {
                 earned -= share.fraction * overlap(span, (share.spent_until(), share.ends));
             } else {
                 earned += share.fraction * overlap(span, (self.updated, share.spent_until()));
@@ -123,7 +133,7 @@
         let kept = (-elapsed / DEMAND_MEMORY).exp();
         self.shares.values_mut().for_each(|share| share.demand *= kept);
         self.shares.retain(|_, share| !share.has_ended(now));
-        (self.updated, self.is_whole) = (span.1, is_whole);
+        (self.updated, self.hold) = (span.1, hold);
     }
 
     /// Records what a holder asks for and says of its share, and grants it another if the whole rate is this
@@ -135,7 +145,7 @@
         report: &ShareReport,
         demand: f64,
     ) -> Option<f64> {
-        if !report.wanted {
+        if !report.wanted && report.lent == 0.0 {
             self.shares.remove(holder);
             return None;
         }
@@ -154,10 +164,23 @@
         }
         // What the holder says that it uses, or has lent to others, stays as it is until it ends.
         share.in_use = report.in_use && now < share.ends;
-        if share.in_use || !self.is_whole {
+        if share.in_use {
             return None;
         }
-        self.grant_share(now, holder)
+        match self.hold {
+            RateHold::Whole => self.grant_share(now, holder),
+            RateHold::Shares { adopts } => {
+                share.fraction = share.fraction.min(report.held);
+                if !adopts || report.in_use {
+                    return None;
+                }
+                // Nobody else renews what a former arbiter granted.
+                share.fraction = report.held.max(share.lent);
+                (share.lent, share.granted) = (0.0, share.fraction);
+                share.ends = now + SHARE_TERM;
+                Some(share.fraction).filter(|fraction| *fraction > 0.0)
+            }
+        }
     }
 
     /// Grants a holder its part of the demand, as far as the shares of others leave room.
@@ -268,26 +291,25 @@
         self.confirmed.is_some_and(|confirmed| now < confirmed + CONFIRM_TERM)
     }
 
-    /// Whether nobody but this entry and the holders of its shares can spend the rate.
-    fn is_whole(&self, now: Instant, organisation: &OrganisationId) -> bool {
+    /// What of an organisation's rate is this entry's: the whole if nobody but it and the holders of its
+    /// shares can spend it.
+    fn hold(&self, now: Instant, organisation: &OrganisationId) -> RateHold {
         let is_own = |arbiters: &BTreeSet<VmId>| {
             choose_usage_arbiter(organisation, arbiters) == Some(&self.own)
         };
         let has_passed = |since: Instant, term: Duration| now >= since + term;
-        self.is_confirmed(now)
-            && self.known_since.is_some_and(|since| has_passed(since, SHARE_TERM))
-            && is_own(&self.arbiters)
-            && self
-                .former
-                .iter()
-                .all(|set| has_passed(set.until, SHARE_TERM) || is_own(&set.arbiters))
+        let adopts = self.is_confirmed(now) && is_own(&self.arbiters);
+        let is_settled = self.known_since.is_some_and(|since| has_passed(since, SHARE_TERM))
+            && (self.former.iter())
+                .all(|set| has_passed(set.until, SHARE_TERM) || is_own(&set.arbiters));
+        if adopts && is_settled { RateHold::Whole } else { RateHold::Shares { adopts } }
     }
 
     fn settle_all(&mut self, now: Instant) {
         let mut accounts = std::mem::take(&mut self.accounts);
         for (organisation, account) in &mut accounts {
             if let Some(cap) = self.caps.get(organisation) {
-                account.refill(now, cap, self.is_whole(now, organisation));
+                account.refill(now, cap, self.hold(now, organisation));
             }
         }
         self.accounts = accounts;
@@ -300,28 +322,13 @@
         organisation: &OrganisationId,
     ) -> Option<(&mut UsageAccount, UsageCap)> {
         let cap = *self.caps.get(organisation)?;
-        let is_whole = self.is_whole(now, organisation);
+        let hold = self.hold(now, organisation);
         let account = self.accounts.entry(organisation.clone());
-        let account = account.or_insert_with(|| UsageAccount::new(now, &cap, is_whole));
-        account.refill(now, &cap, is_whole);
+        let account = account.or_insert_with(|| UsageAccount::new(now, &cap, hold));
+        account.refill(now, &cap, hold);
         Some((account, cap))
     }
 
-    /// Whether this entry is to take the place of an arbiter that acts no more.
-    fn succeeds(&self, organisation: &OrganisationId) -> bool {
-        choose_usage_arbiter(organisation, &self.arbiters) == Some(&self.own)
-    }
-
-    /// What a holder reports. A fraction that is lent to the next arbiter is extended until that has the
-    /// whole rate: nobody else renews it.
-    fn extended(&self, report: &ShareReport) -> ShareReport {
-        let mut report = report.clone();
-        if self.succeeds(&report.organisation) {
-            report.lent_for = SHARE_TERM;
-        }
-        report
-    }
-
     /// Requests units; `chance` is random, from 0 (inclusive) to 1 (exclusive).
     pub fn acquire(
         &mut self,
@@ -330,13 +337,13 @@
         request: &UsageRequest,
         chance: f64,
     ) -> UsageReply {
-        let report = self.extended(&request.report);
+        let report = &request.report;
         let Some((account, cap)) = self.account(now, &report.organisation) else {
             let is_confirmed = self.is_confirmed(now);
             return if is_confirmed { UsageReply::Uncapped } else { UsageReply::NotArbiter };
         };
         let units = account.acquire(now, &cap, request);
-        let share = account.record(now, holder, &report, request.cost + request.ahead);
+        let share = account.record(now, holder, report, request.cost + request.ahead);
         if let Some(units) = units {
             return UsageReply::Granted { units, share };
         }
@@ -356,7 +363,6 @@
     ) -> Vec<ShareGrant> {
         let mut grants = Vec::new();
         for report in reports {
-            let report = self.extended(&report);
             let organisation = report.organisation.clone();
             let is_needed = report.held > 0.0 || report.lent > 0.0;
             let mut share = None;
--- a/src/policy/usage_caps/holder.rs
+++ b/src/policy/usage_caps/holder.rs
@@ -153,6 +153,25 @@
         report
     }
 
+    fn ask(
+        &mut self,
+        now: Instant,
+        organisation: &OrganisationId,
+        arbiter: VmId,
+        cost: f64,
+        unreached: f64,
+    ) -> UsageDecision {
+        let report = self.report(now, organisation, &arbiter, unreached);
+        let ahead = self.ahead(cost);
+        UsageDecision::Ask { arbiter, request: UsageRequest { report, cost, ahead } }
+    }
+
+    /// Whether nobody renews the share: its giver is silent or no arbiter any more.
+    fn is_orphaned(&self, silent: &BTreeSet<VmId>) -> bool {
+        let is_lost = |vm: &VmId| silent.contains(vm) || !self.ranking.contains(vm);
+        self.share.as_ref().is_some_and(|share| share.lent_to.is_none() && is_lost(&share.giver))
+    }
+
     fn apply_share(&mut self, now: Instant, giver: &VmId, sent: Instant, fraction: Option<f64>) {
         self.credited = None;
         self.end_share(now);
@@ -301,9 +320,7 @@
         else {
             return usage.spend_alone(now, cap.rate, unreached, cost);
         };
-        let report = usage.report(now, organisation, &arbiter, unreached);
-        let ahead = usage.ahead(cost);
-        UsageDecision::Ask { arbiter, request: UsageRequest { report, cost, ahead } }
+        usage.ask(now, organisation, arbiter, cost, unreached)
     }
 
     /// Records the reply to a request that was sent at `sent`.
@@ -340,7 +357,13 @@
                 usage.refused_until = now + REFUSAL_TERM.min(retry_after);
                 usage.refusal_delay = retry_after.as_secs_f64();
                 usage.in_debt = in_debt;
-                UsageDecision::Refused { retry_after }
+                let borrower = usage.share.as_ref().and_then(|share| share.lent_to.as_ref());
+                match borrower.filter(|vm| *vm != arbiter && !self.silent.contains(*vm)).cloned() {
+                    Some(borrower) => {
+                        usage.ask(now, organisation, borrower, request.cost, unreached)
+                    }
+                    None => UsageDecision::Refused { retry_after },
+                }
             }
             // A cap that not all entries have yet does not bind.
             UsageReply::Uncapped => UsageDecision::Granted,
@@ -355,6 +378,15 @@
         }
     }
 
+    /// Records that a report had no reply.
+    pub fn record_silence(&mut self, now: Instant, arbiter: &VmId) {
+        let replied = self.replied.get(arbiter);
+        let is_silent = replied.is_none_or(|replied| now >= *replied + SILENCE_LIMIT);
+        if is_silent && self.arbiters.contains(arbiter) {
+            self.silent.insert(arbiter.clone());
+        }
+    }
+
     /// Records that a request had no reply. The decision may be to ask another entry.
     pub fn record_failure(
         &mut self,
@@ -362,11 +394,7 @@
         arbiter: &VmId,
         request: &UsageRequest,
     ) -> UsageDecision {
-        let replied = self.replied.get(arbiter);
-        let is_silent = replied.is_none_or(|replied| now >= *replied + SILENCE_LIMIT);
-        if is_silent && self.arbiters.contains(arbiter) {
-            self.silent.insert(arbiter.clone());
-        }
+        self.record_silence(now, arbiter);
         self.ask(now, &request.report.organisation, request.cost)
     }
 
@@ -406,7 +434,16 @@
         let mut due: BTreeMap<VmId, Vec<ShareReport>> = BTreeMap::new();
         for (organisation, usage) in &mut self.held {
             usage.end_share(now);
-            if usage.is_idle(now) {
+            let reached = usage.ranking.iter().find(|vm| !self.silent.contains(*vm)).cloned();
+            if usage.is_orphaned(&self.silent)
+                && let Some(borrower) = reached
+            {
+                // Others may need it, also when this entry does not.
+                let report = usage.report(now, organisation, &borrower, 0.0);
+                if report.lent > 0.0 {
+                    due.entry(borrower).or_default().push(report);
+                }
+            } else if usage.is_idle(now) {
                 let own = usage.share.take_if(|share| share.lent_to.is_none());
                 if let Some(share) = own {
                     let mut report = usage.report(now, organisation, &share.giver, 0.0);
