--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,6 +24,7 @@
 pub mod store_choice;
 pub mod suspect;
 pub mod tunnel_peers;
+pub mod usage_caps;
 pub mod window;
 
 pub use self::{
