Find the pace of a started server from its answers

A server that starts with cold caches was sent as many requests as it has slots. The limit starts at an eighth of them and rises with each set of answers that are on time. Nothing uses it yet.

--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -15,8 +15,12 @@
 //! slots and their part of the memory after 1, 2, 3, .. seconds.
 
 mod memory;
+mod start_pace;
 
-pub use self::memory::{MAX_PARTS, MemoryDemand, PartHash};
+pub use self::{
+    memory::{MAX_PARTS, MemoryDemand, PartHash},
+    start_pace::{PaceSummary, ServerStart, StartAnswer, StartOutcome, StartPace},
+};
 
 use {
     self::memory::LeasedMemory,
--- /dev/null
+++ b/tests/start_pace.rs
@@ -0,0 +1,487 @@
+//! Servers that start or return with cold caches while requests for them wait at many entries.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    oleandermount::policy::slot_leases::{ServerStart, StartAnswer, StartOutcome, StartPace},
+    rand_core::{RngCore, SeedableRng},
+    rand_xoshiro::Xoshiro256PlusPlus,
+    std::{
+        cmp::Reverse,
+        collections::{BinaryHeap, VecDeque},
+        time::{Duration, Instant},
+    },
+};
+
+/// Entries and servers.
+const SIZES: [(usize, usize); 3] = [(6, 3), (82, 30), (295, 90)];
+const SLOTS: usize = 24;
+/// Usual time of a request, which is also the predicted one.
+const USUAL: f64 = 0.3;
+/// What callers wait for an answer at most, and for a slot.
+const OBJECTIVE: f64 = 4.0 * USUAL;
+const PATIENCE: f64 = 2.0 * USUAL;
+/// When the servers return, for how long the run is observed after that, and its end.
+const RETURN: f64 = 3.0;
+const WINDOW: f64 = 6.0;
+const END: f64 = RETURN + WINDOW;
+/// How long a cold server is slow, and how slow it is.
+const COLD: f64 = 2.0;
+const COLD_FACTOR: f64 = 1.6;
+/// Time in which a server that bears all of its slots has to be in full use.
+const FULL_USE: f64 = 3.0;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PaceMode {
+    /// The limit of the product.
+    Paced(ServerStart),
+    /// All slots at once.
+    Flooded,
+    /// One request at a time, until as many were answered on time as there are slots.
+    Single,
+    /// The servers don't return.
+    Away,
+}
+
+const PACED: PaceMode = PaceMode::Paced(ServerStart::Fresh);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ServerCondition {
+    Cold,
+    Well,
+    /// Each request fails after twice the usual time.
+    Broken,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct StartCase {
+    entries: usize,
+    servers: usize,
+    /// The first ones return.
+    returning: usize,
+    /// Requests as a part of those that all servers can run.
+    load: f64,
+    condition: ServerCondition,
+    mode: PaceMode,
+}
+
+struct ModelServer {
+    pace: StartPace,
+    held: usize,
+    /// Entry and arrival of each request that waits.
+    waiting: VecDeque<(usize, f64)>,
+    answered: usize,
+    /// Mean time of its requests.
+    hold: f64,
+    full_at: Option<f64>,
+    most_held: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum ModelEvent {
+    Arrive,
+    Return,
+    End { server: usize, entry: usize, arrival: f64, sent: f64, is_ok: bool },
+}
+
+/// Requests, and those of them that took longer than the objective, failed or were refused.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunCount {
+    runs: usize,
+    late: usize,
+}
+
+impl RunCount {
+    fn add(&mut self, is_late: bool) {
+        self.runs += 1;
+        self.late += usize::from(is_late);
+    }
+
+    fn late_part(&self) -> f64 {
+        self.late as f64 / self.runs.max(1) as f64
+    }
+
+    /// Whether no more are late than in `other`, but for twice the standard error of the counts.
+    fn is_as_good_as(&self, other: &RunCount) -> bool {
+        let part = other.late_part().max(1.0 / other.runs as f64);
+        let variance = part * (1.0 - part) * (1.0 / self.runs as f64 + 1.0 / other.runs as f64);
+        self.late_part() <= part + 2.0 * variance.sqrt()
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct StartResult {
+    /// Runs in the window at the servers that returned and at the others; the wait isn't counted.
+    started: RunCount,
+    in_use: RunCount,
+    /// Requests that the other servers answered, with their wait.
+    elsewhere: RunCount,
+    /// All requests that arrived in the window, with their wait, and those of each entry.
+    callers: RunCount,
+    entries: Vec<RunCount>,
+    /// Seconds from the return until the last server was in full use.
+    full_use: Option<f64>,
+    most_held: usize,
+}
+
+struct StartModel {
+    case: StartCase,
+    epoch: Instant,
+    servers: Vec<ModelServer>,
+    /// Requests in flight by entry and server; an entry knows no more.
+    own: Vec<Vec<u32>>,
+    events: BinaryHeap<Reverse<(Duration, usize)>>,
+    details: Vec<ModelEvent>,
+    random: Xoshiro256PlusPlus,
+    result: StartResult,
+}
+
+impl StartModel {
+    fn run(case: StartCase, seed: u64) -> StartResult {
+        let epoch = Instant::now();
+        let server = || ModelServer {
+            pace: StartPace::new(epoch, ServerStart::InUse, SLOTS),
+            held: 0,
+            waiting: VecDeque::new(),
+            answered: 0,
+            hold: USUAL,
+            full_at: None,
+            most_held: 0,
+        };
+        let mut model = StartModel {
+            case,
+            epoch,
+            servers: (0..case.servers).map(|_| server()).collect(),
+            own: vec![vec![0; case.servers]; case.entries],
+            events: BinaryHeap::new(),
+            details: Vec::new(),
+            random: Xoshiro256PlusPlus::seed_from_u64(seed),
+            result: StartResult {
+                entries: vec![RunCount::default(); case.entries],
+                ..StartResult::default()
+            },
+        };
+        model.push(0.0, ModelEvent::Arrive);
+        model.push(RETURN, ModelEvent::Return);
+        while let Some(Reverse((at, event))) = model.events.pop() {
+            let now = at.as_secs_f64();
+            if now >= END {
+                break;
+            }
+            match model.details[event] {
+                ModelEvent::Arrive => model.arrive(now),
+                ModelEvent::Return => model.restart(now),
+                ModelEvent::End { server, entry, arrival, sent, is_ok } => {
+                    model.end(now, server, (entry, arrival), sent, is_ok);
+                }
+            }
+        }
+        let returned = &model.servers[..case.returning];
+        let full = returned.iter().map(|server| server.full_at).collect::<Option<Vec<f64>>>();
+        model.result.full_use = full.map(|full| full.into_iter().fold(0.0, f64::max) - RETURN);
+        model.result.most_held = returned.iter().map(|server| server.most_held).max().unwrap();
+        model.result
+    }
+
+    fn push(&mut self, at: f64, event: ModelEvent) {
+        self.details.push(event);
+        self.events.push(Reverse((Duration::from_secs_f64(at), self.details.len() - 1)));
+    }
+
+    fn unit(&mut self) -> f64 {
+        (self.random.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        (self.unit() * count as f64) as usize
+    }
+
+    fn instant(&self, at: f64) -> Instant {
+        self.epoch + Duration::from_secs_f64(at)
+    }
+
+    fn is_started(&self, server: usize, now: f64) -> bool {
+        server < self.case.returning && now >= RETURN
+    }
+
+    fn restart(&mut self, now: f64) {
+        let PaceMode::Paced(start) = self.case.mode else { return };
+        let began = self.instant(now);
+        for server in &mut self.servers[..self.case.returning] {
+            server.pace = StartPace::new(began, start, SLOTS);
+        }
+    }
+
+    fn limit(&self, server: usize) -> usize {
+        let model = &self.servers[server];
+        let is_started = server < self.case.returning;
+        match self.case.mode {
+            PaceMode::Single if is_started && model.answered < SLOTS => 1,
+            _ => model.pace.limit(SLOTS),
+        }
+    }
+
+    fn arrive(&mut self, now: f64) {
+        let rate = self.case.load * (self.case.servers * SLOTS) as f64 / USUAL;
+        let gap = -(1.0 - self.unit()).ln() / rate;
+        self.push(now + gap, ModelEvent::Arrive);
+        let entry = self.pick(self.case.entries);
+        let is_back = now >= RETURN && self.case.mode != PaceMode::Away;
+        let first = if is_back { 0 } else { self.case.returning };
+        let one = first + self.pick(self.case.servers - first);
+        let other = first + self.pick(self.case.servers - first);
+        let own = &self.own[entry];
+        let (one, other) = if own[other] < own[one] { (other, one) } else { (one, other) };
+        for server in [one, other] {
+            if self.servers[server].held < self.limit(server) {
+                return self.send(now, server, (entry, now));
+            }
+            let model = &self.servers[server];
+            let ahead = (model.waiting.len() + 1) as f64;
+            if ahead * model.hold / self.limit(server) as f64 <= PATIENCE {
+                return self.servers[server].waiting.push_back((entry, now));
+            }
+        }
+        self.count_caller(now, entry, true);
+    }
+
+    fn count_caller(&mut self, arrival: f64, entry: usize, is_late: bool) {
+        if (RETURN..END - OBJECTIVE).contains(&arrival) {
+            self.result.callers.add(is_late);
+            self.result.entries[entry].add(is_late);
+        }
+    }
+
+    fn send(&mut self, now: f64, server: usize, (entry, arrival): (usize, f64)) {
+        let is_started = self.is_started(server, now);
+        let noise = if self.unit() < 0.02 { 6.0 } else { 0.8 + 0.4 * self.unit() };
+        self.own[entry][server] += 1;
+        let model = &mut self.servers[server];
+        model.held += 1;
+        if is_started {
+            model.most_held = model.most_held.max(model.held);
+            if model.held * 10 >= SLOTS * 9 {
+                model.full_at.get_or_insert(now);
+            }
+        }
+        // The caches of a cold server fill with its answers.
+        let (time, is_ok) = match self.case.condition {
+            ServerCondition::Broken if is_started => (2.0 * USUAL, false),
+            ServerCondition::Cold if is_started => {
+                let bears = SLOTS.min(SLOTS / 4 + model.answered / 2);
+                let crowd = (model.held as f64 / bears as f64).max(1.0);
+                let slow = if now < RETURN + COLD { COLD_FACTOR } else { 1.0 };
+                (USUAL * slow * crowd * noise, true)
+            }
+            ServerCondition::Cold | ServerCondition::Well | ServerCondition::Broken => {
+                (USUAL * noise, true)
+            }
+        };
+        self.push(now + time, ModelEvent::End { server, entry, arrival, sent: now, is_ok });
+    }
+
+    fn end(
+        &mut self,
+        now: f64,
+        server: usize,
+        (entry, arrival): (usize, f64),
+        sent: f64,
+        is_ok: bool,
+    ) {
+        let is_started = self.is_started(server, sent);
+        let run = now - sent;
+        let count = if is_started { &mut self.result.started } else { &mut self.result.in_use };
+        if sent >= RETURN {
+            count.add(!is_ok || run > OBJECTIVE);
+        }
+        let is_late = !is_ok || now - arrival > OBJECTIVE;
+        if !is_started && arrival >= RETURN {
+            self.result.elsewhere.add(is_late);
+        }
+        self.count_caller(arrival, entry, is_late);
+        let (sent, at) = (self.instant(sent), self.instant(now));
+        self.own[entry][server] -= 1;
+        let model = &mut self.servers[server];
+        let lateness = is_ok.then_some((run / USUAL) as f32);
+        let outcome = StartOutcome::of_lateness(lateness);
+        model.pace.record(at, StartAnswer { sent, held: model.held, outcome }, SLOTS);
+        model.held -= 1;
+        model.hold += (run - model.hold) * 0.1;
+        model.answered += usize::from(is_started && outcome == StartOutcome::OnTime);
+        while self.servers[server].held < self.limit(server)
+            && let Some(next) = self.servers[server].waiting.pop_front()
+        {
+            self.send(now, server, next);
+        }
+    }
+}
+
+fn case((entries, servers): (usize, usize), condition: ServerCondition) -> StartCase {
+    StartCase { entries, servers, returning: 1, load: 0.9, condition, mode: PACED }
+}
+
+/// Plays a case and returns the result. `cargo test -- --nocapture` prints it.
+fn run(case: StartCase, mode: PaceMode) -> StartResult {
+    let result = StartModel::run(StartCase { mode, ..case }, 7);
+    println!(
+        "{} entries, {} of {} servers {:?}, load {}, {mode:?}: late at started servers {:.3}, in use {:.3}, \
+         callers {:.3}; full use {:?}, most held {}",
+        case.entries,
+        case.returning,
+        case.servers,
+        case.condition,
+        case.load,
+        result.started.late_part(),
+        result.in_use.late_part(),
+        result.callers.late_part(),
+        result.full_use,
+        result.most_held
+    );
+    result
+}
+
+/// The bounds of each started server that answers: full use in time, no more late runs there than at the
+/// servers in use, no more late requests elsewhere than while it is away.
+fn assert_paced(case: StartCase, result: &StartResult) {
+    assert!(result.full_use.is_some_and(|time| time <= FULL_USE), "{case:?} {result:?}");
+    assert!(result.started.is_as_good_as(&result.in_use), "{case:?} {result:?}");
+    let away = run(case, PaceMode::Away);
+    assert!(result.elsewhere.is_as_good_as(&away.elsewhere), "{case:?} {result:?} {away:?}");
+    assert!(result.callers.is_as_good_as(&away.callers), "{case:?} {result:?} {away:?}");
+}
+
+/// Guards against a server with cold caches that is sent as many requests as it has slots, so that all of
+/// them are late, or that gets one after the other and stays idle.
+#[test]
+fn cold_server() {
+    for size in SIZES {
+        let case = case(size, ServerCondition::Cold);
+        assert_paced(case, &run(case, PACED));
+        let flooded = run(case, PaceMode::Flooded);
+        assert!(!flooded.started.is_as_good_as(&flooded.in_use), "{flooded:?}");
+        assert!(run(case, PaceMode::Single).full_use.is_none_or(|time| time > FULL_USE));
+    }
+}
+
+/// Guards against a pace that holds back a server which is well from the first request.
+#[test]
+fn well_server() {
+    for size in SIZES {
+        let case = case(size, ServerCondition::Well);
+        assert_paced(case, &run(case, PACED));
+        assert!(run(case, PaceMode::Single).full_use.is_none_or(|time| time > FULL_USE));
+    }
+}
+
+/// Guards against a server that comes back broken and fails as many requests as it has slots.
+#[test]
+fn broken_server() {
+    for size in SIZES {
+        let case = case(size, ServerCondition::Broken);
+        let (paced, flooded) = (run(case, PACED), run(case, PaceMode::Flooded));
+        assert!(paced.most_held <= SLOTS / 8, "{paced:?}");
+        assert_eq!(flooded.most_held, SLOTS);
+        assert!(paced.started.late * 4 <= flooded.started.late, "{paced:?} {flooded:?}");
+    }
+}
+
+/// Guards against a cold server that is flooded by what the others can't run.
+#[test]
+fn overload_start() {
+    for size in SIZES {
+        let case = StartCase { load: 1.6, ..case(size, ServerCondition::Cold) };
+        assert_paced(case, &run(case, PACED));
+        let flooded = run(case, PaceMode::Flooded);
+        assert!(!flooded.started.is_as_good_as(&flooded.in_use), "{flooded:?}");
+    }
+}
+
+/// Guards against a failure domain that comes back at once: its cold servers take the load of a third of
+/// the fleet from one moment to the next. The last entry has its part of what that gains.
+#[test]
+fn returning_third() {
+    for size in SIZES {
+        let case = StartCase { returning: size.1 / 3, ..case(size, ServerCondition::Cold) };
+        let paced = run(case, PACED);
+        assert_paced(case, &paced);
+        for mode in [PaceMode::Flooded, PaceMode::Single] {
+            let other = run(case, mode);
+            assert!(paced.callers.late_part() < 0.75 * other.callers.late_part(), "{mode:?}");
+        }
+        let all = paced.callers.late_part();
+        for entry in &paced.entries {
+            let error = (all * (1.0 - all) / entry.runs as f64).sqrt();
+            assert!(entry.late_part() <= all + 4.0 * error, "{entry:?}");
+        }
+    }
+}
+
+/// Guards against an arbiter that starts together with the server and floods it because it has no earlier
+/// list. Leases that former holders confirm show that the server was in use.
+#[test]
+fn arbiter_starts_too() {
+    for size in SIZES {
+        let case = case(size, ServerCondition::Cold);
+        assert_paced(case, &run(case, PaceMode::Paced(ServerStart::Unknown)));
+    }
+    let now = Instant::now();
+    let mut unknown = StartPace::new(now, ServerStart::Unknown, SLOTS);
+    unknown.confirm_use();
+    assert!(unknown.is_ended() && unknown.limit(SLOTS) == SLOTS);
+    let mut fresh = StartPace::new(now, ServerStart::Fresh, SLOTS);
+    fresh.confirm_use();
+    assert!(!fresh.is_ended(), "the leases are of its former incarnation");
+    assert!(StartPace::new(now, ServerStart::InUse, SLOTS).is_ended());
+}
+
+/// Sends `count` requests with `held` others, which are answered after the usual time.
+fn answer(
+    pace: &mut StartPace,
+    now: &mut Instant,
+    held: usize,
+    outcome: StartOutcome,
+    count: usize,
+) {
+    let sent = *now;
+    *now += Duration::from_secs_f64(USUAL);
+    for _ in 0..count {
+        pace.record(*now, StartAnswer { sent, held, outcome }, SLOTS);
+    }
+}
+
+/// Guards against a limit that falls while nothing is sent, or rises by requests that don't use it.
+#[test]
+fn idle_phase() {
+    let mut now = Instant::now();
+    let mut pace = StartPace::new(now, ServerStart::Fresh, SLOTS);
+    answer(&mut pace, &mut now, 3, StartOutcome::OnTime, 3);
+    assert_eq!(pace.limit(SLOTS), 6);
+    now += Duration::from_secs(600);
+    assert_eq!(pace.limit(SLOTS), 6);
+    answer(&mut pace, &mut now, 2, StartOutcome::OnTime, 100);
+    assert_eq!(pace.limit(SLOTS), 6, "two at a time don't show that it bears more than six");
+    answer(&mut pace, &mut now, 6, StartOutcome::OnTime, 6);
+    assert_eq!(pace.limit(SLOTS), 12);
+}
+
+/// Guards against answers to requests of before a change that lower the limit several times.
+#[test]
+fn late_answers() {
+    let mut now = Instant::now();
+    let mut pace = StartPace::new(now, ServerStart::Fresh, SLOTS);
+    answer(&mut pace, &mut now, 3, StartOutcome::OnTime, 3);
+    answer(&mut pace, &mut now, 6, StartOutcome::OnTime, 6);
+    answer(&mut pace, &mut now, 12, StartOutcome::Late, 12);
+    assert_eq!(pace.limit(SLOTS), 6, "it has borne six");
+    answer(&mut pace, &mut now, 6, StartOutcome::Rejected, 6);
+    assert_eq!(pace.limit(SLOTS), 3, "one step for all rejections");
+    answer(&mut pace, &mut now, 3, StartOutcome::Rejected, 1);
+    answer(&mut pace, &mut now, 1, StartOutcome::Rejected, 1);
+    assert_eq!(pace.limit(SLOTS), 1);
+    for limit in [2, 4, 8, 16] {
+        answer(&mut pace, &mut now, SLOTS, StartOutcome::OnTime, limit / 2);
+        assert_eq!(pace.limit(SLOTS), limit);
+    }
+    answer(&mut pace, &mut now, SLOTS, StartOutcome::OnTime, 16);
+    assert!(pace.is_ended());
+}
