Limit the leases of a started server by its pace

The arbiter begins a pace when a server or its incarnation is new in the list, in services that are named to it; none are yet. Holders don't report the lateness of answers so far.

--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -49,6 +49,10 @@
 pub const SERVER_LIMITED: &str = "backend server limited";
 /// A server does not limit its requests any more.
 pub const SERVER_UNLIMITED: &str = "backend server not limited any more";
+/// A server has just started, and its arbiter leases at first `limit` of its `slots`.
+pub const PACE_BEGUN: &str = "pace of a started server begins";
+/// The `answers` of a started server have shown in `duration_ms` that it bears all of its slots.
+pub const PACE_ENDED: &str = "pace of a started server ends";
 /// The servers of a service end if they have to reject more than `limit` requests in a second.
 pub const REJECTIONS_LIMITED: &str = "rejections of backend servers limited";
 /// The servers of a service name no such limit any more.
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -42,6 +42,8 @@
 pub const QUEUE: &str = "oleandermount_queue_requests";
 /// Requests in flight from this daemon, by `server`.
 pub const IN_FLIGHT: &str = "oleandermount_in_flight_requests";
+/// Servers of which this daemon is the arbiter and does not lease all slots yet, since they have just started.
+pub const PACED_SERVERS: &str = "oleandermount_paced_servers";
 /// Active configuration revision of this daemon.
 pub const CONFIG_REVISION: &str = "oleandermount_config_revision";
 /// Seconds since an up-to-date control VM last responded to this daemon; 0 while one responds.
@@ -216,6 +218,7 @@
     describe_counter!(RECOMPUTED_TOKENS, "Recomputed prompt tokens.");
     describe_gauge!(QUEUE, "Requests queued in this daemon.");
     describe_gauge!(IN_FLIGHT, "Requests in flight from this daemon, by server.");
+    describe_gauge!(PACED_SERVERS, "Started servers that this daemon does not lease fully yet.");
     describe_gauge!(CONFIG_REVISION, "Active configuration revision of this daemon.");
     describe_gauge!(CONFIG_UNCONFIRMED, "Seconds since an up-to-date control VM last responded.");
     describe_counter!(FOLLOW_DOCUMENTS, "Documents sent to followers, by kind.");
--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -24,7 +24,10 @@
 
 use {
     self::memory::LeasedMemory,
-    crate::ids::{LeaseId, ServerId, VmId},
+    crate::{
+        ids::{LeaseId, ServerId, VmId},
+        observe::events,
+    },
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -130,6 +133,7 @@
 /// The slots of one server.
 #[derive(Clone, Debug)]
 struct ServerSlots {
+    server: ServerId,
     /// Maximum number of leases; at least 1.
     usable: usize,
     /// Nothing is leased before.
@@ -138,6 +142,7 @@
     paused_until: Instant,
     /// The last rejection of a leased request.
     rejection: Option<LeaseRejection>,
+    pace: StartPace,
     memory: LeasedMemory,
     /// At most `usable`, or [`MAX_TAKEN_OVER`] times as many with those that a former arbiter has granted.
     leases: BTreeMap<LeaseId, SlotLease>,
@@ -148,12 +153,14 @@
 }
 
 impl ServerSlots {
-    fn new(usable: usize, leases_from: Instant) -> Self {
+    fn new(server: ServerId, usable: usize, leases_from: Instant) -> Self {
         ServerSlots {
+            server,
             usable,
             leases_from,
             paused_until: leases_from,
             rejection: None,
+            pace: StartPace::ended(),
             memory: LeasedMemory::default(),
             leases: BTreeMap::new(),
             waiting: VecDeque::new(),
@@ -174,8 +181,9 @@
 
     /// Leases that may be granted at this time; from 1 to `usable`.
     fn allowed_leases(&self, now: Instant) -> usize {
-        let Some(rejection) = self.rejection else { return self.usable };
-        (rejection.leases + rejection.additional(now)).clamp(1, self.usable)
+        let pace = self.pace.limit(self.usable);
+        let Some(rejection) = self.rejection else { return pace };
+        (rejection.leases + rejection.additional(now)).clamp(1, pace)
     }
 
     /// Tokens that may be leased at this time; `None` if they are not bounded.
@@ -237,8 +245,19 @@
         }
     }
 
+    /// Moves the pace of the server by an answer to a leased request.
+    fn record_answer(&mut self, now: Instant, lease: LeaseId, outcome: StartOutcome) {
+        let Some(sent) = self.leases.get(&lease).map(|lease| lease.granted_at) else { return };
+        let answer = StartAnswer { sent, held: self.leases.len(), outcome };
+        if let Some(summary) = self.pace.record(now, answer, self.usable) {
+            log::info!(server = self.server.as_str(), slots = self.usable, answers = summary.answers,
+                duration_ms = summary.duration.as_millis() as u64; "{}", events::PACE_ENDED);
+        }
+    }
+
     /// Lowers the limit after the server had no room for a leased request.
     fn reject(&mut self, now: Instant, lease: LeaseId) {
+        self.record_answer(now, lease, StartOutcome::Rejected);
         if self.remove(lease).is_none() {
             return;
         }
@@ -298,13 +317,43 @@
         for (server, ArbitratedServer { slots, memory, had_arbiter }) in assigned {
             let usable = (slots as usize).max(1);
             let leases_from = if had_arbiter { now + SETTLE_TIME } else { now };
-            let known = self.servers.entry(server);
-            let known = known.or_insert_with(|| ServerSlots::new(usable, leases_from));
+            let known = self.servers.entry(server.clone());
+            let known = known.or_insert_with(|| ServerSlots::new(server, usable, leases_from));
             known.usable = usable;
             known.memory.capacity = memory;
         }
     }
 
+    /// Begins the pace of a server of [`Self::configure`], which ends the former one.
+    pub fn begin_pace(&mut self, now: Instant, server: &ServerId, start: ServerStart) {
+        let Some(slots) = self.servers.get_mut(server) else { return };
+        slots.pace = StartPace::new(now, start, slots.usable);
+        if !slots.pace.is_ended() {
+            let limit = slots.pace.limit(slots.usable);
+            log::info!(server = server.as_str(), slots = slots.usable, limit = limit;
+                "{}", events::PACE_BEGUN);
+        }
+    }
+
+    /// The servers whose pace has not ended.
+    pub fn paced_servers(&self) -> usize {
+        self.servers.values().filter(|slots| !slots.pace.is_ended()).count()
+    }
+
+    /// Records the measured over the predicted time to the first token or the response of a leased request.
+    /// Returns the leases that others get by that.
+    pub fn record_lateness(
+        &mut self,
+        now: Instant,
+        server: &ServerId,
+        lease: LeaseId,
+        lateness: f32,
+    ) -> Vec<LeaseId> {
+        let Some(slots) = self.servers.get_mut(server) else { return Vec::new() };
+        slots.record_answer(now, lease, StartOutcome::of_lateness(lateness));
+        slots.grant_waiting(now)
+    }
+
     /// Requests a lease for a holder.
     pub fn request(
         &mut self,
@@ -370,6 +419,7 @@
                 && slots.leases.len() < slots.usable * MAX_TAKEN_OVER
                 && now < slots.leases_from
             {
+                slots.pace.confirm_use();
                 // Its memory demand is unknown and counts as an even part.
                 let even = slots.memory.capacity.unwrap_or(0) / slots.usable as u64;
                 let own_tokens = u32::try_from(even).unwrap_or(u32::MAX);
--- a/src/policy/slot_leases/start_pace.rs
+++ b/src/policy/slot_leases/start_pace.rs
@@ -6,7 +6,8 @@
 //!
 //! The limit rises by the answers of the server, and only by those that were sent since it last changed
 //! while at least half of it was in use: fewer requests at a time say nothing of what the server bears. So
-//! neither time nor idleness moves it.
+//! neither time nor idleness moves it. A request that is not answered moves nothing either, so that a broken
+//! server stays at the first limit.
 
 use std::time::{Duration, Instant};
 
@@ -37,19 +38,16 @@
 pub enum StartOutcome {
     /// The first token or the response came about when it was predicted.
     OnTime,
-    /// It came late or not at all.
+    /// It came late.
     Late,
     /// The server had no room.
     Rejected,
 }
 
 impl StartOutcome {
-    /// The outcome of an answer by its measured over its predicted time; `None` for a request that failed.
-    pub fn of_lateness(lateness: Option<f32>) -> Self {
-        match lateness {
-            Some(lateness) if lateness < LATE_RATIO => StartOutcome::OnTime,
-            Some(_) | None => StartOutcome::Late,
-        }
+    /// The outcome of an answer by its measured over its predicted time.
+    pub fn of_lateness(lateness: f32) -> Self {
+        if lateness < LATE_RATIO { StartOutcome::OnTime } else { StartOutcome::Late }
     }
 }
 
@@ -127,6 +125,11 @@
         }))
     }
 
+    /// The pace of a server in use.
+    pub fn ended() -> Self {
+        StartPace(None)
+    }
+
     /// Leases that may be held of a server with these slots.
     pub fn limit(&self, slots: usize) -> usize {
         self.0.as_ref().map_or(slots, |rising| rising.limit.min(slots))
--- a/src/roles/slot_arbiter.rs
+++ b/src/roles/slot_arbiter.rs
@@ -3,13 +3,16 @@
 use {
     crate::{
         fleet::ListedServer,
-        ids::{LeaseId, ServerId, ServiceId, VmId},
+        ids::{Incarnation, LeaseId, ServerId, ServiceId, VmId},
+        observe::metrics::PACED_SERVERS,
         policy::slot_leases::{
-            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, REJECTION_PAUSE, SlotTable,
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, REJECTION_PAUSE,
+            ServerStart, SlotTable,
         },
     },
+    metrics::gauge,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
@@ -27,11 +30,42 @@
     table: SlotTable,
     /// Requests that wait for a lease; the table bounds their number.
     waiting: BTreeMap<LeaseId, oneshot::Sender<()>>,
-    /// The servers of the last list and their arbiters; `None` before the first list.
-    listed: Option<BTreeMap<ServerId, Option<VmId>>>,
+    /// The servers of the last list; `None` before the first list.
+    listed: Option<BTreeMap<ServerId, KnownServer>>,
+    /// Services whose servers have a pace after they start.
+    paced: BTreeSet<ServiceId>,
+}
+
+/// What the last list said of a server.
+struct KnownServer {
+    arbiter: Option<VmId>,
+    incarnation: Incarnation,
 }
 
 impl ArbiterState {
+    fn start_of(&self, server: &ListedServer) -> ServerStart {
+        let Some(listed) = &self.listed else { return ServerStart::Unknown };
+        match listed.get(&server.id) {
+            Some(known) if known.incarnation == server.incarnation => ServerStart::InUse,
+            Some(_) | None => ServerStart::Fresh,
+        }
+    }
+
+    /// Begins the paces of the servers that have just started.
+    fn begin_paces<'a>(&mut self, assigned: impl IntoIterator<Item = &'a ListedServer>) {
+        let now = Instant::now();
+        for server in assigned {
+            let start = self.start_of(server);
+            if start != ServerStart::InUse && self.paced.contains(&server.service) {
+                self.table.begin_pace(now, &server.id, start);
+            }
+        }
+    }
+
+    fn show_paces(&self) {
+        gauge!(PACED_SERVERS).set(self.table.paced_servers() as f64);
+    }
+
     fn wake(&mut self, granted: Vec<LeaseId>) {
         for lease in granted {
             // A request that has given up ends its lease itself.
@@ -45,6 +79,11 @@
 pub struct SlotArbiter(Mutex<ArbiterState>);
 
 impl SlotArbiter {
+    /// Sets the services whose servers have a pace after they start.
+    pub fn pace_services(&self, services: BTreeSet<ServiceId>) {
+        self.lock().paced = services;
+    }
+
     /// Applies a server list. `memory` returns the tokens that fit into the memory of a server of an engine
     /// service.
     pub fn configure(
@@ -54,13 +93,13 @@
         memory: impl Fn(&ServiceId) -> Option<u64>,
     ) {
         let mut state = self.lock();
-        let assigned = servers.values().filter(|server| server.arbiter.as_ref() == Some(own));
+        let assigned = || servers.values().filter(|server| server.arbiter.as_ref() == Some(own));
         // Before the first list a former process of this entry may have leased slots.
         let had_arbiter = |server: &ServerId| match &state.listed {
-            Some(listed) => listed.get(server).is_some_and(Option::is_some),
+            Some(listed) => listed.get(server).is_some_and(|known| known.arbiter.is_some()),
             None => true,
         };
-        let assigned = assigned.map(|server| {
+        let arbitrated = assigned().map(|server| {
             let arbitrated = ArbitratedServer {
                 slots: server.slots,
                 memory: memory(&server.service),
@@ -68,10 +107,15 @@
             };
             (server.id.clone(), arbitrated)
         });
-        let assigned = assigned.collect();
-        state.table.configure(Instant::now(), assigned);
-        let arbiters = servers.values().map(|server| (server.id.clone(), server.arbiter.clone()));
-        state.listed = Some(arbiters.collect());
+        let arbitrated = arbitrated.collect();
+        state.table.configure(Instant::now(), arbitrated);
+        state.begin_paces(assigned());
+        state.show_paces();
+        let listed = servers.values().map(|server| {
+            let (arbiter, incarnation) = (server.arbiter.clone(), server.incarnation);
+            (server.id.clone(), KnownServer { arbiter, incarnation })
+        });
+        state.listed = Some(listed.collect());
     }
 
     /// Leases a slot, and the memory that a request needs, to `holder`.
@@ -120,6 +164,13 @@
         state.wake(granted);
     }
 
+    /// Records the measured over the predicted time to the first token or the response of a leased request.
+    pub fn record_lateness(&self, server: &ServerId, lease: LeaseId, lateness: f32) {
+        let mut state = self.lock();
+        let granted = state.table.record_lateness(Instant::now(), server, lease, lateness);
+        state.wake(granted);
+    }
+
     /// Records that a server has rejected the request of a lease, which has ended by that. Leases nothing
     /// of the server for a while.
     pub fn reject(self: &Arc<Self>, server: ServerId, lease: LeaseId) {
@@ -150,6 +201,7 @@
             let mut state = self.lock();
             let granted = state.table.expire(Instant::now());
             state.wake(granted);
+            state.show_paces();
         }
     }
 
--- a/tests/start_pace.rs
+++ b/tests/start_pace.rs
@@ -302,12 +302,13 @@
         let (sent, at) = (self.instant(sent), self.instant(now));
         self.own[entry][server] -= 1;
         let model = &mut self.servers[server];
-        let lateness = is_ok.then_some((run / USUAL) as f32);
-        let outcome = StartOutcome::of_lateness(lateness);
-        model.pace.record(at, StartAnswer { sent, held: model.held, outcome }, SLOTS);
+        let outcome = StartOutcome::of_lateness((run / USUAL) as f32);
+        if is_ok {
+            model.pace.record(at, StartAnswer { sent, held: model.held, outcome }, SLOTS);
+        }
         model.held -= 1;
         model.hold += (run - model.hold) * 0.1;
-        model.answered += usize::from(is_started && outcome == StartOutcome::OnTime);
+        model.answered += usize::from(is_started && is_ok && outcome == StartOutcome::OnTime);
         while self.servers[server].held < self.limit(server)
             && let Some(next) = self.servers[server].waiting.pop_front()
         {
