--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -377,6 +377,11 @@
         self.rejection_limits.is_limited(Instant::now(), service)
     }
 
+    /// Whether the servers of a service share their machines with others.
+    pub fn shares_machines(&self, service: &ServiceId) -> bool {
+        self.shared_machines.contains(service)
+    }
+
     /// Whether requests to the servers of a service need leases of their slots.
     pub fn leases_slots(&self, service: &ServiceId) -> bool {
         self.shared_machines.contains(service) || self.limits_rejections(service)
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -19,7 +19,7 @@
         ids::{FailureDomainId, ServiceId, VmId},
         inventory::DecisionObjective,
         pipeline::{DispatcherHandle, TraceLog, dispatch::DispatchTask},
-        policy::{Dispatcher, DispatcherSettings, PolicyInput, SafeguardSet},
+        policy::{Dispatcher, DispatcherSettings, PolicyInput, PolicySafeguard, SafeguardSet},
         reverse_proxy::{
             CallerListener, ProxyCore, WireDialect, core::ProxyDependencies,
             server_link::check_server_links, store_monitor::monitor_cache_store,
@@ -184,6 +184,7 @@
             arbiter: Arc::clone(&service.arbiter),
             origins,
             parser,
+            is_paced: !settings.disabled.contains(PolicySafeguard::StartPace),
         };
         tasks.spawn(applier.run(states, reserve_watch));
         let stopping = Arc::new(AtomicBool::new(false));
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -16,6 +16,7 @@
         routing::{ParsedTable, RouteIndex},
     },
     std::{
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant as StdInstant},
     },
@@ -33,6 +34,8 @@
     pub(super) arbiter: Arc<SlotArbiter>,
     pub(super) origins: Arc<OriginClient>,
     pub(super) parser: Arc<dyn RouteParser>,
+    /// Whether servers that have just started have a pace.
+    pub(super) is_paced: bool,
 }
 
 impl StateApplier {
@@ -66,12 +69,21 @@
             let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
             self.directory.set_arbiters(arbiters);
             let memory = |service: &ServiceId| view.engine_memory(service);
+            self.arbiter.pace_services(self.paced_services(&view));
             self.arbiter.configure(&self.core.vm, &view.servers, memory);
             let servers = view.servers.values().map(|server| (&server.service, &server.software));
             self.origins.apply(servers, &state.control, entries);
             self.core.apply(view);
         }
     }
+
+    /// The services whose servers get a pace when they start: all requests to them need leases, and answers
+    /// to them are compared with predictions.
+    fn paced_services(&self, view: &ProxyView) -> BTreeSet<ServiceId> {
+        let services = view.servers.values().map(|server| &server.service);
+        let paced = services.filter(|service| self.is_paced && self.core.shares_machines(service));
+        paced.cloned().collect()
+    }
 }
 
 /// The routes in force. Each document is parsed once.
