--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -150,6 +150,8 @@
     /// Output tokens charged in advance.
     charged_output: u64,
     urgency: servers::Urgency,
+    /// Whether it had the lease of a slot.
+    leased: bool,
     answered: bool,
     /// The fingerprints, of it and of its parts, for which it runs apart from other such requests.
     suspects: Vec<u64>,
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -71,6 +71,10 @@
         let Some(state) = self.attempts.get_mut(&attempt) else { return };
         let waited = now.saturating_duration_since(state.sent);
         state.sent = now;
+        state.leased = true;
+        if let Some(entry) = self.requests.get(&state.number) {
+            self.table.pools[entry.pool].is_leased = true;
+        }
         let server = &mut self.table.servers[state.server];
         if let Some(unanswered) = server.unanswered.get_mut(&attempt) {
             unanswered.sent = now;
@@ -104,6 +108,11 @@
             None => state.computed,
         };
         server.speed.record_first_token(now, f64::from(computed), taken);
+        if !state.leased
+            && let Some(entry) = self.requests.get(&state.number)
+        {
+            self.table.pools[entry.pool].is_leased = false;
+        }
         self.update_speeds(state.server);
         self.update_cache_contents(&state, cached, computed);
         self.mark_dirty(state.server);
@@ -198,6 +207,9 @@
             return;
         };
         let RequestPhase::Running(mut sent) = phase else { return };
+        if failed.failure == AttemptFailure::NoSlot {
+            self.table.pools[pool].is_leased = true;
+        }
         self.cancel_deadline(state.number, sent.ticket().deadline);
         self.numbers.remove(&sent.ticket().request);
         if failed.failure == AttemptFailure::CallerError {
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -200,7 +200,7 @@
             .into_iter()
             .find_map(|tier| self.best(now, &query, &candidates, tier));
         match best {
-            Some(best) => self.decide_for_candidate(now, request, best),
+            Some(best) => self.decide_for_candidate(now, request, pool, best),
             None => self.decide_without_candidate(now, request, pool),
         }
     }
@@ -209,6 +209,7 @@
         &self,
         now: Instant,
         request: &StagedRequest<Admitted>,
+        pool: PoolIndex,
         best: Candidate,
     ) -> PlacementDecision {
         if !best.open {
@@ -220,7 +221,9 @@
         // An idle server gets the request nevertheless: its estimate may be outdated, and a
         // response updates it.
         let idle = self.table.servers[best.server].in_flight == 0;
-        if late && !exempt && !idle && self.is_enabled(PolicySafeguard::Admission) {
+        // Arbiters know what their servers run, and this daemon only its own part of it.
+        let is_leased = self.table.pools[pool].is_leased;
+        if late && !exempt && !idle && !is_leased && self.is_enabled(PolicySafeguard::Admission) {
             return PlacementDecision::Refuse(RefusalReason::DeadlineUnreachable);
         }
         PlacementDecision::Send(best)
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -300,6 +300,8 @@
     pub affinity_hit_ratio: f64,
     /// Mean time from sending a request to its complete response in seconds.
     pub service: f64,
+    /// Whether its requests need leases, so that the arbiters of its servers decide on them.
+    pub is_leased: bool,
     /// Whether a change may allow a waiting request to be sent.
     pub dirty: bool,
 }
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -83,6 +83,7 @@
             weights,
             software: server.software.clone(),
             charged_output: output,
+            leased: false,
             answered: false,
             suspects: self.suspected(now, ticket),
         }
