Lease shared engines by urgency and by what they still have to read

Requests to servers that share their machines say how urgent they are and how many prompt tokens have to be read. The arbiter grants a prompt while what is to be read takes at most half of the shortest objective, lets the rest wait by urgency and arrival with a turn for those who are passed, displaces the least urgent when the list is full, and refuses at once who would get room too late. Grants and refusals tell the server's load, which the dispatcher places by; a refusal marks the server full for equally or less urgent requests alone. Holders tell first tokens and ends.

--- a/src/daemon/peer_service.rs
+++ b/src/daemon/peer_service.rs
@@ -73,6 +73,7 @@
             }
             PeerMessage::KeepAlive
             | PeerMessage::EndLease { .. }
+            | PeerMessage::LeaseProgress { .. }
             | PeerMessage::LeaseRejected { .. }
             | PeerMessage::HeldLeases(_)
             | PeerMessage::StreamOrigins { .. } => {}
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -76,6 +76,8 @@
     pub store_use: Option<CacheStoreUse>,
     /// Priority inside the engine; lower values are served first.
     pub priority: u32,
+    /// Predicted time to the first token, or to the response of a plain service.
+    pub predicted: Duration,
     /// Tokens already relayed to the caller; the engine resumes after them.
     pub resume_after: u32,
     /// This daemon's attempts in flight at the server, including this one.
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -287,6 +287,9 @@
             PolicyInput::RetryReserve { retries } => {
                 self.budgets.limit_reserve(retries, &self.settings.daemon);
             }
+            PolicyInput::LeasedLoad { server, load } => {
+                self.record_leased_load(now, &server, load);
+            }
             PolicyInput::Wake => {}
         }
     }
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -4,7 +4,7 @@
     super::{
         AttemptState, Dispatcher, RequestEntry,
         lifecycle::{Admitted, NotExecutedProof, RequestPhase, SentRequest, StagedRequest},
-        servers::PoolIndex,
+        servers::{PoolIndex, Urgency},
     },
     crate::{
         ids::{AttemptId, ServiceId},
@@ -202,7 +202,7 @@
 
     pub(super) fn fail(&mut self, now: Instant, attempt: AttemptId, failed: FailedAttempt) {
         let Some(state) = self.end_attempt(attempt) else { return };
-        self.record_server_failure(now, state.server, &failed);
+        self.record_server_failure(now, state.server, state.urgency, &failed);
         let Some(RequestEntry { pool, cost, phase }) = self.requests.remove(&state.number) else {
             return;
         };
@@ -392,13 +392,20 @@
     }
 
     /// Updates the state of a server after a failed attempt.
-    fn record_server_failure(&mut self, now: Instant, index: ServerIndex, failed: &FailedAttempt) {
+    fn record_server_failure(
+        &mut self,
+        now: Instant,
+        index: ServerIndex,
+        urgency: Urgency,
+        failed: &FailedAttempt,
+    ) {
         let server = &mut self.table.servers[index];
         let fails = match failed.failure {
             AttemptFailure::Stale => return,
             AttemptFailure::NoSlot => {
                 let delay = failed.retry_after.unwrap_or(*FULL_TIME.end());
-                server.full_until = Some(now + delay.clamp(*FULL_TIME.start(), *FULL_TIME.end()));
+                let until = now + delay.clamp(*FULL_TIME.start(), *FULL_TIME.end());
+                server.record_full(now, urgency, until);
                 return;
             }
             AttemptFailure::CallerError => {
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -1,13 +1,16 @@
 //! Handles load reports, cache events, membership changes and probe results of backend servers.
 
 use {
-    super::{Dispatcher, servers::PoolIndex},
+    super::{
+        Dispatcher,
+        servers::{LEASED_LOAD_LIFETIME, MAX_REPORT_AGE, PoolIndex, RemoteTokens},
+    },
     crate::{
         ids::{FailureDomainId, Incarnation, ServerId},
         observe::events,
         policy::{
             CacheEvent, LoadReport, PolicySafeguard, ServerHealth, pacing::ServerPace,
-            prefix::ServerIndex, server_rest::ServerRest,
+            prefix::ServerIndex, server_rest::ServerRest, slot_leases::LeasedLoad,
         },
     },
     std::time::{Duration, Instant},
@@ -36,10 +39,21 @@
         server.window.record_report(now, report.running, report.waiting, own);
         let pending: u64 = server.pending_tokens.iter().sum();
         let remote = report.waiting_tokens.saturating_sub(pending);
-        server.remote_tokens = Some((remote, now));
+        server.remote_tokens = Some(RemoteTokens { tokens: remote, until: now + MAX_REPORT_AGE });
         self.mark_dirty(index);
     }
 
+    /// Records what the arbiter of a server has granted to all daemons.
+    pub(super) fn record_leased_load(&mut self, now: Instant, server: &ServerId, load: LeasedLoad) {
+        let Some(index) = self.table.by_id.get(server).copied() else { return };
+        let server = &mut self.table.servers[index];
+        server.leased_load_at = Some(now);
+        server.window.record_report(now, load.running, 0, server.in_flight);
+        let pending: u64 = server.pending_tokens.iter().sum();
+        let tokens = u64::from(load.tokens_ahead).saturating_sub(pending);
+        server.remote_tokens = Some(RemoteTokens { tokens, until: now + LEASED_LOAD_LIFETIME });
+    }
+
     /// Cache events arrive late and with gaps, so they are only hints. They update prefixes that
     /// this daemon already tracks and never add new ones, so their volume does not matter.
     pub(super) fn record_cache(&mut self, event: &CacheEvent) {
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -403,7 +403,7 @@
         match tier {
             EligibilityTier::Usable => {
                 server.is_usable()
-                    && !server.is_full(now)
+                    && !server.is_full(now, query.urgency)
                     && !history.avoided_servers.contains(&index)
             }
             EligibilityTier::Responding => {
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -28,7 +28,10 @@
 };
 
 /// Maximum age of a report from which the waiting tokens of other daemons are derived.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+pub(super) const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+
+/// How long what an arbiter told applies: engines read the prompts that are granted in less time.
+pub(super) const LEASED_LOAD_LIFETIME: Duration = Duration::from_millis(300);
 
 /// Prompt tokens that an engine prefills in one chunk. A more urgent request overtakes only between
 /// chunks.
@@ -51,6 +54,15 @@
 /// Index of a pool in the dispatcher's server table.
 pub type PoolIndex = usize;
 
+/// Waiting tokens of other daemons, and until when they count.
+#[derive(Clone, Copy, Debug)]
+pub struct RemoteTokens {
+    /// The tokens.
+    pub tokens: u64,
+    /// They have been read by then, or are not known any more.
+    pub until: Instant,
+}
+
 /// State of one backend server.
 #[derive(Debug)]
 pub struct ServerState {
@@ -79,8 +91,10 @@
     pub unverified: bool,
     /// Limit of this daemon's requests in flight.
     pub window: ServerWindow,
-    /// No slot is expected to be free before this time.
-    pub full_until: Option<Instant>,
+    /// No slot is expected to be free before this time, by urgency.
+    pub full_until: [Option<Instant>; URGENCY_LEVELS],
+    /// When its arbiter last told its load. Arbiters that do so lease by urgency.
+    pub leased_load_at: Option<Instant>,
     /// Whether it has asked not to be used for a while.
     pub rest: ServerRest,
     /// The pace of requests, if the server limits them.
@@ -97,8 +111,8 @@
     pub unanswered: BTreeMap<AttemptId, UnansweredAttempt>,
     /// Total tokens to compute of `unanswered`, by urgency.
     pub pending_tokens: [u64; URGENCY_LEVELS],
-    /// Waiting tokens of other daemons, and when they were reported.
-    pub remote_tokens: Option<(u64, Instant)>,
+    /// Waiting tokens of other daemons.
+    pub remote_tokens: Option<RemoteTokens>,
     /// Waiting requests that prefer this server although it has no capacity, in the current pass
     /// over its pool.
     pub waiters: u32,
@@ -139,7 +153,8 @@
             cache: ServerCacheState::default(),
             unverified: false,
             window: ServerWindow::new(view.slots, daemons),
-            full_until: None,
+            full_until: [None; URGENCY_LEVELS],
+            leased_load_at: None,
             rest: ServerRest::default(),
             pace: None,
             speed: SpeedGauge::default(),
@@ -174,8 +189,16 @@
     }
 
     /// Returns whether none of its slots is expected to be free.
-    pub fn is_full(&self, now: Instant) -> bool {
-        self.full_until.is_some_and(|until| now < until)
+    pub fn is_full(&self, now: Instant, urgency: Urgency) -> bool {
+        self.full_until[urgency].is_some_and(|until| now < until)
+    }
+
+    /// Records that its arbiter refused a request of this urgency. Where arbiters lease by urgency, more
+    /// urgent requests may get a slot nevertheless.
+    pub fn record_full(&mut self, now: Instant, urgency: Urgency, until: Instant) {
+        let is_current = |at: Instant| now.saturating_duration_since(at) < MAX_REPORT_AGE;
+        let first = if self.leased_load_at.is_some_and(is_current) { urgency } else { 0 };
+        self.full_until[first..].fill(Some(until));
     }
 
     /// Returns whether its limit, if it has one, allows another request.
@@ -206,7 +229,7 @@
     /// or more urgent requests, and of the others one prefill chunk, which cannot be preempted.
     pub fn tokens_ahead(&self, now: Instant, urgency: Urgency) -> f64 {
         let remote = match self.remote_tokens {
-            Some((tokens, at)) if now.saturating_duration_since(at) < MAX_REPORT_AGE => tokens,
+            Some(RemoteTokens { tokens, until }) if now < until => tokens,
             _ => 0,
         };
         let (before, behind) = self.pending_tokens.split_at(urgency + 1);
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -113,6 +113,7 @@
             source: best.source.map(|source| self.table.servers[source].id.clone()),
             store_use: None,
             priority: state.urgency as u32,
+            predicted: state.predicted,
             resume_after: request.history.relayed,
             in_flight: server.in_flight + 1,
             send_before: if fresh { latest.min(ticket.deadline) } else { latest },
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -1,7 +1,7 @@
 //! Inputs of the dispatcher.
 
 use {
-    super::{reachability::LinkFailure, suspect::CrashReport},
+    super::{reachability::LinkFailure, slot_leases::LeasedLoad, suspect::CrashReport},
     crate::{
         ids::{
             AdapterId, AttemptId, FailureDomainId, Incarnation, ModelId, OrganisationId, RequestId,
@@ -154,6 +154,13 @@
         /// Whether the server responded.
         answered: bool,
     },
+    /// The arbiter of a server has told its load.
+    LeasedLoad {
+        /// The server.
+        server: ServerId,
+        /// Its load.
+        load: LeasedLoad,
+    },
     /// A timer expired: the time returned by `Dispatcher::next_wakeup` was reached.
     Wake,
 }
--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -10,20 +10,33 @@
 //! A request for a lease waits in the order of arrival for at most the time that its caller can
 //! spare. If the wait would be longer, it is refused at once.
 //!
+//! Servers that share their machines with others are leased by urgency, and only while what they have
+//! to read does not delay the most urgent requests.
+//!
 //! What a server keeps beside leased requests is not known here. If it rejects a leased request, its
 //! arbiter therefore leases no more than the server held at that time. The limit rises by 1, 3, 7, ..
 //! slots and their part of the memory after 1, 2, 3, .. seconds.
 
+mod demand;
 mod memory;
+mod reading;
+mod wait_queue;
 
-pub use self::memory::{MAX_PARTS, MemoryDemand, PartHash};
+pub use self::{
+    demand::{LeaseDemand, LeaseGrant, LeaseReport, LeaseUrgency, LeasedLoad, ReadingDemand},
+    memory::{MAX_PARTS, MemoryDemand, PartHash},
+};
 
 use {
-    self::memory::LeasedMemory,
+    self::{
+        memory::LeasedMemory,
+        reading::ReadingLoad,
+        wait_queue::{WaitQueue, WaitingLease, urgency_of},
+    },
     crate::ids::{LeaseId, ServerId, VmId},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
@@ -47,9 +60,6 @@
 /// this: the confirmation may have been sent before it was granted.
 const CONFIRM_GRACE: Duration = Duration::from_secs(1);
 
-/// Maximum requests that wait for a lease of one server.
-const MAX_WAITING: usize = 64;
-
 /// Maximum leases that are taken over from a former arbiter, as a multiple of those of this one.
 const MAX_TAKEN_OVER: usize = 4;
 
@@ -63,6 +73,10 @@
 /// Smoothing factor of the time for which leases are held.
 const HOLD_STEP: f64 = 0.1;
 
+/// How long a report of how long work takes on a server's machine applies: that changes many times a
+/// second.
+const WORK_TIME_LIFETIME: Duration = Duration::from_millis(600);
+
 /// Minimum delay before a refused request asks again.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -70,16 +84,23 @@
 pub const MAX_SERVERS: usize = 16;
 
 /// Why a lease was refused; the request must not be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LeaseRefusal {
     /// No slot becomes free in time. A later request can succeed after this delay.
     Full(Duration),
     /// The daemon is not the arbiter of the server, according to its own server list.
     NotArbiter,
+    /// As `Full`, of a server that shares its machine with others.
+    Busy {
+        /// When there may be room, spread over the time in which it comes.
+        delay: Duration,
+        /// The load of the server.
+        load: LeasedLoad,
+    },
 }
 
 /// What becomes of a request for a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LeaseDecision {
     /// It has the lease.
     Granted,
@@ -98,15 +119,6 @@
     confirmed_at: Instant,
 }
 
-/// A request that waits for a lease.
-#[derive(Clone, Debug)]
-struct WaitingLease {
-    lease: LeaseId,
-    holder: VmId,
-    memory: MemoryDemand,
-    until: Instant,
-}
-
 /// The rejection of a leased request, and what the server held beside it.
 #[derive(Clone, Copy, Debug)]
 struct LeaseRejection {
@@ -135,12 +147,16 @@
     /// The last rejection of a leased request.
     rejection: Option<LeaseRejection>,
     memory: LeasedMemory,
+    reading: ReadingLoad,
+    /// How long work takes on the server's machine, and when its holder told that.
+    work_time: Option<(f32, Instant)>,
     /// At most `usable`, or [`MAX_TAKEN_OVER`] times as many with those that a former arbiter has granted.
     leases: BTreeMap<LeaseId, SlotLease>,
-    /// At most [`MAX_WAITING`].
-    waiting: VecDeque<WaitingLease>,
+    waiting: WaitQueue,
     /// Mean time for which a lease is held, in seconds.
     hold: f64,
+    /// The same, weighted by the tokens of memory that the leases take.
+    memory_hold: f64,
 }
 
 impl ServerSlots {
@@ -151,19 +167,33 @@
             paused_until: leases_from,
             rejection: None,
             memory: LeasedMemory::default(),
+            reading: ReadingLoad::default(),
+            work_time: None,
             leases: BTreeMap::new(),
-            waiting: VecDeque::new(),
+            waiting: WaitQueue::default(),
             hold: INITIAL_HOLD.as_secs_f64(),
+            memory_hold: INITIAL_HOLD.as_secs_f64(),
         }
     }
 
-    fn grant(&mut self, now: Instant, lease: LeaseId, holder: VmId, memory: MemoryDemand) {
+    fn grant(
+        &mut self,
+        now: Instant,
+        lease: LeaseId,
+        holder: VmId,
+        memory: MemoryDemand,
+        reading: Option<ReadingDemand>,
+    ) {
         self.memory.take(&memory);
+        if let Some(reading) = reading {
+            self.reading.begin(now, lease, reading);
+        }
         self.leases.insert(lease, SlotLease { holder, memory, granted_at: now, confirmed_at: now });
     }
 
     fn remove(&mut self, lease: LeaseId) -> Option<SlotLease> {
         let removed = self.leases.remove(&lease)?;
+        self.reading.forget(lease);
         self.memory.free(&removed.memory);
         Some(removed)
     }
@@ -188,48 +218,144 @@
             && self.memory.fits(memory, self.allowed_tokens(now))
     }
 
-    /// The expected wait of a request behind all that wait.
-    fn expected_wait(&self, now: Instant) -> Duration {
-        let ahead = (self.waiting.len() + 1) as f64;
+    /// Whether the prompt of a request may be read beside the others.
+    fn reads_in_time(&self, now: Instant, demand: Option<&ReadingDemand>) -> bool {
+        demand.is_none_or(|demand| self.reading.excess(now, demand, 0).is_zero())
+    }
+
+    /// The expected wait of a request behind those that wait before it.
+    fn expected_wait(&self, now: Instant, demand: &LeaseDemand) -> Duration {
+        let before = self.waiting.load_before(urgency_of(demand.reading.as_ref()));
         // Fewer than all slots are in use if the memory is full or the limit is lowered.
+        let allowed = self.allowed_leases(now);
         let parallel = match self.leases.len() {
-            0 => self.allowed_leases(now),
-            running => running.min(self.allowed_leases(now)),
+            0 => allowed,
+            running => running.min(allowed),
         };
         let pause = self.paused_until.saturating_duration_since(now);
-        pause + Duration::from_secs_f64(ahead * self.hold / parallel as f64)
+        let Some(reading) = &demand.reading else {
+            let ahead = (before.requests + 1) as f64;
+            return pause + Duration::from_secs_f64(ahead * self.hold / parallel as f64);
+        };
+        let missing = (self.leases.len() + before.requests + 1).saturating_sub(allowed);
+        let slots = missing as f64 * self.hold / parallel as f64;
+        let memory = self.allowed_tokens(now).map_or(0.0, |allowed| {
+            let used = self.memory.used();
+            let needed = used + before.memory + u64::from(demand.memory.own_tokens);
+            let missing = needed.saturating_sub(allowed);
+            missing as f64 * self.memory_hold / used.max(1) as f64
+        });
+        let read = self.reading.excess(now, reading, before.computed);
+        pause + read.max(Duration::from_secs_f64(slots.max(memory)))
+    }
+
+    /// Whether a request should wait that long. One that nobody more urgent waits beside may become late,
+    /// if its caller still wants the response.
+    fn is_worth_waiting(&self, demand: &LeaseDemand, wait: Duration) -> bool {
+        let limit = match &demand.reading {
+            Some(reading) if self.waiting.has_more_urgent(reading.urgency) => {
+                let read = self.reading.time_for(reading.computed.into());
+                demand.patience.min(reading.in_time.saturating_sub(read))
+            }
+            _ => demand.patience,
+        };
+        wait <= limit.mul_f64(MAX_WAIT_FRACTION)
+    }
+
+    /// What its holders should know of the server.
+    fn load(&self, now: Instant) -> LeasedLoad {
+        let waiting = self.waiting.load_before(LeaseUrgency::MAX).computed;
+        let is_current = |at: Instant| now.saturating_duration_since(at) < WORK_TIME_LIFETIME;
+        LeasedLoad {
+            running: self.leases.len() as u32,
+            tokens_ahead: u32::try_from(self.reading.tokens(now) + waiting).unwrap_or(u32::MAX),
+            work_time: self.work_time.filter(|(_, at)| is_current(*at)).map(|(factor, _)| factor),
+            pace: None,
+        }
+    }
+
+    /// The refusal of a request that would have to wait that long.
+    fn refusal(
+        &self,
+        now: Instant,
+        lease: LeaseId,
+        is_shared: bool,
+        wait: Duration,
+    ) -> LeaseRefusal {
+        let wait = wait.max(MIN_RETRY_AFTER);
+        match is_shared {
+            // Lease identifiers are random.
+            true => LeaseRefusal::Busy {
+                delay: wait.mul_f64(1.0 + lease as f64 / u64::MAX as f64),
+                load: self.load(now),
+            },
+            false => LeaseRefusal::Full(wait),
+        }
     }
 
+    /// Decides on a request; also returns one that it has displaced from those that wait.
     fn request(
         &mut self,
         now: Instant,
         lease: LeaseId,
         holder: &VmId,
         demand: LeaseDemand,
-    ) -> LeaseDecision {
-        let LeaseDemand { patience, memory } = demand;
+    ) -> (LeaseDecision, Option<(LeaseId, LeaseRefusal)>) {
+        let (urgency, is_shared) = (urgency_of(demand.reading.as_ref()), demand.reading.is_some());
         let settles_in = self.leases_from.saturating_duration_since(now);
         if !settles_in.is_zero() {
-            return LeaseDecision::Refused(LeaseRefusal::Full(settles_in));
+            return (LeaseDecision::Refused(LeaseRefusal::Full(settles_in)), None);
+        }
+        if let Some(reading) = &demand.reading {
+            self.reading.record_objective(now, reading.objective);
         }
-        if self.waiting.is_empty() && self.has_room(now, &memory) {
-            self.grant(now, lease, holder.clone(), memory);
-            return LeaseDecision::Granted;
+        if self.waiting.is_passed_by(urgency)
+            && self.has_room(now, &demand.memory)
+            && self.reads_in_time(now, demand.reading.as_ref())
+        {
+            self.waiting.record_grant(urgency);
+            self.grant(now, lease, holder.clone(), demand.memory, demand.reading);
+            return (LeaseDecision::Granted, None);
+        }
+        let wait = self.expected_wait(now, &demand);
+        if !self.is_worth_waiting(&demand, wait) {
+            return (LeaseDecision::Refused(self.refusal(now, lease, is_shared, wait)), None);
         }
-        let wait = self.expected_wait(now);
-        if wait > patience.mul_f64(MAX_WAIT_FRACTION) || self.waiting.len() >= MAX_WAITING {
-            return LeaseDecision::Refused(LeaseRefusal::Full(wait.max(MIN_RETRY_AFTER)));
+        let mut displaced = None;
+        if self.waiting.is_full() {
+            let Some(last) = self.waiting.displace(urgency) else {
+                return (LeaseDecision::Refused(self.refusal(now, lease, is_shared, wait)), None);
+            };
+            displaced = Some((last.lease, self.refusal(now, last.lease, is_shared, wait)));
         }
+        let LeaseDemand { patience, memory, reading } = demand;
         let (holder, until) = (holder.clone(), now + patience);
-        self.waiting.push_back(WaitingLease { lease, holder, memory, until });
-        LeaseDecision::Waiting
+        self.waiting.push(WaitingLease { lease, holder, memory, reading, until });
+        (LeaseDecision::Waiting, displaced)
     }
 
     fn end(&mut self, now: Instant, lease: LeaseId) {
-        self.waiting.retain(|waiting| waiting.lease != lease);
+        self.waiting.remove(lease);
+        self.reading.finish(now, lease);
         if let Some(ended) = self.remove(lease) {
             let held = now.saturating_duration_since(ended.granted_at).as_secs_f64();
             self.hold += (held - self.hold) * HOLD_STEP;
+            let mean = self.memory.used() as f64 / self.leases.len().max(1) as f64;
+            let weight = f64::from(ended.memory.own_tokens) / mean.max(1.0);
+            self.memory_hold += (held - self.memory_hold) * (HOLD_STEP * weight).min(0.5);
+        }
+    }
+
+    /// Records what the holder of a lease tells of its request.
+    fn record(&mut self, now: Instant, lease: LeaseId, report: &LeaseReport) {
+        if !self.leases.contains_key(&lease) {
+            return;
+        }
+        if report.is_read {
+            self.reading.finish(now, lease);
+        }
+        if let Some(factor) = report.work_time {
+            self.work_time = Some((factor, now));
         }
     }
 
@@ -246,15 +372,29 @@
         self.rejection = Some(LeaseRejection { at: now, leases, tokens });
     }
 
+    /// The position of the request that gets a lease next. Nobody takes the slot or the memory that another
+    /// one waits for before it.
+    fn next_waiting(&self, now: Instant) -> Option<usize> {
+        for (position, next) in self.waiting.heads() {
+            if !self.has_room(now, &next.memory) {
+                return None;
+            }
+            if self.reads_in_time(now, next.reading.as_ref()) {
+                return Some(position);
+            }
+        }
+        None
+    }
+
     /// Grants free slots to those that wait.
     fn grant_waiting(&mut self, now: Instant) -> Vec<LeaseId> {
-        self.waiting.retain(|waiting| now < waiting.until);
+        self.waiting.expire(now);
         let mut granted = Vec::new();
-        while self.waiting.front().is_some_and(|next| self.has_room(now, &next.memory))
-            && let Some(next) = self.waiting.pop_front()
+        while let Some(position) = self.next_waiting(now)
+            && let Some(next) = self.waiting.take(position)
         {
             granted.push(next.lease);
-            self.grant(now, next.lease, next.holder, next.memory);
+            self.grant(now, next.lease, next.holder, next.memory, next.reading);
         }
         granted
     }
@@ -271,20 +411,14 @@
     pub had_arbiter: bool,
 }
 
-/// What a request asks of an arbiter.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseDemand {
-    /// How long its caller can wait.
-    pub patience: Duration,
-    /// What it takes beside a slot; nothing at a plain service.
-    pub memory: MemoryDemand,
-}
-
 /// The leases of all servers of which this daemon is the arbiter.
 #[derive(Clone, Debug, Default)]
 pub struct SlotTable {
     /// The servers of the last [`Self::configure`].
     servers: BTreeMap<ServerId, ServerSlots>,
+    /// Requests that waited and were displaced by more urgent ones since the last
+    /// [`Self::take_displaced`].
+    displaced: Vec<(LeaseId, LeaseRefusal)>,
 }
 
 impl SlotTable {
@@ -310,10 +444,36 @@
         holder: &VmId,
         demand: LeaseDemand,
     ) -> LeaseDecision {
-        match self.servers.get_mut(server) {
-            Some(slots) => slots.request(now, lease, holder, demand),
-            None => LeaseDecision::Refused(LeaseRefusal::NotArbiter),
-        }
+        let Some(slots) = self.servers.get_mut(server) else {
+            return LeaseDecision::Refused(LeaseRefusal::NotArbiter);
+        };
+        let (decision, displaced) = slots.request(now, lease, holder, demand);
+        self.displaced.extend(displaced);
+        decision
+    }
+
+    /// Returns the requests that waited and have been refused for more urgent ones.
+    pub fn take_displaced(&mut self) -> Vec<(LeaseId, LeaseRefusal)> {
+        std::mem::take(&mut self.displaced)
+    }
+
+    /// Records what a holder tells of the request of its lease. Returns the leases that others get by
+    /// that.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        server: &ServerId,
+        lease: LeaseId,
+        report: &LeaseReport,
+    ) -> Vec<LeaseId> {
+        let Some(slots) = self.servers.get_mut(server) else { return Vec::new() };
+        slots.record(now, lease, report);
+        slots.grant_waiting(now)
+    }
+
+    /// The load of a server, if this daemon is its arbiter.
+    pub fn load(&self, now: Instant, server: &ServerId) -> Option<LeasedLoad> {
+        self.servers.get(server).map(|slots| slots.load(now))
     }
 
     /// Ends a lease, or a request for one; returns the leases that others get instead.
@@ -370,7 +530,7 @@
                 let even = slots.memory.capacity.unwrap_or(0) / slots.usable as u64;
                 let own_tokens = u32::try_from(even).unwrap_or(u32::MAX);
                 let memory = MemoryDemand { parts: Vec::new(), own_tokens };
-                slots.grant(now, *lease, holder.clone(), memory);
+                slots.grant(now, *lease, holder.clone(), memory, None);
             }
         }
         granted
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -382,6 +382,11 @@
         self.shared_machines.contains(service) || self.limits_rejections(service)
     }
 
+    /// Whether the servers of a service share their machines with others.
+    pub fn shares_machines(&self, service: &ServiceId) -> bool {
+        self.shared_machines.contains(service)
+    }
+
     /// Sets how the origins of streams are known; without it a resumed stream goes on at any server. A
     /// second call has no effect.
     pub fn set_origin_finder(&self, finder: Arc<dyn OriginFinder>) {
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -78,6 +78,8 @@
     pub framing: ResponseFraming,
     pub body: MeteredBody,
     pub connection: LeasedConnection,
+    /// When the request was sent.
+    pub sent_at: Instant,
 }
 
 /// A response whose head has not been checked.
@@ -273,7 +275,7 @@
         from: &ResumePosition,
         received: ReceivedHead,
     ) -> Result<StartedResponse, AttemptFailure> {
-        let ReceivedHead { response, connection, sent_at } = received;
+        let ReceivedHead { response, mut connection, sent_at } = received;
         let (mut parts, body) = response.into_parts();
         let body = MeteredBody::new(body, connection.meter().clone());
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
@@ -281,6 +283,9 @@
         if matches!(head.verdict, ResponseVerdict::Executed | ResponseVerdict::NotExecuted) {
             self.core.record_demand(&order.server, sent_at, parts.status, &head);
         }
+        if let Some(lease) = connection.lease_mut() {
+            lease.record_work_time(head.work_time.map(|factor| factor as f32));
+        }
         match head.verdict {
             ResponseVerdict::Executed => {
                 self.runs += 1;
@@ -291,7 +296,7 @@
                 self.core.record_response(&order.server, model, &head);
                 let framing = ResponseFraming::read(&parts);
                 strip_connection(&mut parts.headers);
-                Ok(StartedResponse { parts, head, framing, body, connection })
+                Ok(StartedResponse { parts, head, framing, body, connection, sent_at })
             }
             ResponseVerdict::NotExecuted => {
                 self.log_rejection(order, &head, connection.has_lease());
@@ -424,7 +429,7 @@
         if self.request.caller.route.kind.is_stream() && response.parts.status.is_success() {
             return self.start_stream(order, response).await;
         }
-        let StartedResponse { mut parts, head, framing, body, connection } = response;
+        let StartedResponse { mut parts, head, framing, body, connection, .. } = response;
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
             collected = self.core.buffers.collect(body) => collected,
--- a/src/reverse_proxy/exchange/slot.rs
+++ b/src/reverse_proxy/exchange/slot.rs
@@ -3,7 +3,11 @@
 use {
     super::{HttpExchange, ResumePosition, wait_withdrawn},
     crate::{
-        policy::{AttemptFailure, PolicyInput, SendOrder, slot_leases::LeaseDemand},
+        inventory::RequestClass,
+        policy::{
+            AttemptFailure, PolicyInput, SendOrder,
+            slot_leases::{LeaseDemand, LeaseUrgency, LeasedLoad, ReadingDemand},
+        },
         reverse_proxy::slot_lease::{LeaseFailure, SlotLease},
     },
     std::time::{Duration, Instant},
@@ -14,6 +18,42 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(500);
 
 impl HttpExchange {
+    /// What the request asks of the arbiter of a server that shares its machine.
+    fn reading_demand(&self, order: &SendOrder, in_time: Duration) -> ReadingDemand {
+        let work = self.request.caller.work.as_ref();
+        let prompt_tokens = work.map_or(0, |work| work.prompt_tokens);
+        ReadingDemand {
+            urgency: LeaseUrgency::try_from(order.priority).unwrap_or(LeaseUrgency::MAX),
+            computed: prompt_tokens.saturating_sub(order.expected_hit),
+            objective: self.request.caller.route.latency_objective,
+            in_time,
+        }
+    }
+
+    /// What the request asks of the arbiter of its server.
+    fn lease_demand(&self, now: Instant, order: &SendOrder, from: &ResumePosition) -> LeaseDemand {
+        let in_time = self.lease_patience(now, from);
+        let memory = self.request.memory_demand();
+        if !self.core.shares_machines(&self.request.service) {
+            return LeaseDemand { patience: in_time, memory, reading: None };
+        }
+        // Nobody reads the response as it is generated, so that it is worth something when it is late, too.
+        let patience = match self.request.caller.class {
+            RequestClass::Interactive => in_time,
+            RequestClass::Standard | RequestClass::Batch => {
+                let left = self.request.deadline.saturating_duration_since(now);
+                in_time.max(self.request.caller.route.latency_objective.min(left / 2))
+            }
+        };
+        let reading = Some(self.reading_demand(order, in_time));
+        LeaseDemand { patience, memory, reading }
+    }
+
+    fn record_load(&self, order: &SendOrder, load: LeasedLoad) {
+        let server = order.server.clone();
+        self.handle.notify(PolicyInput::LeasedLoad { server, load });
+    }
+
     /// How long the request can wait for a slot: until it would miss its latency objective, and for a
     /// stream that is resumed, as long as a new one.
     fn lease_patience(&self, now: Instant, from: &ResumePosition) -> Duration {
@@ -34,8 +74,8 @@
         from: &ResumePosition,
     ) -> Result<Option<SlotLease>, AttemptFailure> {
         let began = Instant::now();
-        let patience = self.lease_patience(began, from);
-        let demand = LeaseDemand { patience, memory: self.request.memory_demand() };
+        let demand = self.lease_demand(began, order, from);
+        let patience = demand.patience;
         let leased = tokio::select! {
             leased = self.core.lease_slot(&order.server, demand) => leased,
             () = wait_withdrawn(&mut self.handle, order.attempt) => {
@@ -51,6 +91,9 @@
                 Err(self.report(order, AttemptFailure::Stale, from, None))
             }
             Ok(lease) => {
+                if let Some(load) = lease.as_ref().and_then(SlotLease::load) {
+                    self.record_load(order, load);
+                }
                 if lease.is_some() {
                     self.handle.notify(PolicyInput::Leased { attempt: order.attempt });
                 }
@@ -59,6 +102,10 @@
             Err(LeaseFailure::Full(delay)) => {
                 Err(self.report(order, AttemptFailure::NoSlot, from, Some(delay)))
             }
+            Err(LeaseFailure::Busy { delay, load }) => {
+                self.record_load(order, load);
+                Err(self.report(order, AttemptFailure::NoSlot, from, Some(delay)))
+            }
             Err(LeaseFailure::Unavailable) => {
                 Err(self.report(order, AttemptFailure::NoSlot, from, None))
             }
--- a/src/reverse_proxy/exchange/stream_start.rs
+++ b/src/reverse_proxy/exchange/stream_start.rs
@@ -74,7 +74,11 @@
     content: StreamContent,
     first: Bytes,
 ) -> AttemptStep {
-    let StartedResponse { mut parts, head, framing, body, connection } = response;
+    let StartedResponse { mut parts, head, framing, body, mut connection, sent_at } = response;
+    if let Some(lease) = connection.lease_mut() {
+        let lateness = sent_at.elapsed().as_secs_f32() / order.predicted.as_secs_f32();
+        lease.report_first_token(Some(lateness).filter(|lateness| lateness.is_finite()));
+    }
     parts.headers.remove(header::CONTENT_LENGTH);
     let order = order.clone();
     let start = StreamStart { parts, head, framing, content, body, connection, first, order };
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// The lease of the request in flight.
+    pub fn lease_mut(&mut self) -> Option<&mut SlotLease> {
+        self.lease.as_mut()
+    }
+
     /// Keeps the lease of a slot until the request in flight has ended.
     pub fn set_lease(&mut self, lease: Option<SlotLease>) {
         self.lease = lease;
--- a/src/roles/entry_service.rs
+++ b/src/roles/entry_service.rs
@@ -4,7 +4,6 @@
     super::{slot_arbiter::SlotArbiter, tunnel_service::TunnelService},
     crate::{
         ids::{ServerId, VmId},
-        policy::slot_leases::LeaseDemand,
         transport::{
             PeerHandler, PeerMessage, PeerReply, PeerRequest, TunnelRefusal, TunnelTarget,
         },
@@ -25,7 +24,15 @@
 impl PeerHandler for EntryService {
     fn message(&self, from: VmId, message: PeerMessage) {
         match message {
-            PeerMessage::EndLease { server, lease } => self.arbiter.end(&server, lease),
+            PeerMessage::EndLease { server, lease, report } => {
+                if let Some(report) = report {
+                    self.arbiter.record(&server, lease, &report);
+                }
+                self.arbiter.end(&server, lease);
+            }
+            PeerMessage::LeaseProgress { server, lease, report } => {
+                self.arbiter.record(&server, lease, &report);
+            }
             PeerMessage::LeaseRejected { server, lease } => self.arbiter.reject(server, lease),
             PeerMessage::HeldLeases(held) => self.arbiter.confirm(&from, held),
             other => self.tunnels.message(from, other),
@@ -34,8 +41,7 @@
 
     fn request(&self, from: VmId, request: PeerRequest) -> BoxFuture<'static, PeerReply> {
         match request {
-            PeerRequest::LeaseSlot { server, lease, patience, memory } => {
-                let demand = LeaseDemand { patience, memory };
+            PeerRequest::LeaseSlot { server, lease, demand } => {
                 let leased = Arc::clone(&self.arbiter).lease(server, lease, from, demand);
                 Box::pin(async move { PeerReply::SlotLeased(leased.await) })
             }
--- a/src/roles/slot_arbiter.rs
+++ b/src/roles/slot_arbiter.rs
@@ -5,7 +5,8 @@
         fleet::ListedServer,
         ids::{LeaseId, ServerId, ServiceId, VmId},
         policy::slot_leases::{
-            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, REJECTION_PAUSE, SlotTable,
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseGrant, LeaseRefusal, LeaseReport,
+            REJECTION_PAUSE, SlotTable,
         },
     },
     std::{
@@ -26,7 +27,7 @@
 struct ArbiterState {
     table: SlotTable,
     /// Requests that wait for a lease; the table bounds their number.
-    waiting: BTreeMap<LeaseId, oneshot::Sender<()>>,
+    waiting: BTreeMap<LeaseId, oneshot::Sender<Result<(), LeaseRefusal>>>,
     /// The servers of the last list and their arbiters; `None` before the first list.
     listed: Option<BTreeMap<ServerId, Option<VmId>>>,
 }
@@ -35,9 +36,19 @@
     fn wake(&mut self, granted: Vec<LeaseId>) {
         for lease in granted {
             // A request that has given up ends its lease itself.
-            let _ = self.waiting.remove(&lease).map(|sender| sender.send(()));
+            let _ = self.waiting.remove(&lease).map(|sender| sender.send(Ok(())));
         }
     }
+
+    fn refuse_displaced(&mut self) {
+        for (lease, refusal) in self.table.take_displaced() {
+            let _ = self.waiting.remove(&lease).map(|sender| sender.send(Err(refusal)));
+        }
+    }
+
+    fn grant(&self, server: &ServerId, is_shared: bool) -> LeaseGrant {
+        LeaseGrant { load: self.table.load(Instant::now(), server).filter(|_| is_shared) }
+    }
 }
 
 /// The leases of the servers of which this entry is the arbiter.
@@ -84,12 +95,13 @@
         lease: LeaseId,
         holder: VmId,
         demand: LeaseDemand,
-    ) -> Result<(), LeaseRefusal> {
-        let patience = demand.patience;
+    ) -> Result<LeaseGrant, LeaseRefusal> {
+        let (patience, is_shared) = (demand.patience, demand.reading.is_some());
         let (decision, receiver) = {
             let mut state = self.lock();
             let now = Instant::now();
             let decision = state.table.request(now, &server, lease, &holder, demand);
+            state.refuse_displaced();
             let receiver = (decision == LeaseDecision::Waiting).then(|| {
                 let (sender, receiver) = oneshot::channel();
                 state.waiting.insert(lease, sender);
@@ -99,15 +111,16 @@
         };
         match decision {
             LeaseDecision::Refused(refusal) => return Err(refusal),
-            LeaseDecision::Granted => return Ok(()),
+            LeaseDecision::Granted => return Ok(self.lock().grant(&server, is_shared)),
             LeaseDecision::Waiting => {}
         }
         let mut waiting = WaitingRequest { arbiter: self, server, lease, is_granted: false };
         if let Some(receiver) = receiver
-            && matches!(timeout(patience, receiver).await, Ok(Ok(())))
+            && let Ok(Ok(result)) = timeout(patience, receiver).await
         {
-            waiting.is_granted = true;
-            return Ok(());
+            waiting.is_granted = result.is_ok();
+            result?;
+            return Ok(waiting.arbiter.lock().grant(&waiting.server, is_shared));
         }
         Err(LeaseRefusal::Full(patience))
     }
@@ -120,6 +133,13 @@
         state.wake(granted);
     }
 
+    /// Records what a holder tells of the request of its lease.
+    pub fn record(&self, server: &ServerId, lease: LeaseId, report: &LeaseReport) {
+        let mut state = self.lock();
+        let granted = state.table.record(Instant::now(), server, lease, report);
+        state.wake(granted);
+    }
+
     /// Records that a server has rejected the request of a lease, which has ended by that. Leases nothing
     /// of the server for a while.
     pub fn reject(self: &Arc<Self>, server: ServerId, lease: LeaseId) {
--- a/src/roles/slot_client.rs
+++ b/src/roles/slot_client.rs
@@ -4,7 +4,7 @@
     super::slot_arbiter::SlotArbiter,
     crate::{
         ids::{LeaseId, ServerId, VmId},
-        policy::slot_leases::LeaseRefusal,
+        policy::slot_leases::{LeaseRefusal, LeaseReport},
         reverse_proxy::slot_lease::{LeaseFailure, LeaseHolder, SlotDemand, SlotLease, SlotLeaser},
         transport::{PeerMessage, PeerNetwork, PeerReply, PeerRequest},
     },
@@ -112,12 +112,12 @@
             server: server_name,
             lease,
             is_refused: false,
+            report: Mutex::new(None),
         };
         let result = if arbiter == holder {
             Arc::clone(&self.own).lease(server, lease, holder, demand).await
         } else {
-            let memory = demand.memory;
-            let request = PeerRequest::LeaseSlot { server, lease, patience, memory };
+            let request = PeerRequest::LeaseSlot { server, lease, demand };
             let reply = self.network.call(&arbiter, request, patience + REPLY_MARGIN).await;
             let Ok(PeerReply::SlotLeased(result)) = reply else {
                 self.lock().pause(arbiter);
@@ -127,13 +127,14 @@
             result
         };
         match result {
-            Ok(()) => Ok(SlotLease::new(guard)),
+            Ok(grant) => Ok(SlotLease::new(guard).with_load(grant.load)),
             Err(refusal) => {
                 guard.forget();
-                Err(LeaseFailure::Full(match refusal {
-                    LeaseRefusal::Full(delay) => delay,
-                    LeaseRefusal::NotArbiter => LIST_DELAY,
-                }))
+                Err(match refusal {
+                    LeaseRefusal::Full(delay) => LeaseFailure::Full(delay),
+                    LeaseRefusal::NotArbiter => LeaseFailure::Full(LIST_DELAY),
+                    LeaseRefusal::Busy { delay, load } => LeaseFailure::Busy { delay, load },
+                })
             }
         }
     }
@@ -160,12 +161,25 @@
         }
     }
 
-    fn end(&self, arbiter: &VmId, server: &ServerId, lease: LeaseId) {
+    fn end(&self, arbiter: &VmId, server: &ServerId, lease: LeaseId, report: Option<LeaseReport>) {
         self.forget(arbiter, server, lease);
         if arbiter == self.network.vm() {
+            if let Some(report) = report {
+                self.own.record(server, lease, &report);
+            }
             self.own.end(server, lease);
         } else {
-            self.network.send(arbiter, PeerMessage::EndLease { server: server.clone(), lease });
+            let message = PeerMessage::EndLease { server: server.clone(), lease, report };
+            self.network.send(arbiter, message);
+        }
+    }
+
+    fn record(&self, arbiter: &VmId, server: &ServerId, lease: LeaseId, report: LeaseReport) {
+        if arbiter == self.network.vm() {
+            self.own.record(server, lease, &report);
+        } else {
+            let message = PeerMessage::LeaseProgress { server: server.clone(), lease, report };
+            self.network.send(arbiter, message);
         }
     }
 
@@ -234,6 +248,8 @@
     lease: LeaseId,
     /// Whether the arbiter has refused the lease, so that it knows nothing of it.
     is_refused: bool,
+    /// What the arbiter learns at the end of the lease.
+    report: Mutex<Option<LeaseReport>>,
 }
 
 impl LeaseGuard {
@@ -246,13 +262,24 @@
     fn report_rejection(&self) {
         self.client.reject(&self.arbiter, &self.server, self.lease);
     }
+
+    fn report_progress(&self, report: LeaseReport) {
+        self.client.record(&self.arbiter, &self.server, self.lease, report);
+    }
+
+    fn report_at_end(&self, report: LeaseReport) {
+        *self.report.lock().unwrap_or_else(PoisonError::into_inner) = Some(report);
+    }
 }
 
 impl Drop for LeaseGuard {
     fn drop(&mut self) {
         match self.is_refused {
             true => self.client.forget(&self.arbiter, &self.server, self.lease),
-            false => self.client.end(&self.arbiter, &self.server, self.lease),
+            false => {
+                let report = self.report.lock().unwrap_or_else(PoisonError::into_inner).take();
+                self.client.end(&self.arbiter, &self.server, self.lease, report);
+            }
         }
     }
 }
@@ -262,6 +289,10 @@
 
 impl LeaseHolder for ShareGuard {
     fn report_rejection(&self) {}
+
+    fn report_progress(&self, _: LeaseReport) {}
+
+    fn report_at_end(&self, _: LeaseReport) {}
 }
 
 impl Drop for ShareGuard {
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -10,12 +10,11 @@
         ids::{LeaseId, RequestId, Revision, ServerId, ServiceId, VmId},
         policy::{
             DomainDigest,
-            slot_leases::{LeaseRefusal, MemoryDemand},
+            slot_leases::{LeaseDemand, LeaseGrant, LeaseRefusal, LeaseReport},
         },
         transport::config_delta::ConfigDelta,
     },
     serde::{Deserialize, Serialize},
-    std::time::Duration,
 };
 
 /// A message that expects no reply and may be lost.
@@ -44,6 +43,8 @@
         server: ServerId,
         /// The lease.
         lease: LeaseId,
+        /// What the sender has not told yet of the request.
+        report: Option<LeaseReport>,
     },
     /// All leases that the sender has of the receiver.
     HeldLeases(Vec<(ServerId, LeaseId)>),
@@ -61,6 +62,15 @@
         /// The lease.
         lease: LeaseId,
     },
+    /// The server has read the prompt of a lease.
+    LeaseProgress {
+        /// The server.
+        server: ServerId,
+        /// The lease.
+        lease: LeaseId,
+        /// What the sender knows of the request.
+        report: LeaseReport,
+    },
 }
 
 /// A request that gets exactly one reply, or fails.
@@ -106,10 +116,8 @@
         server: ServerId,
         /// The identifier of the lease.
         lease: LeaseId,
-        /// How long the caller waits for a slot.
-        patience: Duration,
-        /// What the request takes beside a slot.
-        memory: MemoryDemand,
+        /// What the request needs, and how long it can wait.
+        demand: LeaseDemand,
     },
     /// Return where a stream began.
     StreamOrigin {
@@ -157,7 +165,7 @@
     /// Whether the tunnel is open.
     TunnelOpened(Result<(), TunnelRefusal>),
     /// Whether the slot is leased.
-    SlotLeased(Result<(), LeaseRefusal>),
+    SlotLeased(Result<LeaseGrant, LeaseRefusal>),
     /// What the peer knows of a stream.
     StreamOrigin(OriginAnswer),
 }
--- a/tests/engine_leases.rs
+++ b/tests/engine_leases.rs
@@ -242,7 +242,7 @@
         let shared = request.part.map_or(0, |_| self.shape.shared_tokens);
         let parts = request.part.map(|part| (part, shared)).into_iter().collect();
         let memory = MemoryDemand { parts, own_tokens: request.tokens - shared };
-        let demand = LeaseDemand { patience: PATIENCE, memory };
+        let demand = LeaseDemand { patience: PATIENCE, memory, reading: None };
         self.table.request(now, &self.names[request.engine], id, &holder, demand)
     }
 
--- a/tests/slot_arbiter.rs
+++ b/tests/slot_arbiter.rs
@@ -32,8 +32,9 @@
 }
 
 async fn lease(arbiter: &Arc<SlotArbiter>, server: &str, lease: u64) -> Result<(), LeaseRefusal> {
-    let demand = LeaseDemand { patience: PATIENCE, memory: MemoryDemand::default() };
-    Arc::clone(arbiter).lease(server.to_owned(), lease, "vm-2".to_owned(), demand).await
+    let demand = LeaseDemand { patience: PATIENCE, memory: MemoryDemand::default(), reading: None };
+    let granted = Arc::clone(arbiter).lease(server.to_owned(), lease, "vm-2".to_owned(), demand);
+    granted.await.map(|_| ())
 }
 
 fn is_settling(result: Result<(), LeaseRefusal>) -> bool {
--- a/tests/slot_leases.rs
+++ b/tests/slot_leases.rs
@@ -35,7 +35,7 @@
 
 /// What a request to a plain service asks of an arbiter.
 fn demand(patience: Duration) -> LeaseDemand {
-    LeaseDemand { patience, memory: MemoryDemand::default() }
+    LeaseDemand { patience, memory: MemoryDemand::default(), reading: None }
 }
 
 /// A table with one server of `slots` slots.
@@ -371,18 +371,14 @@
 fn lease_messages_are_small() {
     let server = "i-7f3a91c2aa".to_owned();
     let lease = u64::MAX;
-    let question = PeerRequest::LeaseSlot {
-        server: server.clone(),
-        lease,
-        patience: PATIENCE,
-        memory: MemoryDemand::default(),
-    };
+    let question =
+        PeerRequest::LeaseSlot { server: server.clone(), lease, demand: demand(PATIENCE) };
     let parts = vec![(u64::MAX, u32::MAX); MAX_PARTS];
     let memory = MemoryDemand { parts, own_tokens: u32::MAX };
-    let longest =
-        PeerRequest::LeaseSlot { server: server.clone(), lease, patience: PATIENCE, memory };
+    let longest = LeaseDemand { memory, ..demand(PATIENCE) };
+    let longest = PeerRequest::LeaseSlot { server: server.clone(), lease, demand: longest };
     let answer = PeerReply::SlotLeased(Err(LeaseRefusal::Full(PATIENCE)));
-    let end = PeerMessage::EndLease { server, lease };
+    let end = PeerMessage::EndLease { server, lease, report: None };
     let lengths = [
         postcard::to_stdvec(&question).unwrap().len(),
         postcard::to_stdvec(&answer).unwrap().len(),
