--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -4,7 +4,7 @@
     super::{
         AttemptState, Dispatcher, RequestEntry,
         lifecycle::{Admitted, NotExecutedProof, RequestPhase, SentRequest, StagedRequest},
-        servers::PoolIndex,
+        servers::{PoolIndex, Urgency},
     },
     crate::{
         ids::{AttemptId, ServiceId},
@@ -71,6 +71,10 @@
         let Some(state) = self.attempts.get_mut(&attempt) else { return };
         let waited = now.saturating_duration_since(state.sent);
         state.sent = now;
+        state.leased = true;
+        if let Some(entry) = self.requests.get(&state.number) {
+            self.table.pools[entry.pool].is_leased = true;
+        }
         let server = &mut self.table.servers[state.server];
         if let Some(unanswered) = server.unanswered.get_mut(&attempt) {
             unanswered.sent = now;
@@ -104,6 +108,11 @@
             None => state.computed,
         };
         server.speed.record_first_token(now, f64::from(computed), taken);
+        if !state.leased
+            && let Some(entry) = self.requests.get(&state.number)
+        {
+            self.table.pools[entry.pool].is_leased = false;
+        }
         self.update_speeds(state.server);
         self.update_cache_contents(&state, cached, computed);
         self.mark_dirty(state.server);
@@ -193,11 +202,14 @@
 
     pub(super) fn fail(&mut self, now: Instant, attempt: AttemptId, failed: FailedAttempt) {
         let Some(state) = self.end_attempt(attempt) else { return };
-        self.record_server_failure(now, state.server, &failed);
+        self.record_server_failure(now, state.server, state.urgency, &failed);
         let Some(RequestEntry { pool, cost, phase }) = self.requests.remove(&state.number) else {
             return;
         };
         let RequestPhase::Running(mut sent) = phase else { return };
+        if failed.failure == AttemptFailure::NoSlot {
+            self.table.pools[pool].is_leased = true;
+        }
         self.cancel_deadline(state.number, sent.ticket().deadline);
         self.numbers.remove(&sent.ticket().request);
         if failed.failure == AttemptFailure::CallerError {
@@ -380,13 +392,20 @@
     }
 
     /// Updates the state of a server after a failed attempt.
-    fn record_server_failure(&mut self, now: Instant, index: ServerIndex, failed: &FailedAttempt) {
+    fn record_server_failure(
+        &mut self,
+        now: Instant,
+        index: ServerIndex,
+        urgency: Urgency,
+        failed: &FailedAttempt,
+    ) {
         let server = &mut self.table.servers[index];
         let fails = match failed.failure {
             AttemptFailure::Stale => return,
             AttemptFailure::NoSlot => {
                 let delay = failed.retry_after.unwrap_or(*FULL_TIME.end());
-                server.full_until = Some(now + delay.clamp(*FULL_TIME.start(), *FULL_TIME.end()));
+                let until = now + delay.clamp(*FULL_TIME.start(), *FULL_TIME.end());
+                server.record_full(now, urgency, until);
                 return;
             }
             AttemptFailure::CallerError => {
--- a/src/roles/slot_arbiter.rs
+++ b/src/roles/slot_arbiter.rs
@@ -6,8 +6,8 @@
         ids::{Incarnation, LeaseId, ServerId, ServiceId, VmId},
         observe::metrics::PACED_SERVERS,
         policy::slot_leases::{
-            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, REJECTION_PAUSE,
-            ServerStart, SlotTable,
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseGrant, LeaseRefusal, LeaseReport,
+            REJECTION_PAUSE, ServerStart, SlotTable,
         },
     },
     metrics::gauge,
@@ -29,7 +29,7 @@
 struct ArbiterState {
     table: SlotTable,
     /// Requests that wait for a lease; the table bounds their number.
-    waiting: BTreeMap<LeaseId, oneshot::Sender<()>>,
+    waiting: BTreeMap<LeaseId, oneshot::Sender<Result<(), LeaseRefusal>>>,
     /// The servers of the last list; `None` before the first list.
     listed: Option<BTreeMap<ServerId, KnownServer>>,
     /// Services whose servers have a pace after they start.
@@ -69,9 +69,19 @@
     fn wake(&mut self, granted: Vec<LeaseId>) {
         for lease in granted {
             // A request that has given up ends its lease itself.
-            let _ = self.waiting.remove(&lease).map(|sender| sender.send(()));
+            let _ = self.waiting.remove(&lease).map(|sender| sender.send(Ok(())));
         }
     }
+
+    fn refuse_displaced(&mut self) {
+        for (lease, refusal) in self.table.take_displaced() {
+            let _ = self.waiting.remove(&lease).map(|sender| sender.send(Err(refusal)));
+        }
+    }
+
+    fn grant(&self, server: &ServerId, is_shared: bool) -> LeaseGrant {
+        LeaseGrant { load: self.table.load(Instant::now(), server).filter(|_| is_shared) }
+    }
 }
 
 /// The leases of the servers of which this entry is the arbiter.
@@ -128,12 +138,13 @@
         lease: LeaseId,
         holder: VmId,
         demand: LeaseDemand,
-    ) -> Result<(), LeaseRefusal> {
-        let patience = demand.patience;
+    ) -> Result<LeaseGrant, LeaseRefusal> {
+        let (patience, is_shared) = (demand.patience, demand.reading.is_some());
         let (decision, receiver) = {
             let mut state = self.lock();
             let now = Instant::now();
             let decision = state.table.request(now, &server, lease, &holder, demand);
+            state.refuse_displaced();
             let receiver = (decision == LeaseDecision::Waiting).then(|| {
                 let (sender, receiver) = oneshot::channel();
                 state.waiting.insert(lease, sender);
@@ -143,15 +154,16 @@
         };
         match decision {
             LeaseDecision::Refused(refusal) => return Err(refusal),
-            LeaseDecision::Granted => return Ok(()),
+            LeaseDecision::Granted => return Ok(self.lock().grant(&server, is_shared)),
             LeaseDecision::Waiting => {}
         }
         let mut waiting = WaitingRequest { arbiter: self, server, lease, is_granted: false };
         if let Some(receiver) = receiver
-            && matches!(timeout(patience, receiver).await, Ok(Ok(())))
+            && let Ok(Ok(result)) = timeout(patience, receiver).await
         {
-            waiting.is_granted = true;
-            return Ok(());
+            waiting.is_granted = result.is_ok();
+            result?;
+            return Ok(waiting.arbiter.lock().grant(&waiting.server, is_shared));
         }
         Err(LeaseRefusal::Full(patience))
     }
@@ -164,10 +176,10 @@
         state.wake(granted);
     }
 
-    /// Records the measured over the predicted time to the first token or the response of a leased request.
-    pub fn record_lateness(&self, server: &ServerId, lease: LeaseId, lateness: f32) {
+    /// Records what a holder tells of the request of its lease.
+    pub fn record(&self, server: &ServerId, lease: LeaseId, report: &LeaseReport) {
         let mut state = self.lock();
-        let granted = state.table.record_lateness(Instant::now(), server, lease, lateness);
+        let granted = state.table.record(Instant::now(), server, lease, report);
         state.wake(granted);
     }
 
--- a/tests/paced_leases.rs
+++ b/tests/paced_leases.rs
@@ -5,8 +5,8 @@
         fleet::{ListedServer, ServerPhase},
         ids::{Incarnation, ServerId},
         policy::slot_leases::{
-            ArbitratedServer, LeaseDecision, LeaseDemand, MemoryDemand, ServerStart, SlotTable,
-            StartAnswer, StartOutcome, StartPace,
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseReport, MemoryDemand, ServerStart,
+            SlotTable, StartAnswer, StartOutcome, StartPace,
         },
         roles::slot_arbiter::SlotArbiter,
     },
@@ -87,7 +87,11 @@
 }
 
 fn demand() -> LeaseDemand {
-    LeaseDemand { patience: Duration::from_millis(800), memory: MemoryDemand::default() }
+    LeaseDemand {
+        patience: Duration::from_millis(800),
+        memory: MemoryDemand::default(),
+        reading: None,
+    }
 }
 
 /// Requests leases from `first` on until one waits; returns those granted.
@@ -110,11 +114,12 @@
     assert_eq!(table.paced_servers(), 1);
     let mut held = lease_all(&mut table, now, &server, 0);
     assert_eq!(held.len(), 3);
+    let on_time = LeaseReport { lateness: Some(1.6), ..LeaseReport::default() };
     for (first, limit) in [(100, 6), (200, 12), (300, SLOTS)] {
         now += USUAL;
         let mut granted = Vec::new();
         for lease in &held {
-            granted.extend(table.record_lateness(now, &server, *lease, 1.6));
+            granted.extend(table.record(now, &server, *lease, &on_time));
         }
         for lease in std::mem::take(&mut held) {
             granted.extend(table.end(now, &server, lease));
