Pace servers that start together with their arbiter, and report responses

A response is expected between a quarter and half of its objective, whatever was predicted, and plain services report at the end of the lease.

--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -153,6 +153,9 @@
     /// The last rejection of a leased request.
     rejection: Option<LeaseRejection>,
     pace: StartPace,
+    /// Whether the server may have started together with this arbiter. Its pace then begins with the first
+    /// request that calls for one before leases are granted.
+    may_have_started: bool,
     memory: LeasedMemory,
     reading: ReadingLoad,
     /// How long work takes on the server's machine, and when its holder told that.
@@ -175,6 +178,7 @@
             paused_until: leases_from,
             rejection: None,
             pace: StartPace::ended(),
+            may_have_started: false,
             memory: LeasedMemory::default(),
             reading: ReadingLoad::default(),
             work_time: None,
@@ -314,6 +318,9 @@
         let (urgency, is_shared) = (urgency_of(demand.reading.as_ref()), demand.reading.is_some());
         let settles_in = self.leases_from.saturating_duration_since(now);
         if !settles_in.is_zero() {
+            if is_shared && std::mem::take(&mut self.may_have_started) {
+                self.begin_pace(now, ServerStart::Unknown);
+            }
             return (LeaseDecision::Refused(LeaseRefusal::Full(settles_in)), None);
         }
         if let Some(reading) = &demand.reading {
@@ -383,11 +390,32 @@
         let Some(sent) = self.leases.get(&lease).map(|lease| lease.granted_at) else { return };
         let answer = StartAnswer { sent, held: self.leases.len(), outcome };
         if let Some(summary) = self.pace.record(now, answer, self.usable) {
-            log::info!(server = self.server.as_str(), slots = self.usable, answers = summary.answers,
-                duration_ms = summary.duration.as_millis() as u64; "{}", events::PACE_ENDED);
+            self.log_pace_end(summary);
+        }
+    }
+
+    fn begin_pace(&mut self, now: Instant, start: ServerStart) {
+        self.pace = StartPace::new(now, start, self.usable);
+        if !self.pace.is_ended() {
+            let limit = self.pace.limit(self.usable);
+            log::info!(server = self.server.as_str(), slots = self.usable, limit = limit;
+                "{}", events::PACE_BEGUN);
+        }
+    }
+
+    /// Records that leases of a former arbiter are held.
+    fn confirm_use(&mut self, now: Instant) {
+        self.may_have_started = false;
+        if let Some(summary) = self.pace.confirm_use(now) {
+            self.log_pace_end(summary);
         }
     }
 
+    fn log_pace_end(&self, summary: PaceSummary) {
+        log::info!(server = self.server.as_str(), slots = self.usable, answers = summary.answers,
+            duration_ms = summary.duration.as_millis() as u64; "{}", events::PACE_ENDED);
+    }
+
     /// Lowers the limit after the server had no room for a leased request.
     fn reject(&mut self, now: Instant, lease: LeaseId) {
         self.record_answer(now, lease, StartOutcome::Rejected);
@@ -465,14 +493,17 @@
         }
     }
 
-    /// Begins the pace of a server of [`Self::configure`], which ends the former one.
-    pub fn begin_pace(&mut self, now: Instant, server: &ServerId, start: ServerStart) {
-        let Some(slots) = self.servers.get_mut(server) else { return };
-        slots.pace = StartPace::new(now, start, slots.usable);
-        if !slots.pace.is_ended() {
-            let limit = slots.pace.limit(slots.usable);
-            log::info!(server = server.as_str(), slots = slots.usable, limit = limit;
-                "{}", events::PACE_BEGUN);
+    /// Records that a server of [`Self::configure`] may have started together with this arbiter.
+    pub fn suspect_start(&mut self, server: &ServerId) {
+        if let Some(slots) = self.servers.get_mut(server) {
+            slots.may_have_started = true;
+        }
+    }
+
+    /// Begins the pace of a server of [`Self::configure`] that has just started, which ends the former one.
+    pub fn begin_pace(&mut self, now: Instant, server: &ServerId) {
+        if let Some(slots) = self.servers.get_mut(server) {
+            slots.begin_pace(now, ServerStart::Fresh);
         }
     }
 
@@ -572,7 +603,7 @@
                 && slots.leases.len() < slots.usable * MAX_TAKEN_OVER
                 && now < slots.leases_from
             {
-                slots.pace.confirm_use();
+                slots.confirm_use(now);
                 // Its memory demand is unknown and counts as an even part.
                 let even = slots.memory.capacity.unwrap_or(0) / slots.usable as u64;
                 let own_tokens = u32::try_from(even).unwrap_or(u32::MAX);
--- a/src/policy/slot_leases/start_pace.rs
+++ b/src/policy/slot_leases/start_pace.rs
@@ -142,8 +142,10 @@
 
     /// Ends the pace of a server of which leases of a former arbiter are confirmed, unless it is known to
     /// have just started.
-    pub fn confirm_use(&mut self) {
-        self.0.take_if(|rising| rising.start == ServerStart::Unknown);
+    pub fn confirm_use(&mut self, now: Instant) -> Option<PaceSummary> {
+        self.0
+            .take_if(|rising| rising.start == ServerStart::Unknown)
+            .map(|ended| ended.summary(now))
     }
 
     /// Records an answer of a server with these slots. Returns a summary if it ends the pace.
@@ -155,15 +157,16 @@
     ) -> Option<PaceSummary> {
         let rising = self.0.as_mut()?;
         rising.record(now, answer, slots);
-        let summary = PaceSummary {
-            duration: now.saturating_duration_since(rising.began),
-            answers: rising.answers,
-        };
-        self.0.take_if(|rising| rising.limit >= slots).map(|_| summary)
+        self.0.take_if(|rising| rising.limit >= slots).map(|ended| ended.summary(now))
     }
 }
 
 impl RisingPace {
+    fn summary(&self, now: Instant) -> PaceSummary {
+        let duration = now.saturating_duration_since(self.began);
+        PaceSummary { duration, answers: self.answers }
+    }
+
     fn record(&mut self, now: Instant, answer: StartAnswer, slots: usize) {
         self.answers += 1;
         let is_of_set = answer.sent >= self.set.began;
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -429,7 +429,7 @@
         if self.request.caller.route.kind.is_stream() && response.parts.status.is_success() {
             return self.start_stream(order, response).await;
         }
-        let StartedResponse { mut parts, head, framing, body, connection, .. } = response;
+        let StartedResponse { mut parts, head, framing, body, mut connection, sent_at } = response;
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
             collected = self.core.buffers.collect(body) => collected,
@@ -459,6 +459,9 @@
             self.core.recheck(&order.server);
             return self.step_after_failure(failure);
         }
+        if !parts.status.is_server_error() {
+            self.report_response(order, sent_at, &mut connection);
+        }
         connection.return_to_pool(head.idle_limit);
         if parts.status.is_server_error() && self.may_run_again() {
             self.failure = Some((parts, body));
--- a/src/reverse_proxy/exchange/slot.rs
+++ b/src/reverse_proxy/exchange/slot.rs
@@ -1,14 +1,17 @@
 //! Leases the slot of a server before a request is sent, if the server needs that.
 
 use {
-    super::{HttpExchange, ResumePosition, wait_withdrawn},
+    super::{HttpExchange, ResumePosition, StartedResponse, wait_withdrawn},
     crate::{
         inventory::RequestClass,
         policy::{
             AttemptFailure, PolicyInput, SendOrder,
             slot_leases::{LeaseDemand, LeaseUrgency, LeasedLoad, ReadingDemand},
         },
-        reverse_proxy::slot_lease::{LeaseFailure, SlotLease},
+        reverse_proxy::{
+            pool::LeasedConnection,
+            slot_lease::{LeaseFailure, SlotLease},
+        },
     },
     std::time::{Duration, Instant},
     tokio::time::sleep_until,
@@ -17,7 +20,40 @@
 /// How much longer than its caller can wait a request may take to get the lease of a slot.
 const LEASE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Parts of its latency objective between which a response to a request is expected: sooner, its caller
+/// notices no delay, and a later one is of little use even if that was predicted.
+const EXPECTED_PARTS: (f64, f64) = (0.25, 0.5);
+
 impl HttpExchange {
+    /// The time since a request was sent as a multiple of the time after which a response was expected.
+    fn lateness(&self, order: &SendOrder, sent_at: Instant) -> f32 {
+        let objective = self.request.caller.route.latency_objective;
+        let [soon, late] = [EXPECTED_PARTS.0, EXPECTED_PARTS.1].map(|part| objective.mul_f64(part));
+        let expected = order.predicted.clamp(soon, late).max(Duration::from_millis(1));
+        sent_at.elapsed().as_secs_f32() / expected.as_secs_f32()
+    }
+
+    /// Tells the arbiter of the lease, if there is one, when the first token has come.
+    pub(super) fn report_first_token(&self, order: &SendOrder, response: &mut StartedResponse) {
+        let lateness = self.lateness(order, response.sent_at);
+        if let Some(lease) = response.connection.lease_mut() {
+            lease.report_first_token(Some(lateness));
+        }
+    }
+
+    /// Tells the arbiter of the lease, if there is one, when a plain service has responded.
+    pub(super) fn report_response(
+        &self,
+        order: &SendOrder,
+        sent_at: Instant,
+        connection: &mut LeasedConnection,
+    ) {
+        let lateness = self.lateness(order, sent_at);
+        if let Some(lease) = connection.lease_mut() {
+            lease.report_response(lateness);
+        }
+    }
+
     /// What the request asks of the arbiter of a server that shares its machine.
     fn reading_demand(&self, order: &SendOrder, in_time: Duration) -> ReadingDemand {
         let work = self.request.caller.work.as_ref();
--- a/src/reverse_proxy/exchange/stream_start.rs
+++ b/src/reverse_proxy/exchange/stream_start.rs
@@ -43,6 +43,7 @@
                     first.extend_from_slice(&bytes);
                     let is_begun = position.has_event() || first.len() > MAX_EVENT_BYTES;
                     if is_begun || !waits_for_event {
+                        self.report_first_token(order, &mut response);
                         return begin_stream(order, response, content, first.freeze());
                     }
                 }
@@ -74,11 +75,7 @@
     content: StreamContent,
     first: Bytes,
 ) -> AttemptStep {
-    let StartedResponse { mut parts, head, framing, body, mut connection, sent_at } = response;
-    if let Some(lease) = connection.lease_mut() {
-        let lateness = sent_at.elapsed().as_secs_f32() / order.predicted.as_secs_f32();
-        lease.report_first_token(Some(lateness).filter(|lateness| lateness.is_finite()));
-    }
+    let StartedResponse { mut parts, head, framing, body, connection, .. } = response;
     parts.headers.remove(header::CONTENT_LENGTH);
     let order = order.clone();
     let start = StreamStart { parts, head, framing, content, body, connection, first, order };
--- a/src/reverse_proxy/slot_lease.rs
+++ b/src/reverse_proxy/slot_lease.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Tells the arbiter with the end of the lease that the server has responded, if that matters there.
+    /// `lateness` is as in [`Self::report_first_token`].
+    pub fn report_response(&self, lateness: f32) {
+        if let Some(holder) = self.holder.as_ref().filter(|_| self.load.is_some()) {
+            let (lateness, work_time) = (Some(lateness), self.work_time);
+            holder.report_at_end(LeaseReport { lateness, work_time, is_read: true });
+        }
+    }
+
     /// Tells the arbiter that the server had no room for the request.
     pub fn report_rejection(&self) {
         if let Some(holder) = &self.holder {
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -69,7 +69,9 @@
             let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
             self.directory.set_arbiters(arbiters);
             let memory = |service: &ServiceId| view.engine_memory(service);
-            self.arbiter.pace_services(self.paced_services(&view));
+            if self.is_paced {
+                self.arbiter.pace_services(self.paced_services(&view));
+            }
             self.arbiter.configure(&self.core.vm, &view.servers, memory);
             let servers = view.servers.values().map(|server| (&server.service, &server.software));
             self.origins.apply(servers, &state.control, entries);
@@ -81,7 +83,7 @@
     /// to them are compared with predictions.
     fn paced_services(&self, view: &ProxyView) -> BTreeSet<ServiceId> {
         let services = view.servers.values().map(|server| &server.service);
-        let paced = services.filter(|service| self.is_paced && self.core.shares_machines(service));
+        let paced = services.filter(|service| self.core.shares_machines(service));
         paced.cloned().collect()
     }
 }
--- a/src/roles/slot_arbiter.rs
+++ b/src/roles/slot_arbiter.rs
@@ -32,8 +32,8 @@
     waiting: BTreeMap<LeaseId, oneshot::Sender<Result<(), LeaseRefusal>>>,
     /// The servers of the last list; `None` before the first list.
     listed: Option<BTreeMap<ServerId, KnownServer>>,
-    /// Services whose servers have a pace after they start.
-    paced: BTreeSet<ServiceId>,
+    /// Services whose servers have a pace after they start; `None` if there are no paces.
+    paced: Option<BTreeSet<ServiceId>>,
 }
 
 /// What the last list said of a server.
@@ -42,22 +42,30 @@
     incarnation: Incarnation,
 }
 
-impl ArbiterState {
-    fn start_of(&self, server: &ListedServer) -> ServerStart {
-        let Some(listed) = &self.listed else { return ServerStart::Unknown };
-        match listed.get(&server.id) {
-            Some(known) if known.incarnation == server.incarnation => ServerStart::InUse,
-            Some(_) | None => ServerStart::Fresh,
-        }
+fn start_of(
+    listed: Option<&BTreeMap<ServerId, KnownServer>>,
+    server: &ListedServer,
+) -> ServerStart {
+    let Some(listed) = listed else { return ServerStart::Unknown };
+    match listed.get(&server.id) {
+        Some(known) if known.incarnation == server.incarnation => ServerStart::InUse,
+        Some(_) | None => ServerStart::Fresh,
     }
+}
 
+impl ArbiterState {
     /// Begins the paces of the servers that have just started.
     fn begin_paces<'a>(&mut self, assigned: impl IntoIterator<Item = &'a ListedServer>) {
+        let Some(paced) = &self.paced else { return };
         let now = Instant::now();
         for server in assigned {
-            let start = self.start_of(server);
-            if start != ServerStart::InUse && self.paced.contains(&server.service) {
-                self.table.begin_pace(now, &server.id, start);
+            match start_of(self.listed.as_ref(), server) {
+                ServerStart::Fresh if paced.contains(&server.service) => {
+                    self.table.begin_pace(now, &server.id);
+                }
+                // Which services need paces is not known yet either.
+                ServerStart::Unknown => self.table.suspect_start(&server.id),
+                ServerStart::InUse | ServerStart::Fresh => {}
             }
         }
     }
@@ -89,9 +97,9 @@
 pub struct SlotArbiter(Mutex<ArbiterState>);
 
 impl SlotArbiter {
-    /// Sets the services whose servers have a pace after they start.
+    /// Sets the services whose servers have a pace after they start. Without it there are no paces.
     pub fn pace_services(&self, services: BTreeSet<ServiceId>) {
-        self.lock().paced = services;
+        self.lock().paced = Some(services);
     }
 
     /// Applies a server list. `memory` returns the tokens that fit into the memory of a server of an engine
--- a/tests/paced_leases.rs
+++ b/tests/paced_leases.rs
@@ -5,8 +5,8 @@
         fleet::{ListedServer, ServerPhase},
         ids::{Incarnation, ServerId},
         policy::slot_leases::{
-            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseReport, MemoryDemand, ServerStart,
-            SlotTable, StartAnswer, StartOutcome, StartPace,
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseReport, MemoryDemand, ReadingDemand,
+            SETTLE_TIME, ServerStart, SlotTable, StartAnswer, StartOutcome, StartPace,
         },
         roles::slot_arbiter::SlotArbiter,
     },
@@ -78,10 +78,10 @@
 fn confirmed_use() {
     let now = Instant::now();
     let mut unknown = StartPace::new(now, ServerStart::Unknown, SLOTS);
-    unknown.confirm_use();
+    unknown.confirm_use(now);
     assert!(unknown.is_ended() && unknown.limit(SLOTS) == SLOTS);
     let mut fresh = StartPace::new(now, ServerStart::Fresh, SLOTS);
-    fresh.confirm_use();
+    fresh.confirm_use(now);
     assert!(!fresh.is_ended(), "the leases are of its former incarnation");
     assert!(StartPace::new(now, ServerStart::InUse, SLOTS).is_ended());
 }
@@ -110,7 +110,7 @@
     let mut table = SlotTable::default();
     let assigned = ArbitratedServer { slots: SLOTS as u32, memory: None, had_arbiter: false };
     table.configure(now, [(server.clone(), assigned)].into());
-    table.begin_pace(now, &server, ServerStart::Fresh);
+    table.begin_pace(now, &server);
     assert_eq!(table.paced_servers(), 1);
     let mut held = lease_all(&mut table, now, &server, 0);
     assert_eq!(held.len(), 3);
@@ -131,6 +131,31 @@
     assert_eq!(table.paced_servers(), 0);
 }
 
+/// Guards against an arbiter that starts together with its server and takes it for one in use, and against
+/// one that takes a server with leases of its former holders for a started one.
+#[test]
+fn suspected_start() {
+    let server = "s".to_owned();
+    let reading =
+        ReadingDemand { urgency: 0, computed: 0, objective: 4 * USUAL, in_time: 4 * USUAL };
+    let shared = LeaseDemand { reading: Some(reading), ..demand() };
+    for (demand, held, limit) in [
+        (shared.clone(), BTreeSet::new(), 3),
+        (shared, BTreeSet::from([(server.clone(), 900)]), SLOTS - 1),
+        (demand(), BTreeSet::new(), SLOTS),
+    ] {
+        let (now, holder) = (Instant::now(), "vm-2".to_owned());
+        let mut table = SlotTable::default();
+        let assigned = ArbitratedServer { slots: SLOTS as u32, memory: None, had_arbiter: true };
+        table.configure(now, [(server.clone(), assigned)].into());
+        table.suspect_start(&server);
+        let early = table.request(now, &server, 800, &holder, demand);
+        assert!(matches!(early, LeaseDecision::Refused(_)), "the arbiter settles");
+        table.confirm(now, &holder, &held);
+        assert_eq!(lease_all(&mut table, now + SETTLE_TIME, &server, 0).len(), limit);
+    }
+}
+
 fn list(servers: &[(&str, Incarnation)]) -> BTreeMap<ServerId, ListedServer> {
     let servers = servers.iter().map(|(id, incarnation)| {
         let server = ListedServer {
