--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -26,7 +26,7 @@
 pub use self::{
     demand::{LeaseDemand, LeaseGrant, LeaseReport, LeaseUrgency, LeasedLoad, ReadingDemand},
     memory::{MAX_PARTS, MemoryDemand, PartHash},
-    start_pace::{PaceSummary, ServerStart, StartAnswer, StartOutcome, StartPace},
+    start_pace::{PaceSummary, ServerStart, StartAnswer, StartOutcome, StartPace, answer_lateness},
 };
 
 use {
--- a/src/policy/slot_leases/start_pace.rs
+++ b/src/policy/slot_leases/start_pace.rs
@@ -19,9 +19,21 @@
 /// usual is still better than a wait for another one, and the objectives of the callers are kept.
 const LATE_RATIO: f32 = 2.0;
 
+/// Parts of its latency objective between which the answer to a request is expected: sooner, its caller
+/// notices no delay, and a later one is of little use even if it was predicted.
+const EXPECTED_PARTS: (f64, f64) = (0.25, 0.5);
+
 /// Part of a set of answers that may be late, since some are late at servers in use, too.
 const LATE_PART: usize = 4;
 
+/// The time that an answer has taken as a multiple of that in which it was expected: the predicted time, within
+/// bounds that the objective of the request sets.
+pub fn answer_lateness(taken: Duration, predicted: Duration, objective: Duration) -> f32 {
+    let (soon, late) = EXPECTED_PARTS;
+    let expected = predicted.clamp(objective.mul_f64(soon), objective.mul_f64(late));
+    taken.as_secs_f32() / expected.max(Duration::from_millis(1)).as_secs_f32()
+}
+
 /// What an arbiter knows of the start of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerStart {
--- a/src/reverse_proxy/exchange/slot.rs
+++ b/src/reverse_proxy/exchange/slot.rs
@@ -6,7 +6,7 @@
         inventory::RequestClass,
         policy::{
             AttemptFailure, PolicyInput, SendOrder,
-            slot_leases::{LeaseDemand, LeaseUrgency, LeasedLoad, ReadingDemand},
+            slot_leases::{LeaseDemand, LeaseUrgency, LeasedLoad, ReadingDemand, answer_lateness},
         },
         reverse_proxy::{
             pool::LeasedConnection,
@@ -20,17 +20,11 @@
 /// How much longer than its caller can wait a request may take to get the lease of a slot.
 const LEASE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Parts of its latency objective between which a response to a request is expected: sooner, its caller
-/// notices no delay, and a later one is of little use even if that was predicted.
-const EXPECTED_PARTS: (f64, f64) = (0.25, 0.5);
-
 impl HttpExchange {
-    /// The time since a request was sent as a multiple of the time after which a response was expected.
+    /// The lateness of the response to a request that was sent at `sent_at`.
     fn lateness(&self, order: &SendOrder, sent_at: Instant) -> f32 {
         let objective = self.request.caller.route.latency_objective;
-        let [soon, late] = [EXPECTED_PARTS.0, EXPECTED_PARTS.1].map(|part| objective.mul_f64(part));
-        let expected = order.predicted.clamp(soon, late).max(Duration::from_millis(1));
-        sent_at.elapsed().as_secs_f32() / expected.as_secs_f32()
+        answer_lateness(sent_at.elapsed(), order.predicted, objective)
     }
 
     /// Tells the arbiter of the lease, if there is one, when the first token has come.
--- a/tests/paced_leases.rs
+++ b/tests/paced_leases.rs
@@ -7,6 +7,7 @@
         policy::slot_leases::{
             ArbitratedServer, LeaseDecision, LeaseDemand, LeaseReport, MemoryDemand, ReadingDemand,
             SETTLE_TIME, ServerStart, SlotTable, StartAnswer, StartOutcome, StartPace,
+            answer_lateness,
         },
         roles::slot_arbiter::SlotArbiter,
     },
@@ -51,6 +52,27 @@
     assert_eq!(pace.limit(SLOTS), 12);
 }
 
+/// Guards against answers that are late for nobody and limit a server, and late ones that don't because they
+/// were predicted or nothing was.
+#[test]
+fn expected_answers() {
+    let objective = Duration::from_millis(400);
+    let outcome = |taken, predicted| {
+        let [taken, predicted] = [taken, predicted].map(Duration::from_millis);
+        StartOutcome::of_lateness(answer_lateness(taken, predicted, objective))
+    };
+    for (taken, predicted, expected) in [
+        (150, 0, StartOutcome::OnTime),
+        (150, 20, StartOutcome::OnTime),
+        (250, 20, StartOutcome::Late),
+        (250, 150, StartOutcome::OnTime),
+        (350, 150, StartOutcome::Late),
+        (450, 5_000, StartOutcome::Late),
+    ] {
+        assert_eq!(outcome(taken, predicted), expected, "{taken} ms, predicted {predicted} ms");
+    }
+}
+
 /// Guards against answers to requests of before a change that lower the limit several times.
 #[test]
 fn late_answers() {
