--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -82,6 +82,8 @@
     pub framing: ResponseFraming,
     pub body: MeteredBody,
     pub connection: LeasedConnection,
+    /// When the request was sent.
+    pub sent_at: Instant,
 }
 
 /// A response whose head has not been checked.
@@ -279,13 +281,16 @@
         from: &ResumePosition,
         received: ReceivedHead,
     ) -> Result<StartedResponse, AttemptFailure> {
-        let ReceivedHead { response, connection, sent_at } = received;
+        let ReceivedHead { response, mut connection, sent_at } = received;
         let (mut parts, body) = response.into_parts();
         let body = MeteredBody::new(body, connection.meter().clone());
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
         if matches!(head.verdict, ResponseVerdict::Executed | ResponseVerdict::NotExecuted) {
             self.core.record_demand(&order.server, sent_at, parts.status, &head);
         }
+        if let Some(lease) = connection.lease_mut() {
+            lease.record_work_time(head.work_time.map(|factor| factor as f32));
+        }
         match head.verdict {
             ResponseVerdict::Executed => {
                 self.record_run();
@@ -296,7 +301,7 @@
                 self.record_response(order, &head);
                 let framing = ResponseFraming::read(&parts);
                 strip_connection(&mut parts.headers);
-                Ok(StartedResponse { parts, head, framing, body, connection })
+                Ok(StartedResponse { parts, head, framing, body, connection, sent_at })
             }
             ResponseVerdict::NotExecuted => {
                 self.log_rejection(order, &head, connection.has_lease());
@@ -428,7 +433,7 @@
         if self.request.caller.route.kind.is_stream() && response.parts.status.is_success() {
             return self.start_stream(order, response).await;
         }
-        let StartedResponse { mut parts, head, framing, body, connection } = response;
+        let StartedResponse { mut parts, head, framing, body, mut connection, sent_at } = response;
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
             collected = self.core.buffers.collect(body) => collected,
@@ -458,6 +463,9 @@
             self.core.recheck(&order.server);
             return self.step_after_failure(failure);
         }
+        if !parts.status.is_server_error() {
+            self.report_response(order, sent_at, &mut connection);
+        }
         connection.return_to_pool(head.idle_limit);
         if parts.status.is_server_error() && self.may_run_again() {
             self.failure = Some((parts, body));
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -17,6 +17,7 @@
         routing::{ParsedTable, RouteIndex},
     },
     std::{
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant as StdInstant},
     },
@@ -35,6 +36,8 @@
     pub(super) usage: Arc<UsageClient>,
     pub(super) origins: Arc<OriginClient>,
     pub(super) parser: Arc<dyn RouteParser>,
+    /// Whether servers that have just started have a pace.
+    pub(super) is_paced: bool,
 }
 
 impl StateApplier {
@@ -68,6 +71,9 @@
             let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
             self.directory.set_arbiters(arbiters);
             let memory = |service: &ServiceId| view.engine_memory(service);
+            if self.is_paced {
+                self.arbiter.pace_services(self.paced_services(&view));
+            }
             self.arbiter.configure(&self.core.vm, &view.servers, memory);
             self.usage.configure(&view, sharing as usize);
             let servers = view.servers.values().map(|server| (&server.service, &server.software));
@@ -75,6 +81,14 @@
             self.core.apply(view);
         }
     }
+
+    /// The services whose servers get a pace when they start: all requests to them need leases, and answers
+    /// to them are compared with predictions.
+    fn paced_services(&self, view: &ProxyView) -> BTreeSet<ServiceId> {
+        let services = view.servers.values().map(|server| &server.service);
+        let paced = services.filter(|service| self.core.shares_machines(service));
+        paced.cloned().collect()
+    }
 }
 
 /// The routes in force. Each document is parsed once.
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -10,13 +10,12 @@
         ids::{LeaseId, OrganisationId, RequestId, Revision, ServerId, ServiceId, VmId},
         policy::{
             DomainDigest,
-            slot_leases::{LeaseRefusal, MemoryDemand},
+            slot_leases::{LeaseDemand, LeaseGrant, LeaseRefusal, LeaseReport},
             usage_caps::{ShareGrant, ShareReport, UsageReply, UsageRequest},
         },
         transport::config_delta::ConfigDelta,
     },
     serde::{Deserialize, Serialize},
-    std::time::Duration,
 };
 
 /// A message that expects no reply and may be lost.
@@ -45,6 +44,8 @@
         server: ServerId,
         /// The lease.
         lease: LeaseId,
+        /// What the sender has not told yet of the request.
+        report: Option<LeaseReport>,
     },
     /// All leases that the sender has of the receiver.
     HeldLeases(Vec<(ServerId, LeaseId)>),
@@ -66,6 +67,15 @@
     ReturnUsage(Vec<(OrganisationId, f64)>),
     /// The sender stops and uses none of its shares of usage caps any more.
     ReleaseUsage,
+    /// The server has read the prompt of a lease.
+    LeaseProgress {
+        /// The server.
+        server: ServerId,
+        /// The lease.
+        lease: LeaseId,
+        /// What the sender knows of the request.
+        report: LeaseReport,
+    },
 }
 
 /// A request that gets exactly one reply, or fails.
@@ -111,10 +121,8 @@
         server: ServerId,
         /// The identifier of the lease.
         lease: LeaseId,
-        /// How long the caller waits for a slot.
-        patience: Duration,
-        /// What the request takes beside a slot.
-        memory: MemoryDemand,
+        /// What the request needs, and how long it can wait.
+        demand: LeaseDemand,
     },
     /// Return where a stream began.
     StreamOrigin {
@@ -166,7 +174,7 @@
     /// Whether the tunnel is open.
     TunnelOpened(Result<(), TunnelRefusal>),
     /// Whether the slot is leased.
-    SlotLeased(Result<(), LeaseRefusal>),
+    SlotLeased(Result<LeaseGrant, LeaseRefusal>),
     /// What the peer knows of a stream.
     StreamOrigin(OriginAnswer),
     /// Whether units were granted.
