Predict with how long work takes on a server's shared machine at this moment

Servers of some services state a figure that changes many times a second. Predictions knew a learned speed alone, and learned it from responses made at any work time. Speed samples are divided by the ratio that held, and predictions and due times multiplied by the one expected, which is the figure's deviation from the server's mean times the measured correlation at its age. Servers that state none are served as before.

--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -32,6 +32,9 @@
 pub const RESPONSE_TIME: &str = "oleandermount_answer_seconds";
 /// Seconds between tokens of one response, by `model` and `class`.
 pub const INTER_TOKEN: &str = "oleandermount_inter_token_seconds";
+/// How long work takes on the shared machines of backend servers, as a multiple of the usual time, by
+/// `service`; one sample for each response that says so.
+pub const WORK_TIME: &str = "oleandermount_work_time_ratio";
 /// Prompt tokens sent to engines, by `model`.
 pub const PROMPT_TOKENS: &str = "oleandermount_prompt_tokens_total";
 /// Prompt tokens that engines read from their caches, by `model`.
@@ -147,6 +150,8 @@
 /// Bucket bounds in seconds, densest around the target of 31 ms between tokens.
 const INTER_TOKEN_BUCKETS: [f64; 12] =
     [0.002, 0.005, 0.01, 0.015, 0.02, 0.025, 0.031, 0.04, 0.06, 0.1, 0.25, 1.0];
+/// Bucket bounds around the usual time, 1.0.
+const WORK_TIME_BUCKETS: [f64; 8] = [0.5, 0.8, 0.95, 1.05, 1.25, 1.6, 2.5, 4.0];
 /// Interval at which buffered samples are aggregated into buckets; at 12,000 tokens per second and
 /// daemon, fewer than 100,000 samples are buffered.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -173,11 +178,12 @@
     if let Some(handle) = installed.as_ref() {
         return Ok(handle.clone());
     }
-    let buckets: [(&str, &[f64]); 4] = [
+    let buckets: [(&str, &[f64]); 5] = [
         (FIRST_TOKEN, &FIRST_TOKEN_BUCKETS),
         (INTER_TOKEN, &INTER_TOKEN_BUCKETS),
         (QUEUE_WAIT, &QUEUE_WAIT_BUCKETS),
         (RESPONSE_TIME, &RESPONSE_BUCKETS),
+        (WORK_TIME, &WORK_TIME_BUCKETS),
     ];
     let handle = buckets
         .into_iter()
@@ -211,6 +217,7 @@
     describe_histogram!(QUEUE_WAIT, "Seconds from arrival to the first attempt.");
     describe_histogram!(RESPONSE_TIME, "Seconds from arrival to the end of the response.");
     describe_histogram!(INTER_TOKEN, "Seconds between tokens of one response.");
+    describe_histogram!(WORK_TIME, "Work times that servers state, 1.0 being usual.");
     describe_counter!(PROMPT_TOKENS, "Prompt tokens sent to engines.");
     describe_counter!(CACHE_HIT_TOKENS, "Prompt tokens that engines read from their caches.");
     describe_counter!(RECOMPUTED_TOKENS, "Recomputed prompt tokens.");
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,6 +24,7 @@
 pub mod suspect;
 pub mod tunnel_peers;
 pub mod window;
+pub mod work_time;
 
 pub use self::{
     action::{CacheStoreUse, DidRun, PolicyAction, RefusalReason, RetryReason, SendOrder},
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -34,6 +34,7 @@
         reachability::LinkFailure,
         retry::RetryBudgets,
         suspect::SuspectList,
+        work_time::FigureDecay,
     },
     crate::{
         ids::{
@@ -110,6 +111,8 @@
     /// Servers with a limit.
     limited: BTreeSet<ServerIndex>,
     daemon_count: DaemonCount,
+    /// What a server's figure of its work time is worth by its age.
+    figure_decay: FigureDecay,
     /// When waiting requests are considered again without an input.
     recheck_at: Option<Instant>,
     actions: Vec<PolicyAction>,
@@ -132,6 +135,8 @@
     sent: Instant,
     /// Predicted time to the first token.
     predicted: Duration,
+    /// Multiple of the usual time that `predicted` assumes, if the server states one.
+    work_time: Option<f64>,
     /// Predicted number of prompt tokens to compute.
     computed: u32,
     /// Prompt tokens expected in the server's cache.
@@ -184,6 +189,7 @@
             ejected: BTreeSet::new(),
             limited: BTreeSet::new(),
             daemon_count: DaemonCount::default(),
+            figure_decay: FigureDecay::default(),
             recheck_at: None,
             actions: Vec::new(),
         }
@@ -286,6 +292,7 @@
                 self.budgets.limit_reserve(retries, &self.settings.daemon);
             }
             PolicyInput::Wake => {}
+            PolicyInput::WorkTime { server, ratio } => self.record_work_time(now, &server, ratio),
         }
     }
 
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -92,9 +92,14 @@
         let state = state.clone();
         let taken = now.saturating_duration_since(state.sent);
         let server = &mut self.table.servers[state.server];
+        let work_time = server.work_time.held(now, taken, &self.figure_decay);
+        let slower = match (work_time, state.work_time) {
+            (Some(held), Some(assumed)) => (held / assumed).max(1.0),
+            _ => 1.0,
+        };
         server.record_first_token(attempt);
         server.failures.record_success();
-        server.window.record_first_token(now, state.predicted, taken);
+        server.window.record_first_token(now, state.predicted.mul_f64(slower), taken);
         server.responded = server.responded.max(Some(state.sent));
         let crash = server.crash_site(state.server).crash;
         self.suspects.refute_crash(now, crash, state.sent);
@@ -103,7 +108,8 @@
             Some(cached) => (state.computed + state.expected_hit).saturating_sub(cached),
             None => state.computed,
         };
-        server.speed.record_first_token(now, f64::from(computed), taken);
+        let usual = work_time.map_or(taken, |ratio| taken.div_f64(ratio));
+        server.speed.record_first_token(now, f64::from(computed), usual);
         self.update_speeds(state.server);
         self.update_cache_contents(&state, cached, computed);
         self.mark_dirty(state.server);
@@ -160,7 +166,9 @@
         self.record_first_token(now, attempt, cached);
         let Some(state) = self.end_attempt(attempt) else { return };
         let taken = now.saturating_duration_since(state.sent);
-        self.table.servers[state.server].speed.record_finished(taken);
+        let server = &mut self.table.servers[state.server];
+        let work_time = server.work_time.held(now, taken, &self.figure_decay);
+        server.speed.record_finished(work_time.map_or(taken, |ratio| taken.div_f64(ratio)));
         let Some(entry) = self.requests.remove(&state.number) else { return };
         self.cancel_deadline(state.number, entry.phase.ticket().deadline);
         let ticket = entry.phase.ticket();
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -208,6 +208,14 @@
         }
     }
 
+    pub(super) fn record_work_time(&mut self, now: Instant, server: &ServerId, ratio: f64) {
+        if !self.is_enabled(PolicySafeguard::WorkTime) {
+            return;
+        }
+        let Some(index) = self.table.by_id.get(server).copied() else { return };
+        self.table.servers[index].work_time.record(now, ratio, &mut self.figure_decay);
+    }
+
     pub(super) fn record_probe(&mut self, now: Instant, server: &ServerId, answered: bool) {
         let Some(index) = self.table.by_id.get(server).copied() else { return };
         self.table.servers[index].failures.record_probe_result(now, answered);
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -16,7 +16,7 @@
         window::WindowPart,
     },
     rand_core::RngCore,
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 /// Maximum waiting requests considered for each free slot. Those before them wait for a server that
@@ -40,6 +40,10 @@
 /// cache hits.
 const LONG_PREFILL: f64 = 1.0;
 
+/// Longest work, in seconds, of which the time is predicted from the moment; longer work takes the
+/// mean.
+const MAX_WORK_LENGTH: f64 = 3_600.0;
+
 /// An evaluated server for one request.
 pub(super) struct Candidate {
     pub(super) server: ServerIndex,
@@ -53,6 +57,8 @@
     /// Server from which missing tokens are fetched.
     pub(super) source: Option<ServerIndex>,
     pub(super) open: bool,
+    /// Multiple of the usual time that `cost` assumes, if the server states one.
+    pub(super) work_time: Option<f64>,
     pub(super) urgency: Urgency,
 }
 
@@ -418,19 +424,21 @@
     ) -> Candidate {
         let server = &self.table.servers[index];
         let open = self.is_open(now, server, query.part);
-        let mut slot_wait = server.window.slot_wait(now, server.in_flight) * server.speed.service();
+        let usual = server.speed.service();
+        let service = usual * self.work_time(now, server, usual).unwrap_or(1.0);
+        let mut slot_wait = server.window.slot_wait(now, server.in_flight) * service;
         if !open {
             // The time already waited indicates the error of the estimate.
             let position = f64::from(server.waiters + 1);
             let waited = now.saturating_duration_since(query.request.history.arrived);
-            slot_wait +=
-                position * server.speed.service() / server.window.limit() + waited.as_secs_f64();
+            slot_wait += position * service / server.window.limit() + waited.as_secs_f64();
         }
         let overdue = match self.is_enabled(PolicySafeguard::Overdue) {
-            true => server.overdue(now).as_secs_f64(),
+            true => server.overdue(now, &self.figure_decay).as_secs_f64(),
             false => 0.0,
         };
-        let base = server.speed.base();
+        let work_time = self.work_time(now, server, server.speed.base());
+        let base = server.speed.base() * work_time.unwrap_or(1.0);
         let mut candidate = Candidate {
             server: index,
             affinity_tokens: 0,
@@ -447,6 +455,7 @@
             import: None,
             source: None,
             open,
+            work_time,
             urgency: query.urgency,
         };
         match &query.request.ticket.work {
@@ -459,6 +468,13 @@
         candidate
     }
 
+    /// Returns the multiple of the usual time expected for work of `length` usual seconds, if the
+    /// server states one.
+    fn work_time(&self, now: Instant, server: &ServerState, length: f64) -> Option<f64> {
+        let length = Duration::from_secs_f64(length.clamp(0.0, MAX_WORK_LENGTH));
+        server.work_time.expected(now, length, &self.figure_decay)
+    }
+
     fn estimate_prompt(&self, now: Instant, query: &PlacementQuery<'_>, candidate: &mut Candidate) {
         let RequestWork::Model { levels, prompt_tokens, .. } = &query.request.ticket.work else {
             return;
@@ -470,7 +486,11 @@
         let rate = server.speed.rate(pool.typical_rate);
         candidate.hit = hit;
         candidate.computed = prompt_tokens - hit;
-        candidate.cost.queue_wait += server.tokens_ahead(now, query.urgency) / rate;
+        let ahead = server.tokens_ahead(now, query.urgency);
+        let length = (ahead + f64::from(candidate.computed)) / rate;
+        candidate.work_time = self.work_time(now, server, length);
+        let rate = rate / candidate.work_time.unwrap_or(1.0);
+        candidate.cost.queue_wait += ahead / rate;
         let has_affinity = query.affinity.servers.contains(&index);
         candidate.affinity_tokens = if has_affinity { query.affinity.tokens } else { 0 };
         // Prefixes that other daemons have sent to this affinity server are held there with the
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -18,6 +18,7 @@
             server_rest::ServerRest,
             suspect::CrashSite,
             window::ServerWindow,
+            work_time::{FigureDecay, WorkTimeRecord},
         },
     },
     std::{
@@ -87,6 +88,8 @@
     pub pace: Option<ServerPace>,
     /// Measured speed.
     pub speed: SpeedGauge,
+    /// How long work takes there at this moment, if it says so.
+    pub work_time: WorkTimeRecord,
     /// Failures and ejection.
     pub failures: FailureRecord,
     /// This daemon's attempts in flight.
@@ -117,6 +120,8 @@
     pub sent: Instant,
     /// When its first token is expected.
     pub due: Instant,
+    /// Multiple of the usual time that `due` assumes, if the server states one.
+    pub work_time: Option<f64>,
     /// Prompt tokens to compute.
     pub tokens: u32,
     /// Priority of its request.
@@ -143,6 +148,7 @@
             rest: ServerRest::default(),
             pace: None,
             speed: SpeedGauge::default(),
+            work_time: WorkTimeRecord::default(),
             failures: FailureRecord::default(),
             in_flight: 0,
             suspects: 0,
@@ -217,8 +223,19 @@
 
     /// Returns the delay of the most overdue first token. A server that hangs produces no speed
     /// samples, so its missing responses have to count.
-    pub fn overdue(&self, now: Instant) -> Duration {
-        let due = self.unanswered.values().map(|attempt| attempt.due).min();
+    ///
+    /// A machine that has become slower explains a delay in proportion, and the predictions contain
+    /// that already.
+    pub fn overdue(&self, now: Instant, decay: &FigureDecay) -> Duration {
+        let current = self.work_time.expected(now, Duration::ZERO, decay);
+        let due = |attempt: &UnansweredAttempt| match (current, attempt.work_time) {
+            (Some(current), Some(assumed)) if current > assumed => {
+                let expected = attempt.due.saturating_duration_since(attempt.sent);
+                attempt.sent + expected.mul_f64(current / assumed)
+            }
+            _ => attempt.due,
+        };
+        let due = self.unanswered.values().map(due).min();
         due.map_or(Duration::ZERO, |due| now.saturating_duration_since(due))
     }
 
@@ -231,6 +248,7 @@
         let unanswered = UnansweredAttempt {
             sent: state.sent,
             due,
+            work_time: state.work_time,
             tokens: state.computed,
             urgency: state.urgency,
         };
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -74,6 +74,7 @@
             server: best.server,
             sent: now,
             predicted: Duration::from_secs_f64(best.cost.first_token().min(3_600.0)),
+            work_time: best.work_time,
             computed: best.computed,
             urgency: best.urgency,
             expected_hit: best.hit,
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -156,6 +156,13 @@
     },
     /// A timer expired: the time returned by `Dispatcher::next_wakeup` was reached.
     Wake,
+    /// A server that shares its machine with others said how long work takes there at this moment.
+    WorkTime {
+        /// The server.
+        server: ServerId,
+        /// Multiple of the usual time. Values that are not positive and finite are ignored.
+        ratio: f64,
+    },
 }
 
 /// The part of a configuration that the dispatcher uses.
--- a/src/policy/safeguard.rs
+++ b/src/policy/safeguard.rs
@@ -37,11 +37,13 @@
     PeerFetch,
     /// Long shared prefixes in the engines' shared KV cache store.
     CacheStore,
+    /// Predictions by how long work takes at this moment on a server's shared machine.
+    WorkTime,
 }
 
 impl PolicySafeguard {
     /// All mechanisms, in order of declaration.
-    pub const ALL: [PolicySafeguard; 14] = [
+    pub const ALL: [PolicySafeguard; 15] = [
         PolicySafeguard::Admission,
         PolicySafeguard::Fairness,
         PolicySafeguard::RetryBudget,
@@ -56,6 +58,7 @@
         PolicySafeguard::Digests,
         PolicySafeguard::PeerFetch,
         PolicySafeguard::CacheStore,
+        PolicySafeguard::WorkTime,
     ];
 
     /// Returns the name used in settings and logs.
@@ -75,6 +78,7 @@
             PolicySafeguard::Digests => "digests",
             PolicySafeguard::PeerFetch => "peer-fetch",
             PolicySafeguard::CacheStore => "common-store",
+            PolicySafeguard::WorkTime => "work-time",
         }
     }
 }
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -17,7 +17,7 @@
         follow::stream_origins::StreamOrigin,
         ids::{Incarnation, ModelId, RequestId, ServerId, ServiceId, VmId, WeightsNumber},
         inventory::DecisionObjective,
-        observe::events,
+        observe::{events, metrics::WORK_TIME},
         pipeline::{DispatcherHandle, DrainGate},
         policy::{
             LoadReport, PolicyInput,
@@ -28,6 +28,7 @@
     },
     arc_swap::ArcSwap,
     http::StatusCode,
+    metrics::histogram,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -212,6 +213,10 @@
         if let Some(version) = head.weights {
             self.lock_weights().insert(server.clone(), (listed.incarnation, version));
         }
+        if let Some(ratio) = head.work_time {
+            histogram!(WORK_TIME, "service" => listed.service.clone()).record(ratio);
+            self.dispatcher.notify(PolicyInput::WorkTime { server: server.clone(), ratio });
+        }
         let Some((running, waiting)) = head.load else { return };
         let version = self.server_weights(server, &listed.service, model);
         let weights = listed.weights.iter().map(|(listed_model, listed_version)| {
