Count the delay behind other daemons' requests at servers on shared machines

All daemons preferred the fastest servers for short prompts and for spillover, until these were the busiest. The measured delay of first tokens counts for servers that do not hold the prefix.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,6 +14,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod prefix;
+pub mod queue_delay;
 pub mod reachability;
 pub mod retry;
 pub mod rollout;
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -139,6 +139,8 @@
     work_time: Option<f64>,
     /// Predicted number of prompt tokens to compute.
     computed: u32,
+    /// Tokens that this daemon's earlier requests had to compute there when it was sent.
+    tokens_ahead: f64,
     /// Prompt tokens expected in the server's cache.
     expected_hit: u32,
     /// Tokens that the server holds if other daemons send the prefix to the same affinity server; 0
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -110,6 +110,10 @@
         };
         let usual = work_time.map_or(taken, |ratio| taken.div_f64(ratio));
         server.speed.record_first_token(now, f64::from(computed), usual);
+        if work_time.is_some() {
+            let delay = server.speed.delay(f64::from(computed) + state.tokens_ahead, usual);
+            server.queue_delay.record(now, delay);
+        }
         self.update_speeds(state.server);
         self.update_cache_contents(&state, cached, computed);
         self.mark_dirty(state.server);
--- a/src/policy/dispatcher/peer_fetch.rs
+++ b/src/policy/dispatcher/peer_fetch.rs
@@ -25,7 +25,7 @@
 /// Prefixes of fewer tokens may spill over at no cost if engines can fetch from each other. An
 /// engine computes them in 10 to 30 ms and fetches them faster, while waiting for an affinity
 /// server behind a long prompt takes hundreds of milliseconds.
-const MIN_AFFINITY_TOKENS: u32 = 1_024;
+pub(super) const MIN_AFFINITY_TOKENS: u32 = 1_024;
 
 /// A source for a fetch.
 #[derive(Clone, Copy, Debug)]
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -5,6 +5,7 @@
         Dispatcher,
         affinity::AffinitySet,
         lifecycle::{Admitted, RequestPhase, StagedRequest},
+        peer_fetch::MIN_AFFINITY_TOKENS,
         servers::{PoolIndex, ServerState, Urgency},
     },
     crate::policy::{
@@ -492,6 +493,12 @@
         let rate = rate / candidate.work_time.unwrap_or(1.0);
         candidate.cost.queue_wait += ahead / rate;
         let has_affinity = query.affinity.servers.contains(&index);
+        // A prefix stays where it is held: the delay there is mostly that of its own requests, and if
+        // each of many daemons moved it, its copies would evict other prefixes.
+        let is_kept = hit > 0 || has_affinity && query.affinity.tokens >= MIN_AFFINITY_TOKENS;
+        if let Some(ratio) = candidate.work_time.filter(|_| !is_kept) {
+            candidate.cost.queue_wait += server.queue_delay.expected() * ratio;
+        }
         candidate.affinity_tokens = if has_affinity { query.affinity.tokens } else { 0 };
         // Prefixes that other daemons have sent to this affinity server are held there with the
         // measured hit ratio.
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -15,6 +15,7 @@
             pacing::ServerPace,
             placement::{AffinityRing, SpeedGauge},
             prefix::{ServerCacheState, ServerIndex},
+            queue_delay::QueueDelay,
             server_rest::ServerRest,
             suspect::CrashSite,
             window::ServerWindow,
@@ -90,6 +91,8 @@
     pub speed: SpeedGauge,
     /// How long work takes there at this moment, if it says so.
     pub work_time: WorkTimeRecord,
+    /// Delay behind requests of other daemons; measured only while it states its work time.
+    pub queue_delay: QueueDelay,
     /// Failures and ejection.
     pub failures: FailureRecord,
     /// This daemon's attempts in flight.
@@ -149,6 +152,7 @@
             pace: None,
             speed: SpeedGauge::default(),
             work_time: WorkTimeRecord::default(),
+            queue_delay: QueueDelay::default(),
             failures: FailureRecord::default(),
             in_flight: 0,
             suspects: 0,
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -76,6 +76,7 @@
             predicted: Duration::from_secs_f64(best.cost.first_token().min(3_600.0)),
             work_time: best.work_time,
             computed: best.computed,
+            tokens_ahead: server.tokens_ahead(now, best.urgency),
             urgency: best.urgency,
             expected_hit: best.hit,
             affinity_tokens: best.affinity_tokens,
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -183,6 +183,12 @@
         self.rate = self.latest.iter().map(|(_, rate)| *rate).max_by(f64::total_cmp);
     }
 
+    /// Returns the seconds of `taken` beyond what a prompt with `tokens` to compute takes.
+    pub fn delay(&self, tokens: f64, taken: Duration) -> Duration {
+        let own = self.base() + tokens / self.rate(None);
+        taken.saturating_sub(Duration::from_secs_f64(own))
+    }
+
     /// Updates the mean service time from a complete response that arrived after `taken`.
     pub fn record_finished(&mut self, taken: Duration) {
         let taken = taken.as_secs_f64();
--- a/tests/work_time.rs
+++ b/tests/work_time.rs
@@ -2,6 +2,8 @@
 
 use {
     oleandermount::policy::work_time::{FigureDecay, WorkTimeRecord},
+    rand_core::{RngCore, SeedableRng},
+    rand_xoshiro::Xoshiro256PlusPlus,
     std::time::{Duration, Instant},
 };
 
@@ -52,22 +54,21 @@
 // nothing after 300 ms, those of machines that change every 2 s nearly everything.
 #[test]
 fn worth_follows_observed_changes() {
-    let worth = |hold: u64| {
+    let observe = |hold: u64| {
+        let mut random = Xoshiro256PlusPlus::seed_from_u64(hold);
         let (mut record, mut decay) = (WorkTimeRecord::default(), FigureDecay::default());
-        let now = Instant::now();
-        for step in 0..4_000 {
-            let at = step * 90;
-            // A multiplicative hash, for figures without a pattern.
-            let ratio = match (at / hold).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 62 {
-                0 => 2.5,
-                _ => 0.9,
-            };
+        let (now, mut at, mut ratio, mut changes_at) = (Instant::now(), 0, 1.0, 0);
+        for _ in 0..4_000 {
+            at += random.next_u64() % 300;
+            while at >= changes_at {
+                ratio = if random.next_u64().is_multiple_of(4) { 2.5 } else { 0.9 };
+                changes_at += hold;
+            }
             record.record(now + millis(at), ratio, &mut decay);
-            record.record(now + millis(at + 45), ratio, &mut decay);
         }
         decay
     };
-    let (short, long) = (worth(100), worth(2_000));
+    let (short, long) = (observe(100), observe(2_000));
     assert!(long.worth(millis(70)) > 0.9, "{}", long.worth(millis(70)));
     assert!(short.worth(millis(300)) < 0.3, "{}", short.worth(millis(300)));
     assert!(short.worth(millis(70)) < long.worth(millis(70)));
