--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -120,6 +120,7 @@
             source: None,
             store_use: None,
             priority: 0,
+            predicted: Duration::ZERO,
             resume_after: 0,
             in_flight,
             send_before: now + Duration::from_secs(1),
@@ -276,7 +277,9 @@
             | PolicyInput::ServerLimit { .. }
             | PolicyInput::ServerEnded { .. }
             | PolicyInput::ServerIdentified { .. }
-            | PolicyInput::Probed { .. } => {}
+            | PolicyInput::Probed { .. }
+            | PolicyInput::LeasedLoad { .. }
+            | PolicyInput::WorkTime { .. } => {}
         }
         Vec::new()
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,6 +14,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod prefix;
+pub mod queue_delay;
 pub mod reachability;
 pub mod retry;
 pub mod rollout;
@@ -26,6 +27,7 @@
 pub mod tunnel_peers;
 pub mod usage_caps;
 pub mod window;
+pub mod work_time;
 
 pub use self::{
     action::{CacheStoreUse, DidRun, PolicyAction, RefusalReason, RetryReason, SendOrder},
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -46,6 +46,9 @@
     /// Records what the arbiter of a server has granted to all daemons.
     pub(super) fn record_leased_load(&mut self, now: Instant, server: &ServerId, load: LeasedLoad) {
         let Some(index) = self.table.by_id.get(server).copied() else { return };
+        if let Some(ratio) = load.work_time {
+            self.record_work_time(now, server, ratio.into());
+        }
         let server = &mut self.table.servers[index];
         server.leased_load_at = Some(now);
         server.window.record_report(now, load.running, 0, server.in_flight);
@@ -222,6 +225,14 @@
         }
     }
 
+    pub(super) fn record_work_time(&mut self, now: Instant, server: &ServerId, ratio: f64) {
+        if !self.is_enabled(PolicySafeguard::WorkTime) {
+            return;
+        }
+        let Some(index) = self.table.by_id.get(server).copied() else { return };
+        self.table.servers[index].work_time.record(now, ratio, &mut self.figure_decay);
+    }
+
     pub(super) fn record_probe(&mut self, now: Instant, server: &ServerId, answered: bool) {
         let Some(index) = self.table.by_id.get(server).copied() else { return };
         self.table.servers[index].failures.record_probe_result(now, answered);
--- a/src/policy/safeguard.rs
+++ b/src/policy/safeguard.rs
@@ -39,11 +39,13 @@
     CacheStore,
     /// The pace at which servers that have just started receive requests.
     StartPace,
+    /// Predictions by how long work takes at this moment on a server's shared machine.
+    WorkTime,
 }
 
 impl PolicySafeguard {
     /// All mechanisms, in order of declaration.
-    pub const ALL: [PolicySafeguard; 15] = [
+    pub const ALL: [PolicySafeguard; 16] = [
         PolicySafeguard::Admission,
         PolicySafeguard::Fairness,
         PolicySafeguard::RetryBudget,
@@ -59,6 +61,7 @@
         PolicySafeguard::PeerFetch,
         PolicySafeguard::CacheStore,
         PolicySafeguard::StartPace,
+        PolicySafeguard::WorkTime,
     ];
 
     /// Returns the name used in settings and logs.
@@ -79,6 +82,7 @@
             PolicySafeguard::PeerFetch => "peer-fetch",
             PolicySafeguard::CacheStore => "common-store",
             PolicySafeguard::StartPace => "start-pace",
+            PolicySafeguard::WorkTime => "work-time",
         }
     }
 }
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -21,7 +21,7 @@
             WeightsNumber,
         },
         inventory::DecisionObjective,
-        observe::events,
+        observe::{events, metrics::WORK_TIME},
         pipeline::{DispatcherHandle, DrainGate},
         policy::{
             LoadReport, PolicyInput,
@@ -33,6 +33,7 @@
     },
     arc_swap::ArcSwap,
     http::StatusCode,
+    metrics::histogram,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -193,11 +194,11 @@
     }
 
     /// The engines' shared cache stores that are used, each with this process's share of its link rate in
-    /// tokens per second: all of them for servers that share their machines, and otherwise one.
+    /// tokens per second: all of them where organisations compete for room, and otherwise one.
     pub fn cache_stores(&self) -> BTreeMap<SocketAddr, f64> {
         let view = self.view();
         let mut stores = view.cache_stores();
-        if !self.shared_machines.is_any() {
+        if !self.shared_machines.is_any() && !view.limits_use() {
             let first = view.first_cache_store();
             stores.retain(|store, _| Some(*store) == first);
         }
@@ -243,6 +244,10 @@
         if let Some(version) = head.weights {
             self.lock_weights().insert(server.clone(), (listed.incarnation, version));
         }
+        if let Some(ratio) = head.work_time {
+            histogram!(WORK_TIME, "service" => listed.service.clone()).record(ratio);
+            self.dispatcher.notify(PolicyInput::WorkTime { server: server.clone(), ratio });
+        }
         let Some((running, waiting)) = head.load else { return };
         let version = self.server_weights(server, &listed.service, model);
         let weights = listed.weights.iter().map(|(listed_model, listed_version)| {
@@ -410,12 +415,14 @@
 
     /// Whether requests to the servers of a service need leases of their slots.
     pub fn leases_slots(&self, service: &ServiceId) -> bool {
-        self.shared_machines.contains(service) || self.limits_rejections(service)
+        self.is_contended(service) || self.limits_rejections(service)
     }
 
-    /// Whether the servers of a service share their machines with others.
-    pub fn shares_machines(&self, service: &ServiceId) -> bool {
-        self.shared_machines.contains(service)
+    /// Whether organisations compete for the room at the servers of a service: engines where the
+    /// configuration limits what organisations may use, and servers that share their machines with others.
+    pub fn is_contended(&self, service: &ServiceId) -> bool {
+        let view = self.view();
+        (view.limits_use() && view.is_engine(service)) || self.shared_machines.contains(service)
     }
 
     /// Sets how the origins of streams are known; without it a resumed stream goes on at any server. A
--- a/src/reverse_proxy/exchange/slot.rs
+++ b/src/reverse_proxy/exchange/slot.rs
@@ -64,7 +64,7 @@
     fn lease_demand(&self, now: Instant, order: &SendOrder, from: &ResumePosition) -> LeaseDemand {
         let in_time = self.lease_patience(now, from);
         let memory = self.request.memory_demand();
-        if !self.core.shares_machines(&self.request.service) {
+        if !self.core.is_contended(&self.request.service) {
             return LeaseDemand { patience: in_time, memory, reading: None };
         }
         // Nobody reads the response as it is generated, so that it is worth something when it is late, too.
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -88,6 +88,11 @@
         rule.is_some_and(|rule| rule.engine.is_some())
     }
 
+    /// Whether the configuration limits what organisations may use.
+    pub fn limits_use(&self) -> bool {
+        self.index.as_ref().is_some_and(|index| index.limits_use)
+    }
+
     /// Tokens that fit into the memory of a server of the service; `None` if it runs no models, or if
     /// that is not configured.
     pub fn engine_memory(&self, service: &ServiceId) -> Option<u64> {
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -86,7 +86,7 @@
     /// to them are compared with predictions.
     fn paced_services(&self, view: &ProxyView) -> BTreeSet<ServiceId> {
         let services = view.servers.values().map(|server| &server.service);
-        let paced = services.filter(|service| self.core.shares_machines(service));
+        let paced = services.filter(|service| self.core.is_contended(service));
         paced.cloned().collect()
     }
 }
--- a/src/routing/index.rs
+++ b/src/routing/index.rs
@@ -15,6 +15,8 @@
     hosts: BTreeMap<String, Vec<Arc<RouteRule>>>,
     /// Organisations by API key.
     keys: BTreeMap<String, OrganisationId>,
+    /// Whether any organisation has a usage cap.
+    pub limits_use: bool,
 }
 
 impl RouteIndex {
@@ -31,7 +33,8 @@
         let keys = organisations.flat_map(|(organisation, access)| {
             access.keys.iter().map(|key| (key.clone(), organisation.clone()))
         });
-        RouteIndex { hosts, keys: keys.collect(), table }
+        let limits_use = table.organisations.values().any(|access| access.cap.is_some());
+        RouteIndex { hosts, keys: keys.collect(), limits_use, table }
     }
 
     /// The route with the longest matching prefix. `host` may have any case and a port.
