--- a/src/policy/usage_caps/arbiter.rs
+++ b/src/policy/usage_caps/arbiter.rs
@@ -101,6 +101,8 @@
     used: Instant,
     /// What of the rate was this arbiter's at `updated`.
     hold: RateHold,
+    /// Shares that a new arbiter has from holders which need them no more, until it has the whole rate.
+    relinquished: f64,
     /// At most [`MAX_SHARES`].
     shares: BTreeMap<VmId, UsageShare>,
 }
@@ -110,8 +112,8 @@
         // Whoever used the cap before has not done so for a term.
         let earned = cap.rate * SHARE_TERM.as_secs_f64();
         let balance = if hold == RateHold::Whole { cap.burst.min(earned) } else { 0.0 };
-        let shares = BTreeMap::new();
-        UsageAccount { balance, updated: now, backlog: 0.0, used: now, hold, shares }
+        let (backlog, relinquished, shares) = (0.0, 0.0, BTreeMap::new());
+        UsageAccount { balance, updated: now, backlog, used: now, hold, relinquished, shares }
     }
 
     /// Adds what has been earned until now.
@@ -119,7 +121,7 @@
         let span = (self.updated, now.max(self.updated));
         let elapsed = overlap(span, span);
         let is_whole = self.hold == RateHold::Whole;
-        let mut earned = if is_whole { elapsed } else { 0.0 };
+        let mut earned = if is_whole { elapsed } else { elapsed * self.relinquished };
         for share in self.shares.values() {
             if is_whole {
                 earned -= share.fraction * overlap(span, (share.spent_until(), share.ends));
@@ -133,6 +135,9 @@
         let kept = (-elapsed / DEMAND_MEMORY).exp();
         self.shares.values_mut().for_each(|share| share.demand *= kept);
         self.shares.retain(|_, share| !share.has_ended(now));
+        if hold != (RateHold::Shares { adopts: true }) {
+            self.relinquished = 0.0;
+        }
         (self.updated, self.hold) = (span.1, hold);
     }
 
@@ -145,8 +150,11 @@
         report: &ShareReport,
         demand: f64,
     ) -> Option<f64> {
-        if !report.wanted && report.lent == 0.0 {
+        if !report.wanted {
             self.shares.remove(holder);
+            if self.hold == (RateHold::Shares { adopts: true }) {
+                self.relinquished += report.held;
+            }
             return None;
         }
         if !self.shares.contains_key(holder) && self.shares.len() >= MAX_SHARES {
@@ -272,8 +280,9 @@
             let Some(cap) = caps.get(organisation) else { return false };
             account.balance = account.balance.min(cap.burst);
             if let Some(before) = self.caps.get(organisation) {
-                // A debt is a time until there is room, at either rate.
-                let ratio = if before.unit == cap.unit { cap.rate / before.rate } else { 0.0 };
+                // A lower rate leaves the time until there is room as it is.
+                let same_unit = before.unit == cap.unit;
+                let ratio = if same_unit { (cap.rate / before.rate).min(1.0) } else { 0.0 };
                 account.balance = account.balance.max(0.0) + account.balance.min(0.0) * ratio;
                 account.backlog *= ratio;
             }
--- a/src/policy/usage_caps/holder.rs
+++ b/src/policy/usage_caps/holder.rs
@@ -52,6 +52,19 @@
     lent_to: Option<VmId>,
 }
 
+/// An entry that is asked, and whether it has replied within [`SILENCE_LIMIT`].
+struct EntryContact {
+    vm: VmId,
+    is_reached: bool,
+}
+
+impl EntryContact {
+    fn new(now: Instant, vm: VmId, replied: &BTreeMap<VmId, Instant>) -> Self {
+        let is_reached = replied.get(&vm).is_some_and(|replied| now < *replied + SILENCE_LIMIT);
+        EntryContact { vm, is_reached }
+    }
+}
+
 /// What this entry holds of one cap.
 #[derive(Clone, Debug)]
 struct HeldUsage {
@@ -116,15 +129,17 @@
         self.share.take_if(|share| now >= share.ends);
     }
 
-    /// The share as it is reported to an entry, which gets it lent if its giver is silent.
+    /// The share as it is reported to an entry, which gets it lent if its giver is silent and the entry is
+    /// known to be reached: what is lent to another is lost until it ends.
     fn report(
         &mut self,
         now: Instant,
         organisation: &OrganisationId,
-        target: &VmId,
+        target: &EntryContact,
         unreached: f64,
     ) -> ShareReport {
         self.end_share(now);
+        let EntryContact { vm: target, is_reached } = target;
         let mut report = ShareReport {
             organisation: organisation.clone(),
             held: 0.0,
@@ -143,7 +158,7 @@
             if !report.in_use {
                 share.contact = now;
             }
-        } else if now >= share.contact + SILENCE_LIMIT && self.credited.is_none() {
+        } else if *is_reached && now >= share.contact + SILENCE_LIMIT && self.credited.is_none() {
             let borrower = share.lent_to.get_or_insert_with(|| target.clone());
             if borrower == target {
                 report.lent = share.fraction;
@@ -157,12 +172,12 @@
         &mut self,
         now: Instant,
         organisation: &OrganisationId,
-        arbiter: VmId,
+        target: EntryContact,
         cost: f64,
         unreached: f64,
     ) -> UsageDecision {
-        let report = self.report(now, organisation, &arbiter, unreached);
-        let ahead = self.ahead(cost);
+        let report = self.report(now, organisation, &target, unreached);
+        let (ahead, arbiter) = (self.ahead(cost), target.vm);
         UsageDecision::Ask { arbiter, request: UsageRequest { report, cost, ahead } }
     }
 
@@ -320,7 +335,8 @@
         else {
             return usage.spend_alone(now, cap.rate, unreached, cost);
         };
-        usage.ask(now, organisation, arbiter, cost, unreached)
+        let target = EntryContact::new(now, arbiter, &self.replied);
+        usage.ask(now, organisation, target, cost, unreached)
     }
 
     /// Records the reply to a request that was sent at `sent`.
@@ -360,7 +376,8 @@
                 let borrower = usage.share.as_ref().and_then(|share| share.lent_to.as_ref());
                 match borrower.filter(|vm| *vm != arbiter && !self.silent.contains(*vm)).cloned() {
                     Some(borrower) => {
-                        usage.ask(now, organisation, borrower, request.cost, unreached)
+                        let target = EntryContact::new(now, borrower, &self.replied);
+                        usage.ask(now, organisation, target, request.cost, unreached)
                     }
                     None => UsageDecision::Refused { retry_after },
                 }
@@ -438,17 +455,22 @@
             if usage.is_orphaned(&self.silent)
                 && let Some(borrower) = reached
             {
-                // Others may need it, also when this entry does not.
-                let report = usage.report(now, organisation, &borrower, 0.0);
-                if report.lent > 0.0 {
-                    due.entry(borrower).or_default().push(report);
+                // Others may need it, also when this entry does not. A first report finds who is reached.
+                let target = EntryContact::new(now, borrower, &self.replied);
+                if target.is_reached || now >= usage.reported + RENEWAL_PERIOD {
+                    let report = usage.report(now, organisation, &target, 0.0);
+                    if report.lent > 0.0 || !target.is_reached {
+                        usage.reported = now;
+                        due.entry(target.vm).or_default().push(report);
+                    }
                 }
             } else if usage.is_idle(now) {
                 let own = usage.share.take_if(|share| share.lent_to.is_none());
                 if let Some(share) = own {
-                    let mut report = usage.report(now, organisation, &share.giver, 0.0);
-                    report.wanted = false;
-                    due.entry(share.giver).or_default().push(report);
+                    let target = EntryContact { vm: share.giver, is_reached: true };
+                    let mut report = usage.report(now, organisation, &target, 0.0);
+                    (report.held, report.wanted) = (share.fraction, false);
+                    due.entry(target.vm).or_default().push(report);
                 }
                 continue;
             }
@@ -457,8 +479,9 @@
                 && !self.silent.contains(&share.giver)
             {
                 let giver = share.giver.clone();
-                let report = usage.report(now, organisation, &giver, unreached);
-                due.entry(giver).or_default().push(report);
+                let target = EntryContact::new(now, giver, &self.replied);
+                let report = usage.report(now, organisation, &target, unreached);
+                due.entry(target.vm).or_default().push(report);
                 usage.reported = now;
             }
             // Silent entries that come before the one that is asked are tried again.
