--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -120,6 +120,7 @@
             source: None,
             store_use: None,
             priority: 0,
+            predicted: Duration::ZERO,
             resume_after: 0,
             in_flight,
             send_before: now + Duration::from_secs(1),
@@ -263,6 +264,7 @@
             PolicyInput::Reachable { domains } => self.reachable = Some(domains),
             PolicyInput::Wake => return self.refuse_expired(now),
             PolicyInput::Leased { .. }
+            | PolicyInput::LeasedLoad { .. }
             | PolicyInput::Progress { .. }
             | PolicyInput::Cache(_)
             | PolicyInput::Digest(_)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,7 +27,7 @@
 
 pub use self::{
     action::{CacheStoreUse, DidRun, PolicyAction, RefusalReason, RetryReason, SendOrder},
-    dispatcher::{Dispatcher, DispatcherSettings},
+    dispatcher::{Dispatcher, DispatcherSettings, MAX_BUSY_SERVERS},
     input::{
         AttemptFailure, CacheEvent, DomainDigest, LoadReport, PolicyInput, PolicyView, PrefixLevel,
         RequestTicket, RequestWork, ServerHealth, ServerView,
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -19,6 +19,8 @@
 mod submission;
 pub mod timers;
 
+pub use self::attempts::MAX_BUSY_SERVERS;
+
 use {
     self::{
         lifecycle::RequestPhase,
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -38,6 +38,9 @@
 /// Number of servers that a request asks for a slot before it is refused.
 const MAX_FULL_SERVERS: u32 = 3;
 
+/// The same of servers whose arbiters tell their load.
+pub const MAX_BUSY_SERVERS: u32 = 4;
+
 /// How long a server without a free slot is left to the requests that wait for it.
 const FULL_TIME: RangeInclusive<Duration> = Duration::from_millis(20)..=Duration::from_millis(500);
 
@@ -112,6 +115,7 @@
             && let Some(entry) = self.requests.get(&state.number)
         {
             self.table.pools[entry.pool].is_leased = false;
+            self.table.pools[entry.pool].tells_load = false;
         }
         self.update_speeds(state.server);
         self.update_cache_contents(&state, cached, computed);
@@ -281,7 +285,11 @@
             self.refuse(name, RefusalReason::DeadlinePassed, None, did_run);
             return;
         }
-        if request.sent.history().full_servers >= MAX_FULL_SERVERS {
+        let max_full = match self.table.pools[request.pool].tells_load {
+            true => MAX_BUSY_SERVERS,
+            false => MAX_FULL_SERVERS,
+        };
+        if request.sent.history().full_servers >= max_full {
             self.refuse(name, RefusalReason::NoSlot, failed.retry_after, did_run);
             return;
         }
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -48,6 +48,9 @@
         let Some(index) = self.table.by_id.get(server).copied() else { return };
         let server = &mut self.table.servers[index];
         server.leased_load_at = Some(now);
+        for pool in &server.pools {
+            self.table.pools[*pool].tells_load = true;
+        }
         server.window.record_report(now, load.running, 0, server.in_flight);
         let pending: u64 = server.pending_tokens.iter().sum();
         let tokens = u64::from(load.tokens_ahead).saturating_sub(pending);
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -325,6 +325,8 @@
     pub service: f64,
     /// Whether its requests need leases, so that the arbiters of its servers decide on them.
     pub is_leased: bool,
+    /// Whether the arbiters of its servers tell their load, so that the next one is chosen by that.
+    pub tells_load: bool,
     /// Whether a change may allow a waiting request to be sent.
     pub dirty: bool,
 }
--- a/src/policy/slot_leases/reading.rs
+++ b/src/policy/slot_leases/reading.rs
@@ -21,8 +21,15 @@
 /// Prompt tokens that an engine reads in one piece, which more urgent prompts cannot overtake.
 const PIECE_TOKENS: u64 = 2_048;
 
-/// Prompts with fewer tokens do not show how fast an engine reads.
-const MIN_SAMPLE_TOKENS: u64 = 512;
+/// Prompts with fewer tokens show how long the first event takes beside reading, not how fast an engine
+/// reads.
+const MIN_SAMPLE_TOKENS: u64 = 1_024;
+
+/// Smoothing factor of the time of the first event beside reading.
+const EVENT_STEP: f64 = 0.1;
+
+/// Least part of a measured time that counts as reading.
+const MIN_READING_PART: f64 = 0.25;
 
 /// Factor of the former samples with each further one.
 const SAMPLE_DECAY: f64 = 0.8;
@@ -40,6 +47,8 @@
     urgency: LeaseUrgency,
     tokens: u64,
     granted_at: Instant,
+    /// Whether nothing else was to be read when it was granted.
+    is_alone: bool,
 }
 
 /// What an engine has to read.
@@ -52,6 +61,8 @@
     /// Weighted sums of the tokens that were read and of the seconds that this took.
     read_tokens: f64,
     read_seconds: f64,
+    /// Time in seconds that the first event of a response takes beside reading.
+    event_seconds: f64,
     /// The shortest latency objective of the latest requests, and when it was last stated.
     objective: Option<(Duration, Instant)>,
 }
@@ -69,7 +80,8 @@
 
     pub(super) fn begin(&mut self, now: Instant, lease: LeaseId, demand: ReadingDemand) {
         let ReadingDemand { urgency, computed, .. } = demand;
-        let prompt = UnreadPrompt { urgency, tokens: computed.into(), granted_at: now };
+        let is_alone = self.current(now).next().is_none();
+        let prompt = UnreadPrompt { urgency, tokens: computed.into(), granted_at: now, is_alone };
         self.unread.insert(lease, prompt);
     }
 
@@ -78,11 +90,18 @@
         let Some(prompt) = self.unread.remove(&lease) else { return };
         let began = self.read_at.map_or(prompt.granted_at, |at| at.max(prompt.granted_at));
         self.read_at = Some(now);
-        if prompt.tokens >= MIN_SAMPLE_TOKENS {
-            let taken = now.saturating_duration_since(began).as_secs_f64();
-            self.read_tokens = self.read_tokens * SAMPLE_DECAY + prompt.tokens as f64;
-            self.read_seconds = self.read_seconds * SAMPLE_DECAY + taken;
+        let taken = now.saturating_duration_since(began).as_secs_f64();
+        if prompt.tokens < MIN_SAMPLE_TOKENS {
+            if prompt.is_alone {
+                self.event_seconds += (taken - self.event_seconds) * EVENT_STEP;
+            }
+            return;
         }
+        // Beside others that are read, the event takes time in which the next one is read.
+        let event = if prompt.is_alone { self.event_seconds } else { 0.0 };
+        let read = (taken - event).max(taken * MIN_READING_PART);
+        self.read_tokens = self.read_tokens * SAMPLE_DECAY + prompt.tokens as f64;
+        self.read_seconds = self.read_seconds * SAMPLE_DECAY + read;
     }
 
     /// Forgets the prompt of a lease that has ended.
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -66,6 +66,8 @@
     failure: Option<(response::Parts, Bytes)>,
     /// Number of times the request was sent.
     attempts: u32,
+    /// Number of servers whose arbiters had no room in time.
+    busy_servers: u32,
     /// Whether the outcome was logged. If not when this value is dropped, the caller has
     /// disconnected.
     is_logged: bool,
@@ -123,6 +125,7 @@
         runs: 0,
         failure: None,
         attempts: 0,
+        busy_servers: 0,
         is_logged: false,
     };
     loop {
--- a/src/reverse_proxy/exchange/slot.rs
+++ b/src/reverse_proxy/exchange/slot.rs
@@ -5,7 +5,7 @@
     crate::{
         inventory::RequestClass,
         policy::{
-            AttemptFailure, PolicyInput, SendOrder,
+            AttemptFailure, MAX_BUSY_SERVERS, PolicyInput, SendOrder,
             slot_leases::{LeaseDemand, LeaseUrgency, LeasedLoad, ReadingDemand},
         },
         reverse_proxy::slot_lease::{LeaseFailure, SlotLease},
@@ -37,8 +37,11 @@
         if !self.core.shares_machines(&self.request.service) {
             return LeaseDemand { patience: in_time, memory, reading: None };
         }
-        // Nobody reads the response as it is generated, so that it is worth something when it is late, too.
+        // If nobody reads the response as it is generated, it is worth something when it is late, too. Before
+        // that the other servers are asked.
+        let is_last = self.busy_servers + 1 >= MAX_BUSY_SERVERS;
         let patience = match self.request.caller.class {
+            _ if !is_last => in_time,
             RequestClass::Interactive => in_time,
             RequestClass::Standard | RequestClass::Batch => {
                 let left = self.request.deadline.saturating_duration_since(now);
@@ -103,6 +106,7 @@
                 Err(self.report(order, AttemptFailure::NoSlot, from, Some(delay)))
             }
             Err(LeaseFailure::Busy { delay, load }) => {
+                self.busy_servers += 1;
                 self.record_load(order, load);
                 Err(self.report(order, AttemptFailure::NoSlot, from, Some(delay)))
             }
--- a/src/roles/slot_client.rs
+++ b/src/roles/slot_client.rs
@@ -264,6 +264,7 @@
     }
 
     fn report_progress(&self, report: LeaseReport) {
+        *self.report.lock().unwrap_or_else(PoisonError::into_inner) = None;
         self.client.record(&self.arbiter, &self.server, self.lease, report);
     }
 
