--- a/examples/policy_report/baseline_router.rs
+++ b/examples/policy_report/baseline_router.rs
@@ -264,6 +264,7 @@
             PolicyInput::Reachable { domains } => self.reachable = Some(domains),
             PolicyInput::Wake => return self.refuse_expired(now),
             PolicyInput::Leased { .. }
+            | PolicyInput::LeasedLoad { .. }
             | PolicyInput::Progress { .. }
             | PolicyInput::Cache(_)
             | PolicyInput::Digest(_)
@@ -277,9 +278,7 @@
             | PolicyInput::ServerLimit { .. }
             | PolicyInput::ServerEnded { .. }
             | PolicyInput::ServerIdentified { .. }
-            | PolicyInput::Probed { .. }
-            | PolicyInput::LeasedLoad { .. }
-            | PolicyInput::WorkTime { .. } => {}
+            | PolicyInput::Probed { .. } => {}
         }
         Vec::new()
     }
--- a/src/policy/dispatcher/reports.rs
+++ b/src/policy/dispatcher/reports.rs
@@ -51,6 +51,9 @@
         }
         let server = &mut self.table.servers[index];
         server.leased_load_at = Some(now);
+        for pool in &server.pools {
+            self.table.pools[*pool].tells_load = true;
+        }
         server.window.record_report(now, load.running, 0, server.in_flight);
         let pending: u64 = server.pending_tokens.iter().sum();
         let tokens = u64::from(load.tokens_ahead).saturating_sub(pending);
