--- a/tests/usage_sums.rs
+++ b/tests/usage_sums.rs
@@ -94,6 +94,8 @@
     /// What is asked for, as a multiple of the first cap, and the part of it that comes to entry 0.
     load: f64,
     skew: f64,
+    /// Callers send nothing after this time.
+    closes: f64,
     is_cut: bool,
     isolated: Option<usize>,
     loss: f64,
@@ -134,6 +136,7 @@
             factor: 1.0,
             load,
             skew: 0.0,
+            closes: f64::INFINITY,
             is_cut: false,
             isolated: None,
             loss: 0.0,
@@ -284,7 +287,9 @@
             (true, _) => (1.0 - self.skew) / others,
         };
         let gap = -(1.0 - self.unit()).ln() * mean / (self.load * self.cap.rate * part);
-        self.schedule(self.now + gap, entry, FleetEvent::Arrive);
+        if self.now + gap < self.closes {
+            self.schedule(self.now + gap, entry, FleetEvent::Arrive);
+        }
     }
 
     fn tick(&mut self, entry: usize) {
@@ -467,6 +472,8 @@
 
 fn check_within(mut fleet: CapFleet, length: f64) {
     let until = WARM_UP + length;
+    // The last requests have their replies before the end.
+    fleet.closes = until - 2.0 * REPLY_LIMIT;
     fleet.run(until, []);
     let (entries, refused) = (fleet.names.len(), fleet.refused.len());
     let highest = fleet.highest(0.0, until, 1.0);
