--- a/tests/usage_sums.rs
+++ b/tests/usage_sums.rs
@@ -366,7 +366,8 @@
         let mut faults: VecDeque<(f64, Fault)> = faults.into_iter().collect();
         while let Some((key, (entry, generation, event))) = self.queue.pop_first() {
             let at = key.0 as f64 / 1e9;
-            while let Some((due, fault)) = faults.pop_front_if(|(due, _)| *due <= at) {
+            while let Some((due, fault)) = faults.front().copied().filter(|(due, _)| *due <= at) {
+                faults.pop_front();
                 self.now = due;
                 self.befall(fault);
             }
