--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -69,7 +69,7 @@
             self.directory.set_arbiters(arbiters);
             let memory = |service: &ServiceId| view.engine_memory(service);
             self.arbiter.configure(&self.core.vm, &view.servers, memory);
-            self.usage.configure(&view, sharing as usize);
+            self.usage.configure(&view, sharing);
             let servers = view.servers.values().map(|server| (&server.service, &server.software));
             self.origins.apply(servers, &state.control, entries);
             self.core.apply(view);
