--- a/src/policy/slot_leases/start_pace.rs
+++ b/src/policy/slot_leases/start_pace.rs
@@ -11,9 +11,10 @@
 
 use std::time::{Duration, Instant};
 
-/// Part of the slots with which a server starts, and the least number of requests.
+/// Part of the slots with which a server starts, and the least number of requests: fewer are soon held up by a
+/// few requests that take long at any server.
 const FIRST_PART: usize = 8;
-const MIN_FIRST: usize = 2;
+const MIN_FIRST: usize = 3;
 
 /// Ratio of measured to predicted time from which an answer is late. Below it, a server that is slower than
 /// usual is still better than a wait for another one, and the objectives of the callers are kept.
@@ -26,6 +27,9 @@
 /// Part of a set of answers that may be late, since some are late at servers in use, too.
 const LATE_PART: usize = 4;
 
+/// Late answers that are too many for any set. A single one is no evidence where a set has only a few.
+const MIN_LATE: usize = 2;
+
 /// The time that an answer has taken as a multiple of that in which it was expected: the predicted time, within
 /// bounds that the objective of the request sets.
 pub fn answer_lateness(taken: Duration, predicted: Duration, objective: Duration) -> f32 {
@@ -192,9 +196,9 @@
             }
             StartOutcome::Rejected | StartOutcome::OnTime | StartOutcome::Late => {}
         }
-        if self.set.late * LATE_PART > self.limit {
+        if self.set.late >= MIN_LATE && self.set.late * LATE_PART > self.limit {
             self.fall_back(now, slots);
-        } else if self.set.on_time + self.set.late >= self.limit {
+        } else if self.set.on_time + self.set.late >= self.limit.max(MIN_LATE) {
             self.rise(now);
         }
     }
