--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -118,7 +118,7 @@
             let usable = (slots as usize).max(1);
             let leases_from = if had_arbiter { now + SETTLE_TIME } else { now };
             let known = self.servers.entry(server.clone());
-            let known = known.or_insert_with(|| ServerSlots::new(now, server, usable, leases_from));
+            let known = known.or_insert_with(|| ServerSlots::new(server, now, usable, leases_from));
             known.usable = usable;
             known.memory.capacity = memory;
         }
@@ -140,7 +140,7 @@
 
     /// The servers whose pace has not ended.
     pub fn paced_servers(&self) -> usize {
-        self.servers.values().filter(|slots| !slots.pace.is_ended()).count()
+        self.servers.values().filter(|slots| slots.is_paced()).count()
     }
 
     /// Requests a lease for a holder.
--- a/src/policy/slot_leases/server_slots.rs
+++ b/src/policy/slot_leases/server_slots.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         LeaseDecision, LeaseDemand, LeaseRefusal, LeaseReport, LeaseUrgency, LeasedLoad,
-        MemoryDemand, REJECTION_PAUSE, ReadingDemand, SETTLE_TIME,
+        MemoryDemand, PaceSummary, REJECTION_PAUSE, ReadingDemand, SETTLE_TIME, ServerStart,
+        StartAnswer, StartOutcome, StartPace,
         memory::LeasedMemory,
         reading::ReadingLoad,
-        start_pace::{PaceSummary, ServerStart, StartAnswer, StartOutcome, StartPace},
         wait_queue::{WaitQueue, WaitingLease, urgency_of},
     },
     crate::{
@@ -80,9 +80,9 @@
     paused_until: Instant,
     /// The last rejection of a leased request.
     rejection: Option<LeaseRejection>,
-    pub(super) pace: StartPace,
+    pace: StartPace,
     /// Whether the server may have started together with this arbiter. Its pace then begins with the first
-    /// request that calls for one before leases are granted.
+    /// request that calls for one before leases of a former arbiter are all known.
     pub(super) may_have_started: bool,
     pub(super) memory: LeasedMemory,
     reading: ReadingLoad,
@@ -98,7 +98,7 @@
 }
 
 impl ServerSlots {
-    pub(super) fn new(now: Instant, server: ServerId, usable: usize, leases_from: Instant) -> Self {
+    pub(super) fn new(server: ServerId, now: Instant, usable: usize, leases_from: Instant) -> Self {
         ServerSlots {
             server,
             usable,
@@ -249,12 +249,12 @@
         demand: LeaseDemand,
     ) -> (LeaseDecision, Option<(LeaseId, LeaseRefusal)>) {
         let (urgency, is_shared) = (urgency_of(demand.reading.as_ref()), demand.reading.is_some());
+        if is_shared && now < self.leases_from && std::mem::take(&mut self.may_have_started) {
+            self.begin_pace(now, ServerStart::Unknown);
+        }
         let early = if is_shared { SETTLE_TIME - SHARED_SETTLE_TIME } else { Duration::ZERO };
         let settles_in = self.leases_from.saturating_duration_since(now + early);
         if !settles_in.is_zero() {
-            if is_shared && std::mem::take(&mut self.may_have_started) {
-                self.begin_pace(now, ServerStart::Unknown);
-            }
             return (LeaseDecision::Refused(LeaseRefusal::Full(settles_in)), None);
         }
         if let Some(reading) = &demand.reading {
@@ -313,24 +313,19 @@
         }
     }
 
+    pub(super) fn is_paced(&self) -> bool {
+        !self.pace.is_ended()
+    }
+
     /// The part of the slots that the pace allows; `None` once it has ended.
     fn pace_part(&self) -> Option<f32> {
         let part = self.pace.limit(self.usable) as f32 / self.usable as f32;
-        (!self.pace.is_ended()).then_some(part)
-    }
-
-    /// Moves the pace of the server by an answer to a leased request.
-    fn record_answer(&mut self, now: Instant, lease: LeaseId, outcome: StartOutcome) {
-        let Some(sent) = self.leases.get(&lease).map(|lease| lease.granted_at) else { return };
-        let answer = StartAnswer { sent, held: self.leases.len(), outcome };
-        if let Some(summary) = self.pace.record(now, answer, self.usable) {
-            self.log_pace_end(summary);
-        }
+        self.is_paced().then_some(part)
     }
 
     pub(super) fn begin_pace(&mut self, now: Instant, start: ServerStart) {
         self.pace = StartPace::new(now, start, self.usable);
-        if !self.pace.is_ended() {
+        if self.is_paced() {
             let limit = self.pace.limit(self.usable);
             log::info!(server = self.server.as_str(), slots = self.usable, limit = limit;
                 "{}", events::PACE_BEGUN);
@@ -345,6 +340,15 @@
         }
     }
 
+    /// Moves the pace of the server by an answer to a leased request.
+    fn record_answer(&mut self, now: Instant, lease: LeaseId, outcome: StartOutcome) {
+        let Some(sent) = self.leases.get(&lease).map(|lease| lease.granted_at) else { return };
+        let answer = StartAnswer { sent, held: self.leases.len(), outcome };
+        if let Some(summary) = self.pace.record(now, answer, self.usable) {
+            self.log_pace_end(summary);
+        }
+    }
+
     fn log_pace_end(&self, summary: PaceSummary) {
         log::info!(server = self.server.as_str(), slots = self.usable, answers = summary.answers,
             duration_ms = summary.duration.as_millis() as u64; "{}", events::PACE_ENDED);
