--- a/src/policy/dispatcher/arrivals.rs
+++ b/src/policy/dispatcher/arrivals.rs
@@ -131,10 +131,6 @@
             return None;
         }
         let state = &self.table.pools[pool];
-        // The drain rate does not tell when the arbiters of the servers will have room.
-        if state.is_leased {
-            return None;
-        }
         let ahead = state.queue.cost_ahead(&ticket.organisation, ticket.class, cost);
         let wait = state.drain.time_for(ahead);
         let run = Duration::from_secs_f64(self.min_first_token(pool, &ticket.work));
--- a/src/policy/slot_leases/server_slots.rs
+++ b/src/policy/slot_leases/server_slots.rs
@@ -271,7 +271,6 @@
 
     pub(super) fn end(&mut self, now: Instant, lease: LeaseId) {
         self.waiting.remove(lease);
-        self.reading.finish(now, lease);
         if let Some(ended) = self.remove(lease) {
             let held = now.saturating_duration_since(ended.granted_at).as_secs_f64();
             self.hold += (held - self.hold) * HOLD_STEP;
--- a/tests/lease_order.rs
+++ b/tests/lease_order.rs
@@ -4,9 +4,10 @@
     oleandermount::{
         ids::{LeaseId, ServerId},
         policy::slot_leases::{
-            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseRefusal, LeaseReport, MemoryDemand,
-            ReadingDemand, SlotTable,
+            ArbitratedServer, LeaseDecision, LeaseDemand, LeaseGrant, LeaseRefusal, LeaseReport,
+            LeasedLoad, MemoryDemand, ReadingDemand, SlotTable,
         },
+        transport::{PeerMessage, PeerReply, PeerRequest},
     },
     std::time::{Duration, Instant},
 };
@@ -93,6 +94,27 @@
     assert_eq!(server.table.expire(later), [3]);
 }
 
+/// What a request at a shared machine sends beside those of other servers is small.
+#[test]
+fn load_messages_are_small() {
+    let (server, lease) = ("i-7f3a91c2aa".to_owned(), u64::MAX);
+    let objective = Duration::from_millis(1_234);
+    let reading = ReadingDemand { urgency: LONG, computed: 100_000, objective, in_time: objective };
+    let memory = MemoryDemand::default();
+    let demand = LeaseDemand { patience: objective, memory, reading: Some(reading) };
+    let load =
+        LeasedLoad { running: 40, tokens_ahead: 100_000, work_time: Some(1.5), pace: Some(0.5) };
+    let report = LeaseReport { lateness: Some(1.5), work_time: Some(1.5), is_read: true };
+    let lengths = [
+        postcard::to_stdvec(&PeerRequest::LeaseSlot { server: server.clone(), lease, demand }),
+        postcard::to_stdvec(&PeerReply::SlotLeased(Ok(LeaseGrant { load: Some(load) }))),
+        postcard::to_stdvec(&PeerMessage::LeaseProgress { server: server.clone(), lease, report }),
+        postcard::to_stdvec(&PeerMessage::EndLease { server, lease, report: None }),
+    ];
+    let lengths = lengths.map(|bytes| bytes.expect("it can be encoded").len());
+    assert!(lengths.iter().sum::<usize>() <= 160, "{lengths:?}");
+}
+
 /// Guards against urgent requests that are refused because less urgent ones fill the list.
 #[test]
 fn least_urgent_is_displaced() {
