Let requests pay that their callers abandon while a server runs them

Runs are counted once a server has responded or its connection has failed. A caller that disconnected before that got its units back though the server may have run the request: an organisation whose callers give up early used servers without paying. A request that is being sent now counts as run until the contrary is known.

--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -225,6 +225,7 @@
         let limit = view.connections(&listed.service);
         let target = BackendTarget { server: &order.server, address: listed.address };
         let sent_at = Instant::now();
+        self.begin_run();
         let sent = tokio::select! {
             sent = self.core.pool.send(target, request, non_repeatable, limit) => sent,
             () = wait_withdrawn(&mut self.handle, order.attempt) => {
@@ -237,14 +238,16 @@
                 return Err(self.report(order, AttemptFailure::TimedOut, from, None));
             }
         };
-        match sent {
+        let started = match sent {
             Ok((response, mut connection)) => {
                 connection.set_lease(lease);
                 let received = ReceivedHead { response, connection, sent_at };
                 self.handle_head(order, from, received).await
             }
             Err(error) => Err(self.connection_failed(order, from, error)),
-        }
+        };
+        self.end_unrecorded_run();
+        started
     }
 
     fn connection_failed(
--- a/src/reverse_proxy/exchange/usage.rs
+++ b/src/reverse_proxy/exchange/usage.rs
@@ -71,6 +71,21 @@
 }
 
 impl HttpExchange {
+    /// Records that the request is being sent to another server. If it is abandoned before it is known whether
+    /// that server runs it, it is paid for.
+    pub(super) fn begin_run(&mut self) {
+        if let Some(charge) = &mut self.charge {
+            charge.begin_run();
+        }
+    }
+
+    /// Records that a server has not run the request, unless [`Self::record_run`] says that it may have.
+    pub(super) fn end_unrecorded_run(&mut self) {
+        if let Some(charge) = &mut self.charge {
+            charge.end_unrecorded_run();
+        }
+    }
+
     /// Records that another server may have begun to run the request.
     pub(super) fn record_run(&mut self) {
         self.runs += 1;
--- a/src/reverse_proxy/usage_limit.rs
+++ b/src/reverse_proxy/usage_limit.rs
@@ -43,17 +43,30 @@
     paid: u32,
     /// Servers that may have begun to run the request.
     runs: u32,
+    /// Whether the request was sent to a server of which it is not known yet whether it runs it.
+    is_sent: bool,
 }
 
 impl UsageCharge {
     /// The charge of a request that was paid for once.
     pub fn new(limiter: Arc<dyn UsageLimiter>, organisation: OrganisationId, cost: f64) -> Self {
-        UsageCharge { limiter, organisation, cost, paid: 1, runs: 0 }
+        UsageCharge { limiter, organisation, cost, paid: 1, runs: 0, is_sent: false }
+    }
+
+    /// Records that the request is being sent to another server.
+    pub fn begin_run(&mut self) {
+        self.is_sent = true;
     }
 
     /// Records that another server may have begun to run the request.
     pub fn record_run(&mut self) {
         self.runs += 1;
+        self.is_sent = false;
+    }
+
+    /// Records that a server has not run the request, unless [`Self::record_run`] says that it may have.
+    pub fn end_unrecorded_run(&mut self) {
+        self.is_sent = false;
     }
 
     /// Whether the request may run once more, which is paid for unless it has been before.
@@ -69,7 +82,8 @@
 
 impl Drop for UsageCharge {
     fn drop(&mut self) {
-        for _ in self.runs..self.paid {
+        let runs = self.runs + u32::from(self.is_sent);
+        for _ in runs..self.paid {
             self.limiter.give_back(&self.organisation, self.cost);
         }
     }
