Use servers on shared machines without leases while their arbiters are silent

What callers saw: in a partition of a failure domain two fifths of the requests were late or refused, though their servers were reached: those whose arbiters lay in the other part got no leases, and each question cost its whole wait.

--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -474,7 +474,11 @@
             demand,
             share: view.slot_share(&listed.service),
         };
-        Arc::clone(leaser).lease(demand).await.map(Some)
+        match Arc::clone(leaser).lease(demand).await {
+            // A server that ends by rejections must not be sent to. Others are used as if none were leased.
+            Err(LeaseFailure::Unavailable) if !self.limits_rejections(&listed.service) => Ok(None),
+            leased => leased.map(Some),
+        }
     }
 
     /// Sets how usage caps are kept; without it they are not. A second call has no effect.
--- a/src/roles/slot_client.rs
+++ b/src/roles/slot_client.rs
@@ -97,7 +97,7 @@
         arbiter: VmId,
     ) -> Result<SlotLease, LeaseFailure> {
         let SlotDemand { server, demand, .. } = demand;
-        let patience = demand.patience;
+        let (patience, is_shared) = (demand.patience, demand.reading.is_some());
         let lease = {
             let mut state = self.lock();
             let lease = state.random.next_u64();
@@ -120,7 +120,10 @@
             let request = PeerRequest::LeaseSlot { server, lease, demand };
             let reply = self.network.call(&arbiter, request, patience + REPLY_MARGIN).await;
             let Ok(PeerReply::SlotLeased(result)) = reply else {
-                self.lock().pause(arbiter);
+                // Servers that share their machines are used without leases meanwhile, so that asking again
+                // early would only hold up requests.
+                let shortest = if is_shared { MAX_FAILURE_PAUSE } else { FAILURE_PAUSE };
+                self.lock().pause(arbiter, shortest);
                 return Err(LeaseFailure::Unavailable);
             };
             self.lock().record_reply(&arbiter);
@@ -132,6 +135,7 @@
                 guard.forget();
                 Err(match refusal {
                     LeaseRefusal::Full(delay) => LeaseFailure::Full(delay),
+                    LeaseRefusal::NotArbiter if is_shared => LeaseFailure::Unavailable,
                     LeaseRefusal::NotArbiter => LeaseFailure::Full(LIST_DELAY),
                     LeaseRefusal::Busy { delay, load } => LeaseFailure::Busy { delay, load },
                 })
@@ -198,15 +202,15 @@
 }
 
 impl ClientState {
-    /// Pauses an arbiter, unless an earlier request has done so.
-    fn pause(&mut self, arbiter: VmId) {
+    /// Pauses an arbiter for `shortest` or longer, unless an earlier request has done so.
+    fn pause(&mut self, arbiter: VmId, shortest: Duration) {
         let now = Instant::now();
         self.paused.retain(|_, pause| now < pause.until + MAX_FAILURE_PAUSE);
         let known = self.paused.get(&arbiter).copied();
         if known.is_some_and(|known| now < known.until) || self.paused.len() >= MAX_PAUSED {
             return;
         }
-        let length = known.map_or(FAILURE_PAUSE, |known| known.length * 2).min(MAX_FAILURE_PAUSE);
+        let length = known.map_or(shortest, |known| known.length * 2).min(MAX_FAILURE_PAUSE);
         self.paused.insert(arbiter, ArbiterPause { until: now + length, length });
     }
 
