--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -64,11 +64,11 @@
 /// A server rejected a request without executing it. `running` and `waiting` are the load that it
 /// reported, `in_flight` is this daemon's part of it, and `attempt` counts from 1.
 pub const REQUEST_REJECTED: &str = "request rejected by its server";
-/// Requests of an organisation are refused, since they are beyond its usage cap of `rate` units a second.
-pub const CAP_EXCEEDED: &str = "organisation beyond its usage cap";
-/// Requests of an organisation are not refused any more for its usage cap. `paid` and `refused` are the units
+/// Requests of an organisation are refused, since they are beyond its usage limit of `rate` units a second.
+pub const CAP_EXCEEDED: &str = "organisation beyond its usage limit";
+/// Requests of an organisation are not refused any more for its usage limit. `paid` and `refused` are the units
 /// at this entry in `duration_ms`.
-pub const CAP_KEPT: &str = "organisation within its usage cap again";
+pub const CAP_KEPT: &str = "organisation within its usage limit again";
 /// A request is refused from now on, because servers crashed while they ran it. `fingerprint` is the
 /// hash that all its resends have in common.
 pub const REQUEST_ISOLATED: &str = "request isolated";
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -63,11 +63,11 @@
 pub const PEERS_REFUSED: &str = "oleandermount_peers_refused_total";
 /// Connections to backend servers through other entries, by `result`.
 pub const TUNNELS: &str = "oleandermount_tunnels_total";
-/// Units of usage caps that arbiters have granted to this daemon.
+/// Units of usage limits that arbiters have granted to this daemon.
 pub const USAGE_GRANTED: &str = "oleandermount_usage_granted_units_total";
-/// Units of usage caps that admitted requests have paid.
+/// Units of usage limits that admitted requests have paid.
 pub const USAGE_PAID: &str = "oleandermount_usage_paid_units_total";
-/// Requests beyond the usage caps of their organisations, by `decision`: `arbiter` asked, `silent` arbiter,
+/// Requests beyond the usage limits of their organisations, by `decision`: `arbiter` asked, `silent` arbiter,
 /// or `local`.
 pub const USAGE_REFUSED: &str = "oleandermount_usage_refused_total";
 /// Open connections of callers and operators.
@@ -122,8 +122,8 @@
     /// The request failed because of an interrupted or invalid response of a backend server.
     pub const BACKEND_FAILED: &str = "backend_failed";
 
-    /// The request is beyond the usage cap of its organisation.
-    pub const USAGE_CAP: &str = "usage_cap";
+    /// The request is beyond the usage limit of its organisation.
+    pub const USAGE_LIMIT: &str = "usage_limit";
     /// No route table is active yet.
     pub const NO_ROUTES: &str = "no_routes";
 
@@ -145,12 +145,12 @@
         LEDGER_FULL,
         TOO_MANY_OPEN,
         BACKEND_FAILED,
-        USAGE_CAP,
+        USAGE_LIMIT,
         NO_ROUTES,
     ];
 }
 
-/// Who decided that a request is beyond a usage cap.
+/// Who decided that a request is beyond a usage limit.
 pub mod usage_decision {
     /// The arbiter of the organisation.
     pub const ARBITER: &str = "arbiter";
@@ -263,9 +263,9 @@
     describe_counter!(SERVER_REJECTIONS, "Requests that backend servers rejected.");
     describe_counter!(PEERS_REFUSED, "Daemons rejected because of their keys.");
     describe_counter!(TUNNELS, "Connections to servers through other entries, by result.");
-    describe_counter!(USAGE_GRANTED, "Units of usage caps granted to this daemon.");
-    describe_counter!(USAGE_PAID, "Units of usage caps that admitted requests have paid.");
-    describe_counter!(USAGE_REFUSED, "Requests beyond usage caps, by decision.");
+    describe_counter!(USAGE_GRANTED, "Units of usage limits granted to this daemon.");
+    describe_counter!(USAGE_PAID, "Units of usage limits that admitted requests have paid.");
+    describe_counter!(USAGE_REFUSED, "Requests beyond usage limits, by decision.");
     describe_gauge!(CONNECTIONS, "Open connections of callers and operators.");
     describe_gauge!(DRAINING, "1 while this daemon drains.");
     describe_counter!(CLAIMS_RELEASED, "Claims released before a request was sent.");
--- a/src/operator_client/explain_log.rs
+++ b/src/operator_client/explain_log.rs
@@ -198,13 +198,13 @@
         last.number("waited_ms"),
         describe_reason(reason)
     );
-    if reason == refusal::USAGE_CAP {
+    if reason == refusal::USAGE_LIMIT {
         let _ = write!(text, " {}", describe_cap(last));
     }
     text
 }
 
-/// Describes the usage cap that a request was beyond.
+/// Describes the usage limit that a request was beyond.
 fn describe_cap(last: &LogRecord) -> String {
     let figure = |key: &str| last.fields.get(key).map(ToString::to_string).unwrap_or_default();
     format!(
@@ -263,7 +263,7 @@
         (refusal::BODY_TIMEOUT, "its body was not received in time"),
         (refusal::TOO_MANY_OPEN, "this daemon had reached its limit of open requests"),
         (refusal::BACKEND_FAILED, "its server failed, and it may not be repeated"),
-        (refusal::USAGE_CAP, "its organisation was beyond its usage cap"),
+        (refusal::USAGE_LIMIT, "its organisation was beyond its usage limit"),
         (refusal::NO_ROUTES, "this daemon had no configuration yet"),
     ];
     let policy_text = POLICY.iter().find(|(known, _)| known.as_str() == reason);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,7 +25,7 @@
 pub mod store_choice;
 pub mod suspect;
 pub mod tunnel_peers;
-pub mod usage_caps;
+pub mod usage_limits;
 pub mod window;
 pub mod work_time;
 
--- a/src/policy/usage_caps.rs
+++ b/src/policy/usage_limits.rs
@@ -1,4 +1,4 @@
-//! Usage caps of organisations, in requests or tokens a second, summed over all entries.
+//! Usage limits of organisations, in requests or tokens a second, summed over all entries.
 //!
 //! The load is an organisation that asks for several times its usual, with callers at any entry. What is
 //! within its cap is served and the rest refused at once, with a delay after which there is room.
@@ -45,7 +45,7 @@
 /// Delays of refused requests are at least this long.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
-/// What a usage cap counts.
+/// What a usage limit counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UsageUnit {
     /// Each request is one unit.
@@ -54,9 +54,9 @@
     Tokens,
 }
 
-/// The usage cap of an organisation.
+/// The usage limit of an organisation.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct UsageCap {
+pub struct UsageLimit {
     /// Units a second; positive and finite.
     pub rate: f64,
     /// Units that may be used at once; not negative.
@@ -67,7 +67,7 @@
     pub plain_tokens: u32,
 }
 
-impl UsageCap {
+impl UsageLimit {
     /// Returns the units of a request with this sum of tokens.
     pub fn cost(&self, tokens: Option<u64>) -> f64 {
         match self.unit {
--- a/src/policy/usage_caps/arbiter.rs
+++ b/src/policy/usage_limits/arbiter.rs
@@ -7,7 +7,7 @@
 
 use {
     super::{
-        AHEAD_TIME, CONFIRM_TERM, SHARE_TERM, SILENCE_LIMIT, ShareGrant, ShareReport, UsageCap,
+        AHEAD_TIME, CONFIRM_TERM, SHARE_TERM, SILENCE_LIMIT, ShareGrant, ShareReport, UsageLimit,
         UsageReply, UsageRequest, choose_usage_arbiter, retry_after,
     },
     crate::ids::{OrganisationId, VmId},
@@ -108,7 +108,7 @@
 }
 
 impl UsageAccount {
-    fn new(now: Instant, cap: &UsageCap, hold: RateHold) -> Self {
+    fn new(now: Instant, cap: &UsageLimit, hold: RateHold) -> Self {
         // Whoever used the cap before has not done so for a term.
         let earned = cap.rate * SHARE_TERM.as_secs_f64();
         let balance = if hold == RateHold::Whole { cap.burst.min(earned) } else { 0.0 };
@@ -117,7 +117,7 @@
     }
 
     /// Adds what has been earned until now.
-    fn refill(&mut self, now: Instant, cap: &UsageCap, hold: RateHold) {
+    fn refill(&mut self, now: Instant, cap: &UsageLimit, hold: RateHold) {
         let span = (self.updated, now.max(self.updated));
         let elapsed = overlap(span, span);
         let is_whole = self.hold == RateHold::Whole && hold == RateHold::Whole;
@@ -210,7 +210,7 @@
         Some(share.granted)
     }
 
-    fn acquire(&mut self, now: Instant, cap: &UsageCap, request: &UsageRequest) -> Option<f64> {
+    fn acquire(&mut self, now: Instant, cap: &UsageLimit, request: &UsageRequest) -> Option<f64> {
         if self.balance <= 0.0 {
             return None;
         }
@@ -235,7 +235,7 @@
 #[derive(Clone, Debug)]
 pub struct UsageArbiter {
     own: VmId,
-    caps: BTreeMap<OrganisationId, UsageCap>,
+    caps: BTreeMap<OrganisationId, UsageLimit>,
     arbiters: BTreeSet<VmId>,
     /// Those of the last [`SHARE_TERM`], the newest last; at most [`MAX_FORMER_SETS`].
     former: VecDeque<FormerSet>,
@@ -264,7 +264,7 @@
     pub fn configure(
         &mut self,
         now: Instant,
-        caps: BTreeMap<OrganisationId, UsageCap>,
+        caps: BTreeMap<OrganisationId, UsageLimit>,
         arbiters: BTreeSet<VmId>,
     ) {
         self.settle_all(now);
@@ -332,7 +332,7 @@
         &mut self,
         now: Instant,
         organisation: &OrganisationId,
-    ) -> Option<(&mut UsageAccount, UsageCap)> {
+    ) -> Option<(&mut UsageAccount, UsageLimit)> {
         let cap = *self.caps.get(organisation)?;
         let hold = self.hold(now, organisation);
         let account = self.accounts.entry(organisation.clone());
--- a/src/policy/usage_caps/holder.rs
+++ b/src/policy/usage_limits/holder.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AHEAD_TIME, RENEWAL_PERIOD, SHARE_TERM, SILENCE_LIMIT, ShareGrant, ShareReport, UsageCap,
-        UsageDecision, UsageReply, UsageRequest, rank, retry_after,
+        AHEAD_TIME, RENEWAL_PERIOD, SHARE_TERM, SILENCE_LIMIT, ShareGrant, ShareReport,
+        UsageDecision, UsageLimit, UsageReply, UsageRequest, rank, retry_after,
     },
     crate::ids::{OrganisationId, VmId},
     std::{
@@ -243,7 +243,7 @@
 /// What this entry holds of all caps.
 #[derive(Clone, Debug, Default)]
 pub struct UsageHolder {
-    caps: BTreeMap<OrganisationId, UsageCap>,
+    caps: BTreeMap<OrganisationId, UsageLimit>,
     arbiters: BTreeSet<VmId>,
     /// All entries, with callers or not; at least 1 once it is set.
     entries: usize,
@@ -262,7 +262,7 @@
     pub fn configure(
         &mut self,
         now: Instant,
-        caps: BTreeMap<OrganisationId, UsageCap>,
+        caps: BTreeMap<OrganisationId, UsageLimit>,
         arbiters: BTreeSet<VmId>,
         entries: usize,
     ) {
@@ -284,7 +284,7 @@
     }
 
     /// The cap of an organisation.
-    pub fn cap(&self, organisation: &OrganisationId) -> Option<&UsageCap> {
+    pub fn cap(&self, organisation: &OrganisationId) -> Option<&UsageLimit> {
         self.caps.get(organisation)
     }
 
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -481,7 +481,7 @@
         }
     }
 
-    /// Sets how usage caps are kept; without it they are not. A second call has no effect.
+    /// Sets how usage limits are kept; without it they are not. A second call has no effect.
     pub fn set_usage_limiter(&self, limiter: Arc<dyn UsageLimiter>) {
         if self.usage_limiter.set(limiter).is_err() {
             log::error!("the usage limiter was set twice");
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -4,7 +4,7 @@
     crate::{
         ids::{ModelId, OrganisationId, RequestId, ServerId, WeightsNumber},
         inventory::RequestClass,
-        policy::usage_caps::UsageCap,
+        policy::usage_limits::UsageLimit,
         routing::{RouteIndex, RouteRule},
     },
     http::{HeaderMap, Response, StatusCode, request, response},
@@ -57,8 +57,8 @@
     pub resumes: Option<ResumedStream>,
     /// The prompt; set for requests to model engines.
     pub work: Option<PromptWork>,
-    /// The usage cap of the organisation, if it has one.
-    pub cap: Option<UsageCap>,
+    /// The usage limit of the organisation, if it has one.
+    pub cap: Option<UsageLimit>,
     /// Tokens of the prompt and of the response at most, if the request says.
     pub tokens: Option<u64>,
 }
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -64,7 +64,7 @@
     pub(super) handle: RequestHandle,
     /// Number of servers that may have begun to run the request.
     pub(super) runs: u32,
-    /// What the request has paid, if its organisation has a usage cap.
+    /// What the request has paid, if its organisation has a usage limit.
     charge: Option<UsageCharge>,
     /// A server's error response, which is passed on if no other server succeeds.
     failure: Option<(response::Parts, Bytes)>,
--- a/src/reverse_proxy/exchange/usage.rs
+++ b/src/reverse_proxy/exchange/usage.rs
@@ -1,11 +1,11 @@
-//! Pays for a request from the usage cap of its organisation, before the request is placed.
+//! Pays for a request from the usage limit of its organisation, before the request is placed.
 
 use {
     super::HttpExchange,
     crate::{
         observe::{events, metrics::refusal},
         pipeline::counters::count_refusal,
-        policy::{DidRun, RefusalReason, usage_caps::UsageCap},
+        policy::{DidRun, RefusalReason, usage_limits::UsageLimit},
         reverse_proxy::{
             core::ProxyCore,
             dialect::ProxyRefusal,
@@ -33,9 +33,9 @@
     match timeout_at(request.deadline.into(), acquired).await {
         Ok(Ok(charge)) => Ok(charge),
         Ok(Err(CapExceeded { retry_after })) => {
-            count_refusal(refusal::USAGE_CAP);
-            log_refusal(request, cap, cost, refusal::USAGE_CAP, Some(retry_after));
-            let refusal = ProxyRefusal::new(StatusCode::TOO_MANY_REQUESTS, refusal::USAGE_CAP);
+            count_refusal(refusal::USAGE_LIMIT);
+            log_refusal(request, cap, cost, refusal::USAGE_LIMIT, Some(retry_after));
+            let refusal = ProxyRefusal::new(StatusCode::TOO_MANY_REQUESTS, refusal::USAGE_LIMIT);
             Err(refusal.retry_after(retry_after))
         }
         Err(_elapsed) => {
@@ -48,7 +48,7 @@
 
 fn log_refusal(
     request: &BufferedRequest,
-    cap: &UsageCap,
+    cap: &UsageLimit,
     cost: f64,
     reason: &str,
     retry_after: Option<Duration>,
--- a/src/reverse_proxy/usage_limit.rs
+++ b/src/reverse_proxy/usage_limit.rs
@@ -1,4 +1,4 @@
-//! What requests take from the usage caps of their organisations.
+//! What requests take from the usage limits of their organisations.
 
 use {
     crate::ids::OrganisationId,
@@ -6,14 +6,14 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// A request is beyond the usage cap of its organisation. Nothing was sent to a server.
+/// A request is beyond the usage limit of its organisation. Nothing was sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CapExceeded {
     /// When there will be room.
     pub retry_after: Duration,
 }
 
-/// Keeps the usage caps of organisations, together with all other daemons.
+/// Keeps the usage limits of organisations, together with all other daemons.
 pub trait UsageLimiter: Send + Sync {
     /// Pays for a request of `cost` units. `None` if its organisation has no cap. If the future is dropped,
     /// the units are given back.
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -55,7 +55,7 @@
 /// keeps sending requests here, and an answer that starts later could not end before the process is
 /// killed.
 const REFUSE_AFTER: Duration = Duration::from_millis(2_900);
-/// Time for the messages that release shares of usage caps, also to an arbiter that has to be dialled.
+/// Time for the messages that release shares of usage limits, also to an arbiter that has to be dialled.
 const RELEASE_TIME: Duration = Duration::from_millis(100);
 /// The time at the end of the grace period that is reserved for sending the last bytes.
 const FLUSH_TIME: Duration = Duration::from_millis(400);
@@ -287,7 +287,7 @@
     tasks.spawn(Arc::clone(arbiter).run_expiry());
 }
 
-/// Lets the core keep usage caps, for which other entries grant units here.
+/// Lets the core keep usage limits, for which other entries grant units here.
 fn start_usage(
     core: &Arc<ProxyCore>,
     network: &PeerNetwork,
--- a/src/roles/entry_service.rs
+++ b/src/roles/entry_service.rs
@@ -14,13 +14,13 @@
     std::sync::Arc,
 };
 
-/// Opens tunnels, leases slots and grants units of usage caps for other entries.
+/// Opens tunnels, leases slots and grants units of usage limits for other entries.
 pub struct EntryService {
     /// Opens tunnels to servers.
     pub tunnels: TunnelService,
     /// Leases the slots of the servers of which this entry is the arbiter.
     pub arbiter: Arc<SlotArbiter>,
-    /// Grants units of the usage caps of which this entry is the arbiter.
+    /// Grants units of the usage limits of which this entry is the arbiter.
     pub usage: Arc<UsageGranter>,
 }
 
--- a/src/roles/usage_arbiter.rs
+++ b/src/roles/usage_arbiter.rs
@@ -1,10 +1,10 @@
-//! Grants units of the usage caps of the organisations of which this entry is the arbiter.
+//! Grants units of the usage limits of the organisations of which this entry is the arbiter.
 
 use {
     crate::{
         ids::{OrganisationId, VmId},
-        policy::usage_caps::{
-            ShareGrant, ShareReport, UsageArbiter, UsageCap, UsageReply, UsageRequest,
+        policy::usage_limits::{
+            ShareGrant, ShareReport, UsageArbiter, UsageLimit, UsageReply, UsageRequest,
         },
     },
     rand_core::{RngCore, SeedableRng},
@@ -21,7 +21,7 @@
     random: Xoshiro256PlusPlus,
 }
 
-/// The usage caps of the organisations of which this entry is the arbiter.
+/// The usage limits of the organisations of which this entry is the arbiter.
 pub struct UsageGranter(Mutex<GrantState>);
 
 impl UsageGranter {
@@ -32,7 +32,7 @@
     }
 
     /// Replaces the caps and the entries among which arbiters are chosen.
-    pub fn configure(&self, caps: BTreeMap<OrganisationId, UsageCap>, arbiters: BTreeSet<VmId>) {
+    pub fn configure(&self, caps: BTreeMap<OrganisationId, UsageLimit>, arbiters: BTreeSet<VmId>) {
         self.lock().arbiter.configure(Instant::now(), caps, arbiters);
     }
 
--- a/src/roles/usage_client.rs
+++ b/src/roles/usage_client.rs
@@ -1,4 +1,4 @@
-//! Pays for requests from the usage caps of their organisations, with units that other entries grant.
+//! Pays for requests from the usage limits of their organisations, with units that other entries grant.
 
 mod refused_organisations;
 
@@ -8,8 +8,8 @@
     crate::{
         ids::{DocumentNumber, OrganisationId, VmId},
         observe::metrics::{USAGE_GRANTED, USAGE_PAID, USAGE_REFUSED, usage_decision},
-        policy::usage_caps::{
-            SILENCE_LIMIT, ShareGrant, ShareReport, UsageCap, UsageDecision, UsageHolder,
+        policy::usage_limits::{
+            SILENCE_LIMIT, ShareGrant, ShareReport, UsageDecision, UsageHolder, UsageLimit,
             UsageReply, UsageRequest,
         },
         reverse_proxy::{
@@ -85,7 +85,7 @@
             return;
         }
         let organisations = table.organisations.iter();
-        let caps: BTreeMap<OrganisationId, UsageCap> =
+        let caps: BTreeMap<OrganisationId, UsageLimit> =
             organisations.filter_map(|(name, access)| Some((name.clone(), access.cap?))).collect();
         let (now, arbiters) = (Instant::now(), settings.arbiters.clone());
         if !is_used {
--- a/src/roles/usage_client/refused_organisations.rs
+++ b/src/roles/usage_client/refused_organisations.rs
@@ -1,7 +1,7 @@
-//! Tells when the requests of an organisation begin to be refused for its usage cap, and when that ends.
+//! Tells when the requests of an organisation begin to be refused for its usage limit, and when that ends.
 
 use {
-    crate::{ids::OrganisationId, observe::events, policy::usage_caps::UsageCap},
+    crate::{ids::OrganisationId, observe::events, policy::usage_limits::UsageLimit},
     std::{
         collections::BTreeMap,
         time::{Duration, Instant},
@@ -18,7 +18,7 @@
 struct RefusalSpan {
     began: Instant,
     last: Instant,
-    cap: UsageCap,
+    cap: UsageLimit,
     /// Units paid and refused at this entry since it began.
     paid: f64,
     refused: f64,
@@ -42,7 +42,7 @@
         &mut self,
         now: Instant,
         organisation: &OrganisationId,
-        cap: &UsageCap,
+        cap: &UsageLimit,
         cost: f64,
     ) {
         if let Some(span) = self.spans.get_mut(organisation) {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -13,7 +13,7 @@
     crate::{
         ids::{DocumentNumber, FailureDomainId, ModelId, OrganisationId, ServiceId},
         inventory::RequestClass,
-        policy::usage_caps::UsageCap,
+        policy::usage_limits::UsageLimit,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -154,7 +154,7 @@
     /// Whether its cached prompts are shared with no other organisation.
     pub isolated: bool,
     /// What it may use, over all daemons together; `None` if that is not limited.
-    pub cap: Option<UsageCap>,
+    pub cap: Option<UsageLimit>,
 }
 
 /// The complete routing configuration, under one document number.
@@ -205,9 +205,9 @@
 }
 
 /// The cap that keeps both caps; `None` if there is none or if they have different units.
-fn merge_caps(first: Option<UsageCap>, second: Option<UsageCap>) -> Option<UsageCap> {
+fn merge_caps(first: Option<UsageLimit>, second: Option<UsageLimit>) -> Option<UsageLimit> {
     let (Some(first), Some(second)) = (first, second) else { return first.or(second) };
-    (first.unit == second.unit).then(|| UsageCap {
+    (first.unit == second.unit).then(|| UsageLimit {
         rate: first.rate.min(second.rate),
         burst: first.burst.min(second.burst),
         unit: first.unit,
--- a/src/routing/fault.rs
+++ b/src/routing/fault.rs
@@ -55,7 +55,7 @@
         /// Another organisation with the key.
         second: OrganisationId,
     },
-    /// the usage cap of organisation {organisation} is invalid: {reason}
+    /// the usage limit of organisation {organisation} is invalid: {reason}
     InvalidCap {
         /// Organisation with the cap.
         organisation: OrganisationId,
--- a/src/routing/index.rs
+++ b/src/routing/index.rs
@@ -15,7 +15,7 @@
     hosts: BTreeMap<String, Vec<Arc<RouteRule>>>,
     /// Organisations by API key.
     keys: BTreeMap<String, OrganisationId>,
-    /// Whether any organisation has a usage cap.
+    /// Whether any organisation has a usage limit.
     pub limits_use: bool,
 }
 
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -11,7 +11,7 @@
         policy::{
             DomainDigest,
             slot_leases::{LeaseDemand, LeaseGrant, LeaseRefusal, LeaseReport},
-            usage_caps::{ShareGrant, ShareReport, UsageReply, UsageRequest},
+            usage_limits::{ShareGrant, ShareReport, UsageReply, UsageRequest},
         },
         transport::config_delta::ConfigDelta,
     },
@@ -65,7 +65,7 @@
     },
     /// Units that the receiver granted and the sender did not use; negative ones were used in excess.
     ReturnUsage(Vec<(OrganisationId, f64)>),
-    /// The sender stops and uses none of its shares of usage caps any more.
+    /// The sender stops and uses none of its shares of usage limits any more.
     ReleaseUsage,
     /// The server has read the prompt of a lease.
     LeaseProgress {
@@ -131,9 +131,9 @@
         /// The stream.
         stream: StreamKey,
     },
-    /// Grant units of the usage cap of an organisation, of which the peer is the arbiter.
+    /// Grant units of the usage limit of an organisation, of which the peer is the arbiter.
     AcquireUsage(Box<UsageRequest>),
-    /// Renew the sender's shares of usage caps.
+    /// Renew the sender's shares of usage limits.
     RenewUsage(Vec<ShareReport>),
 }
 
--- a/tests/usage_caps.rs
+++ b/tests/usage_limits.rs
@@ -1,11 +1,11 @@
-//! What an arbiter of usage caps and the holders of shares decide.
+//! What an arbiter of usage limits and the holders of shares decide.
 
 #![allow(clippy::unwrap_used)]
 
 use {
-    oleandermount::policy::usage_caps::{
-        CONFIRM_TERM, SHARE_TERM, SILENCE_LIMIT, ShareReport, UsageArbiter, UsageCap,
-        UsageDecision, UsageHolder, UsageReply, UsageRequest, UsageUnit,
+    oleandermount::policy::usage_limits::{
+        CONFIRM_TERM, SHARE_TERM, SILENCE_LIMIT, ShareReport, UsageArbiter, UsageDecision,
+        UsageHolder, UsageLimit, UsageReply, UsageRequest, UsageUnit,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -13,11 +13,11 @@
     },
 };
 
-fn cap(rate: f64) -> UsageCap {
-    UsageCap { rate, burst: rate, unit: UsageUnit::Tokens, plain_tokens: 100 }
+fn cap(rate: f64) -> UsageLimit {
+    UsageLimit { rate, burst: rate, unit: UsageUnit::Tokens, plain_tokens: 100 }
 }
 
-fn caps(count: usize, rate: f64) -> BTreeMap<String, UsageCap> {
+fn caps(count: usize, rate: f64) -> BTreeMap<String, UsageLimit> {
     (0..count).map(|index| (format!("o-{index}"), cap(rate))).collect()
 }
 
@@ -38,7 +38,7 @@
 }
 
 /// An arbiter of all organisations that has the whole rate, and its time.
-fn settled(caps: BTreeMap<String, UsageCap>) -> (UsageArbiter, Instant) {
+fn settled(caps: BTreeMap<String, UsageLimit>) -> (UsageArbiter, Instant) {
     let (began, mut arbiter) = (Instant::now(), UsageArbiter::new("vm-0".to_owned()));
     arbiter.configure(began, caps, entries(1));
     let now = began + SHARE_TERM;
@@ -61,7 +61,7 @@
 fn unit_costs() {
     assert_eq!(cap(1.0).cost(Some(4)), 4.0);
     assert_eq!(cap(1.0).cost(None), 100.0);
-    let requests = UsageCap { unit: UsageUnit::Requests, ..cap(1.0) };
+    let requests = UsageLimit { unit: UsageUnit::Requests, ..cap(1.0) };
     assert_eq!(requests.cost(Some(4)), 1.0);
 }
 
--- a/tests/usage_sums.rs
+++ b/tests/usage_sums.rs
@@ -5,8 +5,8 @@
 use {
     oleandermount::{
         ids::VmId,
-        policy::usage_caps::{
-            ShareGrant, ShareReport, UsageArbiter, UsageCap, UsageDecision, UsageHolder,
+        policy::usage_limits::{
+            ShareGrant, ShareReport, UsageArbiter, UsageDecision, UsageHolder, UsageLimit,
             UsageReply, UsageRequest, UsageUnit, choose_usage_arbiter,
         },
     },
@@ -89,7 +89,7 @@
     queue: BTreeMap<(u64, u64), (usize, u64, FleetEvent)>,
     next: u64,
     random: Xoshiro256PlusPlus,
-    cap: UsageCap,
+    cap: UsageLimit,
     factor: f64,
     /// What is asked for, as a multiple of the first cap, and the part of it that comes to entry 0.
     load: f64,
@@ -132,7 +132,7 @@
             queue: BTreeMap::new(),
             next: 0,
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
-            cap: UsageCap { rate, burst: rate, unit, plain_tokens: 0 },
+            cap: UsageLimit { rate, burst: rate, unit, plain_tokens: 0 },
             factor: 1.0,
             load,
             skew: 0.0,
@@ -217,7 +217,7 @@
         let known_at = self.now - self.lag * (entry % 4) as f64 / 3.0;
         let known = self.lists.iter().rev().find(|(since, _)| *since <= known_at);
         let list = known.unwrap_or(&self.lists[0]).1.clone();
-        let cap = UsageCap {
+        let cap = UsageLimit {
             rate: self.cap.rate * self.factor,
             burst: self.cap.burst * self.factor,
             ..self.cap
