--- a/src/daemon/peer_service.rs
+++ b/src/daemon/peer_service.rs
@@ -73,9 +73,12 @@
             }
             PeerMessage::KeepAlive
             | PeerMessage::EndLease { .. }
+            | PeerMessage::LeaseProgress { .. }
             | PeerMessage::LeaseRejected { .. }
             | PeerMessage::HeldLeases(_)
-            | PeerMessage::StreamOrigins { .. } => {}
+            | PeerMessage::StreamOrigins { .. }
+            | PeerMessage::ReturnUsage(_)
+            | PeerMessage::ReleaseUsage => {}
         }
     }
 
@@ -109,7 +112,9 @@
             | PeerRequest::TunnelPeers { .. }
             | PeerRequest::OpenTunnel { .. }
             | PeerRequest::LeaseSlot { .. }
-            | PeerRequest::StreamOrigin { .. } => PeerReply::Refused(
+            | PeerRequest::StreamOrigin { .. }
+            | PeerRequest::AcquireUsage(_)
+            | PeerRequest::RenewUsage(_) => PeerReply::Refused(
                 "this daemon does not serve followers; ask a control VM".to_owned(),
             ),
         }
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -49,13 +49,26 @@
 pub const SERVER_LIMITED: &str = "backend server limited";
 /// A server does not limit its requests any more.
 pub const SERVER_UNLIMITED: &str = "backend server not limited any more";
+/// A server has just started, and its arbiter leases at first `limit` of its `slots`.
+pub const PACE_BEGUN: &str = "pace of a started server begins";
+/// The `answers` of a started server have shown in `duration_ms` that it bears all of its slots.
+pub const PACE_ENDED: &str = "pace of a started server ends";
 /// The servers of a service end if they have to reject more than `limit` requests in a second.
 pub const REJECTIONS_LIMITED: &str = "rejections of backend servers limited";
 /// The servers of a service name no such limit any more.
 pub const REJECTIONS_UNLIMITED: &str = "rejections of backend servers not limited any more";
+/// The servers of a service share their machines with others; their slots are leased from now on.
+pub const MACHINES_SHARED: &str = "machines of backend servers shared";
+/// The servers of a service do not share their machines any more.
+pub const MACHINES_UNSHARED: &str = "machines of backend servers not shared any more";
 /// A server rejected a request without executing it. `running` and `waiting` are the load that it
 /// reported, `in_flight` is this daemon's part of it, and `attempt` counts from 1.
 pub const REQUEST_REJECTED: &str = "request rejected by its server";
+/// Requests of an organisation are refused, since they are beyond its usage limit of `rate` units a second.
+pub const CAP_EXCEEDED: &str = "organisation beyond its usage limit";
+/// Requests of an organisation are not refused any more for its usage limit. `paid` and `refused` are the units
+/// at this entry in `duration_ms`.
+pub const CAP_KEPT: &str = "organisation within its usage limit again";
 /// A request is refused from now on, because servers crashed while they ran it. `fingerprint` is the
 /// hash that all its resends have in common.
 pub const REQUEST_ISOLATED: &str = "request isolated";
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -32,6 +32,9 @@
 pub const RESPONSE_TIME: &str = "oleandermount_answer_seconds";
 /// Seconds between tokens of one response, by `model` and `class`.
 pub const INTER_TOKEN: &str = "oleandermount_inter_token_seconds";
+/// How long work takes on the shared machines of backend servers, as a multiple of the usual time, by
+/// `service`; one sample for each response that says so.
+pub const WORK_TIME: &str = "oleandermount_work_time_ratio";
 /// Prompt tokens sent to engines, by `model`.
 pub const PROMPT_TOKENS: &str = "oleandermount_prompt_tokens_total";
 /// Prompt tokens that engines read from their caches, by `model`.
@@ -42,6 +45,8 @@
 pub const QUEUE: &str = "oleandermount_queue_requests";
 /// Requests in flight from this daemon, by `server`.
 pub const IN_FLIGHT: &str = "oleandermount_in_flight_requests";
+/// Servers of which this daemon is the arbiter and does not lease all slots yet, since they have just started.
+pub const PACED_SERVERS: &str = "oleandermount_paced_servers";
 /// Active configuration revision of this daemon.
 pub const CONFIG_REVISION: &str = "oleandermount_config_revision";
 /// Seconds since an up-to-date control VM last responded to this daemon; 0 while one responds.
@@ -58,6 +63,13 @@
 pub const PEERS_REFUSED: &str = "oleandermount_peers_refused_total";
 /// Connections to backend servers through other entries, by `result`.
 pub const TUNNELS: &str = "oleandermount_tunnels_total";
+/// Units of usage limits that arbiters have granted to this daemon.
+pub const USAGE_GRANTED: &str = "oleandermount_usage_granted_units_total";
+/// Units of usage limits that admitted requests have paid.
+pub const USAGE_PAID: &str = "oleandermount_usage_paid_units_total";
+/// Requests beyond the usage limits of their organisations, by `decision`: `arbiter` asked, `silent` arbiter,
+/// or `local`.
+pub const USAGE_REFUSED: &str = "oleandermount_usage_refused_total";
 /// Open connections of callers and operators.
 pub const CONNECTIONS: &str = "oleandermount_open_connections";
 /// 1 while this daemon drains.
@@ -110,11 +122,13 @@
     /// The request failed because of an interrupted or invalid response of a backend server.
     pub const BACKEND_FAILED: &str = "backend_failed";
 
+    /// The request is beyond the usage limit of its organisation.
+    pub const USAGE_LIMIT: &str = "usage_limit";
     /// No route table is active yet.
     pub const NO_ROUTES: &str = "no_routes";
 
     /// All reasons; their counters are initialised at startup.
-    pub const ALL: [&str; 17] = [
+    pub const ALL: [&str; 18] = [
         BAD_REQUEST,
         NO_KEY,
         UNKNOWN_KEY,
@@ -131,10 +145,24 @@
         LEDGER_FULL,
         TOO_MANY_OPEN,
         BACKEND_FAILED,
+        USAGE_LIMIT,
         NO_ROUTES,
     ];
 }
 
+/// Who decided that a request is beyond a usage limit.
+pub mod usage_decision {
+    /// The arbiter of the organisation.
+    pub const ARBITER: &str = "arbiter";
+    /// This daemon, since the arbiter did not reply.
+    pub const SILENT: &str = "silent";
+    /// This daemon, by what it knows from earlier replies.
+    pub const LOCAL: &str = "local";
+
+    /// All decisions; their counters are initialised at startup.
+    pub const ALL: [&str; 3] = [ARBITER, SILENT, LOCAL];
+}
+
 /// Bucket bounds in seconds, densest around the target of half a second to the first token.
 const FIRST_TOKEN_BUCKETS: [f64; 16] =
     [0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.18, 0.27, 0.4, 0.54, 0.8, 1.2, 2.5, 5.0, 10.0, 30.0];
@@ -147,6 +175,8 @@
 /// Bucket bounds in seconds, densest around the target of 31 ms between tokens.
 const INTER_TOKEN_BUCKETS: [f64; 12] =
     [0.002, 0.005, 0.01, 0.015, 0.02, 0.025, 0.031, 0.04, 0.06, 0.1, 0.25, 1.0];
+/// Bucket bounds around the usual time, 1.0.
+const WORK_TIME_BUCKETS: [f64; 8] = [0.5, 0.8, 0.95, 1.05, 1.25, 1.6, 2.5, 4.0];
 /// Interval at which buffered samples are aggregated into buckets; at 12,000 tokens per second and
 /// daemon, fewer than 100,000 samples are buffered.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
@@ -173,11 +203,12 @@
     if let Some(handle) = installed.as_ref() {
         return Ok(handle.clone());
     }
-    let buckets: [(&str, &[f64]); 4] = [
+    let buckets: [(&str, &[f64]); 5] = [
         (FIRST_TOKEN, &FIRST_TOKEN_BUCKETS),
         (INTER_TOKEN, &INTER_TOKEN_BUCKETS),
         (QUEUE_WAIT, &QUEUE_WAIT_BUCKETS),
         (RESPONSE_TIME, &RESPONSE_BUCKETS),
+        (WORK_TIME, &WORK_TIME_BUCKETS),
     ];
     let handle = buckets
         .into_iter()
@@ -211,11 +242,13 @@
     describe_histogram!(QUEUE_WAIT, "Seconds from arrival to the first attempt.");
     describe_histogram!(RESPONSE_TIME, "Seconds from arrival to the end of the response.");
     describe_histogram!(INTER_TOKEN, "Seconds between tokens of one response.");
+    describe_histogram!(WORK_TIME, "Work times that servers state, 1.0 being usual.");
     describe_counter!(PROMPT_TOKENS, "Prompt tokens sent to engines.");
     describe_counter!(CACHE_HIT_TOKENS, "Prompt tokens that engines read from their caches.");
     describe_counter!(RECOMPUTED_TOKENS, "Recomputed prompt tokens.");
     describe_gauge!(QUEUE, "Requests queued in this daemon.");
     describe_gauge!(IN_FLIGHT, "Requests in flight from this daemon, by server.");
+    describe_gauge!(PACED_SERVERS, "Started servers that this daemon does not lease fully yet.");
     describe_gauge!(CONFIG_REVISION, "Active configuration revision of this daemon.");
     describe_gauge!(CONFIG_UNCONFIRMED, "Seconds since an up-to-date control VM last responded.");
     describe_counter!(FOLLOW_DOCUMENTS, "Documents sent to followers, by kind.");
@@ -230,6 +263,9 @@
     describe_counter!(SERVER_REJECTIONS, "Requests that backend servers rejected.");
     describe_counter!(PEERS_REFUSED, "Daemons rejected because of their keys.");
     describe_counter!(TUNNELS, "Connections to servers through other entries, by result.");
+    describe_counter!(USAGE_GRANTED, "Units of usage limits granted to this daemon.");
+    describe_counter!(USAGE_PAID, "Units of usage limits that admitted requests have paid.");
+    describe_counter!(USAGE_REFUSED, "Requests beyond usage limits, by decision.");
     describe_gauge!(CONNECTIONS, "Open connections of callers and operators.");
     describe_gauge!(DRAINING, "1 while this daemon drains.");
     describe_counter!(CLAIMS_RELEASED, "Claims released before a request was sent.");
@@ -256,6 +292,11 @@
         counter!(FOLLOW_DOCUMENTS, "kind" => kind).increment(0);
         counter!(FOLLOW_LISTS, "kind" => kind).increment(0);
     }
+    for decision in usage_decision::ALL {
+        counter!(USAGE_REFUSED, "decision" => decision).increment(0);
+    }
+    counter!(USAGE_GRANTED).increment(0);
+    counter!(USAGE_PAID).increment(0);
     counter!(MISMATCHED_RESPONSES).increment(0);
     counter!(SERVER_REJECTIONS).increment(0);
     counter!(BACKGROUND_CALLS_DROPPED).increment(0);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,6 +14,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod prefix;
+pub mod queue_delay;
 pub mod reachability;
 pub mod retry;
 pub mod rollout;
@@ -21,13 +22,16 @@
 pub mod server_rest;
 pub mod slot_leases;
 pub mod software_history;
+pub mod store_choice;
 pub mod suspect;
 pub mod tunnel_peers;
+pub mod usage_limits;
 pub mod window;
+pub mod work_time;
 
 pub use self::{
     action::{CacheStoreUse, DidRun, PolicyAction, RefusalReason, RetryReason, SendOrder},
-    dispatcher::{Dispatcher, DispatcherSettings},
+    dispatcher::{Dispatcher, DispatcherSettings, MAX_BUSY_SERVERS},
     input::{
         AttemptFailure, CacheEvent, DomainDigest, LoadReport, PolicyInput, PolicyView, PrefixLevel,
         RequestTicket, RequestWork, ServerHealth, ServerView,
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -19,6 +19,8 @@
 mod submission;
 pub mod timers;
 
+pub use self::attempts::MAX_BUSY_SERVERS;
+
 use {
     self::{
         lifecycle::RequestPhase,
@@ -34,6 +36,7 @@
         reachability::LinkFailure,
         retry::RetryBudgets,
         suspect::SuspectList,
+        work_time::FigureDecay,
     },
     crate::{
         ids::{
@@ -110,6 +113,8 @@
     /// Servers with a limit.
     limited: BTreeSet<ServerIndex>,
     daemon_count: DaemonCount,
+    /// What a server's figure of its work time is worth by its age.
+    figure_decay: FigureDecay,
     /// When waiting requests are considered again without an input.
     recheck_at: Option<Instant>,
     actions: Vec<PolicyAction>,
@@ -132,8 +137,12 @@
     sent: Instant,
     /// Predicted time to the first token.
     predicted: Duration,
+    /// Multiple of the usual time that `predicted` assumes, if the server states one.
+    work_time: Option<f64>,
     /// Predicted number of prompt tokens to compute.
     computed: u32,
+    /// Tokens that this daemon's earlier requests had to compute there when it was sent.
+    tokens_ahead: f64,
     /// Prompt tokens expected in the server's cache.
     expected_hit: u32,
     /// Tokens that the server holds if other daemons send the prefix to the same affinity server; 0
@@ -150,6 +159,8 @@
     /// Output tokens charged in advance.
     charged_output: u64,
     urgency: servers::Urgency,
+    /// Whether it had the lease of a slot.
+    leased: bool,
     answered: bool,
     /// The fingerprints, of it and of its parts, for which it runs apart from other such requests.
     suspects: Vec<u64>,
@@ -184,6 +195,7 @@
             ejected: BTreeSet::new(),
             limited: BTreeSet::new(),
             daemon_count: DaemonCount::default(),
+            figure_decay: FigureDecay::default(),
             recheck_at: None,
             actions: Vec::new(),
         }
@@ -285,7 +297,11 @@
             PolicyInput::RetryReserve { retries } => {
                 self.budgets.limit_reserve(retries, &self.settings.daemon);
             }
+            PolicyInput::LeasedLoad { server, load } => {
+                self.record_leased_load(now, &server, load);
+            }
             PolicyInput::Wake => {}
+            PolicyInput::WorkTime { server, ratio } => self.record_work_time(now, &server, ratio),
         }
     }
 
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -4,7 +4,7 @@
     super::{
         AttemptState, Dispatcher, RequestEntry,
         lifecycle::{Admitted, NotExecutedProof, RequestPhase, SentRequest, StagedRequest},
-        servers::PoolIndex,
+        servers::{PoolIndex, Urgency},
     },
     crate::{
         ids::{AttemptId, ServiceId},
@@ -38,6 +38,9 @@
 /// Number of servers that a request asks for a slot before it is refused.
 const MAX_FULL_SERVERS: u32 = 3;
 
+/// The same of servers whose arbiters tell their load.
+pub const MAX_BUSY_SERVERS: u32 = 4;
+
 /// How long a server without a free slot is left to the requests that wait for it.
 const FULL_TIME: RangeInclusive<Duration> = Duration::from_millis(20)..=Duration::from_millis(500);
 
@@ -71,6 +74,10 @@
         let Some(state) = self.attempts.get_mut(&attempt) else { return };
         let waited = now.saturating_duration_since(state.sent);
         state.sent = now;
+        state.leased = true;
+        if let Some(entry) = self.requests.get(&state.number) {
+            self.table.pools[entry.pool].is_leased = true;
+        }
         let server = &mut self.table.servers[state.server];
         if let Some(unanswered) = server.unanswered.get_mut(&attempt) {
             unanswered.sent = now;
@@ -92,9 +99,14 @@
         let state = state.clone();
         let taken = now.saturating_duration_since(state.sent);
         let server = &mut self.table.servers[state.server];
+        let work_time = server.work_time.held(now, taken, &self.figure_decay);
+        let slower = match (work_time, state.work_time) {
+            (Some(held), Some(assumed)) => (held / assumed).max(1.0),
+            _ => 1.0,
+        };
         server.record_first_token(attempt);
         server.failures.record_success();
-        server.window.record_first_token(now, state.predicted, taken);
+        server.window.record_first_token(now, state.predicted.mul_f64(slower), taken);
         server.responded = server.responded.max(Some(state.sent));
         let crash = server.crash_site(state.server).crash;
         self.suspects.refute_crash(now, crash, state.sent);
@@ -103,7 +115,18 @@
             Some(cached) => (state.computed + state.expected_hit).saturating_sub(cached),
             None => state.computed,
         };
-        server.speed.record_first_token(now, f64::from(computed), taken);
+        let usual = work_time.map_or(taken, |ratio| taken.div_f64(ratio));
+        server.speed.record_first_token(now, f64::from(computed), usual);
+        if work_time.is_some() {
+            let delay = server.speed.delay(f64::from(computed) + state.tokens_ahead, usual);
+            server.queue_delay.record(now, delay);
+        }
+        if !state.leased
+            && let Some(entry) = self.requests.get(&state.number)
+        {
+            self.table.pools[entry.pool].is_leased = false;
+            self.table.pools[entry.pool].tells_load = false;
+        }
         self.update_speeds(state.server);
         self.update_cache_contents(&state, cached, computed);
         self.mark_dirty(state.server);
@@ -160,7 +183,9 @@
         self.record_first_token(now, attempt, cached);
         let Some(state) = self.end_attempt(attempt) else { return };
         let taken = now.saturating_duration_since(state.sent);
-        self.table.servers[state.server].speed.record_finished(taken);
+        let server = &mut self.table.servers[state.server];
+        let work_time = server.work_time.held(now, taken, &self.figure_decay);
+        server.speed.record_finished(work_time.map_or(taken, |ratio| taken.div_f64(ratio)));
         let Some(entry) = self.requests.remove(&state.number) else { return };
         self.cancel_deadline(state.number, entry.phase.ticket().deadline);
         let ticket = entry.phase.ticket();
@@ -193,11 +218,14 @@
 
     pub(super) fn fail(&mut self, now: Instant, attempt: AttemptId, failed: FailedAttempt) {
         let Some(state) = self.end_attempt(attempt) else { return };
-        self.record_server_failure(now, state.server, &failed);
+        self.record_server_failure(now, state.server, state.urgency, &failed);
         let Some(RequestEntry { pool, cost, phase }) = self.requests.remove(&state.number) else {
             return;
         };
         let RequestPhase::Running(mut sent) = phase else { return };
+        if failed.failure == AttemptFailure::NoSlot {
+            self.table.pools[pool].is_leased = true;
+        }
         self.cancel_deadline(state.number, sent.ticket().deadline);
         self.numbers.remove(&sent.ticket().request);
         if failed.failure == AttemptFailure::CallerError {
@@ -269,7 +297,11 @@
             self.refuse(name, RefusalReason::DeadlinePassed, None, did_run);
             return;
         }
-        if request.sent.history().full_servers >= MAX_FULL_SERVERS {
+        let max_full = match self.table.pools[request.pool].tells_load {
+            true => MAX_BUSY_SERVERS,
+            false => MAX_FULL_SERVERS,
+        };
+        if request.sent.history().full_servers >= max_full {
             self.refuse(name, RefusalReason::NoSlot, failed.retry_after, did_run);
             return;
         }
@@ -380,13 +412,20 @@
     }
 
     /// Updates the state of a server after a failed attempt.
-    fn record_server_failure(&mut self, now: Instant, index: ServerIndex, failed: &FailedAttempt) {
+    fn record_server_failure(
+        &mut self,
+        now: Instant,
+        index: ServerIndex,
+        urgency: Urgency,
+        failed: &FailedAttempt,
+    ) {
         let server = &mut self.table.servers[index];
         let fails = match failed.failure {
             AttemptFailure::Stale => return,
             AttemptFailure::NoSlot => {
                 let delay = failed.retry_after.unwrap_or(*FULL_TIME.end());
-                server.full_until = Some(now + delay.clamp(*FULL_TIME.start(), *FULL_TIME.end()));
+                let until = now + delay.clamp(*FULL_TIME.start(), *FULL_TIME.end());
+                server.record_full(now, urgency, until);
                 return;
             }
             AttemptFailure::CallerError => {
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -15,9 +15,11 @@
             pacing::ServerPace,
             placement::{AffinityRing, SpeedGauge},
             prefix::{ServerCacheState, ServerIndex},
+            queue_delay::QueueDelay,
             server_rest::ServerRest,
             suspect::CrashSite,
             window::ServerWindow,
+            work_time::{FigureDecay, WorkTimeRecord},
         },
     },
     std::{
@@ -28,7 +30,10 @@
 };
 
 /// Maximum age of a report from which the waiting tokens of other daemons are derived.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+pub(super) const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+
+/// How long what an arbiter told applies: engines read the prompts that are granted in less time.
+pub(super) const LEASED_LOAD_LIFETIME: Duration = Duration::from_millis(300);
 
 /// Prompt tokens that an engine prefills in one chunk. A more urgent request overtakes only between
 /// chunks.
@@ -51,6 +56,15 @@
 /// Index of a pool in the dispatcher's server table.
 pub type PoolIndex = usize;
 
+/// Waiting tokens of other daemons, and until when they count.
+#[derive(Clone, Copy, Debug)]
+pub struct RemoteTokens {
+    /// The tokens.
+    pub tokens: u64,
+    /// They have been read by then, or are not known any more.
+    pub until: Instant,
+}
+
 /// State of one backend server.
 #[derive(Debug)]
 pub struct ServerState {
@@ -79,14 +93,20 @@
     pub unverified: bool,
     /// Limit of this daemon's requests in flight.
     pub window: ServerWindow,
-    /// No slot is expected to be free before this time.
-    pub full_until: Option<Instant>,
+    /// No slot is expected to be free before this time, by urgency.
+    pub full_until: [Option<Instant>; URGENCY_LEVELS],
+    /// When its arbiter last told its load. Arbiters that do so lease by urgency.
+    pub leased_load_at: Option<Instant>,
     /// Whether it has asked not to be used for a while.
     pub rest: ServerRest,
     /// The pace of requests, if the server limits them.
     pub pace: Option<ServerPace>,
     /// Measured speed.
     pub speed: SpeedGauge,
+    /// How long work takes there at this moment, if it says so.
+    pub work_time: WorkTimeRecord,
+    /// Delay behind requests of other daemons; measured only while it states its work time.
+    pub queue_delay: QueueDelay,
     /// Failures and ejection.
     pub failures: FailureRecord,
     /// This daemon's attempts in flight.
@@ -97,8 +117,8 @@
     pub unanswered: BTreeMap<AttemptId, UnansweredAttempt>,
     /// Total tokens to compute of `unanswered`, by urgency.
     pub pending_tokens: [u64; URGENCY_LEVELS],
-    /// Waiting tokens of other daemons, and when they were reported.
-    pub remote_tokens: Option<(u64, Instant)>,
+    /// Waiting tokens of other daemons.
+    pub remote_tokens: Option<RemoteTokens>,
     /// Waiting requests that prefer this server although it has no capacity, in the current pass
     /// over its pool.
     pub waiters: u32,
@@ -117,6 +137,8 @@
     pub sent: Instant,
     /// When its first token is expected.
     pub due: Instant,
+    /// Multiple of the usual time that `due` assumes, if the server states one.
+    pub work_time: Option<f64>,
     /// Prompt tokens to compute.
     pub tokens: u32,
     /// Priority of its request.
@@ -139,10 +161,13 @@
             cache: ServerCacheState::default(),
             unverified: false,
             window: ServerWindow::new(view.slots, daemons),
-            full_until: None,
+            full_until: [None; URGENCY_LEVELS],
+            leased_load_at: None,
             rest: ServerRest::default(),
             pace: None,
             speed: SpeedGauge::default(),
+            work_time: WorkTimeRecord::default(),
+            queue_delay: QueueDelay::default(),
             failures: FailureRecord::default(),
             in_flight: 0,
             suspects: 0,
@@ -174,8 +199,16 @@
     }
 
     /// Returns whether none of its slots is expected to be free.
-    pub fn is_full(&self, now: Instant) -> bool {
-        self.full_until.is_some_and(|until| now < until)
+    pub fn is_full(&self, now: Instant, urgency: Urgency) -> bool {
+        self.full_until[urgency].is_some_and(|until| now < until)
+    }
+
+    /// Records that its arbiter refused a request of this urgency. Where arbiters lease by urgency, more
+    /// urgent requests may get a slot nevertheless.
+    pub fn record_full(&mut self, now: Instant, urgency: Urgency, until: Instant) {
+        let is_current = |at: Instant| now.saturating_duration_since(at) < MAX_REPORT_AGE;
+        let first = if self.leased_load_at.is_some_and(is_current) { urgency } else { 0 };
+        self.full_until[first..].fill(Some(until));
     }
 
     /// Returns whether its limit, if it has one, allows another request.
@@ -206,7 +239,7 @@
     /// or more urgent requests, and of the others one prefill chunk, which cannot be preempted.
     pub fn tokens_ahead(&self, now: Instant, urgency: Urgency) -> f64 {
         let remote = match self.remote_tokens {
-            Some((tokens, at)) if now.saturating_duration_since(at) < MAX_REPORT_AGE => tokens,
+            Some(RemoteTokens { tokens, until }) if now < until => tokens,
             _ => 0,
         };
         let (before, behind) = self.pending_tokens.split_at(urgency + 1);
@@ -217,8 +250,19 @@
 
     /// Returns the delay of the most overdue first token. A server that hangs produces no speed
     /// samples, so its missing responses have to count.
-    pub fn overdue(&self, now: Instant) -> Duration {
-        let due = self.unanswered.values().map(|attempt| attempt.due).min();
+    ///
+    /// A machine that has become slower explains a delay in proportion, and the predictions contain
+    /// that already.
+    pub fn overdue(&self, now: Instant, decay: &FigureDecay) -> Duration {
+        let current = self.work_time.expected(now, Duration::ZERO, decay);
+        let due = |attempt: &UnansweredAttempt| match (current, attempt.work_time) {
+            (Some(current), Some(assumed)) if current > assumed => {
+                let expected = attempt.due.saturating_duration_since(attempt.sent);
+                attempt.sent + expected.mul_f64(current / assumed)
+            }
+            _ => attempt.due,
+        };
+        let due = self.unanswered.values().map(due).min();
         due.map_or(Duration::ZERO, |due| now.saturating_duration_since(due))
     }
 
@@ -231,6 +275,7 @@
         let unanswered = UnansweredAttempt {
             sent: state.sent,
             due,
+            work_time: state.work_time,
             tokens: state.computed,
             urgency: state.urgency,
         };
@@ -300,6 +345,10 @@
     pub affinity_hit_ratio: f64,
     /// Mean time from sending a request to its complete response in seconds.
     pub service: f64,
+    /// Whether its requests need leases, so that the arbiters of its servers decide on them.
+    pub is_leased: bool,
+    /// Whether the arbiters of its servers tell their load, so that the next one is chosen by that.
+    pub tells_load: bool,
     /// Whether a change may allow a waiting request to be sent.
     pub dirty: bool,
 }
--- a/src/policy/safeguard.rs
+++ b/src/policy/safeguard.rs
@@ -37,11 +37,15 @@
     PeerFetch,
     /// Long shared prefixes in the engines' shared KV cache store.
     CacheStore,
+    /// The pace at which servers that have just started receive requests.
+    StartPace,
+    /// Predictions by how long work takes at this moment on a server's shared machine.
+    WorkTime,
 }
 
 impl PolicySafeguard {
     /// All mechanisms, in order of declaration.
-    pub const ALL: [PolicySafeguard; 14] = [
+    pub const ALL: [PolicySafeguard; 16] = [
         PolicySafeguard::Admission,
         PolicySafeguard::Fairness,
         PolicySafeguard::RetryBudget,
@@ -56,6 +60,8 @@
         PolicySafeguard::Digests,
         PolicySafeguard::PeerFetch,
         PolicySafeguard::CacheStore,
+        PolicySafeguard::StartPace,
+        PolicySafeguard::WorkTime,
     ];
 
     /// Returns the name used in settings and logs.
@@ -75,6 +81,8 @@
             PolicySafeguard::Digests => "digests",
             PolicySafeguard::PeerFetch => "peer-fetch",
             PolicySafeguard::CacheStore => "common-store",
+            PolicySafeguard::StartPace => "start-pace",
+            PolicySafeguard::WorkTime => "work-time",
         }
     }
 }
--- a/src/policy/slot_leases.rs
+++ b/src/policy/slot_leases.rs
@@ -10,20 +10,32 @@
 //! A request for a lease waits in the order of arrival for at most the time that its caller can
 //! spare. If the wait would be longer, it is refused at once.
 //!
+//! Servers that share their machines with others are leased by urgency, and only while what they have
+//! to read does not delay the most urgent requests.
+//!
 //! What a server keeps beside leased requests is not known here. If it rejects a leased request, its
 //! arbiter therefore leases no more than the server held at that time. The limit rises by 1, 3, 7, ..
 //! slots and their part of the memory after 1, 2, 3, .. seconds.
 
+mod demand;
 mod memory;
-
-pub use self::memory::{MAX_PARTS, MemoryDemand, PartHash};
+mod reading;
+mod server_slots;
+mod start_pace;
+mod wait_queue;
+
+pub use self::{
+    demand::{LeaseDemand, LeaseGrant, LeaseReport, LeaseUrgency, LeasedLoad, ReadingDemand},
+    memory::{MAX_PARTS, MemoryDemand, PartHash},
+    start_pace::{PaceSummary, ServerStart, StartAnswer, StartOutcome, StartPace, answer_lateness},
+};
 
 use {
-    self::memory::LeasedMemory,
+    self::server_slots::{ServerSlots, SlotLease},
     crate::ids::{LeaseId, ServerId, VmId},
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
+        collections::{BTreeMap, BTreeSet},
         time::{Duration, Instant},
     },
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
@@ -33,9 +45,6 @@
 /// by the rejections of a second.
 pub const REJECTION_PAUSE: Duration = Duration::from_secs(1);
 
-/// Time between two steps in which the limit rises after a rejection.
-const RECOVERY_STEP: Duration = Duration::from_secs(1);
-
 /// An arbiter that has just become one leases nothing for this time, in which the holders of leases
 /// of its predecessor confirm them or their requests end.
 pub const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -47,39 +56,30 @@
 /// this: the confirmation may have been sent before it was granted.
 const CONFIRM_GRACE: Duration = Duration::from_secs(1);
 
-/// Maximum requests that wait for a lease of one server.
-const MAX_WAITING: usize = 64;
-
 /// Maximum leases that are taken over from a former arbiter, as a multiple of those of this one.
 const MAX_TAKEN_OVER: usize = 4;
 
-/// Assumed time for which a lease is held before any measurement.
-const INITIAL_HOLD: Duration = Duration::from_millis(500);
-
-/// Fraction of the time that a request can wait that its expected wait may take. It is less than 1
-/// because the estimate has an error, and a request that waits in vain is refused late.
-const MAX_WAIT_FRACTION: f64 = 0.7;
-
-/// Smoothing factor of the time for which leases are held.
-const HOLD_STEP: f64 = 0.1;
-
-/// Minimum delay before a refused request asks again.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Maximum servers with leases that one daemon uses at a time, which bounds the arbiters that it asks.
 pub const MAX_SERVERS: usize = 16;
 
 /// Why a lease was refused; the request must not be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LeaseRefusal {
     /// No slot becomes free in time. A later request can succeed after this delay.
     Full(Duration),
     /// The daemon is not the arbiter of the server, according to its own server list.
     NotArbiter,
+    /// As `Full`, of a server that shares its machine with others.
+    Busy {
+        /// When there may be room, spread over the time in which it comes.
+        delay: Duration,
+        /// The load of the server.
+        load: LeasedLoad,
+    },
 }
 
 /// What becomes of a request for a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LeaseDecision {
     /// It has the lease.
     Granted,
@@ -89,177 +89,6 @@
     Refused(LeaseRefusal),
 }
 
-/// The lease of one slot.
-#[derive(Clone, Debug)]
-struct SlotLease {
-    holder: VmId,
-    memory: MemoryDemand,
-    granted_at: Instant,
-    confirmed_at: Instant,
-}
-
-/// A request that waits for a lease.
-#[derive(Clone, Debug)]
-struct WaitingLease {
-    lease: LeaseId,
-    holder: VmId,
-    memory: MemoryDemand,
-    until: Instant,
-}
-
-/// The rejection of a leased request, and what the server held beside it.
-#[derive(Clone, Copy, Debug)]
-struct LeaseRejection {
-    at: Instant,
-    leases: usize,
-    tokens: u64,
-}
-
-impl LeaseRejection {
-    /// Leases that are granted beyond those that the server held: 0, 1, 3, 7, .. after each step.
-    fn additional(&self, now: Instant) -> usize {
-        let steps = now.saturating_duration_since(self.at).as_secs() / RECOVERY_STEP.as_secs();
-        (1_usize << steps.min(16)) - 1
-    }
-}
-
-/// The slots of one server.
-#[derive(Clone, Debug)]
-struct ServerSlots {
-    /// Maximum number of leases; at least 1.
-    usable: usize,
-    /// Nothing is leased before.
-    leases_from: Instant,
-    /// Nothing is leased before, because the server has rejected several leased requests.
-    paused_until: Instant,
-    /// The last rejection of a leased request.
-    rejection: Option<LeaseRejection>,
-    memory: LeasedMemory,
-    /// At most `usable`, or [`MAX_TAKEN_OVER`] times as many with those that a former arbiter has granted.
-    leases: BTreeMap<LeaseId, SlotLease>,
-    /// At most [`MAX_WAITING`].
-    waiting: VecDeque<WaitingLease>,
-    /// Mean time for which a lease is held, in seconds.
-    hold: f64,
-}
-
-impl ServerSlots {
-    fn new(usable: usize, leases_from: Instant) -> Self {
-        ServerSlots {
-            usable,
-            leases_from,
-            paused_until: leases_from,
-            rejection: None,
-            memory: LeasedMemory::default(),
-            leases: BTreeMap::new(),
-            waiting: VecDeque::new(),
-            hold: INITIAL_HOLD.as_secs_f64(),
-        }
-    }
-
-    fn grant(&mut self, now: Instant, lease: LeaseId, holder: VmId, memory: MemoryDemand) {
-        self.memory.take(&memory);
-        self.leases.insert(lease, SlotLease { holder, memory, granted_at: now, confirmed_at: now });
-    }
-
-    fn remove(&mut self, lease: LeaseId) -> Option<SlotLease> {
-        let removed = self.leases.remove(&lease)?;
-        self.memory.free(&removed.memory);
-        Some(removed)
-    }
-
-    /// Leases that may be granted at this time; from 1 to `usable`.
-    fn allowed_leases(&self, now: Instant) -> usize {
-        let Some(rejection) = self.rejection else { return self.usable };
-        (rejection.leases + rejection.additional(now)).clamp(1, self.usable)
-    }
-
-    /// Tokens that may be leased at this time; `None` if they are not bounded.
-    fn allowed_tokens(&self, now: Instant) -> Option<u64> {
-        let capacity = self.memory.capacity?;
-        let Some(rejection) = self.rejection else { return Some(capacity) };
-        let step = capacity / self.usable as u64;
-        Some((rejection.tokens + step * rejection.additional(now) as u64).min(capacity))
-    }
-
-    fn has_room(&self, now: Instant, memory: &MemoryDemand) -> bool {
-        now >= self.paused_until
-            && self.leases.len() < self.allowed_leases(now)
-            && self.memory.fits(memory, self.allowed_tokens(now))
-    }
-
-    /// The expected wait of a request behind all that wait.
-    fn expected_wait(&self, now: Instant) -> Duration {
-        let ahead = (self.waiting.len() + 1) as f64;
-        // Fewer than all slots are in use if the memory is full or the limit is lowered.
-        let parallel = match self.leases.len() {
-            0 => self.allowed_leases(now),
-            running => running.min(self.allowed_leases(now)),
-        };
-        let pause = self.paused_until.saturating_duration_since(now);
-        pause + Duration::from_secs_f64(ahead * self.hold / parallel as f64)
-    }
-
-    fn request(
-        &mut self,
-        now: Instant,
-        lease: LeaseId,
-        holder: &VmId,
-        demand: LeaseDemand,
-    ) -> LeaseDecision {
-        let LeaseDemand { patience, memory } = demand;
-        let settles_in = self.leases_from.saturating_duration_since(now);
-        if !settles_in.is_zero() {
-            return LeaseDecision::Refused(LeaseRefusal::Full(settles_in));
-        }
-        if self.waiting.is_empty() && self.has_room(now, &memory) {
-            self.grant(now, lease, holder.clone(), memory);
-            return LeaseDecision::Granted;
-        }
-        let wait = self.expected_wait(now);
-        if wait > patience.mul_f64(MAX_WAIT_FRACTION) || self.waiting.len() >= MAX_WAITING {
-            return LeaseDecision::Refused(LeaseRefusal::Full(wait.max(MIN_RETRY_AFTER)));
-        }
-        let (holder, until) = (holder.clone(), now + patience);
-        self.waiting.push_back(WaitingLease { lease, holder, memory, until });
-        LeaseDecision::Waiting
-    }
-
-    fn end(&mut self, now: Instant, lease: LeaseId) {
-        self.waiting.retain(|waiting| waiting.lease != lease);
-        if let Some(ended) = self.remove(lease) {
-            let held = now.saturating_duration_since(ended.granted_at).as_secs_f64();
-            self.hold += (held - self.hold) * HOLD_STEP;
-        }
-    }
-
-    /// Lowers the limit after the server had no room for a leased request.
-    fn reject(&mut self, now: Instant, lease: LeaseId) {
-        if self.remove(lease).is_none() {
-            return;
-        }
-        let last = self.rejection.map(|rejection| rejection.at);
-        if last.is_some_and(|at| now.saturating_duration_since(at) < REJECTION_PAUSE) {
-            self.paused_until = now + REJECTION_PAUSE;
-        }
-        let (leases, tokens) = (self.leases.len(), self.memory.used());
-        self.rejection = Some(LeaseRejection { at: now, leases, tokens });
-    }
-
-    /// Grants free slots to those that wait.
-    fn grant_waiting(&mut self, now: Instant) -> Vec<LeaseId> {
-        self.waiting.retain(|waiting| now < waiting.until);
-        let mut granted = Vec::new();
-        while self.waiting.front().is_some_and(|next| self.has_room(now, &next.memory))
-            && let Some(next) = self.waiting.pop_front()
-        {
-            granted.push(next.lease);
-            self.grant(now, next.lease, next.holder, next.memory);
-        }
-        granted
-    }
-}
-
 /// A server whose slots this daemon leases.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ArbitratedServer {
@@ -271,20 +100,14 @@
     pub had_arbiter: bool,
 }
 
-/// What a request asks of an arbiter.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseDemand {
-    /// How long its caller can wait.
-    pub patience: Duration,
-    /// What it takes beside a slot; nothing at a plain service.
-    pub memory: MemoryDemand,
-}
-
 /// The leases of all servers of which this daemon is the arbiter.
 #[derive(Clone, Debug, Default)]
 pub struct SlotTable {
     /// The servers of the last [`Self::configure`].
     servers: BTreeMap<ServerId, ServerSlots>,
+    /// Requests that waited and were displaced by more urgent ones since the last
+    /// [`Self::take_displaced`].
+    displaced: Vec<(LeaseId, LeaseRefusal)>,
 }
 
 impl SlotTable {
@@ -294,13 +117,32 @@
         for (server, ArbitratedServer { slots, memory, had_arbiter }) in assigned {
             let usable = (slots as usize).max(1);
             let leases_from = if had_arbiter { now + SETTLE_TIME } else { now };
-            let known = self.servers.entry(server);
-            let known = known.or_insert_with(|| ServerSlots::new(usable, leases_from));
+            let known = self.servers.entry(server.clone());
+            let known = known.or_insert_with(|| ServerSlots::new(server, now, usable, leases_from));
             known.usable = usable;
             known.memory.capacity = memory;
         }
     }
 
+    /// Records that a server of [`Self::configure`] may have started together with this arbiter.
+    pub fn suspect_start(&mut self, server: &ServerId) {
+        if let Some(slots) = self.servers.get_mut(server) {
+            slots.may_have_started = true;
+        }
+    }
+
+    /// Begins the pace of a server of [`Self::configure`] that has just started, which ends the former one.
+    pub fn begin_pace(&mut self, now: Instant, server: &ServerId) {
+        if let Some(slots) = self.servers.get_mut(server) {
+            slots.begin_pace(now, ServerStart::Fresh);
+        }
+    }
+
+    /// The servers whose pace has not ended.
+    pub fn paced_servers(&self) -> usize {
+        self.servers.values().filter(|slots| slots.is_paced()).count()
+    }
+
     /// Requests a lease for a holder.
     pub fn request(
         &mut self,
@@ -310,10 +152,36 @@
         holder: &VmId,
         demand: LeaseDemand,
     ) -> LeaseDecision {
-        match self.servers.get_mut(server) {
-            Some(slots) => slots.request(now, lease, holder, demand),
-            None => LeaseDecision::Refused(LeaseRefusal::NotArbiter),
-        }
+        let Some(slots) = self.servers.get_mut(server) else {
+            return LeaseDecision::Refused(LeaseRefusal::NotArbiter);
+        };
+        let (decision, displaced) = slots.request(now, lease, holder, demand);
+        self.displaced.extend(displaced);
+        decision
+    }
+
+    /// Returns the requests that waited and have been refused for more urgent ones.
+    pub fn take_displaced(&mut self) -> Vec<(LeaseId, LeaseRefusal)> {
+        std::mem::take(&mut self.displaced)
+    }
+
+    /// Records what a holder tells of the request of its lease. Returns the leases that others get by
+    /// that.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        server: &ServerId,
+        lease: LeaseId,
+        report: &LeaseReport,
+    ) -> Vec<LeaseId> {
+        let Some(slots) = self.servers.get_mut(server) else { return Vec::new() };
+        slots.record(now, lease, report);
+        slots.grant_waiting(now)
+    }
+
+    /// The load of a server, if this daemon is its arbiter.
+    pub fn load(&self, now: Instant, server: &ServerId) -> Option<LeasedLoad> {
+        self.servers.get(server).map(|slots| slots.load(now))
     }
 
     /// Ends a lease, or a request for one; returns the leases that others get instead.
@@ -366,11 +234,12 @@
                 && slots.leases.len() < slots.usable * MAX_TAKEN_OVER
                 && now < slots.leases_from
             {
+                slots.confirm_use(now);
                 // Its memory demand is unknown and counts as an even part.
                 let even = slots.memory.capacity.unwrap_or(0) / slots.usable as u64;
                 let own_tokens = u32::try_from(even).unwrap_or(u32::MAX);
                 let memory = MemoryDemand { parts: Vec::new(), own_tokens };
-                slots.grant(now, *lease, holder.clone(), memory);
+                slots.grant(now, *lease, holder.clone(), memory, None);
             }
         }
         granted
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -22,10 +22,12 @@
 pub mod response_buffer;
 pub mod server_demands;
 pub mod server_link;
+pub mod shared_machines;
 pub mod slot_lease;
 pub mod store_monitor;
 pub mod stream_origin;
 pub mod timeout_stream;
+pub mod usage_limit;
 pub mod view;
 
 pub use self::{
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -8,31 +8,38 @@
         rejection_limits::{LimitChange, RejectionLimits},
         response_buffer::BufferBudget,
         server_demands::DemandTable,
+        shared_machines::SharedMachines,
         slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
         stream_origin::{OriginFinder, ResumeTarget},
+        usage_limit::{CapExceeded, UsageCharge, UsageLimiter},
         view::{ProxyView, qualified_model},
     },
     crate::{
         follow::stream_origins::StreamOrigin,
-        ids::{Incarnation, ModelId, RequestId, ServerId, ServiceId, VmId, WeightsNumber},
+        ids::{
+            Incarnation, ModelId, OrganisationId, RequestId, ServerId, ServiceId, VmId,
+            WeightsNumber,
+        },
         inventory::DecisionObjective,
-        observe::events,
+        observe::{events, metrics::WORK_TIME},
         pipeline::{DispatcherHandle, DrainGate},
         policy::{
             LoadReport, PolicyInput,
             pacing::ServerPace,
             slot_leases::{LeaseDemand, choose_servers},
+            store_choice::choose_store,
             suspect::CrashReport,
         },
     },
     arc_swap::ArcSwap,
     http::StatusCode,
+    metrics::histogram,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::{
             Arc, Mutex, OnceLock, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::Instant,
     },
@@ -71,8 +78,8 @@
     pub gate: DrainGate,
     /// Servers that are being probed after a connection failure.
     pub recheck: RecheckList,
-    /// Whether the engines' shared cache store is reachable.
-    store_reachable: AtomicBool,
+    /// The reachable ones of the engines' shared cache stores; the configuration bounds their number.
+    reachable_stores: Mutex<BTreeSet<SocketAddr>>,
     objective: DecisionObjective,
     view: ArcSwap<ProxyView>,
     /// Held while the view is replaced, so that none is replaced by an older one.
@@ -85,8 +92,11 @@
     demands: DemandTable,
     /// The services whose servers end if they have to reject too many requests.
     rejection_limits: RejectionLimits,
+    /// The services whose servers share their machines with others.
+    shared_machines: SharedMachines,
     slot_leaser: OnceLock<Arc<dyn SlotLeaser>>,
     origin_finder: OnceLock<Arc<dyn OriginFinder>>,
+    usage_limiter: OnceLock<Arc<dyn UsageLimiter>>,
     split_counter: AtomicU64,
     /// The dispatcher's reports on crashes, repeated while there are any.
     crash_reports: watch::Sender<Vec<CrashReport>>,
@@ -104,7 +114,7 @@
             buffers: BufferBudget::default(),
             gate: DrainGate::default(),
             recheck: RecheckList::default(),
-            store_reachable: AtomicBool::new(false),
+            reachable_stores: Mutex::default(),
             objective,
             view: ArcSwap::default(),
             applying: Mutex::default(),
@@ -112,8 +122,10 @@
             limits: Mutex::default(),
             demands: DemandTable::default(),
             rejection_limits: RejectionLimits::default(),
+            shared_machines: SharedMachines::default(),
             slot_leaser: OnceLock::new(),
             origin_finder: OnceLock::new(),
+            usage_limiter: OnceLock::new(),
             split_counter: AtomicU64::new(0),
             crash_reports: watch::channel(Vec::new()).0,
         })
@@ -158,6 +170,7 @@
         self.lock_limits().retain(|server, _| view.servers.contains_key(server));
         self.demands.retain(Instant::now(), |server| view.servers.contains_key(server));
         self.rejection_limits.retain(|service| view.is_routed(service));
+        self.shared_machines.retain(|service| view.is_routed(service));
         self.pool.links().set_listed(view.servers.len());
         self.view.store(Arc::new(view));
         self.dispatcher.notify_all(inputs);
@@ -169,23 +182,47 @@
         self.applying.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets whether the engines' shared cache store is reachable.
-    pub fn set_store_reachable(&self, reachable: bool) {
-        self.store_reachable.store(reachable, Ordering::Relaxed);
+    /// Sets whether one of the engines' shared cache stores is reachable.
+    pub fn set_store_reachable(&self, store: SocketAddr, reachable: bool) {
+        let mut stores = self.lock_stores();
+        match reachable {
+            true => stores.insert(store),
+            false => stores.remove(&store),
+        };
+        drop(stores);
         self.notify_store_link();
     }
 
-    /// The address of the engines' shared cache store; `None` while it is unreachable.
-    pub fn store_address(&self) -> Option<SocketAddr> {
-        let store =
-            self.view().cache_store().filter(|_| self.store_reachable.load(Ordering::Relaxed))?;
-        Some(store.0)
+    /// The engines' shared cache stores that are used, each with this process's share of its link rate in
+    /// tokens per second: all of them where organisations compete for room, and otherwise one.
+    pub fn cache_stores(&self) -> BTreeMap<SocketAddr, f64> {
+        let view = self.view();
+        let mut stores = view.cache_stores();
+        if !self.shared_machines.is_any() && !view.limits_use() {
+            let first = view.first_cache_store();
+            stores.retain(|store, _| Some(*store) == first);
+        }
+        stores
+    }
+
+    /// The cache store that holds the prompts with this prefix, by its hash: each daemon chooses the same
+    /// one. `None` if no store is reachable.
+    pub fn store_address(&self, prefix: u64) -> Option<SocketAddr> {
+        let reachable = self.lock_stores().clone();
+        let stores = self.cache_stores().into_keys().filter(|store| reachable.contains(store));
+        choose_store(prefix, stores)
     }
 
     fn notify_store_link(&self) {
-        let store =
-            self.view().cache_store().filter(|_| self.store_reachable.load(Ordering::Relaxed));
-        self.dispatcher.notify(PolicyInput::CacheStoreLink { rate: store.map(|(_, rate)| rate) });
+        let reachable = self.lock_stores().clone();
+        let stores = self.cache_stores().into_iter();
+        let rates = stores.filter(|(store, _)| reachable.contains(store)).map(|(_, rate)| rate);
+        let rate = rates.reduce(|sum, rate| sum + rate);
+        self.dispatcher.notify(PolicyInput::CacheStoreLink { rate });
+    }
+
+    fn lock_stores(&self) -> std::sync::MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.reachable_stores.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The address of a server; `None` if the server is not listed.
@@ -207,6 +244,10 @@
         if let Some(version) = head.weights {
             self.lock_weights().insert(server.clone(), (listed.incarnation, version));
         }
+        if let Some(ratio) = head.work_time {
+            histogram!(WORK_TIME, "service" => listed.service.clone()).record(ratio);
+            self.dispatcher.notify(PolicyInput::WorkTime { server: server.clone(), ratio });
+        }
         let Some((running, waiting)) = head.load else { return };
         let version = self.server_weights(server, &listed.service, model);
         let weights = listed.weights.iter().map(|(listed_model, listed_version)| {
@@ -309,6 +350,18 @@
         self.apply_limit_change(service, change);
     }
 
+    /// Records whether a server of the service, in its response to a request that was sent at `sent`, says
+    /// that it shares its machine with others.
+    pub fn record_sharing(&self, service: &ServiceId, sent: Instant, head: &ResponseHead) {
+        let executed = head.verdict == ResponseVerdict::Executed;
+        let (now, is_shared) = (Instant::now(), head.work_time.is_some());
+        match self.shared_machines.record(now, service, sent, is_shared, executed) {
+            Some(true) => log::info!(service = service.as_str(); "{}", events::MACHINES_SHARED),
+            Some(false) => log::info!(service = service.as_str(); "{}", events::MACHINES_UNSHARED),
+            None => {}
+        }
+    }
+
     /// Records the services whose servers have named such a limit to other daemons.
     pub fn record_limit_reports(&self, services: &BTreeSet<ServiceId>) {
         let view = self.view();
@@ -360,6 +413,18 @@
         self.rejection_limits.is_limited(Instant::now(), service)
     }
 
+    /// Whether requests to the servers of a service need leases of their slots.
+    pub fn leases_slots(&self, service: &ServiceId) -> bool {
+        self.is_contended(service) || self.limits_rejections(service)
+    }
+
+    /// Whether organisations compete for the room at the servers of a service: engines where the
+    /// configuration limits what organisations may use, and servers that share their machines with others.
+    pub fn is_contended(&self, service: &ServiceId) -> bool {
+        let view = self.view();
+        (view.limits_use() && view.is_engine(service)) || self.shared_machines.contains(service)
+    }
+
     /// Sets how the origins of streams are known; without it a resumed stream goes on at any server. A
     /// second call has no effect.
     pub fn set_origin_finder(&self, finder: Arc<dyn OriginFinder>) {
@@ -401,15 +466,41 @@
     ) -> Result<Option<SlotLease>, LeaseFailure> {
         let view = self.view();
         let Some(listed) = view.servers.get(server) else { return Ok(None) };
-        let is_limited = self.limits_rejections(&listed.service);
-        let Some(leaser) = self.slot_leaser.get().filter(|_| is_limited) else { return Ok(None) };
+        let is_leased = self.leases_slots(&listed.service);
+        let Some(leaser) = self.slot_leaser.get().filter(|_| is_leased) else { return Ok(None) };
         let demand = SlotDemand {
             server: server.clone(),
             arbiter: listed.arbiter.clone(),
             demand,
             share: view.slot_share(&listed.service),
         };
-        Arc::clone(leaser).lease(demand).await.map(Some)
+        match Arc::clone(leaser).lease(demand).await {
+            // A server that ends by rejections must not be sent to. Others are used as if none were leased.
+            Err(LeaseFailure::Unavailable) if !self.limits_rejections(&listed.service) => Ok(None),
+            leased => leased.map(Some),
+        }
+    }
+
+    /// Sets how usage limits are kept; without it they are not. A second call has no effect.
+    pub fn set_usage_limiter(&self, limiter: Arc<dyn UsageLimiter>) {
+        if self.usage_limiter.set(limiter).is_err() {
+            log::error!("the usage limiter was set twice");
+        }
+    }
+
+    /// Pays for a request of an organisation with a cap. `None` if nothing limits it any more.
+    ///
+    /// # Errors
+    /// As [`UsageLimiter::acquire`].
+    pub async fn acquire_usage(
+        &self,
+        organisation: &OrganisationId,
+        cost: f64,
+    ) -> Result<Option<UsageCharge>, CapExceeded> {
+        match self.usage_limiter.get() {
+            Some(limiter) => Arc::clone(limiter).acquire(organisation.clone(), cost).await,
+            None => Ok(None),
+        }
     }
 
     fn lock_limits(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (Incarnation, f64)>> {
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -4,6 +4,7 @@
     crate::{
         ids::{ModelId, OrganisationId, RequestId, ServerId, WeightsNumber},
         inventory::RequestClass,
+        policy::usage_limits::UsageLimit,
         routing::{RouteIndex, RouteRule},
     },
     http::{HeaderMap, Response, StatusCode, request, response},
@@ -56,6 +57,10 @@
     pub resumes: Option<ResumedStream>,
     /// The prompt; set for requests to model engines.
     pub work: Option<PromptWork>,
+    /// The usage limit of the organisation, if it has one.
+    pub cap: Option<UsageLimit>,
+    /// Tokens of the prompt and of the response at most, if the request says.
+    pub tokens: Option<u64>,
 }
 
 /// An error response to a caller.
@@ -125,6 +130,9 @@
     pub verdict: ResponseVerdict,
     /// Numbers of requests that run and that wait at the server.
     pub load: Option<(u32, u32)>,
+    /// How long work takes at this moment on the machine of the server, which it shares with others, as a
+    /// multiple of the usual time; positive and finite. `None` if the server does not say.
+    pub work_time: Option<f64>,
     /// The weights that generate the response.
     pub weights: Option<WeightsNumber>,
     /// How long the server keeps idle connections open, if it reports that.
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -4,9 +4,10 @@
 mod resumption;
 mod slot;
 mod stream_start;
+mod usage;
 
 use {
-    self::resumption::bind_resumption,
+    self::{resumption::bind_resumption, usage::acquire_usage},
     super::{
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
@@ -18,6 +19,7 @@
         response::{ProxyResult, ResponseBody, dispatch_refusal},
         response_buffer::BufferError,
         timeout_stream::ConnectionPhase,
+        usage_limit::UsageCharge,
     },
     crate::{
         backend::sse::is_interrupted,
@@ -62,10 +64,14 @@
     pub(super) handle: RequestHandle,
     /// Number of servers that may have begun to run the request.
     pub(super) runs: u32,
+    /// What the request has paid, if its organisation has a usage limit.
+    charge: Option<UsageCharge>,
     /// A server's error response, which is passed on if no other server succeeds.
     failure: Option<(response::Parts, Bytes)>,
     /// Number of times the request was sent.
     attempts: u32,
+    /// Number of servers whose arbiters had no room in time.
+    busy_servers: u32,
     /// Whether the outcome was logged. If not when this value is dropped, the caller has
     /// disconnected.
     is_logged: bool,
@@ -78,6 +84,8 @@
     pub framing: ResponseFraming,
     pub body: MeteredBody,
     pub connection: LeasedConnection,
+    /// When the request was sent.
+    pub sent_at: Instant,
 }
 
 /// A response whose head has not been checked.
@@ -113,14 +121,17 @@
 ) -> ProxyResult {
     count_request(request.caller.class);
     bind_resumption(&core, &mut request).await?;
+    let charge = acquire_usage(&core, &request).await?;
     let handle = core.dispatcher.submit(request.ticket());
     let mut exchange = HttpExchange {
         core,
         request,
         handle,
         runs: 0,
+        charge,
         failure: None,
         attempts: 0,
+        busy_servers: 0,
         is_logged: false,
     };
     loop {
@@ -219,26 +230,29 @@
         let limit = view.connections(&listed.service);
         let target = BackendTarget { server: &order.server, address: listed.address };
         let sent_at = Instant::now();
+        self.begin_run();
         let sent = tokio::select! {
             sent = self.core.pool.send(target, request, non_repeatable, limit) => sent,
             () = wait_withdrawn(&mut self.handle, order.attempt) => {
                 // The dispatcher has withdrawn the attempt; its next directive ends the request.
-                self.runs += 1;
+                self.record_run();
                 return Err(AttemptFailure::TimedOut);
             }
             () = sleep_until(self.request.deadline.into()) => {
-                self.runs += 1;
+                self.record_run();
                 return Err(self.report(order, AttemptFailure::TimedOut, from, None));
             }
         };
-        match sent {
+        let started = match sent {
             Ok((response, mut connection)) => {
                 connection.set_lease(lease);
                 let received = ReceivedHead { response, connection, sent_at };
                 self.handle_head(order, from, received).await
             }
             Err(error) => Err(self.connection_failed(order, from, error)),
-        }
+        };
+        self.end_unrecorded_run();
+        started
     }
 
     fn connection_failed(
@@ -260,7 +274,7 @@
                     PoolError::Unreachable => AttemptFailure::Unreachable,
                     _ => AttemptFailure::Broken,
                 };
-                self.runs += 1;
+                self.record_run();
                 self.core.recheck(&order.server);
                 self.report(order, failure, from, None)
             }
@@ -273,24 +287,27 @@
         from: &ResumePosition,
         received: ReceivedHead,
     ) -> Result<StartedResponse, AttemptFailure> {
-        let ReceivedHead { response, connection, sent_at } = received;
+        let ReceivedHead { response, mut connection, sent_at } = received;
         let (mut parts, body) = response.into_parts();
         let body = MeteredBody::new(body, connection.meter().clone());
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
-        let model = self.request.caller.work.as_ref().map(|work| &work.model);
         if matches!(head.verdict, ResponseVerdict::Executed | ResponseVerdict::NotExecuted) {
             self.core.record_demand(&order.server, sent_at, parts.status, &head);
         }
+        if let Some(lease) = connection.lease_mut() {
+            lease.record_work_time(head.work_time.map(|factor| factor as f32));
+        }
         match head.verdict {
             ResponseVerdict::Executed => {
-                self.runs += 1;
+                self.record_run();
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
                 self.core.record_rejection_limit(&self.request.service, sent_at, &head);
-                self.core.record_response(&order.server, model, &head);
+                self.core.record_sharing(&self.request.service, sent_at, &head);
+                self.record_response(order, &head);
                 let framing = ResponseFraming::read(&parts);
                 strip_connection(&mut parts.headers);
-                Ok(StartedResponse { parts, head, framing, body, connection })
+                Ok(StartedResponse { parts, head, framing, body, connection, sent_at })
             }
             ResponseVerdict::NotExecuted => {
                 self.log_rejection(order, &head, connection.has_lease());
@@ -300,7 +317,8 @@
                 self.core.record_identity(&order.server, sent_at);
                 self.core.record_limit(&order.server, &head);
                 self.core.record_rejection_limit(&self.request.service, sent_at, &head);
-                self.core.record_response(&order.server, model, &head);
+                self.core.record_sharing(&self.request.service, sent_at, &head);
+                self.record_response(order, &head);
                 let rest = Limited::new(body, MAX_REFUSAL_BYTES).collect();
                 // A server that hangs after the head must not delay the request.
                 if matches!(timeout(REFUSAL_TIMEOUT, rest).await, Ok(Ok(_))) {
@@ -318,13 +336,18 @@
             }
             ResponseVerdict::OtherRequest => {
                 count_mismatched_response();
-                self.runs += 1;
+                self.record_run();
                 self.core.recheck(&order.server);
                 Err(self.report(order, AttemptFailure::Broken, from, None))
             }
         }
     }
 
+    fn record_response(&self, order: &SendOrder, head: &ResponseHead) {
+        let model = self.request.caller.work.as_ref().map(|work| &work.model);
+        self.core.record_response(&order.server, model, head);
+    }
+
     fn backend_request(&self, order: &SendOrder, from: &ResumePosition) -> Request<Full<Bytes>> {
         let BufferedRequest { caller, head, body, service, deadline, .. } = &self.request;
         let model = caller.work.as_ref().map(|work| &work.model);
@@ -335,7 +358,7 @@
         let weights = from.weights.or(current);
         let source = order.source.as_ref().filter(|_| weights.is_some() && weights == decided);
         let store = order.store_use.filter(|_| weights.is_some() && weights == decided);
-        let store = store.zip(self.core.store_address());
+        let store = store.zip(self.core.store_address(self.request.shared_prefix()));
         let salt = model.map(|model| {
             let weights = weights.map(|version| version.to_string()).unwrap_or_default();
             cache_salt(self.request.cache_owner(), model, None, &weights)
@@ -385,12 +408,6 @@
         failure
     }
 
-    /// Whether another server may begin to run the request.
-    pub(super) fn may_run_again(&self) -> bool {
-        let route = &self.request.caller.route;
-        route.kind.is_repeatable() && self.runs < route.attempts
-    }
-
     /// Determines the step after a reported failure: the dispatcher decides on the next attempt,
     /// unless the route allows no more runs.
     fn step_after_failure(&mut self, failure: AttemptFailure) -> AttemptStep {
@@ -422,7 +439,7 @@
         if self.request.caller.route.kind.is_stream() && response.parts.status.is_success() {
             return self.start_stream(order, response).await;
         }
-        let StartedResponse { mut parts, head, framing, body, connection } = response;
+        let StartedResponse { mut parts, head, framing, body, mut connection, sent_at } = response;
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
             collected = self.core.buffers.collect(body) => collected,
@@ -452,6 +469,9 @@
             self.core.recheck(&order.server);
             return self.step_after_failure(failure);
         }
+        if !parts.status.is_server_error() {
+            self.report_response(order, sent_at, &mut connection);
+        }
         connection.return_to_pool(head.idle_limit);
         if parts.status.is_server_error() && self.may_run_again() {
             self.failure = Some((parts, body));
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -12,10 +12,12 @@
         roles::{
             control_directory::ControlDirectory, origin_client::OriginClient,
             required_weights::RequiredWeights, slot_arbiter::SlotArbiter,
+            usage_client::UsageClient,
         },
         routing::{ParsedTable, RouteIndex},
     },
     std::{
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant as StdInstant},
     },
@@ -31,8 +33,11 @@
     pub(super) core: Arc<ProxyCore>,
     pub(super) directory: Arc<ControlDirectory>,
     pub(super) arbiter: Arc<SlotArbiter>,
+    pub(super) usage: Arc<UsageClient>,
     pub(super) origins: Arc<OriginClient>,
     pub(super) parser: Arc<dyn RouteParser>,
+    /// Whether servers that have just started have a pace.
+    pub(super) is_paced: bool,
 }
 
 impl StateApplier {
@@ -66,12 +71,24 @@
             let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
             self.directory.set_arbiters(arbiters);
             let memory = |service: &ServiceId| view.engine_memory(service);
+            if self.is_paced {
+                self.arbiter.pace_services(self.paced_services(&view));
+            }
             self.arbiter.configure(&self.core.vm, &view.servers, memory);
+            self.usage.configure(&view, sharing);
             let servers = view.servers.values().map(|server| (&server.service, &server.software));
             self.origins.apply(servers, &state.control, entries);
             self.core.apply(view);
         }
     }
+
+    /// The services whose servers get a pace when they start: all requests to them need leases, and answers
+    /// to them are compared with predictions.
+    fn paced_services(&self, view: &ProxyView) -> BTreeSet<ServiceId> {
+        let services = view.servers.values().map(|server| &server.service);
+        let paced = services.filter(|service| self.core.is_contended(service));
+        paced.cloned().collect()
+    }
 }
 
 /// The routes in force. Each document is parsed once.
--- a/src/roles/slot_client.rs
+++ b/src/roles/slot_client.rs
@@ -4,7 +4,7 @@
     super::slot_arbiter::SlotArbiter,
     crate::{
         ids::{LeaseId, ServerId, VmId},
-        policy::slot_leases::LeaseRefusal,
+        policy::slot_leases::{LeaseRefusal, LeaseReport},
         reverse_proxy::slot_lease::{LeaseFailure, LeaseHolder, SlotDemand, SlotLease, SlotLeaser},
         transport::{PeerMessage, PeerNetwork, PeerReply, PeerRequest},
     },
@@ -97,7 +97,7 @@
         arbiter: VmId,
     ) -> Result<SlotLease, LeaseFailure> {
         let SlotDemand { server, demand, .. } = demand;
-        let patience = demand.patience;
+        let (patience, is_shared) = (demand.patience, demand.reading.is_some());
         let lease = {
             let mut state = self.lock();
             let lease = state.random.next_u64();
@@ -112,28 +112,33 @@
             server: server_name,
             lease,
             is_refused: false,
+            report: Mutex::new(None),
         };
         let result = if arbiter == holder {
             Arc::clone(&self.own).lease(server, lease, holder, demand).await
         } else {
-            let memory = demand.memory;
-            let request = PeerRequest::LeaseSlot { server, lease, patience, memory };
+            let request = PeerRequest::LeaseSlot { server, lease, demand };
             let reply = self.network.call(&arbiter, request, patience + REPLY_MARGIN).await;
             let Ok(PeerReply::SlotLeased(result)) = reply else {
-                self.lock().pause(arbiter);
+                // Servers that share their machines are used without leases meanwhile, so that asking again
+                // early would only hold up requests.
+                let shortest = if is_shared { MAX_FAILURE_PAUSE } else { FAILURE_PAUSE };
+                self.lock().pause(arbiter, shortest);
                 return Err(LeaseFailure::Unavailable);
             };
             self.lock().record_reply(&arbiter);
             result
         };
         match result {
-            Ok(()) => Ok(SlotLease::new(guard)),
+            Ok(grant) => Ok(SlotLease::new(guard).with_load(grant.load)),
             Err(refusal) => {
                 guard.forget();
-                Err(LeaseFailure::Full(match refusal {
-                    LeaseRefusal::Full(delay) => delay,
-                    LeaseRefusal::NotArbiter => LIST_DELAY,
-                }))
+                Err(match refusal {
+                    LeaseRefusal::Full(delay) => LeaseFailure::Full(delay),
+                    LeaseRefusal::NotArbiter if is_shared => LeaseFailure::Unavailable,
+                    LeaseRefusal::NotArbiter => LeaseFailure::Full(LIST_DELAY),
+                    LeaseRefusal::Busy { delay, load } => LeaseFailure::Busy { delay, load },
+                })
             }
         }
     }
@@ -160,12 +165,25 @@
         }
     }
 
-    fn end(&self, arbiter: &VmId, server: &ServerId, lease: LeaseId) {
+    fn end(&self, arbiter: &VmId, server: &ServerId, lease: LeaseId, report: Option<LeaseReport>) {
         self.forget(arbiter, server, lease);
         if arbiter == self.network.vm() {
+            if let Some(report) = report {
+                self.own.record(server, lease, &report);
+            }
             self.own.end(server, lease);
         } else {
-            self.network.send(arbiter, PeerMessage::EndLease { server: server.clone(), lease });
+            let message = PeerMessage::EndLease { server: server.clone(), lease, report };
+            self.network.send(arbiter, message);
+        }
+    }
+
+    fn record(&self, arbiter: &VmId, server: &ServerId, lease: LeaseId, report: LeaseReport) {
+        if arbiter == self.network.vm() {
+            self.own.record(server, lease, &report);
+        } else {
+            let message = PeerMessage::LeaseProgress { server: server.clone(), lease, report };
+            self.network.send(arbiter, message);
         }
     }
 
@@ -184,15 +202,15 @@
 }
 
 impl ClientState {
-    /// Pauses an arbiter, unless an earlier request has done so.
-    fn pause(&mut self, arbiter: VmId) {
+    /// Pauses an arbiter for `shortest` or longer, unless an earlier request has done so.
+    fn pause(&mut self, arbiter: VmId, shortest: Duration) {
         let now = Instant::now();
         self.paused.retain(|_, pause| now < pause.until + MAX_FAILURE_PAUSE);
         let known = self.paused.get(&arbiter).copied();
         if known.is_some_and(|known| now < known.until) || self.paused.len() >= MAX_PAUSED {
             return;
         }
-        let length = known.map_or(FAILURE_PAUSE, |known| known.length * 2).min(MAX_FAILURE_PAUSE);
+        let length = known.map_or(shortest, |known| known.length * 2).min(MAX_FAILURE_PAUSE);
         self.paused.insert(arbiter, ArbiterPause { until: now + length, length });
     }
 
@@ -234,6 +252,8 @@
     lease: LeaseId,
     /// Whether the arbiter has refused the lease, so that it knows nothing of it.
     is_refused: bool,
+    /// What the arbiter learns at the end of the lease.
+    report: Mutex<Option<LeaseReport>>,
 }
 
 impl LeaseGuard {
@@ -246,13 +266,25 @@
     fn report_rejection(&self) {
         self.client.reject(&self.arbiter, &self.server, self.lease);
     }
+
+    fn report_progress(&self, report: LeaseReport) {
+        *self.report.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        self.client.record(&self.arbiter, &self.server, self.lease, report);
+    }
+
+    fn report_at_end(&self, report: LeaseReport) {
+        *self.report.lock().unwrap_or_else(PoisonError::into_inner) = Some(report);
+    }
 }
 
 impl Drop for LeaseGuard {
     fn drop(&mut self) {
         match self.is_refused {
             true => self.client.forget(&self.arbiter, &self.server, self.lease),
-            false => self.client.end(&self.arbiter, &self.server, self.lease),
+            false => {
+                let report = self.report.lock().unwrap_or_else(PoisonError::into_inner).take();
+                self.client.end(&self.arbiter, &self.server, self.lease, report);
+            }
         }
     }
 }
@@ -262,6 +294,10 @@
 
 impl LeaseHolder for ShareGuard {
     fn report_rejection(&self) {}
+
+    fn report_progress(&self, _: LeaseReport) {}
+
+    fn report_at_end(&self, _: LeaseReport) {}
 }
 
 impl Drop for ShareGuard {
--- a/src/transport/message.rs
+++ b/src/transport/message.rs
@@ -7,15 +7,15 @@
             FollowReply, FollowRequest,
             stream_origins::{OriginAnswer, OriginReport, StreamKey},
         },
-        ids::{LeaseId, RequestId, Revision, ServerId, ServiceId, VmId},
+        ids::{LeaseId, OrganisationId, RequestId, Revision, ServerId, ServiceId, VmId},
         policy::{
             DomainDigest,
-            slot_leases::{LeaseRefusal, MemoryDemand},
+            slot_leases::{LeaseDemand, LeaseGrant, LeaseRefusal, LeaseReport},
+            usage_limits::{ShareGrant, ShareReport, UsageReply, UsageRequest},
         },
         transport::config_delta::ConfigDelta,
     },
     serde::{Deserialize, Serialize},
-    std::time::Duration,
 };
 
 /// A message that expects no reply and may be lost.
@@ -44,6 +44,8 @@
         server: ServerId,
         /// The lease.
         lease: LeaseId,
+        /// What the sender has not told yet of the request.
+        report: Option<LeaseReport>,
     },
     /// All leases that the sender has of the receiver.
     HeldLeases(Vec<(ServerId, LeaseId)>),
@@ -61,6 +63,19 @@
         /// The lease.
         lease: LeaseId,
     },
+    /// Units that the receiver granted and the sender did not use; negative ones were used in excess.
+    ReturnUsage(Vec<(OrganisationId, f64)>),
+    /// The sender stops and uses none of its shares of usage limits any more.
+    ReleaseUsage,
+    /// The server has read the prompt of a lease.
+    LeaseProgress {
+        /// The server.
+        server: ServerId,
+        /// The lease.
+        lease: LeaseId,
+        /// What the sender knows of the request.
+        report: LeaseReport,
+    },
 }
 
 /// A request that gets exactly one reply, or fails.
@@ -106,10 +121,8 @@
         server: ServerId,
         /// The identifier of the lease.
         lease: LeaseId,
-        /// How long the caller waits for a slot.
-        patience: Duration,
-        /// What the request takes beside a slot.
-        memory: MemoryDemand,
+        /// What the request needs, and how long it can wait.
+        demand: LeaseDemand,
     },
     /// Return where a stream began.
     StreamOrigin {
@@ -118,6 +131,10 @@
         /// The stream.
         stream: StreamKey,
     },
+    /// Grant units of the usage limit of an organisation, of which the peer is the arbiter.
+    AcquireUsage(Box<UsageRequest>),
+    /// Renew the sender's shares of usage limits.
+    RenewUsage(Vec<ShareReport>),
 }
 
 /// Why a peer did not open a tunnel; nothing was sent to the server.
@@ -157,7 +174,11 @@
     /// Whether the tunnel is open.
     TunnelOpened(Result<(), TunnelRefusal>),
     /// Whether the slot is leased.
-    SlotLeased(Result<(), LeaseRefusal>),
+    SlotLeased(Result<LeaseGrant, LeaseRefusal>),
     /// What the peer knows of a stream.
     StreamOrigin(OriginAnswer),
+    /// Whether units were granted.
+    UsageAcquired(UsageReply),
+    /// The caller's shares from now on.
+    UsageRenewed(Vec<ShareGrant>),
 }
