Serve organisations with a usage limit soon after all entries have restarted

Causes: an entry that had just started had none of the rate for 8 s, though those in touch tell of their shares within half a second; the empty set of arbiters before the first counted as another arbiter; and an entry that reached no arbiter earned no credit at all, since the time of its last earning was passed over. Now one second, with what can have been earned in it, and an even part for each entry while no arbiter is named.

Test: usage_limits::restarted_fleet, red before in three ways in turn. An arbiter that restarts while holders of shares are out of touch can overrun by their shares, for 8 s at most.

--- a/src/policy/usage_limits/arbiter.rs
+++ b/src/policy/usage_limits/arbiter.rs
@@ -20,6 +20,11 @@
 /// Maximum sets of arbiters that are remembered. If they change more often, an arbiter takes itself for new.
 const MAX_FORMER_SETS: usize = 32;
 
+/// A process that has just started has no whole rate for this time, in which the entries that are in touch
+/// report the shares that they have of its predecessor. It is short, since nobody is served meanwhile if all
+/// entries have started.
+const START_TERM: Duration = Duration::from_secs(1);
+
 /// Maximum entries with shares of one organisation; others are served without.
 const MAX_SHARES: usize = 4096;
 
@@ -108,9 +113,9 @@
 }
 
 impl UsageAccount {
-    fn new(now: Instant, cap: &UsageLimit, hold: RateHold) -> Self {
-        // Whoever used the cap before has not done so for a term.
-        let earned = cap.rate * SHARE_TERM.as_secs_f64();
+    /// `idle` is the time in which nobody can have used the limit; a term if all would have told of it.
+    fn new(now: Instant, cap: &UsageLimit, hold: RateHold, idle: Duration) -> Self {
+        let earned = cap.rate * idle.min(SHARE_TERM).as_secs_f64();
         let balance = if hold == RateHold::Whole { cap.burst.min(earned) } else { 0.0 };
         let (backlog, relinquished, shares) = (0.0, 0.0, BTreeMap::new());
         UsageAccount { balance, updated: now, backlog, used: now, hold, relinquished, shares }
@@ -239,7 +244,9 @@
     arbiters: BTreeSet<VmId>,
     /// Those of the last [`SHARE_TERM`], the newest last; at most [`MAX_FORMER_SETS`].
     former: VecDeque<FormerSet>,
-    /// The arbiters are not known before this time.
+    /// When this process first knew the arbiters.
+    started: Option<Instant>,
+    /// The arbiters before this time are not remembered.
     known_since: Option<Instant>,
     confirmed: Option<Instant>,
     /// Those with a cap that were used within [`SHARE_TERM`].
@@ -254,6 +261,7 @@
             caps: BTreeMap::new(),
             arbiters: BTreeSet::new(),
             former: VecDeque::new(),
+            started: None,
             known_since: None,
             confirmed: None,
             accounts: BTreeMap::new(),
@@ -268,7 +276,7 @@
         arbiters: BTreeSet<VmId>,
     ) {
         self.settle_all(now);
-        self.known_since.get_or_insert(now);
+        self.started.get_or_insert(now);
         if arbiters != self.arbiters {
             let arbiters = std::mem::replace(&mut self.arbiters, arbiters);
             self.former.push_back(FormerSet { arbiters, until: now });
@@ -278,7 +286,8 @@
         {
             self.known_since = Some(forgotten.until);
         }
-        self.former.retain(|set| now < set.until + SHARE_TERM);
+        // Before there were arbiters nobody had shares.
+        self.former.retain(|set| !set.arbiters.is_empty() && now < set.until + SHARE_TERM);
         self.accounts.retain(|organisation, account| {
             let Some(cap) = caps.get(organisation) else { return false };
             account.balance = account.balance.min(cap.burst);
@@ -311,7 +320,8 @@
         };
         let has_passed = |since: Instant, term: Duration| now >= since + term;
         let adopts = self.is_confirmed(now) && is_own(&self.arbiters);
-        let is_settled = self.known_since.is_some_and(|since| has_passed(since, SHARE_TERM))
+        let is_settled = self.started.is_some_and(|since| has_passed(since, START_TERM))
+            && self.known_since.is_none_or(|since| has_passed(since, SHARE_TERM))
             && (self.former.iter())
                 .all(|set| has_passed(set.until, SHARE_TERM) || is_own(&set.arbiters));
         if adopts && is_settled { RateHold::Whole } else { RateHold::Shares { adopts } }
@@ -336,7 +346,8 @@
         let cap = *self.caps.get(organisation)?;
         let hold = self.hold(now, organisation);
         let account = self.accounts.entry(organisation.clone());
-        let account = account.or_insert_with(|| UsageAccount::new(now, &cap, hold));
+        let idle = self.started.map_or(Duration::ZERO, |started| now - started);
+        let account = account.or_insert_with(|| UsageAccount::new(now, &cap, hold, idle));
         account.refill(now, &cap, hold);
         Some((account, cap))
     }
--- a/src/policy/usage_limits/holder.rs
+++ b/src/policy/usage_limits/holder.rs
@@ -210,7 +210,7 @@
         let (fraction, from) = match &self.share {
             Some(share) if share.lent_to.is_some() => (0.0, now),
             Some(share) => (share.fraction, share.contact + SILENCE_LIMIT),
-            None => (unreached, now),
+            None => (unreached, self.credited.unwrap_or(now)),
         };
         if self.credited.is_none() {
             self.credit = 0.0;
@@ -288,9 +288,11 @@
         self.caps.get(organisation)
     }
 
-    /// The fraction of the rate that one entry spends when it has no share and reaches no arbiter.
+    /// The fraction of the rate that one entry spends when it has no share and reaches no arbiter. All
+    /// entries have an even part of the whole rate as long as there are no arbiters.
     fn unreached(&self) -> f64 {
-        UNREACHED_FRACTION / self.entries.max(1) as f64
+        let all = if self.arbiters.is_empty() { 1.0 } else { UNREACHED_FRACTION };
+        all / self.entries.max(1) as f64
     }
 
     /// Decides about a request of `cost` units.
--- a/tests/usage_limits.rs
+++ b/tests/usage_limits.rs
@@ -65,6 +65,21 @@
     assert_eq!(requests.cost(Some(4)), 1.0);
 }
 
+/// Guards against a fleet that refuses everything for a whole term after all of it has restarted.
+#[test]
+fn restarted_fleet() {
+    let (began, mut arbiter) = (Instant::now(), UsageArbiter::new("vm-0".to_owned()));
+    let mut holder = UsageHolder::default();
+    holder.configure(began, caps(1, 1_000.0), BTreeSet::new(), 10);
+    holder.decide(began, &"o-0".to_owned(), 50.0);
+    let alone = holder.decide(began + Duration::from_secs(1), &"o-0".to_owned(), 50.0);
+    assert_eq!(alone, UsageDecision::Granted, "no arbiter is named yet");
+    arbiter.configure(began, caps(1, 1_000.0), entries(1));
+    let now = began + Duration::from_millis(1_500);
+    arbiter.confirm(now);
+    assert_eq!(acquire(&mut arbiter, now, "vm-1", &request("o-0", 100.0, 0.0)), 100.0);
+}
+
 /// A request larger than the burst is granted as soon as the balance is positive.
 #[test]
 fn long_request() {
