--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -194,7 +194,8 @@
     }
 
     /// The engines' shared cache stores that are used, each with this process's share of its link rate in
-    /// tokens per second: all of them where organisations compete for room, and otherwise one.
+    /// tokens per second: all of them where servers share their machines or organisations' use is limited, and
+    /// otherwise one.
     pub fn cache_stores(&self) -> BTreeMap<SocketAddr, f64> {
         let view = self.view();
         let mut stores = view.cache_stores();
@@ -418,11 +419,10 @@
         self.is_contended(service) || self.limits_rejections(service)
     }
 
-    /// Whether organisations compete for the room at the servers of a service: engines where the
-    /// configuration limits what organisations may use, and servers that share their machines with others.
+    /// Whether the servers of a service share their machines with others, so that no entry knows by itself
+    /// what fits into them.
     pub fn is_contended(&self, service: &ServiceId) -> bool {
-        let view = self.view();
-        (view.limits_use() && view.is_engine(service)) || self.shared_machines.contains(service)
+        self.shared_machines.contains(service)
     }
 
     /// Sets how the origins of streams are known; without it a resumed stream goes on at any server. A
