Keep usage limits while no arbiter is named

Granting everything until then let an organisation at three times its limit run 186 requests in 8 s where 103 are allowed: the platform tests usage_limits::cap_is_kept_and_used, arbiter_is_killed and arbiter_is_frozen went red.

--- a/src/policy/usage_limits/arbiter.rs
+++ b/src/policy/usage_limits/arbiter.rs
@@ -23,7 +23,7 @@
 /// A process that has just started has no whole rate for this time, in which the entries that are in touch
 /// report the shares that they have of its predecessor. It is short, since nobody is served meanwhile if all
 /// entries have started.
-const START_TERM: Duration = Duration::from_millis(500);
+const START_TERM: Duration = Duration::from_secs(1);
 
 /// Maximum entries with shares of one organisation; others are served without.
 const MAX_SHARES: usize = 4096;
--- a/src/policy/usage_limits/holder.rs
+++ b/src/policy/usage_limits/holder.rs
@@ -288,9 +288,11 @@
         self.caps.get(organisation)
     }
 
-    /// The fraction of the rate that one entry spends when it has no share and reaches no arbiter.
+    /// The fraction of the rate that one entry spends when it has no share and reaches no arbiter. All
+    /// entries have an even part of the whole rate as long as there are no arbiters.
     fn unreached(&self) -> f64 {
-        UNREACHED_FRACTION / self.entries.max(1) as f64
+        let all = if self.arbiters.is_empty() { 1.0 } else { UNREACHED_FRACTION };
+        all / self.entries.max(1) as f64
     }
 
     /// Decides about a request of `cost` units.
@@ -325,11 +327,6 @@
 
     /// Asks the first entry by rank that is not silent, or decides without one.
     fn ask(&mut self, now: Instant, organisation: &OrganisationId, cost: f64) -> UsageDecision {
-        // Before the control VMs name any arbiter, after a restart of all, nobody knows what is used. Refusing
-        // everyone until then would cost more than the excess of these seconds.
-        if self.arbiters.is_empty() {
-            return UsageDecision::Granted;
-        }
         let unreached = self.unreached();
         let (Some(usage), Some(cap)) =
             (self.held.get_mut(organisation), self.caps.get(organisation))
