Log pauses of processes and what was left of the lease at a read

A record of a control VM that answers reads after others have replaced it does not tell a stopped process from a suspended VM, on which the steady clock stands still, nor how much of the leader's lease was left. `process paused` names both times, `configuration read` the rest of the lease.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `control` are deterministic state machines without access to network, clock or tasks.
 
 pub mod backend;
+pub mod clock;
 pub mod control;
 pub mod daemon;
 pub mod fleet;
--- a/src/observe.rs
+++ b/src/observe.rs
@@ -6,3 +6,4 @@
 pub mod logs;
 pub mod memory;
 pub mod metrics;
+pub mod pauses;
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -137,7 +137,10 @@
 pub const DOCUMENT_ACKNOWLEDGED: &str = "document acknowledged";
 /// An acknowledged document is not in force, since another one has its number; `ignored` is its digest.
 pub const DOCUMENT_IGNORED: &str = "document acknowledged, another one of its number is in force";
-/// An operator read the document in force.
+/// This process did not run for `paused_ms`; the steady clock did not count `suspended_ms` of it.
+pub const PROCESS_PAUSED: &str = "process paused";
+
+/// An operator read the document in force; `lease_ms` is what was left of the leader's lease.
 pub const DOCUMENT_READ: &str = "configuration read";
 /// An operator sent an invalid document; `document` is its number, if that can be read.
 pub const DOCUMENT_REFUSED: &str = "invalid configuration refused";
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -27,7 +27,7 @@
             task::{FollowTask, FollowerPort},
         },
         ids::{FailureDomainId, Incarnation, ServiceId, VmId},
-        observe::{events, memory::report_memory},
+        observe::{events, memory::report_memory, pauses::log_pauses},
         transport::{PeerMessage, PeerNetwork, UnauthenticatedSettings},
     },
     std::{
@@ -140,6 +140,7 @@
         tasks.spawn(repair_replicas(settings.vm.clone(), replica.clone(), founders));
         spawn_orders(&settings, &replica, &fleet_view, engines, &mut tasks);
         tasks.spawn(report_memory());
+        tasks.spawn(log_pauses());
         tasks.spawn(log_leader_changes(settings.vm.clone(), replica.clone()));
         tasks.spawn(log_member_changes(settings.vm.clone(), replica.clone()));
         log::info!(vm = settings.vm.as_str(), founders = settings.founders.len();
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -19,6 +19,7 @@
         },
         ids::{FailureDomainId, ServiceId, VmId},
         inventory::DecisionObjective,
+        observe::pauses::log_pauses,
         pipeline::{DispatcherHandle, TraceLog, dispatch::DispatchTask},
         policy::{Dispatcher, DispatcherSettings, PolicyInput, PolicySafeguard, SafeguardSet},
         reverse_proxy::{
@@ -430,6 +431,7 @@
         links_handle.notify(PolicyInput::LinksFailed(failure));
     });
     tasks.spawn(async move { handle.run_wakeups().await });
+    tasks.spawn(log_pauses());
     tasks.spawn(run_dispatch_tasks(Arc::clone(&core), task_queue));
     tasks.spawn(monitor_cache_stores(Arc::clone(&core)));
     core
--- a/src/roles/operator_service.rs
+++ b/src/roles/operator_service.rs
@@ -13,6 +13,7 @@
         observe::events,
     },
     displaydoc::Display,
+    std::time::Instant,
 };
 
 /// Why a control VM refuses an operator's request.
@@ -109,8 +110,10 @@
         if !self.replica.lease_valid() {
             return Err(self.not_leader_refusal());
         }
-        log::info!(document = document.number, digest = document.digest(),
-            term = self.replica.status().term; "{}", events::DOCUMENT_READ);
+        let status = self.replica.status();
+        let lease_left = status.lease_until.map(|until| until - Instant::now()).unwrap_or_default();
+        log::info!(document = document.number, digest = document.digest(), term = status.term,
+            lease_ms = lease_left.as_millis() as u64; "{}", events::DOCUMENT_READ);
         Ok(document)
     }
 
