Answer reads of the configuration once a quorum has confirmed them

What operators saw: a control VM answered reads with a document that another one had replaced seconds before (six cases in three deployments, as processes).

Cause: a read was justified by the leader's lease, which is judged by the steady clock of the process. That clock does not count suspensions of the VM. A leader that resumes finds its lease valid, whatever others have elected and acknowledged meanwhile, until the first message of the next term has reached it.

Change: a read waits for replies of a quorum to a heartbeat round that begins after it has arrived, and takes no clock into account.

Ruled out: a check before a pause and the answer after it (a second hypothesis): such a read was sent before the change that replaced its document. Two valid leases without a suspension (the third): a replica answers no round of an earlier term; a process that is merely stopped finds its lease expired.

--- a/src/control/replica.rs
+++ b/src/control/replica.rs
@@ -13,11 +13,12 @@
 pub mod log;
 pub mod membership_change;
 pub mod progress;
+pub mod reads;
 mod receive;
 pub mod types;
 
 pub use self::types::{
-    LocalProposeError, ProposalId, ReplicaAction, ReplicaInput, ReplicaLimits, ReplicaRole,
+    LocalProposeError, ProposalId, ReadId, ReplicaAction, ReplicaInput, ReplicaLimits, ReplicaRole,
     ReplicaSettings, ReplicaStatus, ReplicaTiming,
 };
 
@@ -205,8 +206,10 @@
             ReplicaInput::Received { from, message } => self.receive(now, from, message),
             ReplicaInput::Persisted { number } => self.persisted(now, number),
             ReplicaInput::Propose { proposal, command } => self.propose(now, proposal, command),
+            ReplicaInput::Read { read } => self.read(now, read),
             ReplicaInput::ConfiguredPeers { peers } => self.configured_peers = peers,
         }
+        self.complete_reads(now);
         self.run_timers(now);
         self.take_actions()
     }
--- a/src/control/replica/election.rs
+++ b/src/control/replica/election.rs
@@ -201,8 +201,10 @@
         if term > self.term() {
             self.write_hard_state(HardState { term, vote: None, group: self.hard_state.group });
         }
+        self.leader = leader;
         let before = std::mem::replace(&mut self.role, RoleState::Follower);
         if let RoleState::Leader(leader_state) = before {
+            self.fail_reads(leader_state.reads);
             // The entries of these proposals may still be committed by a later leader, or are
             // committed without the knowledge of the others.
             let unconfirmed = leader_state.unconfirmed.into_values().map(|(proposal, _)| proposal);
@@ -211,7 +213,6 @@
                 self.actions.push(ReplicaAction::Completed { proposal, outcome });
             }
         }
-        self.leader = leader;
         self.reset_timeout(now);
     }
 }
--- a/src/control/replica/leader.rs
+++ b/src/control/replica/leader.rs
@@ -4,6 +4,7 @@
     super::{
         LocalProposeError, ProposalId, Replica, ReplicaAction, RoleState,
         progress::{LeaderState, SendMode},
+        reads::PendingReads,
     },
     crate::{
         control::{
@@ -30,6 +31,7 @@
             followers: BTreeMap::new(),
             proposals: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
+            reads: PendingReads::default(),
         };
         leader_state.update_followers(
             self.log.membership(),
@@ -166,6 +168,8 @@
             self.send_append(now, &vm);
         }
         self.announce_members();
+        // A leader without other voters needs no replies.
+        self.complete_reads(now);
     }
 
     pub(super) fn receive_reply(&mut self, now: Instant, from: VmId, message: ReplicaMessage) {
@@ -180,8 +184,9 @@
         let (term, last) = (self.term(), self.log.last_index());
         let Some(state) = self.leader_state_mut().filter(|_| message.term == term) else { return };
         let Some(progress) = state.followers.get_mut(&from) else { return };
-        if let Some(began) = round_of(&message.body).and_then(|round| state.rounds.get(&round)) {
-            progress.replied_at = progress.replied_at.max(Some(*began));
+        if let Some(round) = round_of(&message.body) {
+            progress.replied_round = progress.replied_round.max(round);
+            progress.replied_at = progress.replied_at.max(state.rounds.get(&round).copied());
         }
         match message.body {
             MessageBody::AppendReply { matched, .. } => progress.advance(matched, now),
@@ -309,8 +314,9 @@
         }
     }
 
-    /// Returns the reason why a proposal must not enter the log; it will then never be committed.
-    fn proposal_error(&self, now: Instant) -> Option<LocalProposeError> {
+    /// Returns the reason why a proposal must not enter the log, or a read must not wait; the proposal
+    /// will then never be committed.
+    pub(super) fn proposal_error(&self, now: Instant) -> Option<LocalProposeError> {
         let Some(leader_state) = self.leader_state() else {
             return Some(LocalProposeError::NotLeader { leader: self.leader.clone() });
         };
@@ -320,7 +326,8 @@
         if now >= last_contact + self.settings.timing.lease {
             return Some(LocalProposeError::NoQuorum);
         }
-        let waiting = leader_state.proposals.len() + leader_state.unconfirmed.len();
+        let proposals = leader_state.proposals.len() + leader_state.unconfirmed.len();
+        let waiting = proposals + leader_state.reads.len();
         (waiting >= self.settings.limits.proposals).then_some(LocalProposeError::Busy)
     }
 
--- a/src/control/replica/progress.rs
+++ b/src/control/replica/progress.rs
@@ -7,7 +7,7 @@
             command::CommandOutcome,
             entry::{Membership, SavedSnapshot},
             message::RoundNumber,
-            replica::types::ProposalId,
+            replica::{reads::PendingReads, types::ProposalId},
         },
         ids::{Incarnation, LogIndex, VmId},
     },
@@ -45,6 +45,8 @@
     /// Outcomes of committed proposals, by the index of their entry, that wait until a quorum knows of
     /// the commit. Together with `proposals` they are bounded by the limit on proposals.
     pub unconfirmed: BTreeMap<LogIndex, (ProposalId, CommandOutcome)>,
+    /// Reads that wait for a quorum.
+    pub reads: PendingReads,
 }
 
 /// Replication progress of a follower.
@@ -71,6 +73,8 @@
     pub resends: u32,
     /// Start of the latest round that the follower has replied to; `None` before its first reply.
     pub replied_at: Option<Instant>,
+    /// Latest round that the follower has replied to; 0 before its first reply.
+    pub replied_round: RoundNumber,
     /// Commit indexes sent in the heartbeats of recent rounds that were not replied to; at most
     /// `MAX_ROUNDS`.
     pub sent_commits: BTreeMap<RoundNumber, LogIndex>,
@@ -110,6 +114,7 @@
             sent_at: now,
             resends: 0,
             replied_at: None,
+            replied_round: 0,
             sent_commits: BTreeMap::new(),
             confirmed_commit: 0,
             since: now,
@@ -216,7 +221,24 @@
 
     /// Commit index that a quorum of `membership` has applied; `own` is that of this leader.
     pub fn quorum_commit(&self, membership: &Membership, vm: &VmId, own: LogIndex) -> LogIndex {
-        let mut commits: Vec<LogIndex> = membership
+        self.quorum_value(membership, vm, own, |progress| progress.confirmed_commit)
+    }
+
+    /// Latest round that a quorum of `membership` has replied to, `vm` being this leader.
+    pub fn quorum_round(&self, membership: &Membership, vm: &VmId) -> RoundNumber {
+        self.quorum_value(membership, vm, self.round, |progress| progress.replied_round)
+    }
+
+    /// The highest number that a quorum of `membership` has reached; `own` is that of this leader, and
+    /// that of a voter without progress is 0.
+    fn quorum_value(
+        &self,
+        membership: &Membership,
+        vm: &VmId,
+        own: u64,
+        value: impl Fn(&FollowerProgress) -> u64,
+    ) -> u64 {
+        let mut values: Vec<u64> = membership
             .voters
             .iter()
             .map(|(voter, incarnation)| {
@@ -224,13 +246,11 @@
                     return own;
                 }
                 let progress = self.followers.get(voter);
-                progress
-                    .filter(|progress| progress.incarnation == *incarnation)
-                    .map_or(0, |progress| progress.confirmed_commit)
+                progress.filter(|progress| progress.incarnation == *incarnation).map_or(0, &value)
             })
             .collect();
-        commits.sort_unstable_by(|left, right| right.cmp(left));
-        commits.get(membership.quorum() - 1).copied().unwrap_or(0)
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.get(membership.quorum() - 1).copied().unwrap_or(0)
     }
 
     /// Latest time at which a quorum of `membership` is known to have accepted this leader. This is
--- a/src/control/replica/types.rs
+++ b/src/control/replica/types.rs
@@ -19,6 +19,9 @@
 /// Identifies a proposal between the replica and its driver.
 pub type ProposalId = u64;
 
+/// Identifies a read between the replica and its driver.
+pub type ReadId = u64;
+
 /// Settings of a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaSettings {
@@ -82,7 +85,7 @@
     pub compact_bytes: usize,
     /// Number of entries kept in memory after a snapshot, for followers that are slightly behind.
     pub kept_entries: u64,
-    /// Maximum number of uncommitted proposals; further ones are refused as busy.
+    /// Maximum number of uncommitted proposals and unconfirmed reads; further ones are refused as busy.
     pub proposals: usize,
 }
 
@@ -129,6 +132,11 @@
         /// Proposed command.
         command: Command,
     },
+    /// A local client reads the state, which must contain all that was committed before.
+    Read {
+        /// Identifies the read; returned with its outcome.
+        read: ReadId,
+    },
     /// The VMs named in the settings have changed. A replica without a group probes them, but they
     /// do not participate in founding a group.
     ConfiguredPeers {
@@ -157,11 +165,18 @@
         /// Outcome of the proposal.
         outcome: Result<CommandOutcome, LocalProposeError>,
     },
+    /// The state of this replica contains all that was committed before the read, or cannot be read.
+    ReadConfirmed {
+        /// Identifies the read.
+        read: ReadId,
+        /// Why the state cannot be read; never [`LocalProposeError::OutcomeUnknown`].
+        outcome: Result<(), LocalProposeError>,
+    },
     /// Event to log for the operator.
     Report(String),
 }
 
-/// Why a proposal at this replica returned no outcome.
+/// Why a proposal or a read at this replica returned no outcome.
 #[derive(Clone, Debug, Display, PartialEq)]
 pub enum LocalProposeError {
     /// this replica does not lead and the command did not enter its log; propose it at the leader
--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -15,7 +15,7 @@
         control::{
             Command, CommandOutcome, ProposeError, ReplicaMessage, SavedState,
             configuration::ConfigChange,
-            document::DocumentState,
+            document::{DocumentState, NumberedDocument},
             entry::OVERHEAD_BYTES,
             orders::{DesiredWeights, SuspectCrashes},
             replica::{Replica, ReplicaLimits, ReplicaSettings, ReplicaStatus, ReplicaTiming},
@@ -58,7 +58,7 @@
 /// The default interval between two attempts to reopen a folder whose disk has failed. A disk is
 /// full or unresponsive for seconds, and each attempt rewrites the contents of the folder.
 const REOPEN_INTERVAL: Duration = Duration::from_secs(1);
-/// Time limit of a proposal: two elections.
+/// Time limit of a proposal or read: two elections.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The maximum number of accepted changes in the history for operators.
@@ -199,11 +199,15 @@
         /// The share of [`INPUT_BYTES`], released when the replica handles the command.
         permit: OwnedSemaphorePermit,
     },
+    Read {
+        reply: ReadReply,
+    },
     ConfiguredPeers {
         peers: BTreeSet<VmId>,
     },
 }
 
+type ReadReply = oneshot::Sender<Result<NumberedDocument, LocalProposeError>>;
 type ProposalReply = oneshot::Sender<Result<CommandOutcome, LocalProposeError>>;
 
 /// The channels on which the task publishes its state.
@@ -291,6 +295,27 @@
         }
     }
 
+    /// The document in force at a moment after the call, which a quorum confirms: a later leader has
+    /// accepted none before the call.
+    ///
+    /// # Errors
+    /// All but `OutcomeUnknown`.
+    pub async fn read_document(&self) -> Result<NumberedDocument, LocalProposeError> {
+        let (reply, outcome) = oneshot::channel();
+        match self.inputs.try_send(DriverInput::Read { reply }) {
+            Ok(()) => {}
+            Err(mpsc::error::TrySendError::Full(_)) => return Err(LocalProposeError::Busy),
+            Err(mpsc::error::TrySendError::Closed(_)) => {
+                return Err(LocalProposeError::NotLeader { leader: None });
+            }
+        }
+        match timeout(PROPOSAL_TIMEOUT, outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            // The replica has stopped, or no quorum replies.
+            Ok(Err(_)) | Err(_) => Err(LocalProposeError::NoQuorum),
+        }
+    }
+
     /// Queues a message from another replica; it is dropped when the queue is full.
     pub fn deliver(&self, from: VmId, message: ReplicaMessage) {
         let permit = self.reserve_bytes(message.bytes());
--- a/src/daemon/control_driver/runner.rs
+++ b/src/daemon/control_driver/runner.rs
@@ -2,15 +2,16 @@
 
 use {
     super::{
-        BATCH_BYTES, DriverInput, DriverSettings, ProposalReply, StatusSenders, latest_changes,
-        log_quarantine, open_replica,
+        BATCH_BYTES, DriverInput, DriverSettings, ProposalReply, ReadReply, StatusSenders,
+        latest_changes, log_quarantine, open_replica,
         writer::{GenerationBatch, ReplicaGeneration, WriteReport},
     },
     crate::{
         control::{
             DurableWrite, PersistBatch, ReplicaMessage, SavedState,
             replica::{
-                LocalProposeError, ProposalId, Replica, ReplicaAction, ReplicaInput, ReplicaStatus,
+                LocalProposeError, ProposalId, ReadId, Replica, ReplicaAction, ReplicaInput,
+                ReplicaStatus,
             },
         },
         ids::{LogIndex, VmId},
@@ -59,6 +60,9 @@
     /// completes each proposal, immediately when the limit is reached.
     waiting: BTreeMap<ProposalId, ProposalReply>,
     next_proposal: ProposalId,
+    /// The replies to reads in progress, bounded in the same way.
+    waiting_reads: BTreeMap<ReadId, ReadReply>,
+    next_read: ReadId,
     senders: StatusSenders,
     /// VMs that the settings name; they are passed to each generation of the replica.
     configured_peers: BTreeSet<VmId>,
@@ -84,6 +88,8 @@
             generation: 0,
             waiting: BTreeMap::new(),
             next_proposal: 0,
+            waiting_reads: BTreeMap::new(),
+            next_read: 0,
             senders,
             configured_peers: BTreeSet::new(),
             published_index: 0,
@@ -164,6 +170,11 @@
                 self.waiting.insert(proposal, reply);
                 ReplicaInput::Propose { proposal, command: *command }
             }
+            DriverInput::Read { reply } => {
+                self.next_read += 1;
+                self.waiting_reads.insert(self.next_read, reply);
+                ReplicaInput::Read { read: self.next_read }
+            }
             DriverInput::ConfiguredPeers { peers } => {
                 self.configured_peers.clone_from(&peers);
                 ReplicaInput::ConfiguredPeers { peers }
@@ -188,6 +199,14 @@
                 // Fails only when the proposer no longer waits; the outcome is in the log anyway.
                 let _ = self.waiting.remove(&proposal).map(|reply| reply.send(outcome));
             }
+            ReplicaAction::ReadConfirmed { read, outcome } => {
+                let document = || self.replica.state().documents().document().clone();
+                // Fails only when the reader no longer waits.
+                let _ = self
+                    .waiting_reads
+                    .remove(&read)
+                    .map(|reply| reply.send(outcome.map(|()| document())));
+            }
             ReplicaAction::Report(text) => log::warn!("{text}"),
         }
         Ok(())
@@ -240,8 +259,9 @@
     fn stop(&mut self, reason: &str) {
         log::error!(reason = reason; "{}", events::REPLICA_STOPPED);
         metrics::counter!("oleandermount_control_replica_stopped_total").increment(1);
-        // Dropping the replies reports an unknown outcome to the proposers.
+        // Dropping the replies reports an unknown outcome to the proposers, and none to the readers.
         self.waiting.clear();
+        self.waiting_reads.clear();
         let mut status = ReplicaStatus::clone(&self.senders.status.borrow());
         self.published_index = self.published_index.max(status.applied);
         status.lease_until = None;
@@ -277,6 +297,10 @@
                         // Fails only when the proposer no longer waits.
                         let _ = reply.send(Err(LocalProposeError::NotLeader { leader: None }));
                     }
+                    DriverInput::Read { reply } => {
+                        // Fails only when the reader no longer waits.
+                        let _ = reply.send(Err(LocalProposeError::NotLeader { leader: None }));
+                    }
                     DriverInput::ConfiguredPeers { peers } => self.configured_peers = peers,
                     DriverInput::Message { .. } => {}
                 },
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -140,7 +140,7 @@
 /// This process did not run for `paused_ms`; the steady clock did not count `suspended_ms` of it.
 pub const PROCESS_PAUSED: &str = "process paused";
 
-/// An operator read the document in force; `lease_ms` is what was left of the leader's lease.
+/// An operator read the document in force; `waited_ms` is how long a quorum took to confirm it.
 pub const DOCUMENT_READ: &str = "configuration read";
 /// An operator sent an invalid document; `document` is its number, if that can be read.
 pub const DOCUMENT_REFUSED: &str = "invalid configuration refused";
--- a/src/roles/operator_service.rs
+++ b/src/roles/operator_service.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         control::{
-            Command, CommandOutcome, ProposeError,
+            Command, CommandOutcome,
             document::{NumberedDocument, body_digest},
             packed_document::PackedDocument,
             replica::LocalProposeError,
@@ -98,22 +98,18 @@
         }
     }
 
-    /// The document in force, if this VM holds the leader lease. No other VM can then have accepted a
-    /// later document.
+    /// The document in force, if this VM leads and a quorum confirms it. No other VM can have accepted
+    /// a later document before the call.
     ///
     /// # Errors
     /// [`OperatorRefusal::AskLeader`] or [`OperatorRefusal::NoLeader`].
-    pub fn read_document(&self) -> Result<NumberedDocument, OperatorRefusal> {
-        let documents = self.replica.documents();
-        let document = documents.borrow().document().clone();
-        // The lease is checked last, so that it covers the moment at which the document was read.
-        if !self.replica.lease_valid() {
-            return Err(self.not_leader_refusal());
-        }
-        let status = self.replica.status();
-        let lease_left = status.lease_until.map(|until| until - Instant::now()).unwrap_or_default();
-        log::info!(document = document.number, digest = document.digest(), term = status.term,
-            lease_ms = lease_left.as_millis() as u64; "{}", events::DOCUMENT_READ);
+    pub async fn read_document(&self) -> Result<NumberedDocument, OperatorRefusal> {
+        let asked_at = Instant::now();
+        let document =
+            self.replica.read_document().await.map_err(|error| self.propose_refusal(error))?;
+        log::info!(document = document.number, digest = document.digest(),
+            term = self.replica.status().term, waited_ms = asked_at.elapsed().as_millis() as u64;
+            "{}", events::DOCUMENT_READ);
         Ok(document)
     }
 
@@ -137,13 +133,15 @@
     }
 
     async fn propose(&self, command: Command) -> Result<CommandOutcome, OperatorRefusal> {
-        match self.replica.propose_local(command).await {
-            Ok(outcome) => Ok(outcome),
-            Err(LocalProposeError::NotLeader { .. }) => Err(self.not_leader_refusal()),
-            Err(error) => Err(match ProposeError::from(error) {
-                ProposeError::OutcomeUnknown => OperatorRefusal::OutcomeUnknown,
-                ProposeError::NoQuorum | ProposeError::Busy => OperatorRefusal::NoLeader,
-            }),
+        let outcome = self.replica.propose_local(command).await;
+        outcome.map_err(|error| self.propose_refusal(error))
+    }
+
+    fn propose_refusal(&self, error: LocalProposeError) -> OperatorRefusal {
+        match error {
+            LocalProposeError::NotLeader { .. } => self.not_leader_refusal(),
+            LocalProposeError::OutcomeUnknown => OperatorRefusal::OutcomeUnknown,
+            LocalProposeError::NoQuorum | LocalProposeError::Busy => OperatorRefusal::NoLeader,
         }
     }
 }
--- a/tests/fakes/replica_group.rs
+++ b/tests/fakes/replica_group.rs
@@ -15,7 +15,7 @@
                 ReplicaRole, ReplicaSettings, ReplicaStatus, ReplicaTiming,
             },
         },
-        ids::{Incarnation, LogIndex, Revision, Term, VmId},
+        ids::{DocumentNumber, Incarnation, LogIndex, Revision, Term, VmId},
     },
     rand_core::{RngCore, SeedableRng},
     rand_xoshiro::Xoshiro256PlusPlus,
@@ -32,6 +32,7 @@
 const FIRST_INCARNATION: Incarnation = 100;
 
 pub type ProposalOutcome = Result<CommandOutcome, LocalProposeError>;
+pub type DocumentOutcome = Result<DocumentNumber, LocalProposeError>;
 
 /// Fault rates of the network, in percent of the messages.
 #[derive(Clone, Copy)]
@@ -53,6 +54,8 @@
     /// Maximum duration of a sync of the disk.
     pub slowest_sync: Duration,
     paused_until: Instant,
+    /// For how long the VM was suspended, which its clock does not count.
+    clock_lag: Duration,
     checked: LogIndex,
     published: Revision,
 }
@@ -68,6 +71,8 @@
     /// Sender and receiver of blocked links.
     pub blocked_links: BTreeSet<(VmId, VmId)>,
     pub outcomes: BTreeMap<u64, ProposalOutcome>,
+    /// Outcomes of reads: the number of the document.
+    pub reads: BTreeMap<u64, DocumentOutcome>,
     /// Number of processed events.
     pub steps: u64,
     founders: BTreeSet<VmId>,
@@ -75,9 +80,11 @@
     limits: ReplicaLimits,
     pub timing: ReplicaTiming,
     network: BTreeMap<(Instant, u64), (VmId, VmId, ReplicaMessage)>,
-    sent: u64,
+    /// Number of messages sent so far.
+    pub sent: u64,
     next_incarnation: Incarnation,
     next_proposal: u64,
+    next_read: u64,
     leaders: BTreeMap<Term, (VmId, Incarnation)>,
     /// Committed entries, with the term in which each was first observed as committed.
     committed: BTreeMap<LogIndex, (LogEntry, Term)>,
@@ -110,6 +117,7 @@
             bulk_delay: Duration::ZERO,
             blocked_links: BTreeSet::new(),
             outcomes: BTreeMap::new(),
+            reads: BTreeMap::new(),
             steps: 0,
             founders: founders.clone(),
             seed,
@@ -119,6 +127,7 @@
             sent: 0,
             next_incarnation: FIRST_INCARNATION,
             next_proposal: 0,
+            next_read: 0,
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             written: BTreeMap::new(),
@@ -145,7 +154,7 @@
         };
         let node = self.nodes.get_mut(vm).expect("the VM is one of the group");
         if node.replica.is_none() {
-            let replica = Replica::new(settings, node.disk.clone(), self.now)
+            let replica = Replica::new(settings, node.disk.clone(), self.now - node.clock_lag)
                 .expect("a snapshot of its own decodes");
             let published = replica.config().revision;
             assert!(
@@ -178,6 +187,7 @@
             unsynced: VecDeque::new(),
             slowest_sync: DEFAULT_SYNC,
             paused_until: self.now,
+            clock_lag: Duration::ZERO,
             checked: 0,
             published: 0,
         };
@@ -189,6 +199,13 @@
         self.nodes.get_mut(vm).expect("the VM is one of the group").paused_until = self.now + pause;
     }
 
+    /// Suspends the VM: its process is paused, and its clock does not count the pause.
+    pub fn suspend(&mut self, vm: &str, pause: Duration) {
+        let node = self.nodes.get_mut(vm).expect("the VM is one of the group");
+        node.paused_until = self.now + pause;
+        node.clock_lag += pause;
+    }
+
     /// Size in bytes of the messages in transit to a VM.
     pub fn waiting_bytes(&self, vm: &str) -> usize {
         let waiting = self.network.values().filter(|(_, to, _)| to == vm);
@@ -205,6 +222,14 @@
         proposal
     }
 
+    /// Reads the document at one replica; the returned number identifies the outcome.
+    pub fn read(&mut self, vm: &str) -> u64 {
+        self.next_read += 1;
+        let read = self.next_read;
+        self.input(vm, ReplicaInput::Read { read });
+        read
+    }
+
     pub fn leader(&self) -> Option<VmId> {
         let leads = |node: &GroupNode| {
             node.replica.as_ref().is_some_and(|replica| replica.lease_valid(self.now))
@@ -330,7 +355,7 @@
             }
             return;
         };
-        for action in replica.handle(now, input) {
+        for action in replica.handle(now - node.clock_lag, input) {
             self.perform(vm, action);
         }
         self.check(vm);
@@ -363,6 +388,12 @@
                 let previous = self.outcomes.insert(proposal, outcome);
                 assert!(previous.is_none(), "a proposal is completed once");
             }
+            ReplicaAction::ReadConfirmed { read, outcome } => {
+                let replica = self.nodes[vm].replica.as_ref().expect("the replica runs");
+                let number = replica.state().documents().document().number;
+                let previous = self.reads.insert(read, outcome.map(|()| number));
+                assert!(previous.is_none(), "a read is completed once");
+            }
             ReplicaAction::Report(text) => panic!("{vm} at seed {}: {text}", self.seed),
         }
     }
@@ -428,7 +459,7 @@
 }
 
 fn node_due(node: &GroupNode) -> Option<Instant> {
-    let wakeup = node.replica.as_ref()?.next_wakeup();
+    let wakeup = node.replica.as_ref()?.next_wakeup().map(|at| at + node.clock_lag);
     let synced = node.unsynced.front().map(|(at, _)| *at);
     let due = wakeup.into_iter().chain(synced).min()?;
     Some(due.max(node.paused_until))
