--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -159,7 +159,7 @@
     /// their slots: half of its even part of them, and at least one.
     pub fn slot_share(&self, service: &ServiceId) -> u32 {
         let servers = self.servers.values().filter(|server| server.service == *service);
-        let slots: u32 = servers.map(|server| server.slots).sum();
+        let slots = servers.fold(0_u32, |sum, server| sum.saturating_add(server.slots));
         (slots / (2 * self.proxy_count.max(1))).max(1)
     }
 
