Let unknown streams go on only if a quorum of control VMs knows of one version

Reported from systems like ours: streams that callers take up again go on at a server of another software version, after all entries were killed at once during a release, or at an entry that was cut off or stood still while a new version joined.

Cause: an entry that got no answer of a control VM decided by its own knowledge, and let a stream that nobody knows go on at the only version that it had heard of.

Change: a quorum of the control VMs has to answer, and nobody may know of several versions; too few answers are asked for again. Callers that do not name their stream are treated in the same way.

Ruled out: control VMs that hear of the second version late (none in the logs); lost reports, whose streams are refused.

A test asserted the fault: an entry without any answer lets a stream go on. The assertion is replaced by its opposite, for all counts of answers (minority_knows_no_versions).

--- a/src/roles/origin_client.rs
+++ b/src/roles/origin_client.rs
@@ -38,9 +38,19 @@
 const MAX_REPORTED: usize = 4_096;
 /// Time limit of a question to a control VM, which answers at once.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
-/// A stream that no control VM knows may have been reported just now, and is asked for once more after
-/// this time.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Pauses before the questions for a stream. One that no control VM knows may have been reported just now,
+/// and is asked for once more; too few answers are asked for again, since the links of an entry that has
+/// just started may not be up.
+const QUESTION_DELAYS: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(150),
+    Duration::from_millis(250),
+    Duration::from_millis(400),
+];
+/// Questions for a stream that a quorum of the control VMs does not know.
+const QUESTIONS: usize = 2;
+/// Stands for a stream whose caller does not name it; no request has this key in practice.
+const UNNAMED_STREAM: StreamKey = 0;
 
 #[derive(Default)]
 struct OriginState {
@@ -142,12 +152,13 @@
         reports.into_iter().map(|(origin, streams)| OriginReport { origin, streams }).collect()
     }
 
-    /// Asks all control VMs for a stream; returns the first origin, or all answers without one.
+    /// Asks all control VMs for a stream; returns the first origin, or all answers without one and the
+    /// number of those that were asked.
     async fn ask(
         &self,
         service: &ServiceId,
         stream: StreamKey,
-    ) -> Result<StreamOrigin, Vec<VersionState>> {
+    ) -> Result<StreamOrigin, (Vec<VersionState>, usize)> {
         let control = self.lock().control.clone();
         let asked = control.iter().map(|vm| {
             let request = PeerRequest::StreamOrigin { service: service.clone(), stream };
@@ -164,7 +175,7 @@
                 None => states.push(versions),
             }
         }
-        Err(states)
+        Err((states, control.len()))
     }
 
     fn own_state(&self, service: &ServiceId) -> VersionState {
@@ -175,18 +186,19 @@
         if let Some(origin) = self.lock().own.find(Instant::now(), stream) {
             return ResumeTarget::Origin(origin.clone());
         }
-        let mut target = ResumeTarget::Unknown;
-        for delay in [Duration::ZERO, RETRY_DELAY] {
+        for (number, delay) in QUESTION_DELAYS.into_iter().enumerate() {
             sleep(delay).await;
-            match self.ask(service, stream).await {
+            let (states, asked) = match self.ask(service, stream).await {
                 Ok(origin) => return ResumeTarget::Origin(origin),
-                Err(states) => target = unknown_target(self.own_state(service), &states),
-            }
-            if target == ResumeTarget::AnyServer {
-                break;
+                Err(answers) => answers,
+            };
+            let target = unknown_target(self.own_state(service), &states, asked);
+            let is_settled = number + 1 >= QUESTIONS && is_quorum(states.len(), asked);
+            if target == ResumeTarget::AnyServer || is_settled {
+                return target;
             }
         }
-        target
+        ResumeTarget::Unknown
     }
 
     fn lock(&self) -> MutexGuard<'_, OriginState> {
@@ -195,13 +207,22 @@
 }
 
 /// Where a stream can go on that nobody knows, by what this entry and the control VMs know of the
-/// service's versions. If all of them have just started, only what is listed now is known.
-pub fn unknown_target(own: VersionState, control: &[VersionState]) -> ResumeTarget {
-    let states = || control.iter().chain([&own]);
-    if states().any(|state| *state == VersionState::Several) {
-        return ResumeTarget::Unknown;
+/// service's versions; `asked` is the number of control VMs.
+///
+/// An entry that hears less than a quorum of them may be out of step with the others: a version that it
+/// has not heard of may have begun the stream. If all that are asked have just started, only what is
+/// listed now is known.
+pub fn unknown_target(own: VersionState, control: &[VersionState], asked: usize) -> ResumeTarget {
+    let mut states = control.iter().chain([&own]);
+    let has_several = states.any(|state| *state == VersionState::Several);
+    match !has_several && is_quorum(control.len(), asked) {
+        true => ResumeTarget::AnyServer,
+        false => ResumeTarget::Unknown,
     }
-    ResumeTarget::AnyServer
+}
+
+fn is_quorum(answers: usize, asked: usize) -> bool {
+    2 * answers > asked
 }
 
 impl OriginFinder for OriginClient {
@@ -222,10 +243,8 @@
         resumed: ResumedStream,
     ) -> BoxFuture<'static, ResumeTarget> {
         Box::pin(async move {
-            match &resumed.first_request {
-                Some(request) => self.find_stream(&service, stream_key(request)).await,
-                None => unknown_target(self.own_state(&service), &[]),
-            }
+            let stream = resumed.first_request.as_ref().map_or(UNNAMED_STREAM, stream_key);
+            self.find_stream(&service, stream).await
         })
     }
 }
--- a/tests/software_history.rs
+++ b/tests/software_history.rs
@@ -60,10 +60,26 @@
 #[test]
 fn started_entry_believes_others() {
     use VersionState::{One, Several, Unknown};
-    assert_eq!(unknown_target(Unknown, &[Unknown, Unknown]), ResumeTarget::AnyServer);
-    assert_eq!(unknown_target(Unknown, &[]), ResumeTarget::AnyServer);
-    assert_eq!(unknown_target(Unknown, &[One, Unknown]), ResumeTarget::AnyServer);
-    assert_eq!(unknown_target(Unknown, &[One, Several]), ResumeTarget::Unknown);
-    assert_eq!(unknown_target(One, &[Several]), ResumeTarget::Unknown);
-    assert_eq!(unknown_target(Several, &[]), ResumeTarget::Unknown);
+    assert_eq!(unknown_target(Unknown, &[Unknown, Unknown], 3), ResumeTarget::AnyServer);
+    assert_eq!(unknown_target(Unknown, &[One, Unknown], 3), ResumeTarget::AnyServer);
+    assert_eq!(unknown_target(Unknown, &[One, Several], 3), ResumeTarget::Unknown);
+    assert_eq!(unknown_target(One, &[Several], 1), ResumeTarget::Unknown);
+    assert_eq!(unknown_target(Several, &[One, One, One], 3), ResumeTarget::Unknown);
+}
+
+/// Guards against an entry that is out of step during a release and lets a stream go on at the only version
+/// that it knows: what begun the stream may be known to those alone that it does not hear.
+#[test]
+fn minority_knows_no_versions() {
+    use VersionState::{One, Unknown};
+    for own in [One, Unknown] {
+        for (answers, asked) in [(0, 0), (0, 3), (1, 3), (1, 2), (2, 5), (3, 7)] {
+            let target = unknown_target(own, &vec![One; answers], asked);
+            assert_eq!(target, ResumeTarget::Unknown, "{own:?}, {answers} of {asked}");
+        }
+        for (answers, asked) in [(1, 1), (2, 3), (3, 5), (4, 7)] {
+            let target = unknown_target(own, &vec![One; answers], asked);
+            assert_eq!(target, ResumeTarget::AnyServer, "{own:?}, {answers} of {asked}");
+        }
+    }
 }
