Judge the leader's lease by a clock that counts suspensions

The cause of the reads of a replaced configuration, elsewhere: a leader whose VM was suspended found its lease valid by a steady clock that had stood still, and would order weights, read the platform's list and repair the group beside the next leader. Orders are fenced at servers that check the number, and carry the count of orders that the server is expected to have; at others an older order could follow a newer one.

Change: the replica's times are those of a clock that counts suspensions. Timers do not, so that they take a duration. The time since which a replica leads is converted for the orders, whose other times come from the runtime.

Evidence: suspended_clock runs three replicas in a process whose steady clock stands still for 1.5 s while their messages are lost. The lease is over with the change; with the steady clock the test fails (lease_valid).

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -30,8 +30,17 @@
     Instant::now()
 }
 
-/// Time for which the VM has been suspended since the first call of [`now`] in this process.
+/// The result of [`Instant::now`] at the time at which [`now`] returned `at`, if the VM has not been
+/// suspended since.
+pub fn without_suspensions(at: Instant) -> Instant {
+    at.checked_sub(suspended_time()).unwrap_or(at)
+}
+
+/// Time in whole milliseconds for which the VM has been suspended since the first call of [`now`] in this
+/// process.
 pub fn suspended_time() -> Duration {
     let with_suspensions = now();
-    with_suspensions.saturating_duration_since(Instant::now())
+    let difference = with_suspensions.saturating_duration_since(Instant::now());
+    // The clocks are read one after the other, which takes less than a millisecond.
+    Duration::from_millis(difference.as_millis() as u64)
 }
--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -12,6 +12,7 @@
 use {
     self::{runner::ReplicaRunner, writer::ReplicaFolder},
     crate::{
+        clock,
         control::{
             Command, CommandOutcome, ProposeError, ReplicaMessage, SavedState,
             configuration::ConfigChange,
@@ -29,13 +30,7 @@
     },
     displaydoc::Display,
     futures::future::BoxFuture,
-    std::{
-        collections::BTreeSet,
-        path::PathBuf,
-        sync::Arc,
-        thread,
-        time::{Duration, Instant},
-    },
+    std::{collections::BTreeSet, path::PathBuf, sync::Arc, thread, time::Duration},
     tokio::{
         sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch},
         time::timeout,
@@ -176,7 +171,7 @@
         timing: settings.timing,
         limits: settings.limits,
     };
-    Replica::new(replica_settings, saved, Instant::now())
+    Replica::new(replica_settings, saved, clock::now())
         .map_err(|error| storage_error(settings, &error.to_string()))
 }
 
@@ -234,7 +229,7 @@
 fn status_channels(replica: &Replica) -> (StatusSenders, StatusReceivers) {
     let state = replica.state();
     let (config_sender, config) = watch::channel(replica.config().clone());
-    let (status_sender, status) = watch::channel(Arc::new(replica.status(Instant::now())));
+    let (status_sender, status) = watch::channel(Arc::new(replica.status(clock::now())));
     let (weights_sender, weights) = watch::channel(Arc::new(state.orders().desired().clone()));
     let (suspects_sender, suspects) = watch::channel(Arc::new(state.suspects().crashes()));
     let (history_sender, history) = watch::channel(Arc::new(latest_changes(state)));
@@ -347,7 +342,7 @@
         self.receivers.config.clone()
     }
 
-    /// The latest status of the replica.
+    /// The latest status of the replica; its times are those of [`clock::now`].
     pub fn status(&self) -> Arc<ReplicaStatus> {
         self.receivers.status.borrow().clone()
     }
@@ -357,10 +352,10 @@
         self.receivers.status.clone()
     }
 
-    /// Whether this replica leads under a lease that excludes any other leader at this moment. Must
-    /// be checked immediately before each action that relies on it.
+    /// Whether this replica leads under a lease that excludes any other leader at this moment, also after a
+    /// suspension of the VM. Must be checked immediately before each action that relies on it.
     pub fn lease_valid(&self) -> bool {
-        self.status().lease_until.is_some_and(|until| Instant::now() < until)
+        self.status().lease_until.is_some_and(|until| clock::now() < until)
     }
 
     /// The desired weights, as far as this replica has applied them.
--- a/src/daemon/control_driver/runner.rs
+++ b/src/daemon/control_driver/runner.rs
@@ -7,6 +7,7 @@
         writer::{GenerationBatch, ReplicaGeneration, WriteReport},
     },
     crate::{
+        clock,
         control::{
             DurableWrite, PersistBatch, ReplicaMessage, SavedState,
             replica::{
@@ -23,11 +24,10 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
-        time::Instant,
     },
     tokio::{
         sync::{OwnedSemaphorePermit, Semaphore, mpsc},
-        time::sleep_until,
+        time::sleep,
     },
 };
 
@@ -122,7 +122,9 @@
         reports: &mut mpsc::Receiver<WriteReport>,
     ) -> StopReason {
         loop {
-            let wakeup = self.replica.next_wakeup().unwrap_or_else(Instant::now);
+            let now = clock::now();
+            // Timers do not count suspensions, so that they take a duration.
+            let pause = self.replica.next_wakeup().unwrap_or(now).saturating_duration_since(now);
             let input = tokio::select! {
                 biased;
                 report = reports.recv() => match report {
@@ -135,7 +137,7 @@
                     Some(input) => self.accept(input),
                     None => return StopReason::HandlesDropped,
                 },
-                () = sleep_until(wakeup.into()) => ReplicaInput::Tick,
+                () = sleep(pause) => ReplicaInput::Tick,
             };
             if self.process(input).await.is_err() {
                 return StopReason::WriterClosed;
@@ -151,7 +153,7 @@
     }
 
     async fn process(&mut self, input: ReplicaInput) -> Result<(), WriterClosed> {
-        for action in self.replica.handle(Instant::now(), input) {
+        for action in self.replica.handle(clock::now(), input) {
             self.execute(action).await?;
         }
         Ok(())
@@ -224,7 +226,7 @@
         set_amount(MemoryPart::ReplicaLog, self.replica.log_bytes());
         let state = self.replica.state();
         let senders = &self.senders;
-        let status = self.replica.status(Instant::now());
+        let status = self.replica.status(clock::now());
         let caught_up = status.applied >= self.published_index;
         let config = self.replica.config();
         if caught_up && !Arc::ptr_eq(config, &senders.config.borrow()) {
--- a/src/daemon/weight_orders.rs
+++ b/src/daemon/weight_orders.rs
@@ -13,6 +13,7 @@
         rollout_reporter::RolloutReporter,
     },
     crate::{
+        clock::without_suspensions,
         control::{Command, CommandOutcome, ProposeError, orders::DesiredWeights},
         daemon::{ConfigWatch, ControlPort, control_driver::ControlHandle},
         ids::{ModelId, ServerId, Term, WeightsVersion},
@@ -60,7 +61,7 @@
 impl LeasePort for ControlHandle {
     fn lease(&self) -> Option<(Term, std::time::Instant)> {
         let status = self.status();
-        let since = status.leader_since?;
+        let since = without_suspensions(status.leader_since?);
         self.lease_valid().then_some((status.term, since))
     }
 
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -9,6 +9,7 @@
         random_seed,
     },
     crate::{
+        clock,
         control::{
             Membership,
             healing::{RepairNeeds, next_repair, repair_needs, target_voters},
@@ -366,8 +367,9 @@
         sleep(REPAIR_CHECK_INTERVAL).await;
         let status = replica.status();
         let voters = target_voters(&status, founders);
-        log_repair_need(&mut logged, repair_needs(Instant::now(), &status, voters));
-        let Some(command) = next_repair(Instant::now(), &status, voters) else {
+        let now = clock::now();
+        log_repair_need(&mut logged, repair_needs(now, &status, voters));
+        let Some(command) = next_repair(now, &status, voters) else {
             continue;
         };
         log::warn!(vm = vm.as_str(), change:? = command; "replicas are mended");
