Refuse streams that nobody knows after everything has restarted, if their callers name them

After a restart of all entries and control VMs nobody knows which software versions a service had before. A stream that its caller named went on at the version that was left in the list. Streams that have begun since the restart are reported, so that one which nobody knows began before it: it is refused now.

Evidence: restarted_group_knows_no_versions.

The earlier test asserted that a group which has just started lets any stream go on; that holds for streams without a name, and is refused for named ones, which is stricter.

--- a/src/roles/origin_client.rs
+++ b/src/roles/origin_client.rs
@@ -49,7 +49,7 @@
 ];
 /// Questions for a stream that a quorum of the control VMs does not know.
 const QUESTIONS: usize = 2;
-/// Stands for a stream whose caller does not name it; no request has this key in practice.
+/// Stands for a stream that its caller does not name; no request has this key in practice.
 const UNNAMED_STREAM: StreamKey = 0;
 
 #[derive(Default)]
@@ -182,7 +182,10 @@
         self.lock().history.state(Instant::now(), service)
     }
 
-    async fn find_stream(&self, service: &ServiceId, stream: StreamKey) -> ResumeTarget {
+    /// Finds out where a stream can go on; `None` stands for one that its caller does not name.
+    async fn find_stream(&self, service: &ServiceId, stream: Option<StreamKey>) -> ResumeTarget {
+        let is_named = stream.is_some();
+        let stream = stream.unwrap_or(UNNAMED_STREAM);
         if let Some(origin) = self.lock().own.find(Instant::now(), stream) {
             return ResumeTarget::Origin(origin.clone());
         }
@@ -192,7 +195,8 @@
                 Ok(origin) => return ResumeTarget::Origin(origin),
                 Err(answers) => answers,
             };
-            let target = unknown_target(self.own_state(service), &states, asked);
+            let own = self.own_state(service);
+            let target = unknown_target(own, &states, asked, is_named);
             let is_settled = number + 1 >= QUESTIONS && is_quorum(states.len(), asked);
             if target == ResumeTarget::AnyServer || is_settled {
                 return target;
@@ -210,12 +214,18 @@
 /// service's versions; `asked` is the number of control VMs.
 ///
 /// An entry that hears less than a quorum of them may be out of step with the others: a version that it
-/// has not heard of may have begun the stream. If all that are asked have just started, only what is
-/// listed now is known.
-pub fn unknown_target(own: VersionState, control: &[VersionState], asked: usize) -> ResumeTarget {
-    let mut states = control.iter().chain([&own]);
-    let has_several = states.any(|state| *state == VersionState::Several);
-    match !has_several && is_quorum(control.len(), asked) {
+/// has not heard of may have begun the stream. If all have just started, a version that is not listed any
+/// more may have begun one that `is_named`: it would be known if it had begun later. A stream that its
+/// caller does not name goes on then, as nothing could be known of it.
+pub fn unknown_target(
+    own: VersionState,
+    control: &[VersionState],
+    asked: usize,
+    is_named: bool,
+) -> ResumeTarget {
+    let has = |sought| control.iter().chain([&own]).any(|state| *state == sought);
+    let is_one = !has(VersionState::Several) && (has(VersionState::One) || !is_named);
+    match is_one && is_quorum(control.len(), asked) {
         true => ResumeTarget::AnyServer,
         false => ResumeTarget::Unknown,
     }
@@ -243,7 +253,7 @@
         resumed: ResumedStream,
     ) -> BoxFuture<'static, ResumeTarget> {
         Box::pin(async move {
-            let stream = resumed.first_request.as_ref().map_or(UNNAMED_STREAM, stream_key);
+            let stream = resumed.first_request.as_ref().map(stream_key);
             self.find_stream(&service, stream).await
         })
     }
--- a/tests/software_history.rs
+++ b/tests/software_history.rs
@@ -55,30 +55,44 @@
     assert_eq!(state(&history, now + 2 * SECOND), VersionState::Several);
 }
 
-/// Guards against streams that are refused for half a minute after all daemons have started, and against
-/// streams that an entry which has just started lets go on at any version.
+/// Guards against streams that an entry which has just started lets go on at any version, or refuses although
+/// others know of one.
 #[test]
 fn started_entry_believes_others() {
     use VersionState::{One, Several, Unknown};
-    assert_eq!(unknown_target(Unknown, &[Unknown, Unknown], 3), ResumeTarget::AnyServer);
-    assert_eq!(unknown_target(Unknown, &[One, Unknown], 3), ResumeTarget::AnyServer);
-    assert_eq!(unknown_target(Unknown, &[One, Several], 3), ResumeTarget::Unknown);
-    assert_eq!(unknown_target(One, &[Several], 1), ResumeTarget::Unknown);
-    assert_eq!(unknown_target(Several, &[One, One, One], 3), ResumeTarget::Unknown);
+    for is_named in [true, false] {
+        let target = |own, control: &[_]| unknown_target(own, control, 3, is_named);
+        assert_eq!(target(Unknown, &[One, Unknown]), ResumeTarget::AnyServer);
+        assert_eq!(target(One, &[Unknown, Unknown]), ResumeTarget::AnyServer);
+        assert_eq!(target(Unknown, &[One, Several]), ResumeTarget::Unknown);
+        assert_eq!(target(One, &[Several, One]), ResumeTarget::Unknown);
+        assert_eq!(target(Several, &[One, One, One]), ResumeTarget::Unknown);
+    }
+}
+
+/// Guards against streams that go on at another version after everything has restarted during a release,
+/// when nobody knows which versions there were before; and against streams without a name that are refused
+/// for half a minute then.
+#[test]
+fn restarted_group_knows_no_versions() {
+    use VersionState::Unknown;
+    assert_eq!(unknown_target(Unknown, &[Unknown; 3], 3, true), ResumeTarget::Unknown);
+    assert_eq!(unknown_target(Unknown, &[Unknown; 2], 3, true), ResumeTarget::Unknown);
+    assert_eq!(unknown_target(Unknown, &[Unknown; 2], 3, false), ResumeTarget::AnyServer);
 }
 
 /// Guards against an entry that is out of step during a release and lets a stream go on at the only version
-/// that it knows: what begun the stream may be known to those alone that it does not hear.
+/// that it knows: what began the stream may be known to those alone that it does not hear.
 #[test]
 fn minority_knows_no_versions() {
     use VersionState::{One, Unknown};
-    for own in [One, Unknown] {
+    for (own, is_named) in [(One, true), (One, false), (Unknown, true), (Unknown, false)] {
         for (answers, asked) in [(0, 0), (0, 3), (1, 3), (1, 2), (2, 5), (3, 7)] {
-            let target = unknown_target(own, &vec![One; answers], asked);
+            let target = unknown_target(own, &vec![One; answers], asked, is_named);
             assert_eq!(target, ResumeTarget::Unknown, "{own:?}, {answers} of {asked}");
         }
         for (answers, asked) in [(1, 1), (2, 3), (3, 5), (4, 7)] {
-            let target = unknown_target(own, &vec![One; answers], asked);
+            let target = unknown_target(own, &vec![One; answers], asked, is_named);
             assert_eq!(target, ResumeTarget::AnyServer, "{own:?}, {answers} of {asked}");
         }
     }
