--- a/src/control/replica/reads.rs
+++ b/src/control/replica/reads.rs
@@ -6,7 +6,7 @@
 //! replied, so that no later leader can have committed anything before the read arrived.
 
 use {
-    super::{LocalProposeError, Replica, ReplicaAction, types::ReadId},
+    super::{LocalProposeError, Replica, ReplicaAction, RoleState, types::ReadId},
     crate::control::message::RoundNumber,
     std::{collections::BTreeMap, time::Instant},
 };
@@ -64,15 +64,13 @@
 
     /// Completes the reads that a quorum has confirmed, and makes a round due if others wait for it.
     pub(super) fn complete_reads(&mut self, now: Instant) {
-        let (membership, vm) = (self.log.membership().clone(), self.settings.vm.clone());
-        let commit = self.commit;
-        let Some(leader_state) = self.leader_state_mut() else { return };
+        let RoleState::Leader(leader_state) = &mut self.role else { return };
         // Before the first entry of its term is committed, the leader may lack what former ones have
         // committed.
-        if leader_state.reads.is_empty() || commit < leader_state.term_start {
+        if leader_state.reads.is_empty() || self.commit < leader_state.term_start {
             return;
         }
-        let round = leader_state.quorum_round(&membership, &vm);
+        let round = leader_state.quorum_round(self.log.membership(), &self.settings.vm);
         let confirmed = leader_state.reads.take_confirmed(round);
         if !confirmed.is_empty() && !leader_state.reads.is_empty() {
             leader_state.heartbeat_at = now;
--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -276,13 +276,7 @@
         let length = OVERHEAD_BYTES + command.body_bytes();
         let Some(permit) = self.reserve_bytes(length) else { return Err(LocalProposeError::Busy) };
         let input = DriverInput::Propose { command: Box::new(command), reply, permit };
-        match self.inputs.try_send(input) {
-            Ok(()) => {}
-            Err(mpsc::error::TrySendError::Full(_)) => return Err(LocalProposeError::Busy),
-            Err(mpsc::error::TrySendError::Closed(_)) => {
-                return Err(LocalProposeError::NotLeader { leader: None });
-            }
-        }
+        self.queue(input)?;
         match timeout(PROPOSAL_TIMEOUT, outcome).await {
             Ok(Ok(outcome)) => outcome,
             // The replica has stopped or takes too long; the command may still be committed.
@@ -297,13 +291,7 @@
     /// All but `OutcomeUnknown`.
     pub async fn read_document(&self) -> Result<NumberedDocument, LocalProposeError> {
         let (reply, outcome) = oneshot::channel();
-        match self.inputs.try_send(DriverInput::Read { reply }) {
-            Ok(()) => {}
-            Err(mpsc::error::TrySendError::Full(_)) => return Err(LocalProposeError::Busy),
-            Err(mpsc::error::TrySendError::Closed(_)) => {
-                return Err(LocalProposeError::NotLeader { leader: None });
-            }
-        }
+        self.queue(DriverInput::Read { reply })?;
         match timeout(PROPOSAL_TIMEOUT, outcome).await {
             Ok(Ok(outcome)) => outcome,
             // The replica has stopped, or no quorum replies.
@@ -321,6 +309,14 @@
         }
     }
 
+    /// Queues an input whose sender waits for a reply.
+    fn queue(&self, input: DriverInput) -> Result<(), LocalProposeError> {
+        self.inputs.try_send(input).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => LocalProposeError::Busy,
+            mpsc::error::TrySendError::Closed(_) => LocalProposeError::NotLeader { leader: None },
+        })
+    }
+
     fn reserve_bytes(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
         let bytes = u32::try_from(bytes).ok()?;
         let permit = Arc::clone(&self.free_bytes).try_acquire_many_owned(bytes).ok();
