Reset a tunnel's stream that ends before its server's connection

Cause: the transport finishes a send stream that is dropped, as if all had been written. The daemon that serves a tunnel drops its stream when the other direction ends first or when its task is dropped. The daemon with the caller then saw the end of the server's connection, although the connection was open: a response without a length would be passed on as complete and short. Class: the end of the transport is taken for the end of the content.

What callers see: nothing known. Only a peer that half-closes its tunnel gets there, which the HTTP library does not do, so that this removes a trap and is not the cause of the report.

Now the stream is reset with a code of its own unless the server's end or break was passed on; the other side maps this code to the loss of the path, which says nothing about the server.

Evidence: server_tunnels::early_end_is_no_server_end, before the change: `assertion left == right failed`, Ok(0) where an error is expected; 7 passed, 1 failed. With it 8 passed.

Ruled out: a stopped daemon. stopped_peer_is_no_server_end drops the runtime of the serving daemon with 32 responses under way, with one thread and with several; it passed before the change too (64 of 64 tunnels ended with an error), since the driver of the connection sends nothing once its runtime is dropped.

--- a/src/transport/tunnel.rs
+++ b/src/transport/tunnel.rs
@@ -12,7 +12,7 @@
         message::{PeerReply, TunnelRefusal},
     },
     crate::ids::VmId,
-    quinn::{Connection, RecvStream, SendStream},
+    quinn::{Connection, ReadError, RecvStream, SendStream, VarInt},
     std::{
         any::Any,
         io,
@@ -29,7 +29,9 @@
 const BUFFER_BYTES: usize = 8 * 1024;
 
 /// Code of a stream that ends because the connection to the server broke.
-const SERVER_BROKE: u32 = 1;
+const SERVER_BROKE: VarInt = VarInt::from_u32(1);
+/// Code of a stream that ends while the connection to the server is open.
+const TUNNEL_ENDED: VarInt = VarInt::from_u32(2);
 
 /// A connection to a server that a daemon has opened for a peer.
 pub struct TunnelTarget {
@@ -56,16 +58,47 @@
     }
     let Some(TunnelTarget { stream, guard }) = target else { return };
     let (from_server, to_server) = stream.into_split();
+    let responses = ResponseStream { sender, is_ended: false };
     // Noticed also while the server reads and sends nothing.
-    let abandoned = sender.stopped();
+    let abandoned = responses.sender.stopped();
     tokio::select! {
         _ = abandoned => {}
         () = copy_requests(receiver, to_server) => {}
-        () = copy_responses(from_server, sender) => {}
+        () = copy_responses(from_server, responses) => {}
     }
     drop(guard);
 }
 
+/// The server's bytes for the peer. The transport ends a dropped stream normally, as if the server had
+/// closed its connection, so that this one is reset if the server has not.
+struct ResponseStream {
+    sender: SendStream,
+    is_ended: bool,
+}
+
+impl ResponseStream {
+    async fn finish(&mut self) {
+        self.is_ended = true;
+        // Fails only on a stream that is closed already.
+        let _ = self.sender.finish();
+        let _ = self.sender.stopped().await;
+    }
+
+    fn reset(&mut self, code: VarInt) {
+        self.is_ended = true;
+        // Fails only on a stream that is closed already.
+        let _ = self.sender.reset(code);
+    }
+}
+
+impl Drop for ResponseStream {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.reset(TUNNEL_ENDED);
+        }
+    }
+}
+
 /// Copies until the peer ends its side, which it does only when it needs the connection no longer.
 async fn copy_requests(mut receiver: RecvStream, mut server: impl AsyncWrite + Unpin) {
     while let Ok(Some(chunk)) = receiver.read_chunk(BUFFER_BYTES, true).await {
@@ -77,25 +110,19 @@
 }
 
 /// Copies until the server ends its side. An end and a break stay distinct for the peer.
-async fn copy_responses(mut server: impl AsyncRead + Unpin, mut sender: SendStream) {
+async fn copy_responses(mut server: impl AsyncRead + Unpin, mut responses: ResponseStream) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         match server.read(&mut buffer).await {
-            Ok(0) => {
-                // Fails only on a stream that is closed already.
-                let _ = sender.finish();
-                let _ = sender.stopped().await;
-                return;
-            }
+            Ok(0) => return responses.finish().await,
             Ok(length) => {
-                if sender.write_all(&buffer[..length]).await.is_err() {
+                if responses.sender.write_all(&buffer[..length]).await.is_err() {
                     return;
                 }
             }
             Err(error) => {
                 log::debug!(error:% = error; "a server's connection in a tunnel broke");
-                let _ = sender.reset(SERVER_BROKE.into());
-                return;
+                return responses.reset(SERVER_BROKE);
             }
         }
     }
@@ -142,11 +169,12 @@
     }
 }
 
-/// Maps the loss of the peer to a timeout, since it tells nothing about the server: only a server's
-/// own end may count as its crash.
+/// Maps the loss of the peer or of the tunnel to a timeout, since it tells nothing about the server:
+/// only a server's own end may count as its crash.
 fn tunnel_error(error: io::Error) -> io::Error {
+    let cause = error.get_ref().and_then(|cause| cause.downcast_ref::<ReadError>());
     match error.kind() {
-        io::ErrorKind::ConnectionReset => error,
+        io::ErrorKind::ConnectionReset if cause != Some(&ReadError::Reset(TUNNEL_ENDED)) => error,
         _ => io::Error::new(io::ErrorKind::TimedOut, error),
     }
 }
--- a/tests/server_tunnels.rs
+++ b/tests/server_tunnels.rs
@@ -13,12 +13,14 @@
     std::{
         io::ErrorKind,
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{Arc, Mutex, mpsc},
+        thread,
         time::Duration,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        runtime::{Builder, Runtime},
         sync::oneshot,
         time::timeout,
     },
@@ -27,6 +29,8 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longer than a loopback connection takes to fill its buffers.
 const BLOCKED_TIME: Duration = Duration::from_millis(500);
+/// Tunnels that are open when their daemon stops.
+const TUNNELS: usize = 32;
 
 /// Opens tunnels to one server, and signals when a tunnel has ended.
 struct TunnelPeer {
@@ -133,6 +137,69 @@
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
 }
 
+/// Guards against a part of a response that looks complete because its tunnel ended before the server's
+/// connection did.
+#[tokio::test]
+async fn early_end_is_no_server_end() {
+    let test = TunnelTest::start().await;
+    let (mut tunnel, mut server) = test.open().await;
+    server.write_all(b"a part").await.unwrap();
+    let mut part = [0; 6];
+    tunnel.read_exact(&mut part).await.unwrap();
+    // The serving daemon gives the tunnel up while the server's connection is open.
+    tunnel.shutdown().await.unwrap();
+    let ended = timeout(TEST_TIMEOUT, tunnel.read(&mut part)).await.unwrap();
+    assert_eq!(ended.map_err(|error| error.kind()), Err(ErrorKind::TimedOut));
+    drop(server);
+}
+
+/// Runs a peer that opens tunnels to `server` until it is told to stop; all of its tasks are dropped then.
+fn run_peer(
+    runtime: Runtime,
+    server: SocketAddr,
+    started: mpsc::Sender<SocketAddr>,
+    stop: oneshot::Receiver<()>,
+) -> thread::JoinHandle<()> {
+    thread::spawn(move || {
+        runtime.block_on(async {
+            let handler = Arc::new(TunnelPeer { server, ended: Mutex::new(None) });
+            let peer = start_network("peer", &[], handler);
+            started.send(peer.local_address()).unwrap();
+            stop.await.unwrap();
+        });
+    })
+}
+
+/// Guards against responses that look complete because the daemon that serves their tunnels was stopped.
+#[tokio::test]
+async fn stopped_peer_is_no_server_end() {
+    for mut builder in [Builder::new_current_thread(), Builder::new_multi_thread()] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = listener.local_addr().unwrap();
+        let (started, address) = mpsc::channel();
+        let (stop, stopped) = oneshot::channel();
+        let peer = run_peer(builder.enable_all().build().unwrap(), server, started, stopped);
+        let address = tokio::task::spawn_blocking(move || address.recv().unwrap()).await.unwrap();
+        let handler = Arc::new(TunnelPeer { server, ended: Mutex::new(None) });
+        let caller = start_network("caller", &[("peer", address)], handler);
+        let mut open = Vec::new();
+        for _ in 0..TUNNELS {
+            let tunnel =
+                caller.open_tunnel(&"peer".to_owned(), "listed".to_owned(), TEST_TIMEOUT).await;
+            let (mut connection, _) = listener.accept().await.unwrap();
+            connection.write_all(b"a part").await.unwrap();
+            open.push((tunnel.ok().unwrap(), connection));
+        }
+        stop.send(()).unwrap();
+        tokio::task::spawn_blocking(|| peer.join().unwrap()).await.unwrap();
+        for (mut tunnel, _connection) in open {
+            let mut received = Vec::new();
+            let ended = timeout(TEST_TIMEOUT, tunnel.read_to_end(&mut received)).await.unwrap();
+            assert_eq!(ended.map_err(|error| error.kind()), Err(ErrorKind::TimedOut));
+        }
+    }
+}
+
 /// Guards against a server that goes on working for a caller that has left.
 #[tokio::test]
 async fn dropped_tunnel_closes_connection() {
