Pass on no guarantee that a server has not stated

What callers see: a request that may run once is answered 408, 429 or 503, which callers take for the guarantee that it has not run, although its backend server ran it. They may send the same work again.

Cause: read_response takes a response without the server's statement for one of a request that ran, and the entry then passed the status on. What the server knows and what the status tells callers were never compared. 421 was not affected: with the request's id it is the server's statement, without it a response to another request.

Fix: handle_head is the only source of responses that are passed on (plain, stream, resumed stream, direct and through a tunnel). It now returns none whose status is a guarantee. Such a response sets no rest. handle_head moves to a file of its own; the order of what it records is the same but for the demand, which no longer precedes the log line.

Logged as `status without a statement of its server`, counted by oleandermount_unstated_outcomes_total.

--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -64,6 +64,9 @@
 /// A server rejected a request without executing it. `running` and `waiting` are the load that it
 /// reported, `in_flight` is this daemon's part of it, and `attempt` counts from 1.
 pub const REQUEST_REJECTED: &str = "request rejected by its server";
+/// A server responded with a `status` which guarantees to callers that the request has not run, and did not
+/// state so. The status is not passed on, since the request may have run.
+pub const OUTCOME_UNSTATED: &str = "status without a statement of its server";
 /// Requests of an organisation are refused, since they are beyond its usage limit of `rate` units a second.
 pub const CAP_EXCEEDED: &str = "organisation beyond its usage limit";
 /// Requests of an organisation are not refused any more for its usage limit. `paid` and `refused` are the units
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -76,6 +76,8 @@
 pub const DRAINING: &str = "oleandermount_draining";
 /// Responses of backend servers that belonged to another attempt and were discarded.
 pub const MISMATCHED_RESPONSES: &str = "oleandermount_crossed_answers_total";
+/// Responses whose status means that the request has not run, from servers that did not state so.
+pub const UNSTATED_OUTCOMES: &str = "oleandermount_unstated_outcomes_total";
 /// Requests that backend servers rejected without executing them.
 pub const SERVER_REJECTIONS: &str = "oleandermount_server_rejections_total";
 /// Cancel calls, probes and digests that were dropped because too many were queued.
@@ -261,6 +263,10 @@
     );
     describe_counter!(MISMATCHED_RESPONSES, "Responses that belonged to another attempt.");
     describe_counter!(SERVER_REJECTIONS, "Requests that backend servers rejected.");
+    describe_counter!(
+        UNSTATED_OUTCOMES,
+        "Responses with a status of requests that have not run, from servers that did not state so."
+    );
     describe_counter!(PEERS_REFUSED, "Daemons rejected because of their keys.");
     describe_counter!(TUNNELS, "Connections to servers through other entries, by result.");
     describe_counter!(USAGE_GRANTED, "Units of usage limits granted to this daemon.");
@@ -299,6 +305,7 @@
     counter!(USAGE_PAID).increment(0);
     counter!(MISMATCHED_RESPONSES).increment(0);
     counter!(SERVER_REJECTIONS).increment(0);
+    counter!(UNSTATED_OUTCOMES).increment(0);
     counter!(BACKGROUND_CALLS_DROPPED).increment(0);
     counter!(PEERS_REFUSED).increment(0);
     counter!(CLAIMS_RELEASED).increment(0);
--- a/src/pipeline/counters.rs
+++ b/src/pipeline/counters.rs
@@ -6,7 +6,7 @@
         observe::metrics::{
             CACHE_HIT_TOKENS, FIRST_TOKEN, INTER_TOKEN, MISMATCHED_RESPONSES, PROMPT_TOKENS,
             QUEUE_WAIT, RECOMPUTED_TOKENS, REFUSALS, REQUESTS, RESPONSE_TIME, RESPONSES, RETRIES,
-            SERVICE_RETRIES,
+            SERVICE_RETRIES, UNSTATED_OUTCOMES,
         },
         policy::RetryReason,
     },
@@ -30,6 +30,11 @@
     counter!(MISMATCHED_RESPONSES).increment(1);
 }
 
+/// Counts a response whose status is not passed on, because its server may have run the request.
+pub fn count_unstated_outcome() {
+    counter!(UNSTATED_OUTCOMES).increment(1);
+}
+
 /// Records the time from the arrival of a request to the first token of its response.
 pub fn record_first_token(model: impl Into<String>, class: RequestClass, time: Duration) {
     histogram!(FIRST_TOKEN, "model" => model.into(), "class" => class.as_str())
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -321,7 +321,9 @@
         let view = self.view();
         let Some(listed) = view.servers.get(server) else { return };
         let (now, incarnation) = (Instant::now(), listed.incarnation);
-        let rest = head.retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+        let rejects = status == StatusCode::SERVICE_UNAVAILABLE
+            && head.verdict == ResponseVerdict::NotExecuted;
+        let rest = head.retry_after.filter(|_| rejects);
         if let Some(delay) = rest.filter(|delay| !delay.is_zero()) {
             self.demands.record_rest(now, server, incarnation, delay);
             self.dispatcher.notify(PolicyInput::ServerRest { server: server.clone(), delay });
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -63,10 +63,21 @@
     pub tokens: Option<u64>,
 }
 
+/// Whether a caller that receives this status may rely on its request not having run and never running.
+pub fn guarantees_no_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// An error response to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ProxyRefusal {
-    /// HTTP status. 408, 421, 429 and 503 guarantee that the request has not run and never will.
+    /// HTTP status. Some are a guarantee to the caller; see [`guarantees_no_run`].
     pub status: StatusCode,
     /// The error code, which is also the label of the refusal counter.
     pub code: &'static str,
@@ -113,9 +124,9 @@
 /// Whether and where the request has run, according to the head of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseVerdict {
-    /// The server ran the request, and this is its response.
+    /// The server ran the request or does not state otherwise, whatever the status is. This is its response.
     Executed,
-    /// The server did not run the request and never will.
+    /// The server states that it did not run the request and never will.
     NotExecuted,
     /// The server is not the intended one and did not run the request.
     WrongServer,
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -1,16 +1,17 @@
 //! Runs a request: executes the dispatcher's decisions until there is a response.
 
 mod logging;
+mod response_head;
 mod resumption;
 mod slot;
 mod stream_start;
 mod usage;
 
 use {
-    self::{resumption::bind_resumption, usage::acquire_usage},
+    self::{response_head::ReceivedHead, resumption::bind_resumption, usage::acquire_usage},
     super::{
         core::ProxyCore,
-        dialect::{BackendCall, ProxyRefusal, ResponseHead, ResponseVerdict},
+        dialect::{BackendCall, ProxyRefusal, ResponseHead},
         headers::{ResponseFraming, strip_connection},
         pool::{BackendTarget, LeasedConnection, PoolError, broken_attempt},
         read_meter::MeteredBody,
@@ -24,35 +25,28 @@
     crate::{
         backend::sse::is_interrupted,
         ids::AttemptId,
-        observe::{events, metrics::refusal},
+        observe::metrics::refusal,
         pipeline::{
             DispatchDirective,
-            counters::{
-                count_mismatched_response, count_refusal, count_request, record_queue_wait,
-            },
+            counters::{count_refusal, count_request, record_queue_wait},
             dispatch::RequestHandle,
             drain::OpenRequest,
         },
         policy::{
             AttemptFailure, CacheStoreUse, DidRun, PolicyInput, RefusalReason, SendOrder,
-            ServerHealth, prefix::cache_salt,
+            prefix::cache_salt,
         },
     },
     bytes::Bytes,
     http::{Request, Response, StatusCode, response},
-    http_body_util::{BodyExt, Full, Limited},
-    hyper::body::Incoming,
+    http_body_util::Full,
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::{sleep_until, timeout},
+    tokio::time::sleep_until,
 };
 
-/// Maximum size of a refusal's body that is read so that its connection can be reused.
-const MAX_REFUSAL_BYTES: usize = 4 << 10;
-/// How long to wait for the body of a refusal, which usually arrives with its head.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
 /// How long a server gets no requests after its connection limit was reached: about the time that an
 /// engine takes for one token.
 const FULL_RETRY_DELAY: Duration = Duration::from_millis(30);
@@ -77,7 +71,7 @@
     is_logged: bool,
 }
 
-/// A response whose head has arrived.
+/// A response whose head has arrived, with a status that says the same of the request as its server does.
 pub(super) struct StartedResponse {
     pub parts: response::Parts,
     pub head: ResponseHead,
@@ -88,14 +82,6 @@
     pub sent_at: Instant,
 }
 
-/// A response whose head has not been checked.
-struct ReceivedHead {
-    response: Response<Incoming>,
-    connection: LeasedConnection,
-    /// When the request was sent.
-    sent_at: Instant,
-}
-
 /// The point after which a stream is resumed.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ResumePosition {
@@ -281,73 +267,6 @@
         }
     }
 
-    async fn handle_head(
-        &mut self,
-        order: &SendOrder,
-        from: &ResumePosition,
-        received: ReceivedHead,
-    ) -> Result<StartedResponse, AttemptFailure> {
-        let ReceivedHead { response, mut connection, sent_at } = received;
-        let (mut parts, body) = response.into_parts();
-        let body = MeteredBody::new(body, connection.meter().clone());
-        let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
-        if matches!(head.verdict, ResponseVerdict::Executed | ResponseVerdict::NotExecuted) {
-            self.core.record_demand(&order.server, sent_at, parts.status, &head);
-        }
-        if let Some(lease) = connection.lease_mut() {
-            lease.record_work_time(head.work_time.map(|factor| factor as f32));
-        }
-        match head.verdict {
-            ResponseVerdict::Executed => {
-                self.record_run();
-                self.core.record_identity(&order.server, sent_at);
-                self.core.record_limit(&order.server, &head);
-                self.core.record_rejection_limit(&self.request.service, sent_at, &head);
-                self.core.record_sharing(&self.request.service, sent_at, &head);
-                self.record_response(order, &head);
-                let framing = ResponseFraming::read(&parts);
-                strip_connection(&mut parts.headers);
-                Ok(StartedResponse { parts, head, framing, body, connection, sent_at })
-            }
-            ResponseVerdict::NotExecuted => {
-                self.log_rejection(order, &head, connection.has_lease());
-                if parts.status == StatusCode::SERVICE_UNAVAILABLE {
-                    connection.report_rejection();
-                }
-                self.core.record_identity(&order.server, sent_at);
-                self.core.record_limit(&order.server, &head);
-                self.core.record_rejection_limit(&self.request.service, sent_at, &head);
-                self.core.record_sharing(&self.request.service, sent_at, &head);
-                self.record_response(order, &head);
-                let rest = Limited::new(body, MAX_REFUSAL_BYTES).collect();
-                // A server that hangs after the head must not delay the request.
-                if matches!(timeout(REFUSAL_TIMEOUT, rest).await, Ok(Ok(_))) {
-                    connection.return_to_pool(head.idle_limit);
-                }
-                Err(self.report(order, AttemptFailure::Declined, from, head.retry_after))
-            }
-            ResponseVerdict::WrongServer => {
-                log::warn!(server = order.server.as_str(), weights = order.weights.as_deref();
-                    "{}", events::SERVER_MISMATCHED);
-                let (server, health) = (order.server.clone(), ServerHealth::Dead);
-                self.handle.notify(PolicyInput::Health { server, health });
-                self.core.recheck_after_refresh(&order.server);
-                Err(self.report(order, AttemptFailure::Declined, from, None))
-            }
-            ResponseVerdict::OtherRequest => {
-                count_mismatched_response();
-                self.record_run();
-                self.core.recheck(&order.server);
-                Err(self.report(order, AttemptFailure::Broken, from, None))
-            }
-        }
-    }
-
-    fn record_response(&self, order: &SendOrder, head: &ResponseHead) {
-        let model = self.request.caller.work.as_ref().map(|work| &work.model);
-        self.core.record_response(&order.server, model, head);
-    }
-
     fn backend_request(&self, order: &SendOrder, from: &ResumePosition) -> Request<Full<Bytes>> {
         let BufferedRequest { caller, head, body, service, deadline, .. } = &self.request;
         let model = caller.work.as_ref().map(|work| &work.model);
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -103,6 +103,18 @@
         );
     }
 
+    /// Logs a response whose status is not passed on, because its server may have run the request.
+    pub(super) fn log_unstated(&self, order: &SendOrder, status: StatusCode) {
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            route = self.request.caller.route.name.as_str(),
+            server = order.server.as_str(),
+            status = status.as_u16(),
+            attempt = self.attempts;
+            "{}", events::OUTCOME_UNSTATED
+        );
+    }
+
     /// Logs a failed attempt, after which `events` events were relayed.
     pub(super) fn log_attempt_failure(
         &self,
--- /dev/null
+++ b/src/reverse_proxy/exchange/response_head.rs
@@ -0,0 +1,120 @@
+//! Decides by the head of a backend server's response what becomes of an attempt.
+
+use {
+    super::{HttpExchange, ResumePosition, StartedResponse},
+    crate::{
+        observe::events,
+        pipeline::counters::{count_mismatched_response, count_unstated_outcome},
+        policy::{AttemptFailure, PolicyInput, SendOrder, ServerHealth},
+        reverse_proxy::{
+            dialect::{ResponseHead, ResponseVerdict, guarantees_no_run},
+            headers::{ResponseFraming, strip_connection},
+            pool::LeasedConnection,
+            read_meter::MeteredBody,
+        },
+    },
+    http::{Response, StatusCode},
+    http_body_util::{BodyExt, Limited},
+    hyper::body::Incoming,
+    std::time::{Duration, Instant},
+    tokio::time::timeout,
+};
+
+/// Maximum size of the body of a response that is not passed on, which is read so that its connection can
+/// be reused.
+const MAX_UNUSED_BYTES: usize = 4 << 10;
+/// How long to wait for such a body, which usually arrives with its head.
+const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// A response whose head has not been checked.
+pub(super) struct ReceivedHead {
+    pub response: Response<Incoming>,
+    pub connection: LeasedConnection,
+    /// When the request was sent.
+    pub sent_at: Instant,
+}
+
+impl HttpExchange {
+    /// Checks the head of a response. Only a response that may be passed on with its status is returned: the
+    /// caller takes some statuses for a guarantee that the request has not run, which a server gives
+    /// only by a statement of its own.
+    pub(super) async fn handle_head(
+        &mut self,
+        order: &SendOrder,
+        from: &ResumePosition,
+        received: ReceivedHead,
+    ) -> Result<StartedResponse, AttemptFailure> {
+        let ReceivedHead { response, mut connection, sent_at } = received;
+        let (mut parts, body) = response.into_parts();
+        let body = MeteredBody::new(body, connection.meter().clone());
+        let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
+        if let Some(lease) = connection.lease_mut() {
+            lease.record_work_time(head.work_time.map(|factor| factor as f32));
+        }
+        match head.verdict {
+            ResponseVerdict::Executed => {
+                self.record_run();
+                self.record_head(order, sent_at, parts.status, &head);
+                if guarantees_no_run(parts.status) {
+                    self.log_unstated(order, parts.status);
+                    count_unstated_outcome();
+                    discard_body(body, connection, &head).await;
+                    return Err(self.report(order, AttemptFailure::ServerError, from, None));
+                }
+                let framing = ResponseFraming::read(&parts);
+                strip_connection(&mut parts.headers);
+                Ok(StartedResponse { parts, head, framing, body, connection, sent_at })
+            }
+            ResponseVerdict::NotExecuted => {
+                self.log_rejection(order, &head, connection.has_lease());
+                if parts.status == StatusCode::SERVICE_UNAVAILABLE {
+                    connection.report_rejection();
+                }
+                self.record_head(order, sent_at, parts.status, &head);
+                discard_body(body, connection, &head).await;
+                Err(self.report(order, AttemptFailure::Declined, from, head.retry_after))
+            }
+            ResponseVerdict::WrongServer => {
+                log::warn!(server = order.server.as_str(), weights = order.weights.as_deref();
+                    "{}", events::SERVER_MISMATCHED);
+                let (server, health) = (order.server.clone(), ServerHealth::Dead);
+                self.handle.notify(PolicyInput::Health { server, health });
+                self.core.recheck_after_refresh(&order.server);
+                Err(self.report(order, AttemptFailure::Declined, from, None))
+            }
+            ResponseVerdict::OtherRequest => {
+                count_mismatched_response();
+                self.record_run();
+                self.core.recheck(&order.server);
+                Err(self.report(order, AttemptFailure::Broken, from, None))
+            }
+        }
+    }
+
+    /// Records what a server says of itself in its response to this request.
+    fn record_head(
+        &self,
+        order: &SendOrder,
+        sent_at: Instant,
+        status: StatusCode,
+        head: &ResponseHead,
+    ) {
+        let (core, service) = (&self.core, &self.request.service);
+        core.record_demand(&order.server, sent_at, status, head);
+        core.record_identity(&order.server, sent_at);
+        core.record_limit(&order.server, head);
+        core.record_rejection_limit(service, sent_at, head);
+        core.record_sharing(service, sent_at, head);
+        let model = self.request.caller.work.as_ref().map(|work| &work.model);
+        core.record_response(&order.server, model, head);
+    }
+}
+
+/// Reads a body that is not passed on, and reuses the connection if it ends soon. A server that hangs after
+/// the head must not delay the request.
+async fn discard_body(body: MeteredBody, connection: LeasedConnection, head: &ResponseHead) {
+    let rest = Limited::new(body, MAX_UNUSED_BYTES).collect();
+    if matches!(timeout(UNUSED_BODY_TIMEOUT, rest).await, Ok(Ok(_))) {
+        connection.return_to_pool(head.idle_limit);
+    }
+}
