Check where a server resumes a stream before its events are joined

What callers saw: a server that ignores Last-Event-Id, or knows nothing of the stream, begins at the first event again, or at the last one that the caller has. The relay joined whatever came, so that a number went back and pieces came twice, in a response that was framed as complete. The same for a caller that resumes a stream itself.

Cause: the place at which a server goes on was asked for and never checked. The class is that of the incomplete streams: what the transport delivers is taken for the content that was asked for.

Now the first event after a resumption has to be a later one than the last relayed event: a higher number, or for other ids a different one. Else the attempt has failed with a server error, none of its events is relayed, and another server is asked or the response is cut. Events that the caller has already are not merely dropped, since a server that did not observe the position has made another run. A caller that resumes gets a server whose first event is later than its Last-Event-Id, or 502. A gap is not judged: ids increase, but nothing says by one.

The log line `stream not resumed at its place` tells it from a break.

--- a/src/backend/sse.rs
+++ b/src/backend/sse.rs
@@ -44,6 +44,30 @@
     is_event_stream(content_type) && scanner.is_inside_event()
 }
 
+/// Whether an event with the id `next` can come after one with the id `last`: of two numbers it has to be
+/// the higher one, and other ids, which have no known order, only have to differ.
+pub fn is_later(next: impl AsRef<str>, last: impl AsRef<str>) -> bool {
+    let (next, last) = (next.as_ref(), last.as_ref());
+    match (decimal_order(next), decimal_order(last)) {
+        (Some(next), Some(last)) => next > last,
+        _ => next != last,
+    }
+}
+
+/// The order of decimal numbers of any length.
+fn decimal_order(id: &str) -> Option<(usize, &str)> {
+    let is_number = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_digit());
+    let digits = id.trim_start_matches('0');
+    is_number.then_some((digits.len(), digits))
+}
+
+/// Whether an event, given with its lines, has data. Others are not dispatched.
+pub fn has_data(event: &[u8]) -> bool {
+    event
+        .split(|byte| matches!(byte, b'\r' | b'\n'))
+        .any(|line| line == b"data" || line.starts_with(b"data:"))
+}
+
 /// What the current line of a stream contains so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum LineContent {
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -17,6 +17,9 @@
 pub const STREAM_COMPLETED: &str = "stream answered whole";
 /// A stream continues on another server; `software` and `former_software` are the versions of both.
 pub const STREAM_RESUMED: &str = "stream resumed";
+/// A server that was asked to resume a stream after the event `last_event` begins with the event
+/// `first_event`. None of its events is forwarded.
+pub const STREAM_MISPLACED: &str = "stream not resumed at its place";
 /// A caller resumes a stream that an earlier request, `resumed_id`, has begun, after the event
 /// `last_event`.
 pub const CALLER_RESUMES: &str = "stream resumed by its caller";
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -74,6 +74,23 @@
         );
     }
 
+    /// Logs that a server does not go on with a stream after the last event that the caller has.
+    pub(in crate::reverse_proxy) fn log_misplaced(
+        &self,
+        order: &SendOrder,
+        first: Option<&str>,
+        last: Option<&str>,
+    ) {
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            server = order.server.as_str(),
+            software = order.software.as_str(),
+            last_event = last,
+            first_event = first;
+            "{}", events::STREAM_MISPLACED
+        );
+    }
+
     /// The parts of the prompt with their tokens, in order; empty for other requests.
     fn prompt_parts(&self) -> String {
         let parts = self.request.caller.work.iter().flat_map(|work| &work.parts);
--- a/src/reverse_proxy/exchange/stream_start.rs
+++ b/src/reverse_proxy/exchange/stream_start.rs
@@ -3,9 +3,10 @@
 use {
     super::{AttemptStep, HttpExchange, ResumePosition, StartedResponse, wait_withdrawn},
     crate::{
-        backend::sse::{EventScanner, MAX_EVENT_BYTES},
-        policy::SendOrder,
+        backend::sse::{EventBuffer, EventScanner, MAX_EVENT_BYTES, has_data, is_later},
+        policy::{AttemptFailure, SendOrder},
         reverse_proxy::{
+            CallerRequest,
             pool::broken_attempt,
             relay::{StreamContent, StreamStart},
             response::ResponseBody,
@@ -18,6 +19,77 @@
     tokio::time::sleep_until,
 };
 
+/// The beginning of a stream, before any of it is relayed.
+struct StreamBeginning {
+    /// Whether it has to contain an event, because the request can be sent to another server until then.
+    waits_for_event: bool,
+    bytes: BytesMut,
+    position: EventScanner,
+    /// The events of a stream that its caller resumes, until it is known where the stream goes on.
+    unplaced: Option<EventBuffer>,
+}
+
+impl StreamBeginning {
+    fn new(content: StreamContent, caller: &CallerRequest) -> Self {
+        let waits_for_event = content == StreamContent::Events && caller.route.kind.is_repeatable();
+        let resumes = waits_for_event && caller.resumes.is_some();
+        StreamBeginning {
+            waits_for_event,
+            bytes: BytesMut::new(),
+            position: EventScanner::default(),
+            unplaced: resumes.then(EventBuffer::default),
+        }
+    }
+
+    /// Adds received bytes, and returns whether the stream has begun.
+    ///
+    /// # Errors
+    /// The failure of a server that does not resume the stream where it was asked to.
+    fn add(
+        &mut self,
+        exchange: &HttpExchange,
+        order: &SendOrder,
+        bytes: &[u8],
+    ) -> Result<bool, AttemptFailure> {
+        self.position.scan(bytes);
+        self.bytes.extend_from_slice(bytes);
+        self.check_place(exchange, order, bytes)?;
+        let has_event = self.position.has_event() && self.unplaced.is_none();
+        Ok(!self.waits_for_event || has_event || self.bytes.len() > MAX_EVENT_BYTES)
+    }
+
+    /// Whether a stream that ends here is complete. A carriage return may have ended its last event.
+    fn is_complete(&mut self, exchange: &HttpExchange, order: &SendOrder) -> bool {
+        let has_event = self.position.has_event() && !self.position.is_inside_event();
+        has_event && self.check_place(exchange, order, b"\n").is_ok() && self.unplaced.is_none()
+    }
+
+    /// Checks that a stream that its caller resumes begins after the last event that the caller has, by
+    /// its first event with an id or data.
+    fn check_place(
+        &mut self,
+        exchange: &HttpExchange,
+        order: &SendOrder,
+        bytes: &[u8],
+    ) -> Result<(), AttemptFailure> {
+        let resumed = exchange.request.caller.resumes.as_ref();
+        let Some((events, resumed)) = self.unplaced.as_mut().zip(resumed) else { return Ok(()) };
+        let blocks = events.push(bytes);
+        let mut events = blocks.events.into_iter().map(|event| &blocks.bytes[event]);
+        let first = events.find_map(|event| {
+            let (id, _) = exchange.core.dialect.read_event(event);
+            (id.is_some() || has_data(event)).then_some(id)
+        });
+        let Some(first) = first else { return Ok(()) };
+        self.unplaced = None;
+        if first.as_ref().is_none_or(|first| is_later(first, &resumed.last_event)) {
+            return Ok(());
+        }
+        exchange.log_misplaced(order, first.as_deref(), Some(&resumed.last_event));
+        Err(AttemptFailure::ServerError)
+    }
+}
+
 impl HttpExchange {
     /// Waits for the first event of a stream that can be resumed, and for the first bytes of another
     /// one. Until they arrive, the request can still be sent to another server.
@@ -27,31 +99,31 @@
         mut response: StartedResponse,
     ) -> AttemptStep {
         let content = StreamContent::read(&response.parts, &self.request.head.method);
-        let waits_for_event =
-            content == StreamContent::Events && self.request.caller.route.kind.is_repeatable();
-        let (mut first, mut position) = (BytesMut::new(), EventScanner::default());
+        let mut beginning = StreamBeginning::new(content, &self.request.caller);
         let failure = loop {
             let frame = tokio::select! {
                 frame = response.body.frame() => frame,
                 () = wait_withdrawn(&mut self.handle, order.attempt) => return AttemptStep::Continue,
                 () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
             };
-            match frame {
+            let begun = match frame {
                 Some(Ok(frame)) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    position.scan(&bytes);
-                    first.extend_from_slice(&bytes);
-                    let is_begun = position.has_event() || first.len() > MAX_EVENT_BYTES;
-                    if is_begun || !waits_for_event {
-                        self.report_first_token(order, &mut response);
-                        return begin_stream(order, response, content, first.freeze());
-                    }
+                    beginning.add(self, order, &frame.into_data().unwrap_or_default())
                 }
-                Some(Err(error)) => break broken_attempt(&error),
-                None if content == StreamContent::Events => {
-                    break response.framing.incomplete_attempt();
+                Some(Err(error)) => Err(broken_attempt(&error)),
+                None if content != StreamContent::Events => {
+                    return self.complete_empty(order, response);
+                }
+                None if beginning.is_complete(self, order) => Ok(true),
+                None => Err(response.framing.incomplete_attempt()),
+            };
+            match begun {
+                Ok(true) => {
+                    self.report_first_token(order, &mut response);
+                    return begin_stream(order, response, content, beginning.bytes.freeze());
                 }
-                None => return self.complete_empty(order, response),
+                Ok(false) => {}
+                Err(failure) => break failure,
             }
         };
         self.core.recheck(&order.server);
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -1,7 +1,8 @@
 //! Relays event streams to callers and resumes interrupted streams at another server.
 //!
 //! If a stream can be resumed, only complete events are relayed, so that the events of two servers
-//! join without a gap or a duplicate. Other streams are relayed as bytes. In both, a body that ends
+//! join without a gap or a duplicate. A server that does not go on after the last relayed event has
+//! failed, and none of its events is relayed. Other streams are relayed as bytes. In both, a body that ends
 //! inside an event or without any is an interrupted one, whatever its framing says.
 
 use {
@@ -15,7 +16,7 @@
         response::TruncatedResponse,
     },
     crate::{
-        backend::sse::{EventBuffer, EventScanner, is_event_stream},
+        backend::sse::{EventBuffer, EventScanner, has_data, is_event_stream, is_later},
         follow::stream_origins::StreamOrigin,
         observe::events,
         pipeline::{DispatchDirective, counters::record_first_token},
@@ -90,6 +91,8 @@
     /// Whether the stream can be resumed: until an event is longer than the buffer.
     resumable: bool,
     position: ResumePosition,
+    /// Whether no event of a server that resumes the stream has been checked yet.
+    awaits_join: bool,
     is_finished: bool,
     timing: StreamTiming,
 }
@@ -149,6 +152,7 @@
             received: Some(first),
             events: EventBuffer::default(),
             content,
+            awaits_join: false,
             is_finished: false,
             timing,
         }
@@ -169,13 +173,15 @@
             if self.is_finished {
                 return None;
             }
-            if let Some(bytes) = self.received.take() {
-                let ready = self.complete_events(bytes);
-                if !ready.is_empty() {
-                    return Some(Ok(ready));
+            let read = match self.received.take().map(|bytes| self.complete_events(bytes)) {
+                Some(Ok(ready)) if !ready.is_empty() => return Some(Ok(ready)),
+                Some(Err(failure)) => {
+                    self.source = None;
+                    self.resume(failure).await.map(Some)
                 }
-            }
-            match self.read().await {
+                _ => self.read().await,
+            };
+            match read {
                 Ok(Some(bytes)) => self.received = Some(bytes),
                 Ok(None) => {
                     self.is_finished = true;
@@ -338,28 +344,48 @@
         self.head = response.head;
         self.framing = response.framing;
         self.events.restart();
+        self.awaits_join = true;
         self.source = Some((response.body, response.connection));
         self.order = order;
     }
 
     /// Adds received bytes and returns all complete events; an incomplete one is kept.
-    fn complete_events(&mut self, bytes: Bytes) -> Bytes {
+    ///
+    /// # Errors
+    /// The failure of a server that does not resume the stream where it was asked to.
+    fn complete_events(&mut self, bytes: Bytes) -> Result<Bytes, AttemptFailure> {
         if !self.resumable {
             self.events.scan(&bytes);
             self.position.events += 1;
-            return bytes;
+            return Ok(bytes);
         }
         let blocks = self.events.push(&bytes);
         for event in blocks.events {
-            let (id, weights) = self.exchange.core.dialect.read_event(&blocks.bytes[event]);
+            let event = &blocks.bytes[event];
+            let (id, weights) = self.exchange.core.dialect.read_event(event);
+            if self.awaits_join && (id.is_some() || has_data(event)) {
+                self.check_join(id.as_deref())?;
+            }
             self.position.events += 1;
             self.position.event = id.or(self.position.event.take());
             self.position.weights = weights.or(self.position.weights);
         }
         if !self.events.is_too_long() {
-            return blocks.bytes;
+            return Ok(blocks.bytes);
         }
         self.resumable = false;
-        [blocks.bytes, self.events.take_incomplete()].concat().into()
+        Ok([blocks.bytes, self.events.take_incomplete()].concat().into())
+    }
+
+    /// Checks that the first event of a server that resumes the stream is a later one than the last
+    /// relayed event.
+    fn check_join(&mut self, first: Option<&str>) -> Result<(), AttemptFailure> {
+        let last = self.position.event.as_deref();
+        if first.zip(last).is_some_and(|(first, last)| is_later(first, last)) {
+            self.awaits_join = false;
+            return Ok(());
+        }
+        self.exchange.log_misplaced(&self.order, first, last);
+        Err(AttemptFailure::ServerError)
     }
 }
