Bind a resumed stream to the only version when that is decided

What callers see: a stream that a caller resumes goes on at a server of another software version, with nothing in the response to show it.

Cause: a stream that nobody knows goes on if the entry and a quorum of the control VMs know of one version. The request was then bound to none. Between the decision and the send lie the charge of a usage limit, the queue of the dispatcher and all retries before the first event, which is as long as the caller waits. If a second version is listed meanwhile, the request went to whatever server had room: mostly the new ones. The class is check and use of a fact that may change in between.

Fix: the version that the entry itself lists, read under the same lock as its own part of the evidence, is bound to the request. If it lists none, or more than one, the stream is refused. If it is gone when the request is placed, the request is refused as any other whose version is gone. No message between daemons changes: control VMs say that there is one version, not which. If the entry has had one version for 30 s, that is the one. If it has just started and its list is already ahead of a quorum of the control VMs, it may bind to the newer version; that remains open.

`stream resumed by its caller` has a field `evidence`, which tells a known origin from the only version; before, `software` was missing in the latter case.

A side effect: an entry that lists no server of a service refuses to resume its streams with `not_resumable`, without a time to come back. Before it was `no_server` with 2 s.

--- a/src/policy/software_history.rs
+++ b/src/policy/software_history.rs
@@ -71,6 +71,12 @@
         self.services.retain(|_, known| now - known.listed_at < STREAM_TIME);
     }
 
+    /// The version of the service, if the last list with servers of it named one alone.
+    pub fn only_version(&self, service: &ServiceId) -> Option<&SoftwareVersion> {
+        let versions = &self.services.get(service)?.versions;
+        versions.first().filter(|_| versions.len() == 1)
+    }
+
     /// What is known of the service at `now`.
     pub fn state(&self, now: Instant, service: &ServiceId) -> VersionState {
         let Some(known) = self.services.get(service) else { return VersionState::Unknown };
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -38,15 +38,18 @@
     resumed: &ResumedStream,
     target: &ResumeTarget,
 ) {
-    let software = match target {
-        ResumeTarget::Origin(origin) => Some(origin.software.as_str()),
-        ResumeTarget::AnyServer | ResumeTarget::Unknown => None,
+    let (evidence, software) = match target {
+        ResumeTarget::AnyServer => ("not_sought", None),
+        ResumeTarget::OnlyVersion(software) => ("only_version", Some(software.as_str())),
+        ResumeTarget::Origin(origin) => ("origin", Some(origin.software.as_str())),
+        ResumeTarget::Unknown => ("none", None),
     };
     log::info!(
         request_id = request.caller.id.as_str(),
         resumed_id = resumed.first_request.as_deref(),
         last_event = resumed.last_event.as_str(),
         software = software,
+        evidence = evidence,
         is_known = *target != ResumeTarget::Unknown;
         "{}", events::CALLER_RESUMES
     );
--- a/src/reverse_proxy/exchange/resumption.rs
+++ b/src/reverse_proxy/exchange/resumption.rs
@@ -25,6 +25,7 @@
     log_resumption(request, resumed, &target);
     match target {
         ResumeTarget::AnyServer => {}
+        ResumeTarget::OnlyVersion(software) => request.software = Some(software),
         ResumeTarget::Origin(StreamOrigin { service, software }) => {
             let services = &request.caller.route.services;
             let is_routed = services.iter().any(|(known, _)| *known == service);
--- a/src/reverse_proxy/stream_origin.rs
+++ b/src/reverse_proxy/stream_origin.rs
@@ -4,7 +4,7 @@
     super::dialect::ResumedStream,
     crate::{
         follow::stream_origins::StreamOrigin,
-        ids::{RequestId, ServiceId},
+        ids::{RequestId, ServiceId, SoftwareVersion},
     },
     futures::future::BoxFuture,
     std::sync::Arc,
@@ -15,6 +15,8 @@
 pub enum ResumeTarget {
     /// At all: they have the same software version.
     AnyServer,
+    /// Only at those of this version, the only one that began streams lately.
+    OnlyVersion(SoftwareVersion),
     /// Only at those of its origin.
     Origin(StreamOrigin),
     /// That is not known, so that it cannot go on.
--- a/src/roles/origin_client.rs
+++ b/src/roles/origin_client.rs
@@ -178,8 +178,11 @@
         Err((states, control.len()))
     }
 
-    fn own_state(&self, service: &ServiceId) -> VersionState {
-        self.lock().history.state(Instant::now(), service)
+    /// What this entry knows of the versions of a service, and the only one that it lists.
+    fn own_versions(&self, service: &ServiceId) -> (VersionState, Option<SoftwareVersion>) {
+        let state = self.lock();
+        let versions = state.history.state(Instant::now(), service);
+        (versions, state.history.only_version(service).cloned())
     }
 
     /// Finds out where a stream can go on; `None` stands for one that its caller does not name.
@@ -195,10 +198,16 @@
                 Ok(origin) => return ResumeTarget::Origin(origin),
                 Err(answers) => answers,
             };
-            let own = self.own_state(service);
-            let target = unknown_target(own, &states, asked, is_named);
+            let (own, only_version) = self.own_versions(service);
+            let target = match unknown_target(own, &states, asked, is_named) {
+                // Another version may be listed until the request is placed.
+                ResumeTarget::AnyServer => {
+                    only_version.map_or(ResumeTarget::Unknown, ResumeTarget::OnlyVersion)
+                }
+                target => target,
+            };
             let is_settled = number + 1 >= QUESTIONS && is_quorum(states.len(), asked);
-            if target == ResumeTarget::AnyServer || is_settled {
+            if target != ResumeTarget::Unknown || is_settled {
                 return target;
             }
         }
