Do not resume a stream after an event that has no id

What callers saw: where an event without an id, or with an empty one, was the last before a server broke, the stream was resumed after the last id before it, and that event came twice, in a response framed as complete.

Cause: the relay kept the last id that it had seen, not the id of the last event. The position that it asked for was older than what it had relayed.

Now the position is that of the last relayed event with data. If that has no id that a header can carry, the stream is cut off and its caller decides.

Ruled out: an id beyond ASCII, which is sent as it is (sound_streams_are_resumed holds that).

--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -175,6 +175,7 @@
     /// Builds the response for a refused request.
     fn refusal(&self, refusal: &ProxyRefusal) -> Response<String>;
 
-    /// The id of a stream event, and the weights from that event on if the event contains them.
+    /// The id of a stream event if a request can resume the stream after it, and the weights from that
+    /// event on if the event contains them.
     fn read_event(&self, event: &[u8]) -> (Option<String>, Option<WeightsNumber>);
 }
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -363,11 +363,14 @@
         for event in blocks.events {
             let event = &blocks.bytes[event];
             let (id, weights) = self.exchange.core.dialect.read_event(event);
-            if self.awaits_join && (id.is_some() || has_data(event)) {
-                self.check_join(id.as_deref())?;
+            if id.is_some() || has_data(event) {
+                if self.awaits_join {
+                    self.check_join(id.as_deref())?;
+                }
+                // After an event without an id, an earlier id would make it come twice.
+                self.position.event = id;
             }
             self.position.events += 1;
-            self.position.event = id.or(self.position.event.take());
             self.position.weights = weights.or(self.position.weights);
         }
         if !self.events.is_too_long() {
