Take a resumption without events for an interruption

What callers saw: the server that was to resume a broken stream sent 200 without any event, or 204, or content of another type, and the caller's stream ended as complete before its last event.

Cause: a stream that ends without an event is interrupted, but the relay asked only whether the whole response had one, and that was true since the first server. The content type of the second response was never read.

Now each server's part has to have an event of its own, and a response of another type is a failed attempt. A stream that broke after its last event and before the end of its framing is therefore cut off: nothing tells that there was nothing left, and its caller can ask again.

--- a/src/backend/sse.rs
+++ b/src/backend/sse.rs
@@ -117,11 +117,6 @@
         self.has_event
     }
 
-    /// Begins a stream that continues the scanned one.
-    pub fn restart(&mut self) {
-        *self = EventScanner { has_event: self.has_event, ..EventScanner::default() };
-    }
-
     /// Scans up to the end of a block; returns `None` after all bytes if there is none.
     fn next_end(&mut self, bytes: &[u8]) -> Option<BlockEnd> {
         for (at, byte) in bytes.iter().enumerate() {
@@ -211,12 +206,6 @@
         std::mem::take(&mut self.incomplete).freeze()
     }
 
-    /// Drops the incomplete block and begins a stream that continues after the last event.
-    pub fn restart(&mut self) {
-        self.incomplete = BytesMut::new();
-        self.scanner.restart();
-    }
-
     /// The position in the stream.
     pub fn scanner(&self) -> &EventScanner {
         &self.scanner
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -128,6 +128,12 @@
     exchange.core.record_origin(resumed.unwrap_or(&caller.id), origin);
 }
 
+/// Whether a response can contain the events that resume a stream.
+fn is_event_response(parts: &response::Parts, exchange: &HttpExchange) -> bool {
+    let content = StreamContent::read(parts, &exchange.request.head.method);
+    parts.status.is_success() && content != StreamContent::Other
+}
+
 impl RelayedStream {
     pub(super) fn new(exchange: HttpExchange, start: StreamStart) -> Self {
         let StreamStart { head, framing, content, body, connection, first, order, .. } = start;
@@ -274,7 +280,7 @@
             let order = self.next_order().await?;
             let exchange = &mut self.exchange;
             let response = match exchange.start_attempt(&order, &self.position).await {
-                Ok(response) if response.parts.status.is_success() => response,
+                Ok(response) if is_event_response(&response.parts, exchange) => response,
                 Ok(_) => {
                     exchange.report(&order, AttemptFailure::ServerError, &self.position, None);
                     exchange.log_truncated(
@@ -343,7 +349,8 @@
         self.exchange.handle.notify(PolicyInput::FirstToken { attempt, cached_tokens: None });
         self.head = response.head;
         self.framing = response.framing;
-        self.events.restart();
+        self.events = EventBuffer::default();
+        self.content = StreamContent::Events;
         self.awaits_join = true;
         self.source = Some((response.body, response.connection));
         self.order = order;
