Count answers of control VMs that arrive after a selection

A follower abandoned all requests for suitability after 300 ms. An entry with little processor time needs longer for any answer: it heard no control VM for as long as that lasted, and served by a replaced document. What callers see: 404 for a route that was acknowledged seconds ago, 401 for a key, or a request that the former service runs.

The entry front-tt-south-b-5 served by document 4 until 15.68 s. At 11.03 s it left a control VM that was up to date, and from 11.36 to 14.72 s seven selections ended with six requests each that failed after exactly 300 ms, on connections that were open; the selection that succeeded, at 15.27 s, took 296 ms for all five answers, each `fresh` with document 16. Ruled out by these lines: a lost link (the same entry relayed streams meanwhile), control VMs that are behind, a document that is not sent.

Class: a time limit of one selection that is also the limit of what may be heard. Now a selection still waits for 300 ms, but requests stay open for 1.4 s, the time after which a VM is unresponsive, and late answers count in the next selection. At most one request is open to each VM, so that a slow entry asks less often than before. Once a VM that is up to date is selected, open requests are dropped.

`late answer of a control VM` tells a starved or congested follower from one that is cut off.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -7,6 +7,7 @@
 //! all others. A daemon prefers the control VM of its own failure domain, which keeps the traffic
 //! within the domain, as long as that VM is up to date.
 
+mod client;
 pub mod confirmation;
 pub mod document_delta;
 pub mod entry_directory;
@@ -14,6 +15,7 @@
 pub mod origin_service;
 pub mod service;
 pub mod stream_origins;
+mod suitability;
 pub mod task;
 mod transfer;
 
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -2,17 +2,17 @@
 
 use {
     super::{
-        ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, SharedState,
+        ANSWER_WAIT, AnswerMode, FollowReply, FollowerKind, SharedState,
+        client::FollowClient,
         confirmation::{AskedPeers, ConfirmationMonitor},
-        control_digest,
+        suitability::{SuitabilityAnswers, SuitabilityQueries},
         transfer::DocumentTransfer,
     },
     crate::{
-        ids::{DocumentNumber, FailureDomainId, ServiceId, VmId},
+        ids::{FailureDomainId, ServiceId, VmId},
         observe::events,
-        transport::{DocumentStream, PeerNetwork, PeerReply, PeerRequest},
+        transport::{DocumentStream, PeerNetwork},
     },
-    futures::future::join_all,
     std::{
         collections::BTreeSet,
         sync::Arc,
@@ -30,15 +30,13 @@
 /// change must be in force.
 const ANSWER_MARGIN: Duration = Duration::from_millis(400);
 /// The time after which a VM that sends nothing is unresponsive.
-const ANSWER_LIMIT: Duration = ANSWER_WAIT.saturating_add(ANSWER_MARGIN);
+pub(super) const ANSWER_LIMIT: Duration = ANSWER_WAIT.saturating_add(ANSWER_MARGIN);
 /// The time limit of an answer of which parts keep arriving; the longest server list takes less at
 /// 64 KiB/s.
 const LONG_ANSWER_LIMIT: Duration = Duration::from_secs(12);
 /// How long the next poll is delayed for a document that is being received. Most documents arrive
 /// within this time, which saves a request.
 const SHORT_TRANSFER: Duration = Duration::from_millis(100);
-/// Time limit of the suitability requests, which are answered immediately.
-const SUITABILITY_TIMEOUT: Duration = Duration::from_millis(300);
 /// The pause before the next selection when no VM answers, or none that is up to date.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long a follower stays with a control VM of another domain before it checks whether one of
@@ -76,18 +74,15 @@
 
 /// The task that follows the control VMs.
 pub struct FollowTask {
-    network: PeerNetwork,
+    client: FollowClient,
     failure_domain: FailureDomainId,
     candidates: watch::Receiver<Vec<VmId>>,
-    state: watch::Sender<SharedState>,
-    port: Arc<dyn FollowerPort>,
+    queries: SuitabilityQueries,
     /// `None` on a control VM, which gets its configuration through its replica.
     confirmation: Option<ConfirmationMonitor>,
     /// The document that is being received; at most one at a time, since a later one is usually a
     /// small delta to it.
     transfer: Option<DocumentTransfer>,
-    /// The time at which a part of a server list last arrived.
-    list_received_at: watch::Sender<Instant>,
 }
 
 /// How suitable a control VM is: whether it is up to date, then whether it is in the same failure
@@ -142,14 +137,12 @@
         let is_entry = port.kind() == FollowerKind::Entry;
         let confirmation = is_entry.then(|| ConfirmationMonitor::new(StdInstant::now()));
         FollowTask {
-            network,
+            client: FollowClient::new(network, state, port),
             failure_domain,
             candidates,
-            state,
-            port,
+            queries: SuitabilityQueries::default(),
             confirmation,
             transfer: None,
-            list_received_at: watch::channel(Instant::now()).0,
         }
     }
 
@@ -158,9 +151,9 @@
         loop {
             match self.select_peer().await {
                 Some((peer, suitability)) => {
-                    self.port.followed(Some(&peer));
+                    self.client.port.followed(Some(&peer));
                     self.follow_peer(&peer, suitability).await;
-                    self.port.followed(None);
+                    self.client.port.followed(None);
                 }
                 None => self.pause().await,
             }
@@ -179,17 +172,18 @@
     /// Requests the suitability of all candidates concurrently; returns the best that answers.
     async fn select_peer(&mut self) -> Option<(VmId, Suitability)> {
         let candidates = self.candidates.borrow().clone();
-        let task = &*self;
-        let asked = candidates.iter().map(|peer| async move {
-            let (reply, _) = task.ask(peer, AnswerMode::Suitability, SUITABILITY_TIMEOUT).await?;
-            Some((task.suitability(&reply), peer.clone(), reply.held))
-        });
-        let answers: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
+        let is_receiving = self.transfer.is_some();
+        let answers = self.queries.ask(&self.client, &candidates, is_receiving).await;
         let peers = AskedPeers { asked: candidates.len(), answered: answers.len() };
-        let suitable = answers.iter().map(|(suitability, peer, _)| (peer.clone(), *suitability));
-        let best = best_peer(self.network.vm(), suitable);
+        let suitable = answers.iter().map(|(peer, answer)| {
+            let is_near = answer.failure_domain == self.failure_domain;
+            (peer.clone(), (answer.fresh, is_near))
+        });
+        let best = best_peer(self.client.network.vm(), suitable);
         let confirmed = best.as_ref().is_some_and(|(_, suitability)| suitability.0);
-        if !confirmed {
+        if confirmed {
+            self.queries.clear();
+        } else {
             self.fetch_newest(&answers).await;
         }
         self.record_confirmation(confirmed, peers);
@@ -198,10 +192,10 @@
 
     /// Fetches the newest document among all answers. Needed when no VM is up to date, since the VM
     /// that is followed may have an older one.
-    async fn fetch_newest(&mut self, answers: &[(Suitability, VmId, DocumentNumber)]) {
-        let newest = answers.iter().max_by_key(|(_, _, held)| *held);
-        if let Some((_, peer, held)) = newest
-            && *held > self.state.borrow().document.number
+    async fn fetch_newest(&mut self, answers: &SuitabilityAnswers) {
+        let newest = answers.iter().max_by_key(|(_, answer)| answer.held);
+        if let Some((peer, answer)) = newest
+            && answer.held > self.client.state.borrow().document.number
             && let Some((reply, stream)) = self.ask(peer, AnswerMode::Now, ANSWER_WAIT).await
         {
             self.receive_document(peer, &reply, stream).await;
@@ -216,7 +210,7 @@
         stream: Option<DocumentStream>,
     ) {
         let (Some(document), Some(stream)) = (&reply.document, stream) else { return };
-        let state = self.state.clone();
+        let state = self.client.state.clone();
         let transfer = DocumentTransfer::start(peer.clone(), document.number, stream, state);
         let transfer = self.transfer.insert(transfer);
         if timeout(SHORT_TRANSFER, transfer.ended()).await.is_ok() {
@@ -255,7 +249,7 @@
         loop {
             let transfer = self.transfer.as_ref().filter(|transfer| transfer.peer() == peer);
             let document_at = transfer.map_or(polled_at, DocumentTransfer::received_at);
-            let received_at = document_at.max(*self.list_received_at.borrow());
+            let received_at = document_at.max(*self.client.list_received_at.borrow());
             let limit = received_at.max(polled_at) + ANSWER_LIMIT;
             if limit <= Instant::now() {
                 return;
@@ -274,7 +268,7 @@
 
     /// Removes a transfer that has ended. After a failure the next one starts after a pause.
     async fn end_transfer(&mut self) {
-        let held = self.state.borrow().document.number;
+        let held = self.client.state.borrow().document.number;
         if self.transfer.take().is_some_and(|transfer| transfer.number() > held) {
             sleep(RETRY_PAUSE).await;
         }
@@ -324,40 +318,6 @@
         mode: AnswerMode,
         limit: Duration,
     ) -> Option<(FollowReply, Option<DocumentStream>)> {
-        let held = self.state.borrow().clone();
-        let request = FollowRequest {
-            document: held.document.number,
-            weights: held.weights,
-            fleet: held.fleet_digest,
-            control: control_digest(&held.control),
-            term: held.term,
-            follower: self.port.kind(),
-            mode,
-            needs_full: held.needs_full,
-            receives_document: self.transfer.is_some(),
-            evidence: self.port.evidence_digest(),
-            limited_services: self.port.limited_services(),
-            tunnel_peers: self.port.tunnel_peers(),
-        };
-        let request = PeerRequest::Follow(Box::new(request));
-        let received = || {
-            self.list_received_at.send_replace(Instant::now());
-        };
-        match self.network.call_streamed(peer, request, limit, received).await {
-            Ok((PeerReply::Followed(reply), stream)) => {
-                // The document is applied when its body has arrived.
-                let applied = FollowReply { document: None, ..FollowReply::clone(&reply) };
-                self.state.send_if_modified(|state| state.apply(applied));
-                if mode == AnswerMode::Wait {
-                    self.port.reply_received(&reply, &self.state.borrow());
-                }
-                Some((*reply, stream))
-            }
-            Ok(_) => None,
-            Err(error) => {
-                log::debug!(peer = peer.as_str(); "follow request failed: {error}");
-                None
-            }
-        }
+        self.client.ask(peer, mode, limit, self.transfer.is_some()).await
     }
 }
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -102,6 +102,9 @@
 pub const CONFIG_CONFIRMED: &str = "configuration confirmed";
 /// The control VM that this daemon follows is unresponsive.
 pub const CONTROL_UNRESPONSIVE: &str = "a control VM does not answer its follower";
+/// A control VM answered a request for its suitability only after `took_ms`, for example because this
+/// daemon has little processor time.
+pub const LATE_SUITABILITY: &str = "late answer of a control VM";
 /// A full document has arrived; `bytes` is its length and `took_ms` the duration of its transfer.
 pub const DOCUMENT_RECEIVED: &str = "document received";
 /// The transfer of a full document has failed or stalled; it is requested again.
