Reset the connections of HTTP/1.0 callers whose stream did not end

Cause: a stream has no length for an HTTP/1.0 caller, so that the end of the connection is the end of the body. The connection was reset only when the relay of the stream had returned an error. An entry that was killed, whose time to stop was over, or whose task for the connection was dropped, closed it normally. Class: the end of the transport is taken for the end of the content.

What callers see: an HTTP/1.0 caller gets a 200 with the events until then and a normal end, that is, a short stream that looks complete. Callers of HTTP/1.1 are not affected: their last chunk is missing.

Now the socket is set to reset the connection before the first byte of such a body is written, and set back when the last one is. The kernel then resets the connection also if the process is killed.

--- a/src/reverse_proxy/response.rs
+++ b/src/reverse_proxy/response.rs
@@ -44,7 +44,7 @@
 pub struct ResponseBody {
     bytes: BodySource,
     phase: ConnectionPhase,
-    /// Whether the body ends with its connection, as for HTTP/1.0 callers.
+    /// Whether the body ends with its connection, as streams do for HTTP/1.0 callers.
     ends_with_connection: bool,
     _open: Option<OpenRequest>,
 }
@@ -66,10 +66,13 @@
         ResponseBody { bytes, phase, ends_with_connection: false, _open: open }
     }
 
-    /// Marks that the body ends with its connection, so that the connection is reset if the body is
-    /// truncated.
+    /// Marks that the body ends with its connection if its length is unknown. The connection is then
+    /// reset unless the body is sent to its end.
     pub fn end_with_connection(&mut self) {
-        self.ends_with_connection = true;
+        self.ends_with_connection = matches!(self.bytes, BodySource::Stream(_));
+        if self.ends_with_connection {
+            self.phase.reset_at_end();
+        }
     }
 
     /// Attaches the request that the body keeps open, and the connection whose phase it ends.
@@ -100,8 +103,8 @@
             }
             BodySource::Stream(chunks) => {
                 let chunk = ready!(chunks.poll_next_unpin(context));
-                if self.ends_with_connection && matches!(chunk, Some(Err(_))) {
-                    self.phase.reset_at_end();
+                if self.ends_with_connection && chunk.is_none() {
+                    self.phase.close_at_end();
                 }
                 Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
             }
--- a/src/reverse_proxy/timeout_stream.rs
+++ b/src/reverse_proxy/timeout_stream.rs
@@ -73,6 +73,11 @@
         self.0.is_reset.store(true, Ordering::Relaxed);
     }
 
+    /// Marks that the connection is closed when it ends.
+    pub fn close_at_end(&self) {
+        self.0.is_reset.store(false, Ordering::Relaxed);
+    }
+
     fn change(&self, phase: u32) {
         let changes = (self.get() >> PHASE_BITS).wrapping_add(1);
         self.0.phase.store((changes << PHASE_BITS) | phase, Ordering::Relaxed);
@@ -105,6 +110,8 @@
     observed: (u32, Instant),
     /// Runs while the library waits for a head.
     timer: Option<Pin<Box<Sleep>>>,
+    /// Whether the socket is set to reset the connection when it is closed.
+    is_reset: bool,
 }
 
 impl TimeoutStream {
@@ -116,20 +123,29 @@
         limits: StreamTimeouts,
     ) -> TokioIo<TimeoutStream> {
         let observed = (IDLE, Instant::now());
-        TokioIo::new(TimeoutStream { stream, phase, raw, limits, observed, timer: None })
+        let (timer, is_reset) = (None, false);
+        TokioIo::new(TimeoutStream { stream, phase, raw, limits, observed, timer, is_reset })
     }
 
     fn stream(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
         Pin::new(&mut self.get_mut().stream)
     }
+
+    /// Sets how the socket ends the connection before any byte of a body that ends with it is sent,
+    /// because the kernel closes the socket if the process is killed.
+    fn set_end(&mut self) {
+        let is_reset = self.phase.0.is_reset.load(Ordering::Relaxed);
+        if is_reset != self.is_reset {
+            self.is_reset = is_reset;
+            // A failure leaves a closed connection, as for callers of later versions.
+            let _ = SockRef::from(&self.stream).set_linger(is_reset.then_some(Duration::ZERO));
+        }
+    }
 }
 
 impl Drop for TimeoutStream {
     fn drop(&mut self) {
-        if self.phase.0.is_reset.load(Ordering::Relaxed) {
-            // A failure leaves a closed connection, as for callers of later versions.
-            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-        }
+        self.set_end();
     }
 }
 
@@ -183,18 +199,20 @@
 
 impl AsyncWrite for TimeoutStream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.set_end();
         self.stream().poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.set_end();
         self.stream().poll_write_vectored(context, buffers)
     }
 
@@ -206,7 +224,8 @@
         self.stream().poll_flush(context)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.set_end();
         self.stream().poll_shutdown(context)
     }
 }
