Send nothing to a server that is listed with another version by then

What callers see: a stream that is bound to a software version goes on at a server of another one, or a new stream is recorded under a version that did not begin it.

Cause: the dispatcher chooses a server by the version that the list named at the decision. Between that and the send the request may wait for the lease of a slot, up to its latency objective. A list that names another version for the same id meanwhile, after a restart under that id, was not looked at: the send checked only that the id is listed.

Fix: an attempt whose server is not listed any more with the version of the decision is outdated, as one whose server has left the list: nothing is sent, and the dispatcher decides again. It concerns all attempts, so that the version which is recorded for a new stream is the one listed when it was sent.

What remains: a server that has started again with another version and is not yet listed so is taken for the former one; responses name no software version.

--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -216,8 +216,10 @@
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
         let lease = self.lease_slot(order, from).await?;
-        // The server may have asked not to be used, or said that it leaves, since the decision.
-        if !self.core.accepts_calls(&order.server) {
+        // Since the decision the server may have asked not to be used, said that it leaves, or been listed
+        // with another software version.
+        let is_current = self.core.view().has_version(&order.server, &order.software);
+        if !is_current || !self.core.accepts_calls(&order.server) {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
         if self.attempts == 0 {
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -4,7 +4,7 @@
     crate::{
         control::document::NamedWeights,
         fleet::{FleetSnapshot, ListedServer, ServerPhase},
-        ids::{ModelId, ServerId, ServiceId, VmId, WeightsVersion},
+        ids::{ModelId, ServerId, ServiceId, SoftwareVersion, VmId, WeightsVersion},
         inventory::{DecisionObjective, ServerKind},
         policy::{LoadReport, PolicyInput, PolicyView, ServerHealth, ServerView},
         routing::RouteIndex,
@@ -223,6 +223,11 @@
         })
     }
 
+    /// Whether a server is listed with this software version.
+    pub fn has_version(&self, server: &ServerId, software: &SoftwareVersion) -> bool {
+        self.servers.get(server).is_some_and(|listed| listed.software == *software)
+    }
+
     /// The health of a listed server as an input for the dispatcher.
     pub fn health_input(&self, server: &ListedServer) -> PolicyInput {
         let health = match server.phase {
