Pass on no success without the server's proof

Cause: the head of a response was checked for the id of its request, and for a refusal without one, but not for the header that proves that a success is a server's own. A success that has neither an id nor the proof was taken for the response of the request. Class: a response is accepted because nothing contradicts it.

What callers see: a server writes `HTTP/1.1 200 OK`, an empty line and closes. The caller gets 200 with `content-length: 0`, an empty body that is framed as complete, though the request may be repeated elsewhere.

Now the dialect tells such a response apart. The attempt has failed: a repeatable request is sent to another server, others get 502. The body without a length counts as a break of the connection, one with a length or chunks as the server's error, as for incomplete bodies. A log line tells it.

--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -41,6 +41,8 @@
 pub const SERVERS_REACHED: &str = "backend servers reached again";
 /// A backend server reports attributes that contradict the server list.
 pub const SERVER_MISMATCHED: &str = "backend server is not as listed";
+/// A success without the server's proof that it is its own was not passed on.
+pub const RESPONSE_UNPROVEN: &str = "backend server's success carries no proof";
 /// The responses of a server say that it leaves.
 pub const SERVER_LEAVES: &str = "backend server leaves";
 /// The responses of a server do not say any more that it leaves.
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -121,6 +121,9 @@
     WrongServer,
     /// The response belongs to another request.
     OtherRequest,
+    /// The response is a success without the server's proof that it is its own. The server may have run
+    /// the request.
+    Unproven,
 }
 
 /// The head of a backend server's response, decoded.
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -340,6 +340,15 @@
                 self.core.recheck(&order.server);
                 Err(self.report(order, AttemptFailure::Broken, from, None))
             }
+            ResponseVerdict::Unproven => {
+                log::warn!(request_id = self.request.caller.id.as_str(),
+                    server = order.server.as_str(), status = parts.status.as_u16();
+                    "{}", events::RESPONSE_UNPROVEN);
+                self.record_run();
+                self.core.recheck(&order.server);
+                let failure = ResponseFraming::read(&parts).incomplete_attempt();
+                Err(self.report(order, failure, from, None))
+            }
         }
     }
 
