--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -135,6 +135,16 @@
         );
     }
 
+    /// Logs a success that is not passed on, because nothing proves that it is the server's own.
+    pub(super) fn log_unproven(&self, order: &SendOrder, status: StatusCode) {
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            server = order.server.as_str(),
+            status = status.as_u16();
+            "{}", events::RESPONSE_UNPROVEN
+        );
+    }
+
     /// Logs a failed attempt, after which `events` events were relayed.
     pub(super) fn log_attempt_failure(
         &self,
--- a/src/reverse_proxy/exchange/response_head.rs
+++ b/src/reverse_proxy/exchange/response_head.rs
@@ -88,6 +88,13 @@
                 self.core.recheck(&order.server);
                 Err(self.report(order, AttemptFailure::Broken, from, None))
             }
+            ResponseVerdict::Unproven => {
+                self.log_unproven(order, parts.status);
+                self.record_run();
+                self.core.recheck(&order.server);
+                let failure = ResponseFraming::read(&parts).incomplete_attempt();
+                Err(self.report(order, failure, from, None))
+            }
         }
     }
 
