Keep requests with the same id apart

What callers saw: of requests that are open at one entry at the same time under one request id, the connections were closed without a response, those of another organisation too, since callers choose the ids.

Cause: the dispatcher's requests were registered by the caller's id alone. The second one replaced the channel of the first, whose task then panicked ('the request is registered until its handle is dropped'), and its end removed the second.

Now a request whose id is taken gets a different one inside the dispatcher; servers and logs see the caller's.

--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -76,6 +76,8 @@
     requests: BTreeMap<RequestId, RequestEntry>,
     /// The request of each attempt that an entry lists.
     attempt_requests: BTreeMap<AttemptId, RequestId>,
+    /// Number of requests that were renamed, because another open request had the same id.
+    renamed: u64,
 }
 
 struct RequestEntry {
@@ -84,6 +86,17 @@
 }
 
 impl DispatchState {
+    /// Registers a request under its id, or under another one if an open request has this id.
+    fn register(&mut self, id: &RequestId, entry: RequestEntry) -> RequestId {
+        let mut request = id.clone();
+        while self.requests.contains_key(&request) {
+            self.renamed += 1;
+            request = format!("{id}+{}", self.renamed);
+        }
+        self.requests.insert(request.clone(), entry);
+        request
+    }
+
     fn deliver(&mut self, request: &RequestId, directive: DispatchDirective) {
         let entry = self.requests.get(request);
         if entry.is_none_or(|entry| entry.sender.try_send(directive).is_err()) {
@@ -124,16 +137,18 @@
             dispatcher,
             requests: BTreeMap::new(),
             attempt_requests: BTreeMap::new(),
+            renamed: 0,
         });
         Arc::new(DispatcherHandle { state, tasks, trace, wakeup_changed: Notify::new() })
     }
 
-    /// Submits a request and returns the handle that receives its directives.
-    pub fn submit(self: &Arc<Self>, ticket: RequestTicket) -> RequestHandle {
+    /// Submits a request and returns the handle that receives its directives. Callers choose the ids, so that
+    /// a request may have the id of another one that is open; the dispatcher gets it under a different id.
+    pub fn submit(self: &Arc<Self>, mut ticket: RequestTicket) -> RequestHandle {
         let (sender, directives) = mpsc::channel(DIRECTIVE_CAPACITY);
-        let request = ticket.request.clone();
         let entry = RequestEntry { sender, attempts: Vec::new() };
-        self.lock().requests.insert(request.clone(), entry);
+        let request = self.lock().register(&ticket.request, entry);
+        ticket.request.clone_from(&request);
         let handle = RequestHandle { dispatcher: Arc::clone(self), request, directives };
         self.notify(PolicyInput::Arrive(ticket));
         handle
@@ -215,6 +230,11 @@
         self.directives.recv().await.expect("the request is registered until its handle is dropped")
     }
 
+    /// Tells the dispatcher that the caller of this request has disconnected.
+    pub fn notify_disconnected(&self) {
+        self.notify(PolicyInput::CallerDisconnected { request: self.request.clone() });
+    }
+
     /// Passes an input about this request to the dispatcher.
     pub fn notify(&self, input: PolicyInput) {
         self.dispatcher.notify(input);
@@ -226,6 +246,6 @@
         self.dispatcher.lock().remove_request(&self.request);
         // A task that is dropped early, because its caller has disconnected, must free its places
         // in the queue and at the server. For a finished request this input has no effect.
-        self.dispatcher.notify(PolicyInput::CallerDisconnected { request: self.request.clone() });
+        self.notify_disconnected();
     }
 }
--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -214,7 +214,7 @@
             }
             AttemptOutcome::CallerDisconnected => {
                 self.core.trace.record(request, "the caller disconnected");
-                handle.notify(PolicyInput::CallerDisconnected { request: request.clone() });
+                handle.notify_disconnected();
                 Some(RequestFinished)
             }
             AttemptOutcome::Cancelled => None,
