Refuse events without numbers from an engine that resumes a stream

What callers of the model API would see: an engine that sends no ids and begins a resumed stream again has its words joined to those of the former engine, and `[DONE]` makes the response complete.

Cause: an event without an id got the number that was expected next, in resumed streams too, so that the check for repeated and missing events could not act. docs/BACKENDS.md asks for ids.

Now such an event ends the attempt as malformed. A stream that was not resumed may do without ids.

Red before: engine_position::unnumbered_resumption_is_refused, three chunks taken.

--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -88,6 +88,8 @@
     parser: SseParser,
     ready: VecDeque<EngineEvent>,
     last_number: u64,
+    /// Whether it continues an interrupted stream, so that its events need numbers.
+    resumes: bool,
 }
 
 /// Starts a generation.
@@ -100,13 +102,14 @@
     limits: ExchangeLimits,
 ) -> Result<EngineStream, BackendError> {
     let last_number = call.resume.as_ref().map_or(0, |resume| resume.after);
-    let attempt = call.attempt;
+    let (attempt, resumes) = (call.attempt, call.resume.is_some());
     let request = generation_request(call);
     let open = exchange(address, attempt, request, limits).await?;
     let mut open = expect_success(open).await?;
     // Dropping the headers releases the buffer that the head was read into.
     *open.response.headers_mut() = HeaderMap::new();
-    Ok(EngineStream { open, parser: SseParser::default(), ready: VecDeque::new(), last_number })
+    let (parser, ready) = (SseParser::default(), VecDeque::new());
+    Ok(EngineStream { open, parser, ready, last_number, resumes })
 }
 
 fn generation_request(call: EngineCall) -> Request<Full<Bytes>> {
@@ -236,6 +239,10 @@
         if !has_choices {
             return Ok(());
         }
+        if event.id.is_none() && self.resumes {
+            let reason = "an event of a resumed stream has no number";
+            return Err(BackendError::Malformed(reason.to_owned()));
+        }
         let number = event.id.unwrap_or(self.last_number + 1);
         if number <= self.last_number {
             // An engine that resumes a stream may repeat events that the caller already received.
