Repeat a declined request on a connection of its own

What callers saw: a request that may run once is answered 503, and its server runs it. A server declines the request and the duplicate of this refusal arrives late, when the request has been sent again on the same kept connection. It bears the same request id, so that it is taken for the response of the second attempt.

Cause: an id names the request, not the attempt; responses of two attempts can be told apart by their connection alone, and the declined attempt's connection was kept for the next one. Class: a statement of one attempt is taken for that of another one.

Now a request that may run once uses a new connection at a server to which it was sent before; other requests are told apart by their ids as before. Found by a review, as a way to the reported refusals that ran; the reports have no record, so that it is suspected, not shown, to be theirs.

--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -13,7 +13,7 @@
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead},
         headers::{ResponseFraming, strip_connection},
-        pool::{BackendTarget, LeasedConnection, PoolError, broken_attempt},
+        pool::{BackendTarget, ConnectionReuse, LeasedConnection, PoolError, broken_attempt},
         read_meter::MeteredBody,
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
@@ -24,7 +24,7 @@
     },
     crate::{
         backend::sse::is_interrupted,
-        ids::AttemptId,
+        ids::{AttemptId, ServerId},
         observe::metrics::refusal,
         pipeline::{
             DispatchDirective,
@@ -41,6 +41,7 @@
     http::{Request, Response, StatusCode, response},
     http_body_util::Full,
     std::{
+        collections::BTreeSet,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -64,6 +65,8 @@
     failure: Option<(response::Parts, Bytes)>,
     /// Number of times the request was sent.
     attempts: u32,
+    /// The servers to which it was sent; the attempts bound their number.
+    tried_servers: BTreeSet<ServerId>,
     /// Number of servers whose arbiters had no room in time.
     busy_servers: u32,
     /// Whether the outcome was logged. If not when this value is dropped, the caller has
@@ -117,6 +120,7 @@
         charge,
         failure: None,
         attempts: 0,
+        tried_servers: BTreeSet::new(),
         busy_servers: 0,
         is_logged: false,
     };
@@ -214,13 +218,13 @@
         self.attempts += 1;
         self.log_send(order);
         let request = self.backend_request(order, from);
-        let non_repeatable = !self.request.caller.route.kind.is_repeatable();
+        let reuse = self.connection_reuse(order);
         let limit = view.connections(&listed.service);
         let target = BackendTarget { server: &order.server, address: listed.address };
         let sent_at = Instant::now();
         self.begin_run();
         let sent = tokio::select! {
-            sent = self.core.pool.send(target, request, non_repeatable, limit) => sent,
+            sent = self.core.pool.send(target, request, reuse, limit) => sent,
             () = wait_withdrawn(&mut self.handle, order.attempt) => {
                 // The dispatcher has withdrawn the attempt; its next directive ends the request.
                 self.record_run();
@@ -243,6 +247,16 @@
         started
     }
 
+    /// Records the server of an attempt; returns which kept connections the attempt may use.
+    fn connection_reuse(&mut self, order: &SendOrder) -> ConnectionReuse {
+        let is_first = self.tried_servers.insert(order.server.clone());
+        match self.request.caller.route.kind.is_repeatable() {
+            true => ConnectionReuse::All,
+            false if is_first => ConnectionReuse::Recent,
+            false => ConnectionReuse::Never,
+        }
+    }
+
     fn connection_failed(
         &mut self,
         order: &SendOrder,
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -60,6 +60,19 @@
 /// Time without a response after which a direct connection counts as silent. Other servers of a
 /// reachable network respond in this time.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Which kept connections a request may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// All that the server probably has not closed.
+    All,
+    /// Those that were used recently, so that the server has certainly not closed them.
+    Recent,
+    /// None. The server has declined the request before, and a late duplicate of that response, which
+    /// has the same request id, would be taken for the response to this attempt.
+    Never,
+}
+
 /// A backend server to connect to.
 #[derive(Clone, Copy, Debug)]
 pub struct BackendTarget<'a> {
@@ -189,8 +202,8 @@
 }
 
 impl ConnectionPool {
-    /// Sends a request and waits for the head of the response. A `non_repeatable` request uses only
-    /// new or recently used connections. `connection_limit` is the maximum number of connections of
+    /// Sends a request and waits for the head of the response. `reuse` tells which
+    /// kept connections it may use. `connection_limit` is the maximum number of connections of
     /// this process to the server.
     ///
     /// # Errors
@@ -199,11 +212,11 @@
         &self,
         target: BackendTarget<'_>,
         mut request: Request<Full<Bytes>>,
-        non_repeatable: bool,
+        reuse: ConnectionReuse,
         connection_limit: u32,
     ) -> Result<(Response<Incoming>, LeasedConnection), PoolError> {
         let address = target.address;
-        while let Some(mut connection) = self.reuse(address, non_repeatable).await {
+        while let Some(mut connection) = self.reuse(address, reuse).await {
             match self.exchange(target, &mut connection, request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -237,10 +250,10 @@
     }
 
     /// Takes an idle connection, unless a new one is needed to find out whether servers are reached.
-    async fn reuse(&self, address: SocketAddr, non_repeatable: bool) -> Option<LeasedConnection> {
-        match self.links.is_trial_due() {
+    async fn reuse(&self, address: SocketAddr, reuse: ConnectionReuse) -> Option<LeasedConnection> {
+        match reuse == ConnectionReuse::Never || self.links.is_trial_due() {
             true => None,
-            false => self.take_idle(address, non_repeatable).await,
+            false => self.take_idle(address, reuse).await,
         }
     }
 
@@ -339,10 +352,10 @@
     async fn take_idle(
         &self,
         address: SocketAddr,
-        non_repeatable: bool,
+        reuse: ConnectionReuse,
     ) -> Option<LeasedConnection> {
         loop {
-            let mut connection = self.pop_idle(address, non_repeatable)?;
+            let mut connection = self.pop_idle(address, reuse)?;
             connection.pool = Some(self.clone());
             if matches!(timeout(READY_TIMEOUT, connection.sender.ready()).await, Ok(Ok(()))) {
                 return Some(connection);
@@ -350,12 +363,13 @@
         }
     }
 
-    fn pop_idle(&self, address: SocketAddr, non_repeatable: bool) -> Option<LeasedConnection> {
+    fn pop_idle(&self, address: SocketAddr, reuse: ConnectionReuse) -> Option<LeasedConnection> {
         let now = Instant::now();
         let mut addresses = self.lock();
         let entry = addresses.get_mut(&address)?;
         while let Some(idle) = entry.idle.pop() {
-            let fresh = !non_repeatable || now < idle.idle_since + NON_REPEATABLE_IDLE_LIMIT;
+            let is_recent = now < idle.idle_since + NON_REPEATABLE_IDLE_LIMIT;
+            let fresh = reuse == ConnectionReuse::All || is_recent;
             let usable = now < idle.expires && !idle.connection.sender.is_closed();
             if usable && fresh {
                 return Some(idle.connection);
