Check a resumption whose first event is held back, too long or missing

The check of where a resumed stream goes on was passed by a server that sent blocks without an id and data and ended, by one whose last event was held back after a carriage return, and by an event that is too long to be buffered: the stream ended as complete before its last event, or an event came twice.

Beside it, a response that cannot resume a stream no longer ends the stream while another server may be asked, and the position is no longer moved by blocks before a failed check.

--- a/src/backend/sse.rs
+++ b/src/backend/sse.rs
@@ -201,6 +201,11 @@
         self.incomplete.len() > MAX_EVENT_BYTES
     }
 
+    /// The bytes of the incomplete block.
+    pub fn incomplete(&self) -> &[u8] {
+        &self.incomplete
+    }
+
     /// Removes the bytes of the incomplete block, which still count for the position in the stream.
     pub fn take_incomplete(&mut self) -> Bytes {
         std::mem::take(&mut self.incomplete).freeze()
--- a/src/reverse_proxy/exchange/stream_start.rs
+++ b/src/reverse_proxy/exchange/stream_start.rs
@@ -55,7 +55,11 @@
         self.bytes.extend_from_slice(bytes);
         self.check_place(exchange, order, bytes)?;
         let has_event = self.position.has_event() && self.unplaced.is_none();
-        Ok(!self.waits_for_event || has_event || self.bytes.len() > MAX_EVENT_BYTES)
+        let is_too_long = self.bytes.len() > MAX_EVENT_BYTES;
+        if is_too_long && self.unplaced.is_some() {
+            return Err(AttemptFailure::ServerError);
+        }
+        Ok(!self.waits_for_event || has_event || is_too_long)
     }
 
     /// Whether a stream that ends here is complete. A carriage return may have ended its last event.
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -217,12 +217,13 @@
                 return Err(TruncatedResponse::DeadlinePassed);
             }
         };
+        let is_interrupted = frame.is_none() && self.is_interrupted();
         match frame {
             Some(Ok(frame)) => {
                 self.timing.record_arrival();
                 Ok(Some(frame.into_data().unwrap_or_default()))
             }
-            None if self.content.is_interrupted(self.events.scanner()) => {
+            None if is_interrupted => {
                 log::debug!(request_id = self.exchange.request.caller.id.as_str(),
                     framing = self.framing.as_str(); "a backend server's stream is incomplete");
                 self.source = None;
@@ -279,37 +280,25 @@
         loop {
             let order = self.next_order().await?;
             let exchange = &mut self.exchange;
-            let response = match exchange.start_attempt(&order, &self.position).await {
-                Ok(response) if is_event_response(&response.parts, exchange) => response,
-                Ok(_) => {
-                    exchange.report(&order, AttemptFailure::ServerError, &self.position, None);
-                    exchange.log_truncated(
-                        &order,
-                        RefusalReason::ServerFailed,
-                        self.position.events,
-                    );
-                    return Err(TruncatedResponse::BackendFailed);
+            let failure = match exchange.start_attempt(&order, &self.position).await {
+                Ok(response) if is_event_response(&response.parts, exchange) => {
+                    self.continue_with(order, response);
+                    return Ok(Bytes::new());
                 }
-                Err(
-                    AttemptFailure::Declined
+                Ok(_) => exchange.report(&order, AttemptFailure::ServerError, &self.position, None),
+                Err(failure) => failure,
+            };
+            let is_unsent = matches!(
+                failure,
+                AttemptFailure::Declined
                     | AttemptFailure::NotConnected
                     | AttemptFailure::NoSlot
-                    | AttemptFailure::Stale,
-                ) => {
-                    continue;
-                }
-                Err(_) if exchange.may_run_again() => continue,
-                Err(_) => {
-                    exchange.log_truncated(
-                        &order,
-                        RefusalReason::ServerFailed,
-                        self.position.events,
-                    );
-                    return Err(TruncatedResponse::BackendFailed);
-                }
-            };
-            self.continue_with(order, response);
-            return Ok(Bytes::new());
+                    | AttemptFailure::Stale
+            );
+            if !is_unsent && !exchange.may_run_again() {
+                exchange.log_truncated(&order, RefusalReason::ServerFailed, self.position.events);
+                return Err(TruncatedResponse::BackendFailed);
+            }
         }
     }
 
@@ -367,13 +356,11 @@
             return Ok(bytes);
         }
         let blocks = self.events.push(&bytes);
+        self.check_join(blocks.events.iter().map(|event| &blocks.bytes[event.clone()]))?;
         for event in blocks.events {
             let event = &blocks.bytes[event];
             let (id, weights) = self.exchange.core.dialect.read_event(event);
             if id.is_some() || has_data(event) {
-                if self.awaits_join {
-                    self.check_join(id.as_deref())?;
-                }
                 // After an event without an id, an earlier id would make it come twice.
                 self.position.event = id;
             }
@@ -383,14 +370,28 @@
         if !self.events.is_too_long() {
             return Ok(blocks.bytes);
         }
+        if self.awaits_join {
+            return Err(AttemptFailure::ServerError);
+        }
         self.resumable = false;
         Ok([blocks.bytes, self.events.take_incomplete()].concat().into())
     }
 
     /// Checks that the first event of a server that resumes the stream is a later one than the last
-    /// relayed event.
-    fn check_join(&mut self, first: Option<&str>) -> Result<(), AttemptFailure> {
-        let last = self.position.event.as_deref();
+    /// relayed event. Events without an id and data do not count.
+    fn check_join<'a>(
+        &mut self,
+        mut events: impl Iterator<Item = &'a [u8]>,
+    ) -> Result<(), AttemptFailure> {
+        if !self.awaits_join {
+            return Ok(());
+        }
+        let first = events.find_map(|event| {
+            let (id, _) = self.exchange.core.dialect.read_event(event);
+            (id.is_some() || has_data(event)).then_some(id)
+        });
+        let Some(first) = first else { return Ok(()) };
+        let (first, last) = (first.as_deref(), self.position.event.as_deref());
         if first.zip(last).is_some_and(|(first, last)| is_later(first, last)) {
             self.awaits_join = false;
             return Ok(());
@@ -398,4 +399,13 @@
         self.exchange.log_misplaced(&self.order, first, last);
         Err(AttemptFailure::ServerError)
     }
+
+    /// Whether the stream is interrupted, although its server has sent everything. The last event of a
+    /// server that ends lines with a carriage return is still held back.
+    fn is_interrupted(&mut self) -> bool {
+        let last = Bytes::copy_from_slice(self.events.incomplete());
+        self.content.is_interrupted(self.events.scanner())
+            || self.check_join([&last[..]].into_iter()).is_err()
+            || self.awaits_join
+    }
 }
