Take only a server's break for one in a tunnel

The reset of the request's direction by a peer that ends came as a connection reset as well, and counted as the server's crash. From reading; early_end_is_no_server_end and reset_stays_reset hold both codes.

--- a/src/transport/tunnel.rs
+++ b/src/transport/tunnel.rs
@@ -174,7 +174,7 @@
 fn tunnel_error(error: io::Error) -> io::Error {
     let cause = error.get_ref().and_then(|cause| cause.downcast_ref::<ReadError>());
     match error.kind() {
-        io::ErrorKind::ConnectionReset if cause != Some(&ReadError::Reset(TUNNEL_ENDED)) => error,
+        io::ErrorKind::ConnectionReset if cause == Some(&ReadError::Reset(SERVER_BROKE)) => error,
         _ => io::Error::new(io::ErrorKind::TimedOut, error),
     }
 }
