Count a success without proof as an error of its server

As a break it counted as the server's crash, so that a few of them put the prompt of the request among the suspects. The constants of discarded bodies are named for what they bound.

--- a/src/reverse_proxy/exchange/response_head.rs
+++ b/src/reverse_proxy/exchange/response_head.rs
@@ -22,9 +22,9 @@
 
 /// Maximum size of the body of a response that is not passed on, which is read so that its connection can
 /// be reused.
-const MAX_UNUSED_BYTES: usize = 4 << 10;
+const MAX_DISCARDED_BYTES: usize = 4 << 10;
 /// How long to wait for such a body, which usually arrives with its head.
-const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(20);
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// A response whose head has not been checked.
 pub(super) struct ReceivedHead {
@@ -92,8 +92,7 @@
                 self.log_unproven(order, parts.status);
                 self.record_run();
                 self.core.recheck(&order.server);
-                let failure = ResponseFraming::read(&parts).incomplete_attempt();
-                Err(self.report(order, failure, from, None))
+                Err(self.report(order, AttemptFailure::ServerError, from, None))
             }
         }
     }
@@ -120,8 +119,8 @@
 /// Reads a body that is not passed on, and reuses the connection if it ends soon. A server that hangs after
 /// the head must not delay the request.
 async fn discard_body(body: MeteredBody, connection: LeasedConnection, head: &ResponseHead) {
-    let rest = Limited::new(body, MAX_UNUSED_BYTES).collect();
-    if matches!(timeout(UNUSED_BODY_TIMEOUT, rest).await, Ok(Ok(_))) {
+    let rest = Limited::new(body, MAX_DISCARDED_BYTES).collect();
+    if matches!(timeout(DISCARD_TIMEOUT, rest).await, Ok(Ok(_))) {
         connection.return_to_pool(head.idle_limit);
     }
 }
