--- a/tests/engine_position.rs
+++ b/tests/engine_position.rs
@@ -26,7 +26,7 @@
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut received = vec![0; 64 * 1024];
-        stream.read(&mut received).await.unwrap();
+        assert_ne!(stream.read(&mut received).await.unwrap(), 0);
         let attempt = format_attempt_id(ATTEMPT);
         let head = format!(
             "HTTP/1.1 200 OK\r\n{ATTEMPT_HEADER}: {attempt}\r\ncontent-type: text/event-stream\r\n\
