Answer callers with the entry's version of HTTP

Cause: a server's response was passed on with the server's version. A stream has no length there, and the HTTP library marks the end of such a body by chunks in HTTP/1.1 and by the end of the connection in HTTP/1.0. With the version of an HTTP/1.0 server a caller of HTTP/1.1 got the latter, and the entry closed the connection normally when the server had broken off, since it resets connections of HTTP/1.0 callers alone. Class: the end of the transport is taken for the end of the content.

What callers see: 200 with a part of the stream or, after the first bytes of another type, a part of the body, and a normal end: a short body, framed as complete, of a server that had announced a longer one.

Now all responses have the entry's own version; the library lowers it for callers of HTTP/1.0.

Evidence, incomplete_streams::old_servers_are_cut, before: `is_complete` true for a stream of 23 of 30 bytes, `ReceivedReply { text: "HTTP/1.0 200 OK ... connection: close ... id: 1 data: a id: 2 da", is_reset: false }`; found by a table of responses that end after each of their bytes, which showed 28 such cases, all of HTTP/1.0.

--- a/src/reverse_proxy/listener.rs
+++ b/src/reverse_proxy/listener.rs
@@ -212,6 +212,9 @@
     };
     let mut response =
         result.await.unwrap_or_else(|refusal| refusal_response(&core, &refusal, connection_phase));
+    // With the HTTP/1.0 of a server a stream would have no mark of its end. The HTTP library lowers the
+    // version for callers of HTTP/1.0.
+    *response.version_mut() = Version::HTTP_11;
     if version == Version::HTTP_10 {
         response.body_mut().end_with_connection();
     }
