Test tunnels of cut responses

A tunnel passes on the part of a response that its server sends, and its end as an end or a reset, for each byte at which a response can end.

--- a/tests/server_tunnels.rs
+++ b/tests/server_tunnels.rs
@@ -3,7 +3,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "fakes/cut_server.rs"]
+mod cut_server;
+
 use {
+    cut_server::{CutEnd, cuts, marked_forms, start_cut_server},
     futures::future::BoxFuture,
     oleandermount::transport::{
         PeerHandler, PeerMessage, PeerNetwork, PeerReply, PeerRequest, TunnelRefusal, TunnelStream,
@@ -248,3 +252,57 @@
     let unknown = caller.open_tunnel(&"none".to_owned(), "listed".to_owned(), TEST_TIMEOUT).await;
     assert_eq!(unknown.err(), Some(TunnelRefusal::Unavailable));
 }
+
+/// Opens tunnels to the address that a peer names.
+struct AddressPeer;
+
+impl PeerHandler for AddressPeer {
+    fn message(&self, _from: String, _message: PeerMessage) {}
+
+    fn request(&self, _from: String, _request: PeerRequest) -> BoxFuture<'static, PeerReply> {
+        Box::pin(async { PeerReply::Refused("it only opens tunnels".to_owned()) })
+    }
+
+    fn open_tunnel(
+        &self,
+        _from: String,
+        server: String,
+    ) -> BoxFuture<'static, Result<TunnelTarget, TunnelRefusal>> {
+        Box::pin(async move {
+            let stream =
+                TcpStream::connect(&server).await.map_err(|_| TunnelRefusal::ServerRefused)?;
+            Ok(TunnelTarget { stream, guard: Box::new(()) })
+        })
+    }
+}
+
+/// Guards against a response that ends anywhere before its end and that a tunnel completes, or whose break it
+/// passes on as an end.
+#[tokio::test]
+async fn cut_responses_stay_cut() {
+    let peer = start_network("peer", &[], Arc::new(AddressPeer));
+    let caller = start_network("caller", &[("peer", peer.local_address())], Arc::new(AddressPeer));
+    for form in marked_forms("Content-Type: text/plain\r\n", "fine") {
+        for (part, end) in
+            cuts(&form).flat_map(|part| [(part.clone(), CutEnd::Close), (part, CutEnd::Reset)])
+        {
+            let server = start_cut_server(part.clone(), end).await.to_string();
+            let tunnel = caller.open_tunnel(&"peer".to_owned(), server, TEST_TIMEOUT).await;
+            let mut tunnel = tunnel.ok().unwrap();
+            tunnel.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+            let mut received = Vec::new();
+            let ended = timeout(TEST_TIMEOUT, tunnel.read_to_end(&mut received)).await.unwrap();
+            let received = String::from_utf8(received).unwrap();
+            match end {
+                CutEnd::Reset => {
+                    assert!(part.starts_with(&received), "{part:?} {received:?}");
+                    let error = ended.map_err(|error| error.kind());
+                    assert_eq!(error, Err(ErrorKind::ConnectionReset), "{part:?}");
+                }
+                CutEnd::Close | CutEnd::Silence => {
+                    assert_eq!((received, ended.is_ok()), (part, true));
+                }
+            }
+        }
+    }
+}
