Let an answer of a control VM count by the time of its request

A late answer could count 2.8 s after its request and confirm the configuration on evidence older than two seconds; now at most 1.9 s.

--- a/src/follow/suitability.rs
+++ b/src/follow/suitability.rs
@@ -5,7 +5,11 @@
 //! selection: a follower that abandoned them would hear no VM for as long as that lasts.
 
 use {
-    super::{AnswerMode, client::FollowClient, task::ANSWER_LIMIT},
+    super::{
+        AnswerMode,
+        client::FollowClient,
+        task::{ANSWER_LIMIT, RETRY_PAUSE},
+    },
     crate::{
         ids::{DocumentNumber, FailureDomainId, VmId},
         observe::events,
@@ -22,6 +26,10 @@
 
 /// How long a selection waits for answers.
 const SELECTION_TIME: Duration = Duration::from_millis(300);
+/// How long after its request an answer counts: until the end of the selection after the one in which it
+/// arrives.
+const ANSWER_AGE: Duration =
+    ANSWER_LIMIT.saturating_add(SELECTION_TIME).saturating_add(RETRY_PAUSE);
 
 /// The answer of a control VM.
 #[derive(Clone, Debug)]
@@ -33,7 +41,7 @@
     pub(super) held: DocumentNumber,
     /// The time from the request to the answer.
     pub(super) took: Duration,
-    received_at: Instant,
+    asked_at: Instant,
 }
 
 /// The answers of the control VMs that were heard.
@@ -64,7 +72,7 @@
         // Requests that are still open afterwards are continued.
         let _ = timeout(SELECTION_TIME, self.collect()).await;
         self.answers.retain(|peer, answer| {
-            candidates.contains(peer) && answer.received_at.elapsed() < ANSWER_LIMIT
+            candidates.contains(peer) && answer.asked_at.elapsed() < ANSWER_AGE
         });
         self.answers.clone()
     }
@@ -84,6 +92,7 @@
                 None => self.answers.remove(&peer),
             };
         }
+        self.pending.clear();
     }
 }
 
@@ -92,15 +101,15 @@
     peer: VmId,
     receives_document: bool,
 ) -> (VmId, Option<SuitabilityAnswer>) {
-    let began = Instant::now();
+    let asked_at = Instant::now();
     let reply = client.ask(&peer, AnswerMode::Suitability, ANSWER_LIMIT, receives_document).await;
-    let took = began.elapsed();
+    let took = asked_at.elapsed();
     let answer = reply.map(|(reply, _)| SuitabilityAnswer {
         fresh: reply.fresh,
         failure_domain: reply.failure_domain,
         held: reply.held,
         took,
-        received_at: Instant::now(),
+        asked_at,
     });
     if took > SELECTION_TIME && answer.is_some() {
         log::info!(peer = peer.as_str(), took_ms = took.as_millis() as u64;
--- a/src/follow/task.rs
+++ b/src/follow/task.rs
@@ -38,7 +38,7 @@
 /// within this time, which saves a request.
 const SHORT_TRANSFER: Duration = Duration::from_millis(100);
 /// The pause before the next selection when no VM answers, or none that is up to date.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long a follower stays with a control VM of another domain before it checks whether one of
 /// its own domain is available again.
 const LOCAL_CHECK_INTERVAL: Duration = Duration::from_secs(3);
