--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -19,7 +19,7 @@
 pub const STREAM_RESUMED: &str = "stream resumed";
 /// A server that was asked to resume a stream after the event `last_event` begins with the event
 /// `first_event`. None of its events is forwarded.
-pub const STREAM_MISPLACED: &str = "stream not resumed at its place";
+pub const STREAM_MISPLACED: &str = "stream not resumed after its last event";
 /// A caller resumes a stream that an earlier request, `resumed_id`, has begun, after the event
 /// `last_event`.
 pub const CALLER_RESUMES: &str = "stream resumed by its caller";
@@ -71,7 +71,7 @@
 pub const REQUEST_REJECTED: &str = "request rejected by its server";
 /// A server responded with a `status` which guarantees to callers that the request has not run, and did not
 /// state so. The status is not passed on, since the request may have run.
-pub const OUTCOME_UNSTATED: &str = "status without a statement of its server";
+pub const OUTCOME_UNSTATED: &str = "server did not state whether it ran the request";
 /// Requests of an organisation are refused, since they are beyond its usage limit of `rate` units a second.
 pub const CAP_EXCEEDED: &str = "organisation beyond its usage limit";
 /// Requests of an organisation are not refused any more for its usage limit. `paid` and `refused` are the units
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -74,7 +74,7 @@
     is_logged: bool,
 }
 
-/// A response whose head has arrived, with a status that says the same of the request as its server does.
+/// A response whose head has arrived and whose status can be passed on.
 pub(super) struct StartedResponse {
     pub parts: response::Parts,
     pub head: ResponseHead,
--- a/src/reverse_proxy/exchange/response_head.rs
+++ b/src/reverse_proxy/exchange/response_head.rs
@@ -7,7 +7,7 @@
         pipeline::counters::{count_mismatched_response, count_unstated_outcome},
         policy::{AttemptFailure, PolicyInput, SendOrder, ServerHealth},
         reverse_proxy::{
-            dialect::{ResponseHead, ResponseVerdict, guarantees_no_run},
+            dialect::{ResponseVerdict, guarantees_no_run},
             headers::{ResponseFraming, strip_connection},
             pool::LeasedConnection,
             read_meter::MeteredBody,
@@ -45,35 +45,18 @@
         received: ReceivedHead,
     ) -> Result<StartedResponse, AttemptFailure> {
         let ReceivedHead { response, mut connection, sent_at } = received;
-        let (mut parts, body) = response.into_parts();
+        let (parts, body) = response.into_parts();
         let body = MeteredBody::new(body, connection.meter().clone());
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
         if let Some(lease) = connection.lease_mut() {
             lease.record_work_time(head.work_time.map(|factor| factor as f32));
         }
-        match head.verdict {
-            ResponseVerdict::Executed => {
-                self.record_run();
-                self.record_head(order, sent_at, parts.status, &head);
-                if guarantees_no_run(parts.status) {
-                    self.log_unstated(order, parts.status);
-                    count_unstated_outcome();
-                    discard_body(body, connection, &head).await;
-                    return Err(self.report(order, AttemptFailure::ServerError, from, None));
-                }
-                let framing = ResponseFraming::read(&parts);
-                strip_connection(&mut parts.headers);
-                Ok(StartedResponse { parts, head, framing, body, connection, sent_at })
-            }
-            ResponseVerdict::NotExecuted => {
-                self.log_rejection(order, &head, connection.has_lease());
-                if parts.status == StatusCode::SERVICE_UNAVAILABLE {
-                    connection.report_rejection();
-                }
-                self.record_head(order, sent_at, parts.status, &head);
-                discard_body(body, connection, &head).await;
-                Err(self.report(order, AttemptFailure::Declined, from, head.retry_after))
-            }
+        let (framing, status, verdict) =
+            (ResponseFraming::read(&parts), parts.status, head.verdict);
+        let started = StartedResponse { parts, head, framing, body, connection, sent_at };
+        match verdict {
+            ResponseVerdict::Executed => self.accept_response(order, from, started).await,
+            ResponseVerdict::NotExecuted => Err(self.decline_attempt(order, from, started).await),
             ResponseVerdict::WrongServer => {
                 log::warn!(server = order.server.as_str(), weights = order.weights.as_deref();
                     "{}", events::SERVER_MISMATCHED);
@@ -89,7 +72,7 @@
                 Err(self.report(order, AttemptFailure::Broken, from, None))
             }
             ResponseVerdict::Unproven => {
-                self.log_unproven(order, parts.status);
+                self.log_unproven(order, status);
                 self.record_run();
                 self.core.recheck(&order.server);
                 Err(self.report(order, AttemptFailure::ServerError, from, None))
@@ -97,16 +80,49 @@
         }
     }
 
-    /// Records what a server says of itself in its response to this request.
-    fn record_head(
-        &self,
+    /// Returns the response to a request that the server may have run, unless its status guarantees that it
+    /// has not.
+    async fn accept_response(
+        &mut self,
         order: &SendOrder,
-        sent_at: Instant,
-        status: StatusCode,
-        head: &ResponseHead,
-    ) {
-        let (core, service) = (&self.core, &self.request.service);
-        core.record_demand(&order.server, sent_at, status, head);
+        from: &ResumePosition,
+        mut response: StartedResponse,
+    ) -> Result<StartedResponse, AttemptFailure> {
+        self.record_run();
+        self.record_head(order, &response);
+        if guarantees_no_run(response.parts.status) {
+            self.log_unstated(order, response.parts.status);
+            count_unstated_outcome();
+            discard_body(response).await;
+            return Err(self.report(order, AttemptFailure::ServerError, from, None));
+        }
+        strip_connection(&mut response.parts.headers);
+        Ok(response)
+    }
+
+    /// Ends an attempt whose server states that it has not run the request.
+    async fn decline_attempt(
+        &mut self,
+        order: &SendOrder,
+        from: &ResumePosition,
+        response: StartedResponse,
+    ) -> AttemptFailure {
+        let StartedResponse { parts, head, connection, .. } = &response;
+        self.log_rejection(order, head, connection.has_lease());
+        if parts.status == StatusCode::SERVICE_UNAVAILABLE {
+            connection.report_rejection();
+        }
+        self.record_head(order, &response);
+        let retry_after = head.retry_after;
+        discard_body(response).await;
+        self.report(order, AttemptFailure::Declined, from, retry_after)
+    }
+
+    /// Records what a server says of itself in its response to this request.
+    fn record_head(&self, order: &SendOrder, response: &StartedResponse) {
+        let StartedResponse { parts, head, sent_at, .. } = response;
+        let (core, service, sent_at) = (&self.core, &self.request.service, *sent_at);
+        core.record_demand(&order.server, sent_at, parts.status, head);
         core.record_identity(&order.server, sent_at);
         core.record_limit(&order.server, head);
         core.record_rejection_limit(service, sent_at, head);
@@ -118,7 +134,8 @@
 
 /// Reads a body that is not passed on, and reuses the connection if it ends soon. A server that hangs after
 /// the head must not delay the request.
-async fn discard_body(body: MeteredBody, connection: LeasedConnection, head: &ResponseHead) {
+async fn discard_body(response: StartedResponse) {
+    let StartedResponse { body, connection, head, .. } = response;
     let rest = Limited::new(body, MAX_DISCARDED_BYTES).collect();
     if matches!(timeout(DISCARD_TIMEOUT, rest).await, Ok(Ok(_))) {
         connection.return_to_pool(head.idle_limit);
--- a/src/reverse_proxy/exchange/stream_start.rs
+++ b/src/reverse_proxy/exchange/stream_start.rs
@@ -26,7 +26,7 @@
     bytes: BytesMut,
     position: EventScanner,
     /// The events of a stream that its caller resumes, until it is known where the stream goes on.
-    unplaced: Option<EventBuffer>,
+    unchecked: Option<EventBuffer>,
 }
 
 impl StreamBeginning {
@@ -37,7 +37,7 @@
             waits_for_event,
             bytes: BytesMut::new(),
             position: EventScanner::default(),
-            unplaced: resumes.then(EventBuffer::default),
+            unchecked: resumes.then(EventBuffer::default),
         }
     }
 
@@ -53,10 +53,10 @@
     ) -> Result<bool, AttemptFailure> {
         self.position.scan(bytes);
         self.bytes.extend_from_slice(bytes);
-        self.check_place(exchange, order, bytes)?;
-        let has_event = self.position.has_event() && self.unplaced.is_none();
+        self.check_position(exchange, order, bytes)?;
+        let has_event = self.position.has_event() && self.unchecked.is_none();
         let is_too_long = self.bytes.len() > MAX_EVENT_BYTES;
-        if is_too_long && self.unplaced.is_some() {
+        if is_too_long && self.unchecked.is_some() {
             return Err(AttemptFailure::ServerError);
         }
         Ok(!self.waits_for_event || has_event || is_too_long)
@@ -65,19 +65,19 @@
     /// Whether a stream that ends here is complete. A carriage return may have ended its last event.
     fn is_complete(&mut self, exchange: &HttpExchange, order: &SendOrder) -> bool {
         let has_event = self.position.has_event() && !self.position.is_inside_event();
-        has_event && self.check_place(exchange, order, b"\n").is_ok() && self.unplaced.is_none()
+        has_event && self.check_position(exchange, order, b"\n").is_ok() && self.unchecked.is_none()
     }
 
     /// Checks that a stream that its caller resumes begins after the last event that the caller has, by
     /// its first event with an id or data.
-    fn check_place(
+    fn check_position(
         &mut self,
         exchange: &HttpExchange,
         order: &SendOrder,
         bytes: &[u8],
     ) -> Result<(), AttemptFailure> {
         let resumed = exchange.request.caller.resumes.as_ref();
-        let Some((events, resumed)) = self.unplaced.as_mut().zip(resumed) else { return Ok(()) };
+        let Some((events, resumed)) = self.unchecked.as_mut().zip(resumed) else { return Ok(()) };
         let blocks = events.push(bytes);
         let mut events = blocks.events.into_iter().map(|event| &blocks.bytes[event]);
         let first = events.find_map(|event| {
@@ -85,7 +85,7 @@
             (id.is_some() || has_data(event)).then_some(id)
         });
         let Some(first) = first else { return Ok(()) };
-        self.unplaced = None;
+        self.unchecked = None;
         if first.as_ref().is_none_or(|first| is_later(first, &resumed.last_event)) {
             return Ok(());
         }
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -91,8 +91,8 @@
     /// Whether the stream can be resumed: until an event is longer than the buffer.
     resumable: bool,
     position: ResumePosition,
-    /// Whether no event of a server that resumes the stream has been checked yet.
-    awaits_join: bool,
+    /// Whether it has not been checked yet where the server that resumes the stream goes on.
+    is_unchecked: bool,
     is_finished: bool,
     timing: StreamTiming,
 }
@@ -158,7 +158,7 @@
             received: Some(first),
             events: EventBuffer::default(),
             content,
-            awaits_join: false,
+            is_unchecked: false,
             is_finished: false,
             timing,
         }
@@ -340,7 +340,7 @@
         self.framing = response.framing;
         self.events = EventBuffer::default();
         self.content = StreamContent::Events;
-        self.awaits_join = true;
+        self.is_unchecked = true;
         self.source = Some((response.body, response.connection));
         self.order = order;
     }
@@ -356,7 +356,7 @@
             return Ok(bytes);
         }
         let blocks = self.events.push(&bytes);
-        self.check_join(blocks.events.iter().map(|event| &blocks.bytes[event.clone()]))?;
+        self.check_position(blocks.events.iter().map(|event| &blocks.bytes[event.clone()]))?;
         for event in blocks.events {
             let event = &blocks.bytes[event];
             let (id, weights) = self.exchange.core.dialect.read_event(event);
@@ -370,7 +370,7 @@
         if !self.events.is_too_long() {
             return Ok(blocks.bytes);
         }
-        if self.awaits_join {
+        if self.is_unchecked {
             return Err(AttemptFailure::ServerError);
         }
         self.resumable = false;
@@ -379,11 +379,11 @@
 
     /// Checks that the first event of a server that resumes the stream is a later one than the last
     /// relayed event. Events without an id and data do not count.
-    fn check_join<'a>(
+    fn check_position<'a>(
         &mut self,
         mut events: impl Iterator<Item = &'a [u8]>,
     ) -> Result<(), AttemptFailure> {
-        if !self.awaits_join {
+        if !self.is_unchecked {
             return Ok(());
         }
         let first = events.find_map(|event| {
@@ -393,7 +393,7 @@
         let Some(first) = first else { return Ok(()) };
         let (first, last) = (first.as_deref(), self.position.event.as_deref());
         if first.zip(last).is_some_and(|(first, last)| is_later(first, last)) {
-            self.awaits_join = false;
+            self.is_unchecked = false;
             return Ok(());
         }
         self.exchange.log_misplaced(&self.order, first, last);
@@ -405,7 +405,7 @@
     fn is_interrupted(&mut self) -> bool {
         let last = Bytes::copy_from_slice(self.events.incomplete());
         self.content.is_interrupted(self.events.scanner())
-            || self.check_join([&last[..]].into_iter()).is_err()
-            || self.awaits_join
+            || self.check_position([&last[..]].into_iter()).is_err()
+            || self.is_unchecked
     }
 }
--- a/src/reverse_proxy/stream_origin.rs
+++ b/src/reverse_proxy/stream_origin.rs
@@ -13,9 +13,9 @@
 /// At which servers a stream can go on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ResumeTarget {
-    /// At all: they have the same software version.
+    /// At all: nothing is recorded of where streams begin.
     AnyServer,
-    /// Only at those of this version, the only one that began streams lately.
+    /// Only at those of this version, the only one that is listed.
     OnlyVersion(SoftwareVersion),
     /// Only at those of its origin.
     Origin(StreamOrigin),
--- a/src/reverse_proxy/timeout_stream.rs
+++ b/src/reverse_proxy/timeout_stream.rs
@@ -133,7 +133,7 @@
 
     /// Sets how the socket ends the connection before any byte of a body that ends with it is sent,
     /// because the kernel closes the socket if the process is killed.
-    fn set_end(&mut self) {
+    fn set_linger(&mut self) {
         let is_reset = self.phase.0.is_reset.load(Ordering::Relaxed);
         if is_reset != self.is_reset {
             self.is_reset = is_reset;
@@ -145,7 +145,7 @@
 
 impl Drop for TimeoutStream {
     fn drop(&mut self) {
-        self.set_end();
+        self.set_linger();
     }
 }
 
@@ -203,7 +203,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.set_end();
+        self.set_linger();
         self.stream().poll_write(context, bytes)
     }
 
@@ -212,7 +212,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.set_end();
+        self.set_linger();
         self.stream().poll_write_vectored(context, buffers)
     }
 
@@ -225,7 +225,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.set_end();
+        self.set_linger();
         self.stream().poll_shutdown(context)
     }
 }
