--- a/review/stand_ins/rig.py
+++ b/review/stand_ins/rig.py
@@ -191,6 +191,8 @@
         self.temporary = tempfile.mkdtemp(prefix="review-")
         self.base = self.free_base()
         self.children = {}
+        self.lock = threading.Lock()
+        self.stopped = False
         self.servers = []
         self.memory_mb = memory_mb
         self.bounds = {"graceS": 8, "budgetSlack": 58, "requireFence": "true", **(bounds or {})}
@@ -247,9 +249,12 @@
         path = self.settings(address, role, zone, bootstrap)
         log = open(os.path.join(self.temporary, address + ".log"), "ab")
         environment = {"PATH": os.environ.get("PATH", ""), "OLEANDERMOUNT_NODE_FILE": path}
-        self.children[address] = subprocess.Popen(
-            [PROGRAM, role], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log,
-            stderr=log)
+        with self.lock:
+            if self.stopped:
+                return
+            self.children[address] = subprocess.Popen(
+                [PROGRAM, role], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log,
+                stderr=log)
         self.record(f"platform starts {role} {address}")
 
     def start_all(self):
@@ -279,6 +284,8 @@
             return 0.0
 
     def stop(self):
+        with self.lock:
+            self.stopped = True
         for child in self.children.values():
             if child.poll() is None:
                 child.kill()
