--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,99 +1,170 @@
-"""Once new weights of one model are named, requests for another model of the same servers get no answer."""
+"""A stream of a split route is resumed at another entry and goes on at the other service."""
 
 import os
 import sys
+import threading
 import time
+import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand_ins"))
-from callers import Caller
+from callers import Channel
 from engines import Engine
-from rig import NotRun, Rig, Server, ZONES, run_case
+from rig import NotRun, Rig, ZONES, read_head, respond, run_case
 
 HOST = "chat.example"
-VERSION_S = 8.0
-JUDGED_S = 10.0
+# Each service has one version of its software, and all its servers have it.
+VERSIONS = {"desk-blue": "v1", "desk-green": "v2"}
+EVENTS, EVENT_S = 24, 0.1
+STREAMS, BROKEN_AFTER_S = 20, 0.9
 
 
-def route(name, prefix):
-    return {"name": name, "host": HOST, "pathPrefix": prefix, "kind": "streaming",
-            "timeoutMs": 4000, "targetLatencyMs": 600, "priority": 0, "service": "llm",
-            "maxAttempts": 2, "anonymous": False, "sessionAffinity": True, "resumable": True,
-            "gapAimMs": 600}
+class Desk(Engine):
+    """A model server that names its software in each event, and goes on after `Last-Event-Id`."""
 
+    def entry(self):
+        return {**super().entry(), "version": VERSIONS[self.service]}
 
-def lookup_route():
-    return {"name": "lookup", "host": HOST, "pathPrefix": "/lookup/", "kind": "safe",
-            "timeoutMs": 2000, "targetLatencyMs": 300, "priority": 2, "service": "app",
-            "maxAttempts": 2, "anonymous": False, "sessionAffinity": False, "resumable": False}
+    def run(self, request, connection):
+        version = self.models["m0"]
+        if request.headers.get("expect-version", str(version)) != str(version):
+            return respond(connection, 421, [("Instance-Id", self.id), ("Request-Id", request.id)])
+        after = int(request.headers.get("last-event-id", 0))
+        self.rig.record(f"server {self.id} of {self.service} ({VERSIONS[self.service]}) runs "
+                        f"{request.id} after event {after}")
+        with self.lock:
+            self.running += 1
+        try:
+            head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
+                    f"Request-Id: {request.id}", f"Response-Seal: s.{request.id}",
+                    f"Weight-Versions: {version}", "Transfer-Encoding: chunked",
+                    "%s: %s" % self.load_header()]
+            connection.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
+            for number in range(after + 1, EVENTS + 1):
+                data = f"{self.service} {VERSIONS[self.service]} token {number}"
+                event = f"id: {number}\ndata: {data}\n\n".encode()
+                connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                time.sleep(EVENT_S)
+            connection.sendall(b"0\r\n\r\n")
+        finally:
+            with self.lock:
+                self.running -= 1
 
 
-def config(models):
+def config():
     engine = {"slots": 16, "kvCapacityTokens": 100000, "kvTokenBytes": 163840,
               "linkMbps": 280000.0, "moves": False, "backups": False, "stride": 4,
-              "maxInflight": 12, "models": [{"name": name} for name in models]}
-    return {"version": 1, "routes": [route("chat", "/chat/"), route("review", "/review/"),
-                                      lookup_route()],
-            "services": [{"name": "app", "healthCheck": "/health", "maxConnections": 110,
-                          "protocol": "h1", "tls": False},
-                         {"name": "llm", "healthCheck": "/health", "maxConnections": 290,
-                          "protocol": "h1", "tls": False, "engine": engine}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
-                       "idleTimeoutMs": 15000}}
+              "maxInflight": 12, "models": [{"name": "m0"}]}
+    return {"version": 1, "routes": [
+        {"name": "chat", "host": HOST, "pathPrefix": "/chat/", "kind": "streaming",
+         "timeoutMs": 15000, "targetLatencyMs": 800, "priority": 0,
+         "backends": [{"service": name, "weight": 50} for name in VERSIONS],
+         "maxAttempts": 2, "anonymous": False, "sessionAffinity": True, "resumable": True,
+         "gapAimMs": 600}],
+        "services": [{"name": name, "healthCheck": "/health", "maxConnections": 290,
+                      "protocol": "h1", "tls": False, "engine": engine} for name in VERSIONS],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
+                   "idleTimeoutMs": 15000}}
 
 
-def served(callers, since):
-    """The share of the requests sent since then that were served, and their number."""
-    results = [status for caller in callers for _, sent, status in caller.results if sent > since]
-    return sum(status == "200" for status in results) / max(len(results), 1), len(results)
+class Reader(threading.Thread):
+    """A caller that reads one stream, and resumes it at another entry after a broken channel."""
+
+    def __init__(self, rig, number, first, others):
+        super().__init__(daemon=True)
+        self.rig, self.number = rig, number
+        self.entries = [first] + others * 2
+        self.session = uuid.uuid4().hex[:8]
+        # The answers: the status, and the events of each.
+        self.answers = []
+        self.whole = False
+
+    def run(self):
+        for entry in self.entries:
+            events = [event for _, part in self.answers for event in part]
+            after = events[-1][0] if events else None
+            request = f"stream-{self.number}-{len(self.answers)}-{uuid.uuid4().hex[:6]}"
+            status, part = None, []
+            self.answers.append((None, part))
+            try:
+                status = self.ask(entry, request, after, part)
+            except OSError as error:
+                self.rig.record(f"caller {request}: {error}")
+            self.answers[-1] = (status, part)
+            self.rig.record(f"caller at {entry} {request} after event {after}: {status}, events "
+                            f"{part[0] if part else None} to {part[-1] if part else None}, "
+                            f"{'whole' if self.whole else 'broken off'}")
+            if self.whole:
+                return
+            time.sleep(0.2 if status in (None, 200) else 2.0)
+
+    def ask(self, entry, request, after, part):
+        channel = Channel(entry)
+        headers = [("Host", HOST), ("Request-Id", request), ("Deadline-Ms", "15000"),
+                   ("Model", "m0"), ("Token-Usage", "400,60"),
+                   ("Prompt-Prefix", f"5c1e07a2:300,{self.session}:100")]
+        if after is not None:
+            headers.append(("Last-Event-Id", str(after)))
+        channel.send("POST", f"/chat/{self.session}", headers, b"prompt")
+        head = read_head(channel.stream)
+        if head is None:
+            return None
+        status = int(head[0].split(" ")[1])
+        if status != 200:
+            return status
+        text = b""
+        while True:
+            line = channel.stream.readline()
+            if not line.endswith(b"\n"):
+                return status
+            size = int(line, 16)
+            if size == 0:
+                self.whole = True
+                return status
+            data = channel.stream.read(size)
+            channel.stream.readline()
+            if len(data) < size:
+                return status
+            text += data
+            while b"\n\n" in text:
+                event, text = text.split(b"\n\n", 1)
+                fields = dict(line.split(": ", 1) for line in event.decode().splitlines())
+                part.append((int(fields["id"]), fields["data"]))
+
+    def texts(self):
+        return {data.split(" token ")[0] for status, part in self.answers for _, data in part}
 
 
 def case(folder, trouble):
-    rig = Rig(folder, entries=2)
+    rig = Rig(folder, entries=5)
     try:
-        models = ["chat-small", "review-large"]
-        rig.servers.extend(Engine(rig, number, "llm", ZONES[number % 3],
-                                  {model: 1 for model in models}) for number in range(3))
-        rig.servers.extend(Server(rig, number, "app", ZONES[number % 3]) for number in range(3, 6))
+        rig.servers.extend(Desk(rig, number, list(VERSIONS)[number % 2], ZONES[number % 3], {"m0": 1})
+                           for number in range(6))
         rig.start_all()
-        rig.put_config(config(models))
+        rig.put_config(config())
         rig.wait_ready()
-        callers = {}
-        # Four times as many chat requests as reviews.
-        for path, model, gap_s in (("/chat/1", models[0], 0.05), ("/review/1", models[1], 0.4)):
-            callers[model] = [
-                Caller(rig, entry, "POST", path, HOST, gap_s=gap_s, name=f"{model}-", headers=[
-                    ("Model", model), ("Token-Usage", "300,20"),
-                    ("Prompt-Prefix", f"aa{number:02x}:200,bb{number:02x}:100")])
-                for number, entry in enumerate(rig.entries * 2)]
-        callers["lookup"] = [Caller(rig, entry, "GET", "/lookup/1", HOST, gap_s=0.2, name="lookup-")
-                             for entry in rig.entries * 2]
-        for caller in sum(callers.values(), []):
-            caller.start()
-        time.sleep(4.0)
-        before = {kind: served(callers[kind], 0.0) for kind in callers}
+        time.sleep(3.0)
+        lost, others = rig.entries[0], rig.entries[1:]
+        readers = [Reader(rig, number, lost, others[number % 4:] + others[:number % 4])
+                   for number in range(STREAMS)]
+        for reader in readers:
+            reader.start()
+        time.sleep(BROKEN_AFTER_S)
         if trouble:
-            rig.operator_call("POST", "/v1/version-put",
-                              '{"model": "%s", "version": 2}' % models[0])
-        time.sleep(VERSION_S)
-        since = time.monotonic()
-        time.sleep(JUDGED_S)
-        after = {kind: served(callers[kind], since) for kind in callers}
-        for caller in sum(callers.values(), []):
-            caller.ended.set()
-        for kind in callers:
-            text = (f"{kind}: {before[kind][0]:.3f} of {before[kind][1]} served before, "
-                    f"{after[kind][0]:.3f} of {after[kind][1]} served afterwards")
-            rig.record(text)
-            print(text)
-        if not all(rig.is_running(address) for address in rig.children):
-            raise NotRun("a process has ended")
-        if min(share for share, _ in before.values()) < 0.9:
-            raise NotRun("the requests were not served before")
-        count = sum(number for _, number in after.values())
-        every = sum(share * number for share, number in after.values()) / count
-        starved = [kind for kind, (share, _) in after.items() if share < every / 4]
-        rig.record(f"{every:.3f} of all requests served; starved: {starved}")
-        return 1 if starved else 0
+            rig.kill(lost)
+        for reader in readers:
+            reader.join(timeout=30.0)
+        whole = [reader for reader in readers if reader.whole]
+        if len(whole) < STREAMS / 2:
+            raise NotRun(f"only {len(whole)} of {STREAMS} streams ended")
+        joined = [reader for reader in whole if len(reader.texts()) > 1]
+        for reader in joined:
+            rig.record(f"stream {reader.number} ended as complete, its text is joined from "
+                       f"{' and '.join(sorted(reader.texts()))}")
+        text = (f"{len(joined)} of {len(whole)} streams that ended as complete are joined from two "
+                f"services and versions")
+        rig.record(text)
+        print(text)
+        return 1 if joined else 0
     finally:
         rig.stop()
 
