--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A stream of a split route is resumed at another entry and goes on at the other service."""
+"""After a restart of all VMs in a release no interrupted stream can be resumed."""
 
 import os
 import sys
@@ -9,45 +9,32 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand_ins"))
 from callers import Channel
 from engines import Engine
-from rig import NotRun, Rig, ZONES, read_head, respond, run_case
+from rig import NotRun, Rig, ZONES, run_case
 
-HOST = "chat.example"
-# Each service has one version of its software, and all its servers have it.
-VERSIONS = {"desk-blue": "v1", "desk-green": "v2"}
-EVENTS, EVENT_S = 24, 0.1
-STREAMS, BROKEN_AFTER_S = 20, 0.9
+HOST, SERVICE = "chat.example", "desk"
+STREAMS, SERVERS = 20, 6
+# The release: two of six servers, one after the other.
+REPLACED, GAP_S = 2, 1.0
+KILLED_AFTER_S, DOWN_S = 3.0, 0.8
+# Twice stableWindowMs after the start of all machines, calm ones are in touch.
+IN_TOUCH_S = 6.0
+BUDGET_S, AGAIN_S = 15.0, 1.0
 
 
 class Desk(Engine):
-    """A model server that names its software in each event, and goes on after `Last-Event-Id`."""
+    """A model server whose events name the version of its software."""
+
+    events, event_s = 60, 0.1
+
+    def __init__(self, rig, number, software):
+        self.software, self.state = software, "ready"
+        super().__init__(rig, number, SERVICE, ZONES[number % 3], {"m0": 1})
 
     def entry(self):
-        return {**super().entry(), "version": VERSIONS[self.service]}
-
-    def run(self, request, connection):
-        version = self.models["m0"]
-        if request.headers.get("expect-version", str(version)) != str(version):
-            return respond(connection, 421, [("Instance-Id", self.id), ("Request-Id", request.id)])
-        after = int(request.headers.get("last-event-id", 0))
-        self.rig.record(f"server {self.id} of {self.service} ({VERSIONS[self.service]}) runs "
-                        f"{request.id} after event {after}")
-        with self.lock:
-            self.running += 1
-        try:
-            head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
-                    f"Request-Id: {request.id}", f"Response-Seal: s.{request.id}",
-                    f"Weight-Versions: {version}", "Transfer-Encoding: chunked",
-                    "%s: %s" % self.load_header()]
-            connection.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
-            for number in range(after + 1, EVENTS + 1):
-                data = f"{self.service} {VERSIONS[self.service]} token {number}"
-                event = f"id: {number}\ndata: {data}\n\n".encode()
-                connection.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-                time.sleep(EVENT_S)
-            connection.sendall(b"0\r\n\r\n")
-        finally:
-            with self.lock:
-                self.running -= 1
+        return {**super().entry(), "version": self.software, "state": self.state}
+
+    def event_text(self, number):
+        return f"{self.software} token {number}"
 
 
 def config():
@@ -56,115 +43,132 @@
               "maxInflight": 12, "models": [{"name": "m0"}]}
     return {"version": 1, "routes": [
         {"name": "chat", "host": HOST, "pathPrefix": "/chat/", "kind": "streaming",
-         "timeoutMs": 15000, "targetLatencyMs": 800, "priority": 0,
-         "backends": [{"service": name, "weight": 50} for name in VERSIONS],
+         "timeoutMs": 15000, "targetLatencyMs": 800, "priority": 0, "service": SERVICE,
          "maxAttempts": 2, "anonymous": False, "sessionAffinity": True, "resumable": True,
          "gapAimMs": 600}],
-        "services": [{"name": name, "healthCheck": "/health", "maxConnections": 290,
-                      "protocol": "h1", "tls": False, "engine": engine} for name in VERSIONS],
+        "services": [{"name": SERVICE, "healthCheck": "/health", "maxConnections": 290,
+                      "protocol": "h1", "tls": False, "engine": engine}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                    "idleTimeoutMs": 15000}}
 
 
 class Reader(threading.Thread):
-    """A caller that reads one stream, and resumes it at another entry after a broken channel."""
+    """A caller that reads one stream and takes it up again after a broken channel or a refusal, on
+    a new channel, within its time budget."""
 
-    def __init__(self, rig, number, first, others):
+    def __init__(self, rig, name, entries):
         super().__init__(daemon=True)
-        self.rig, self.number = rig, number
-        self.entries = [first] + others * 2
+        self.rig, self.name, self.entries = rig, name, entries
         self.session = uuid.uuid4().hex[:8]
-        # The answers: the status, and the events of each.
-        self.answers = []
+        # The events read, and the id of the attempt that brought the first one.
+        self.events, self.first = [], None
+        # For each attempt: when it was sent, after which event, its status and its events.
+        self.attempts = []
         self.whole = False
 
     def run(self):
-        for entry in self.entries:
-            events = [event for _, part in self.answers for event in part]
-            after = events[-1][0] if events else None
-            request = f"stream-{self.number}-{len(self.answers)}-{uuid.uuid4().hex[:6]}"
-            status, part = None, []
-            self.answers.append((None, part))
+        end = time.monotonic() + BUDGET_S
+        while not self.whole and time.monotonic() < end - 0.5:
+            entry = self.entries[len(self.attempts) % len(self.entries)]
+            request = f"{self.name}-{len(self.attempts)}-{uuid.uuid4().hex[:6]}"
+            sent, after, read = time.monotonic(), len(self.events), len(self.events)
+            status, wait_s = "closed", AGAIN_S
             try:
-                status = self.ask(entry, request, after, part)
+                status, retry_s = self.ask(entry, request, end - sent)
+                wait_s = max(retry_s, AGAIN_S)
             except OSError as error:
-                self.rig.record(f"caller {request}: {error}")
-            self.answers[-1] = (status, part)
-            self.rig.record(f"caller at {entry} {request} after event {after}: {status}, events "
-                            f"{part[0] if part else None} to {part[-1] if part else None}, "
-                            f"{'whole' if self.whole else 'broken off'}")
-            if self.whole:
-                return
-            time.sleep(0.2 if status in (None, 200) else 2.0)
-
-    def ask(self, entry, request, after, part):
+                status = f"closed ({error})"
+            if len(self.events) > read and self.first is None:
+                self.first = request
+            self.attempts.append((sent, after, status, len(self.events) - read))
+            self.rig.record(f"caller at {entry} {request} after event {after}: {status}, "
+                            f"{self.events[read:][:1]} to {self.events[-1:]}, "
+                            f"{'whole' if self.whole else 'not whole'}")
+            if not self.whole:
+                time.sleep(wait_s)
+
+    def ask(self, entry, request, time_left):
         channel = Channel(entry)
-        headers = [("Host", HOST), ("Request-Id", request), ("Deadline-Ms", "15000"),
-                   ("Model", "m0"), ("Token-Usage", "400,60"),
+        headers = [("Host", HOST), ("Request-Id", request), ("Model", "m0"),
+                   ("Deadline-Ms", str(int(time_left * 1000))), ("Token-Usage", "400,60"),
                    ("Prompt-Prefix", f"5c1e07a2:300,{self.session}:100")]
-        if after is not None:
-            headers.append(("Last-Event-Id", str(after)))
+        if self.events:
+            headers += [("Last-Event-Id", str(self.events[-1][0])), ("Resumes", self.first)]
         channel.send("POST", f"/chat/{self.session}", headers, b"prompt")
-        head = read_head(channel.stream)
-        if head is None:
-            return None
-        status = int(head[0].split(" ")[1])
-        if status != 200:
-            return status
         text = b""
-        while True:
-            line = channel.stream.readline()
-            if not line.endswith(b"\n"):
-                return status
-            size = int(line, 16)
-            if size == 0:
-                self.whole = True
-                return status
-            data = channel.stream.read(size)
-            channel.stream.readline()
-            if len(data) < size:
-                return status
+
+        def read(data):
+            nonlocal text
             text += data
             while b"\n\n" in text:
                 event, text = text.split(b"\n\n", 1)
                 fields = dict(line.split(": ", 1) for line in event.decode().splitlines())
-                part.append((int(fields["id"]), fields["data"]))
+                self.events.append((int(fields["id"]), fields["data"]))
+                self.first = self.first or request
 
-    def texts(self):
-        return {data.split(" token ")[0] for status, part in self.answers for _, data in part}
+        answer = channel.receive(read)
+        channel.close()
+        if answer is None:
+            return "closed", 0.0
+        self.whole = answer.status == 200 and not answer.closed
+        return answer.status, float(answer.headers.get("retry-after", 0.0))
 
 
 def case(folder, trouble):
-    rig = Rig(folder, entries=5)
+    rig = Rig(folder, entries=3)
     try:
-        rig.servers.extend(Desk(rig, number, list(VERSIONS)[number % 2], ZONES[number % 3], {"m0": 1})
-                           for number in range(6))
+        old = [Desk(rig, number, "v1") for number in range(SERVERS)]
+        rig.servers.extend(old)
         rig.start_all()
         rig.put_config(config())
         rig.wait_ready()
-        time.sleep(3.0)
-        lost, others = rig.entries[0], rig.entries[1:]
-        readers = [Reader(rig, number, lost, others[number % 4:] + others[:number % 4])
+        time.sleep(2.0)
+        readers = [Reader(rig, f"old{number}", rig.entries[number % 3:] + rig.entries[:number % 3])
                    for number in range(STREAMS)]
+        started = time.monotonic()
         for reader in readers:
             reader.start()
-        time.sleep(BROKEN_AFTER_S)
+        time.sleep(0.5)
+        for number in range(REPLACED):
+            # The new one starts first. The old one serves on while it is listed as draining.
+            rig.servers.append(Desk(rig, SERVERS + number, "v2"))
+            old[number].state = "draining"
+            rig.record(f"server {rig.servers[-1].id} of v2 is listed, {old[number].id} of v1 drains")
+            time.sleep(GAP_S)
+        time.sleep(started + KILLED_AFTER_S - time.monotonic())
         if trouble:
-            rig.kill(lost)
-        for reader in readers:
-            reader.join(timeout=30.0)
-        whole = [reader for reader in readers if reader.whole]
-        if len(whole) < STREAMS / 2:
-            raise NotRun(f"only {len(whole)} of {STREAMS} streams ended")
-        joined = [reader for reader in whole if len(reader.texts()) > 1]
-        for reader in joined:
-            rig.record(f"stream {reader.number} ended as complete, its text is joined from "
-                       f"{' and '.join(sorted(reader.texts()))}")
-        text = (f"{len(joined)} of {len(whole)} streams that ended as complete are joined from two "
-                f"services and versions")
+            addresses = rig.control + rig.entries
+            for address in addresses:
+                rig.kill(address)
+            time.sleep(DOWN_S)
+            for address in addresses:
+                rig.start(address, bootstrap=False)
+        in_touch = time.monotonic() + IN_TOUCH_S
+        time.sleep(IN_TOUCH_S)
+        new = [Reader(rig, f"new{number}", rig.entries[number % 3:] + rig.entries[:number % 3])
+               for number in range(STREAMS)]
+        for reader in new:
+            reader.start()
+        for reader in readers + new:
+            reader.join(timeout=BUDGET_S + 5.0)
+        if not all(rig.is_running(address) for address in rig.children):
+            raise NotRun("a process has ended")
+        if any(reader.events and not reader.events[0][1].startswith("v1") for reader in readers):
+            raise NotRun("a stream began on another version")
+        taken_up = [[attempt for attempt in reader.attempts if attempt[0] > in_touch and attempt[1]]
+                    for reader in readers]
+        taken_up = [attempts for attempts in taken_up if attempts]
+        on = sum(any(count for *_, count in attempts) for attempts in taken_up)
+        began = sum(reader.attempts[0][3] > 0 for reader in new)
+        text = (f"of {len(taken_up)} streams that callers took up again at machines in touch, {on} "
+                f"went on, with {SERVERS - REPLACED} servers of their version ready; of {len(new)} "
+                f"new ones {began} began; {sum(reader.whole for reader in readers)} of the "
+                f"{STREAMS} first streams ended whole")
         rig.record(text)
         print(text)
-        return 1 if joined else 0
+        if began < len(new) / 2:
+            raise NotRun("new streams don't begin")
+        return len(taken_up) >= 12 and on / len(taken_up) < began / len(new) / 2
     finally:
         rig.stop()
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,79 +1,94 @@
-"""A tenant that the desired state isolates goes on sharing the KV cache that it made before."""
+"""Once new weights of one model are named, the other models of its servers aren't served."""
 
 import os
 import sys
 import time
-import uuid
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand_ins"))
-from callers import Channel
+from callers import Caller
 from engines import Engine
-from rig import NotRun, Rig, ZONES, run_case
+from rig import NotRun, Rig, Server, ZONES, run_case
 
 HOST = "chat.example"
-CONFIG_APPLY_S = 2.0
-KEYS = {"orchard": "key-orchard", "meadow": "key-meadow"}
-# A long shared part, and one of the session.
-SHARED = "5c1e07a2:6300"
+NAMED_AFTER_S, TRAFFIC_S = 2.0, 90.0
 
 
-def config(version, isolated):
+def route(name, prefix):
+    return {"name": name, "host": HOST, "pathPrefix": prefix, "kind": "streaming",
+            "timeoutMs": 4000, "targetLatencyMs": 600, "priority": 0, "service": "llm",
+            "maxAttempts": 2, "anonymous": False, "sessionAffinity": True, "resumable": True,
+            "gapAimMs": 600}
+
+
+def lookup_route():
+    return {"name": "lookup", "host": HOST, "pathPrefix": "/lookup/", "kind": "safe",
+            "timeoutMs": 2000, "targetLatencyMs": 300, "priority": 2, "service": "app",
+            "maxAttempts": 2, "anonymous": False, "sessionAffinity": False, "resumable": False}
+
+
+def config(models):
     engine = {"slots": 16, "kvCapacityTokens": 100000, "kvTokenBytes": 163840,
               "linkMbps": 280000.0, "moves": False, "backups": False, "stride": 4,
-              "maxInflight": 12, "models": [{"name": "m0"}]}
-    return {"version": version, "routes": [
-        {"name": "review", "host": HOST, "pathPrefix": "/review/", "kind": "streaming",
-         "timeoutMs": 4000, "targetLatencyMs": 800, "priority": 0, "service": "llm",
-         "maxAttempts": 2, "anonymous": False, "sessionAffinity": True, "resumable": True,
-         "gapAimMs": 600}],
-        "services": [{"name": "llm", "healthCheck": "/health", "maxConnections": 290,
-                      "protocol": "h1", "tls": False, "engine": engine}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
-                   "idleTimeoutMs": 15000},
-        "tenants": [{"name": name, "apiKeys": [key], "priority": 1, "isolated": name in isolated}
-                    for name, key in KEYS.items()]}
+              "maxInflight": 12, "models": [{"name": name} for name in models]}
+    return {"version": 1, "routes": [route("chat", "/chat/"), route("review", "/review/"),
+                                      lookup_route()],
+            "services": [{"name": "app", "healthCheck": "/health", "maxConnections": 110,
+                          "protocol": "h1", "tls": False},
+                         {"name": "llm", "healthCheck": "/health", "maxConnections": 290,
+                          "protocol": "h1", "tls": False, "engine": engine}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000}}
 
 
-def ask(rig, tenant):
-    """Sends a request of a tenant to each entry; returns the statuses."""
-    statuses = []
-    for entry in rig.entries:
-        request = f"{tenant}-{uuid.uuid4().hex[:8]}"
-        channel = Channel(entry)
-        channel.send("POST", "/review/1", [
-            ("Host", HOST), ("Request-Id", request), ("Deadline-Ms", "4000"), ("Model", "m0"),
-            ("Token-Usage", "6400,20"), ("Prompt-Prefix", f"{SHARED},{uuid.uuid4().hex[:8]}:100"),
-            ("Authorization", f"Token {KEYS[tenant]}")], b"prompt")
-        answer = channel.receive()
-        channel.close()
-        statuses.append(answer.status if answer else None)
-        rig.record(f"caller of tenant {tenant} at {entry} {request}: {statuses[-1]}")
-    return statuses
+def served(callers):
+    """The share of the requests that were served, and their number."""
+    results = [status for caller in callers for _, status in caller.results]
+    return sum(status == "200" for status in results) / max(len(results), 1), len(results)
 
 
 def case(folder, trouble):
     rig = Rig(folder, entries=2)
     try:
-        rig.servers.extend(Engine(rig, number, "llm", ZONES[number % 3], {"m0": 1})
-                           for number in range(3))
+        models = ["chat-small", "review-large"]
+        rig.servers.extend(Engine(rig, number, "llm", ZONES[number % 3],
+                                  {model: 1 for model in models}) for number in range(3))
+        rig.servers.extend(Server(rig, number, "app", ZONES[number % 3]) for number in range(3, 6))
         rig.start_all()
-        rig.put_config(config(1, isolated=[]))
+        rig.put_config(config(models))
         rig.wait_ready()
-        statuses = [status for _ in range(4) for status in ask(rig, "orchard")]
-        # The only difference between the two desired states is that `orchard` is isolated.
-        rig.put_config(config(2, isolated=["orchard"] if trouble else []))
-        time.sleep(CONFIG_APPLY_S + 1.0)
-        since = {server.id: len(server.uses) for server in rig.servers}
-        statuses += [status for _ in range(4) for status in ask(rig, "meadow")]
-        if set(statuses) != {200}:
-            raise NotRun(f"not all requests were served: {statuses}")
-        uses = [use for server in rig.servers for use in server.uses[since[server.id]:]]
-        foreign = [use for use in uses if use[1] == "meadow" and use[2] == "orchard"]
-        text = (f"{len(foreign)} requests of tenant meadow used KV cache that requests of tenant "
-                f"orchard made; orchard is {'' if trouble else 'not '}isolated")
+        callers = {}
+        # Four times as many chat requests as reviews.
+        for path, model, gap_s in (("/chat/1", models[0], 0.1), ("/review/1", models[1], 0.4)):
+            callers[model] = [
+                Caller(rig, entry, "POST", path, HOST, gap_s=gap_s, name=f"{model}-", headers=[
+                    ("Model", model), ("Token-Usage", "300,20"),
+                    ("Prompt-Prefix", f"aa{number:02x}:200,bb{number:02x}:100")])
+                for number, entry in enumerate(rig.entries * 2)]
+        callers["lookup"] = [Caller(rig, entry, "GET", "/lookup/1", HOST, gap_s=0.2, name="lookup-")
+                             for entry in rig.entries * 2]
+        for caller in sum(callers.values(), []):
+            caller.start()
+        time.sleep(NAMED_AFTER_S)
+        before = {kind: served(callers[kind]) for kind in callers}
+        if trouble:
+            rig.name_version(models[0], 2)
+        time.sleep(TRAFFIC_S - NAMED_AFTER_S)
+        # As the rule asks, all requests count, also those before the version was named.
+        shares = {kind: served(callers[kind]) for kind in callers}
+        for caller in sum(callers.values(), []):
+            caller.ended.set()
+        if not all(rig.is_running(address) for address in rig.children):
+            raise NotRun("a process has ended")
+        if min(share for share, _ in before.values()) < 0.9:
+            raise NotRun("the requests were not served before")
+        count = sum(number for _, number in shares.values())
+        every = sum(share * number for share, number in shares.values()) / count
+        starved = [kind for kind, (share, _) in shares.items() if share < every / 4]
+        text = ", ".join(f"{kind} {share:.3f} of {number}" for kind, (share, number) in shares.items())
+        text = f"served: {text}, all {every:.3f} of {count}; starved: {starved}"
         rig.record(text)
         print(text)
-        return 1 if foreign and trouble else 0
+        return bool(starved)
     finally:
         rig.stop()
 
--- a/review/stand_ins/rig.py
+++ b/review/stand_ins/rig.py
@@ -4,9 +4,11 @@
 own. Only the standard library of Python is used.
 """
 
+import collections
 import http.client
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -15,18 +17,48 @@
 import tempfile
 import threading
 import time
+import traceback
 import uuid
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "release", "oleandermount-platform")
-FRONT_PORT, READY_PORT, CONTROL_PORT, CLOUD_PORT, SERVER_PORT = 8782, 8789, 8783, 8784, 8080
 ZONES = ["z1", "z2", "z3"]
+# The list of servers shows what was so this long ago, and takes so many calls a second.
+LAG_S, RATE_PER_S = 0.8, 47
+# Requests that wait at a server beyond its slots.
+QUEUE = 4
+TIME_LIMIT_S = 115
+# The exit code of a case whose rule was broken; run.sh turns it into 1, and all but 0 into 2.
+BROKEN = 10
 
 
 class NotRun(Exception):
     """The case could not run."""
 
 
+def is_free(port):
+    """Whether nothing listens at this port, at no address."""
+    with socket.socket() as probe:
+        try:
+            probe.bind(("0.0.0.0", port))
+            return True
+        except OSError:
+            return False
+
+
+def free_ports():
+    """Five ports, and the first of a range of 16, below those of outgoing connections."""
+    for _ in range(200):
+        first = random.randrange(12000, 30000)
+        if all(is_free(port) for port in range(first, first + 21)):
+            return range(first, first + 5), first + 5
+    raise SystemExit(2)
+
+
+(FRONT_PORT, READY_PORT, CONTROL_PORT, CLOUD_PORT, SERVER_PORT), INTERNAL_PORT = free_ports()
+
+
 class Record:
     """Writes record.txt: what was sent, answered and run."""
 
@@ -128,16 +160,36 @@
 
 
 class Cloud(Listener):
-    """The platform's list of servers."""
+    """The platform's list of servers. It lags, and takes a number of calls a second."""
 
     def __init__(self, address, servers):
         self.servers = servers
+        self.history = collections.deque([(0.0, [])], maxlen=100)
+        self.calls = collections.deque()
+        self.lock = threading.Lock()
+        threading.Thread(target=self.watch, daemon=True).start()
         super().__init__(address)
 
+    def watch(self):
+        while True:
+            entries = [server.entry() for server in list(self.servers)]
+            self.history.append((time.monotonic(), entries))
+            time.sleep(0.05)
+
     def handle(self, request, connection):
-        if not request.path.startswith("/instances"):
+        url = urlsplit(request.path)
+        if url.path != "/instances":
             return respond(connection, 404)
-        entries = [server.entry() for server in self.servers]
+        now = time.monotonic()
+        with self.lock:
+            while self.calls and self.calls[0] < now - 1.0:
+                self.calls.popleft()
+            if len(self.calls) >= RATE_PER_S:
+                return respond(connection, 429)
+            self.calls.append(now)
+        shown = [entries for at, entries in list(self.history) if at <= now - LAG_S]
+        zone = parse_qs(url.query).get("zone", [None])[0]
+        entries = [entry for entry in (shown[-1] if shown else []) if zone in (None, entry["zone"])]
         respond_json(connection, 200, {"instances": entries, "nextPageToken": None})
 
 
@@ -149,8 +201,8 @@
         self.rig, self.service, self.zone, self.slots, self.work_s = rig, service, zone, slots, work_s
         self.born = int(time.time() * 1000)
         self.lock = threading.Lock()
-        self.running = 0
-        self.runs = []
+        self.running, self.waiting = 0, 0
+        self.places = threading.Semaphore(slots)
         super().__init__((rig.address(100 + number), SERVER_PORT))
 
     def entry(self):
@@ -159,23 +211,35 @@
                 "coldRemainingMs": 0, "stage": "colocated", "models": [], "born": self.born}
 
     def load_header(self):
-        return ("Server-Load", f"{self.running},0,{self.slots}")
+        return ("Server-Load", f"{self.running},{self.waiting},{self.slots}")
 
     def handle(self, request, connection):
-        if request.path == "/health":
-            return respond(connection, 200, [("Instance-Id", self.id), self.load_header()])
+        if request.path.startswith("/v1/"):
+            self.rig.record(f"server {self.id} gets {request.method} {request.path}, unknown to it")
+            return respond(connection, 404)
         if request.headers.get("expect-instance", self.id) != self.id:
             return respond(connection, 421, [("Instance-Id", self.id), ("Request-Id", request.id)])
-        return self.run(request, connection)
-
-    def run(self, request, connection):
         with self.lock:
+            is_full = self.waiting >= QUEUE
+            self.waiting += not is_full
+        if is_full:
+            return respond(connection, 503, [("Request-Id", request.id), ("Not-Executed", "1")])
+        self.places.acquire()
+        with self.lock:
+            self.waiting -= 1
             self.running += 1
-        self.runs.append(request.id)
+        try:
+            if request.path == "/health":
+                return respond(connection, 200, [("Instance-Id", self.id), self.load_header()])
+            return self.run(request, connection)
+        finally:
+            with self.lock:
+                self.running -= 1
+            self.places.release()
+
+    def run(self, request, connection):
         self.rig.record(f"server {self.id} runs {request.id} {request.method} {request.path}")
         time.sleep(self.work_s)
-        with self.lock:
-            self.running -= 1
         body = f"done {request.id}".encode()
         respond(connection, 200, [("Request-Id", request.id), ("Response-Seal", "s." + request.id),
                                   self.load_header()], body)
@@ -188,17 +252,19 @@
         if not os.access(PROGRAM, os.X_OK):
             raise NotRun("the programs are not built")
         self.record = Record(os.path.join(folder, "record.txt"))
-        self.temporary = tempfile.mkdtemp(prefix="review-")
         self.base = self.free_base()
         self.children = {}
         self.lock = threading.Lock()
         self.stopped = False
         self.servers = []
+        # The versions of models that the operator has named.
+        self.named = {}
         self.memory_mb = memory_mb
         self.bounds = {"graceS": 8, "budgetSlack": 58, "requireFence": "true", **(bounds or {})}
         self.cloud = Cloud((self.address(250), CLOUD_PORT), self.servers)
         self.control = [self.address(1 + number) for number in range(3)]
         self.entries = [self.address(10 + number) for number in range(entries)]
+        self.temporary = tempfile.mkdtemp(prefix="review-")
 
     @staticmethod
     def free_base():
@@ -229,13 +295,13 @@
             memory = self.memory_mb
         bounds = "".join(f"{name} = {value}\n" for name, value in self.bounds.items())
         text = (f'node = "{role}-{address}"\nrole = "{role}"\nip = "{address}"\nzone = "{zone}"\n'
-                f'region = "r1"\ninternalPortRange = [7340,7355]\nseeds = [{seeds}]\n'
+                f'region = "r1"\ninternalPortRange = [{INTERNAL_PORT},{INTERNAL_PORT + 15}]\nseeds = [{seeds}]\n'
                 f'bootstrap = {"true" if bootstrap else "false"}\n{own}'
                 f'[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = {memory}\nmaxFds = 4100\n'
                 f'linkMbps = 1000.0\n[bounds]\nstableWindowMs = 3000\ndrainMs = 3000\n'
                 f'configApplyMs = 2000\n{bounds}'
-                f'[cloud]\naddress = "{self.address(250)}:{CLOUD_PORT}"\nratePerS = 47.0\n'
-                f'lagMs = 800\n')
+                f'[cloud]\naddress = "{self.address(250)}:{CLOUD_PORT}"\nratePerS = {RATE_PER_S}.0\n'
+                f'lagMs = {LAG_S * 1000:.0f}\n')
         path = os.path.join(self.temporary, address + ".toml")
         with open(path + ".new", "w", encoding="utf-8") as file:
             file.write(text)
@@ -328,6 +394,13 @@
             raise NotRun(f"the desired state was refused: {status} {data!r}")
         self.record(f"operator: version {document['version']} acknowledged")
 
+    def name_version(self, model, version):
+        self.named[model] = version
+        body = json.dumps({"model": model, "version": version})
+        status, data = self.operator_call("POST", "/v1/version-put", body)
+        if status != 200:
+            raise NotRun(f"version {version} of {model} was refused: {status} {data!r}")
+
     def wait_ready(self, addresses=None, deadline_s=30.0):
         end = time.monotonic() + deadline_s
         for address in addresses or self.entries:
@@ -345,11 +418,19 @@
 
 
 def run_case(folder, case):
-    """Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    """Runs a case and exits with `BROKEN`, with 0 if the rule held, else with 2."""
+    def end(number, _):
+        raise NotRun(f"ended by signal {number}")
+
     code = 2
     try:
-        code = case(folder, os.environ.get("TROUBLE", "1") != "0")
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+            signal.signal(number, end)
+        signal.alarm(TIME_LIMIT_S)
+        code = BROKEN if case(folder, os.environ.get("TROUBLE", "1") != "0") else 0
     except NotRun as error:
         print("not run:", error)
-    sys.exit(code)
+    except Exception:
+        traceback.print_exc()
+    sys.stdout.flush()
+    os._exit(code)
