Give the shared cached prompts another salt when an organisation is isolated

Cause: the scope of organisations that are not isolated was the empty text, whoever else was isolated. Evidence: the same Cache-Salt before and after. Ruled out: a late configuration (the isolated organisation's own salt had changed), a store (the case has none).

Change: the shared scope is named by a digest of the set of isolated organisations. Who uses or made an entry under it is not in that set, so no memory of former configurations is needed and a restart changes nothing. The salt follows the configuration at the time of sending; a request that was placed under another one names no source and no store. Fingerprints of crash records stay as they were.

--- a/src/policy/prefix.rs
+++ b/src/policy/prefix.rs
@@ -8,14 +8,14 @@
 //! Holders are learned from this daemon's own sends and from the cached tokens that engines report
 //! with their responses. Daemons do not read the complete stream of cache events, which arrive late
 //! and with gaps. A holder counts only for the incarnation and the weights it was learned under,
-//! and the hash of a level is seeded by organisation, model and adapter, so cache hits never cross
+//! and the hash of a level is seeded by scope, model and adapter, so cache hits never cross
 //! those boundaries.
 
 use {
     super::PrefixLevel,
     crate::ids::{DigestHex, Incarnation, ModelId, WeightsVersion},
     sha2::{Digest, Sha256},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
@@ -52,18 +52,37 @@
     pub tokens: u32,
 }
 
+/// Names a set of organisations that share cache entries. No two different sets have the same name.
+pub type CacheScope = String;
+
+/// Returns the scope of an organisation that shares cache entries with no other one.
+pub fn isolated_scope(organisation: &str) -> CacheScope {
+    format!("isolated:{organisation}")
+}
+
+/// Returns the scope of all organisations but the `isolated` ones.
+///
+/// The scope depends on that set alone. Whenever an organisation is isolated, the others get another scope
+/// and with it none of the entries that this organisation has made before, and every daemon gets the same
+/// scope from the same configuration, also after a restart.
+pub fn shared_scope<'a>(isolated: impl IntoIterator<Item = &'a str>) -> CacheScope {
+    let isolated: BTreeSet<&str> = isolated.into_iter().collect();
+    let names: Vec<&str> = isolated.into_iter().collect();
+    format!("shared:{}", hex::encode(Sha256::digest(length_prefixed(&names))))
+}
+
 /// Returns the levels of a prompt, shortest first: one for each segment, thinned to at most
 /// [`MAX_LEVELS`].
 ///
 /// Thinning keeps every second, fourth, and so on, boundary and the last one, so that the levels of
 /// a conversation are also levels of its continuation.
 pub fn levels(
-    organisation: &str,
+    scope: &str,
     model: &str,
     adapter: Option<&str>,
     segments: &[PromptSegment<'_>],
 ) -> Vec<PrefixLevel> {
-    let mut hash = xxh3_64(&length_prefixed(&[organisation, model, adapter.unwrap_or_default()]));
+    let mut hash = xxh3_64(&length_prefixed(&[scope, model, adapter.unwrap_or_default()]));
     let mut tokens = 0_u32;
     let stride = segments.len().div_ceil(MAX_LEVELS - 1).next_power_of_two();
     let mut levels = Vec::with_capacity(segments.len().min(MAX_LEVELS));
@@ -79,15 +98,9 @@
 }
 
 /// Returns the cache salt that is sent to the engine with a request and is part of the key of
-/// stored blocks, so that no cached block is shared across organisations, models, adapters or
-/// weights.
-pub fn cache_salt(
-    organisation: &str,
-    model: &str,
-    adapter: Option<&str>,
-    weights: &str,
-) -> DigestHex {
-    let parts = length_prefixed(&[organisation, model, adapter.unwrap_or_default(), weights]);
+/// stored blocks, so that no cached block is shared across scopes, models, adapters or weights.
+pub fn cache_salt(scope: &str, model: &str, adapter: Option<&str>, weights: &str) -> DigestHex {
+    let parts = length_prefixed(&[scope, model, adapter.unwrap_or_default(), weights]);
     hex::encode(Sha256::digest(parts))
 }
 
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -291,12 +291,21 @@
         // Weights and salt use the same version: a stream that was resumed on new weights must
         // not get cache entries of the former weights.
         let weights = from.weights.or(current);
-        let source = order.source.as_ref().filter(|_| weights.is_some() && weights == decided);
-        let store = order.store_use.filter(|_| weights.is_some() && weights == decided);
+        // The configuration may have isolated an organisation since the request was placed.
+        let view = self.core.view();
+        let index = view.index.as_ref();
+        let scope = index.map_or_else(
+            || self.request.placed_scope.clone(),
+            |index| index.cache_scope(&caller.organisation),
+        );
+        let is_as_placed =
+            weights.is_some() && weights == decided && scope == self.request.placed_scope;
+        let source = order.source.as_ref().filter(|_| is_as_placed);
+        let store = order.store_use.filter(|_| is_as_placed);
         let store = store.zip(self.core.store_address(self.request.shared_prefix()));
         let salt = model.map(|model| {
             let weights = weights.map(|version| version.to_string()).unwrap_or_default();
-            cache_salt(self.request.cache_owner(), model, None, &weights)
+            cache_salt(&scope, model, None, &weights)
         });
         let call = BackendCall {
             request: caller,
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -11,7 +11,7 @@
         observe::metrics::refusal,
         policy::{
             PrefixLevel, RequestTicket, RequestWork,
-            prefix::{self, PromptSegment},
+            prefix::{self, CacheScope, PromptSegment},
             slot_leases::MemoryDemand,
             suspect,
         },
@@ -44,6 +44,9 @@
     pub software: Option<SoftwareVersion>,
     /// The number of the configuration document that the request is processed by.
     pub document: DocumentNumber,
+    /// The scope within which the request was placed by cached prefixes. A later configuration may have
+    /// assigned another one.
+    pub placed_scope: CacheScope,
     /// When the head had arrived.
     pub arrived: Instant,
     /// When the response has to be complete or refused.
@@ -83,6 +86,7 @@
     let body = read_body(body, limits).await?;
     let time_limit = caller.time_left.unwrap_or(caller.route.timeout).min(caller.route.timeout);
     let document = index.table.number;
+    let placed_scope = index.cache_scope(&caller.organisation);
     Ok(BufferedRequest {
         caller,
         head,
@@ -90,6 +94,7 @@
         service,
         software: None,
         document,
+        placed_scope,
         arrived,
         deadline: arrived + time_limit,
     })
@@ -150,15 +155,12 @@
         }
     }
 
-    /// The scope within which cached prompts are shared: its organisation if that is isolated, and
-    /// otherwise the empty string for all organisations.
-    pub fn cache_owner(&self) -> &str {
-        if self.caller.isolated { &self.caller.organisation } else { "" }
-    }
-
+    /// Fingerprints of the parts of the prompt, under which crashes are recorded. They do not depend on which
+    /// other organisations are isolated, so that a change of that loses no record of a crash.
     fn part_fingerprints(&self) -> Vec<u64> {
+        let owner = if self.caller.isolated { &self.caller.organisation } else { "" };
         let parts = self.caller.work.iter().flat_map(|work| &work.parts);
-        suspect::part_fingerprints(self.cache_owner(), parts.map(|(id, _)| id.as_bytes()))
+        suspect::part_fingerprints(owner, parts.map(|(id, _)| id.as_bytes()))
     }
 
     fn levels(&self, work: &PromptWork) -> Vec<PrefixLevel> {
@@ -167,7 +169,7 @@
             .iter()
             .map(|(id, tokens)| PromptSegment { bytes: id.as_bytes(), tokens: *tokens })
             .collect();
-        prefix::levels(self.cache_owner(), &work.model, None, &segments)
+        prefix::levels(&self.placed_scope, &work.model, None, &segments)
     }
 
     /// Hash of the longest prefix of the prompt that other prompts may share; 0 if there is none.
--- a/src/routing/index.rs
+++ b/src/routing/index.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{OrganisationAccess, RouteRule, RouteTable},
-    crate::ids::{OrganisationId, ServiceId},
+    crate::{
+        ids::{OrganisationId, ServiceId},
+        policy::prefix::{self, CacheScope},
+    },
     std::{collections::BTreeMap, sync::Arc},
 };
 
@@ -17,6 +20,8 @@
     keys: BTreeMap<String, OrganisationId>,
     /// Whether any organisation has a usage limit.
     pub limits_use: bool,
+    /// The scope of the organisations that are not isolated.
+    shared_scope: CacheScope,
 }
 
 impl RouteIndex {
@@ -34,7 +39,10 @@
             access.keys.iter().map(|key| (key.clone(), organisation.clone()))
         });
         let limits_use = table.organisations.values().any(|access| access.cap.is_some());
-        RouteIndex { hosts, keys: keys.collect(), limits_use, table }
+        let organisations = table.organisations.iter();
+        let isolated = organisations.filter(|(_, access)| access.isolated);
+        let shared_scope = prefix::shared_scope(isolated.map(|(name, _)| name.as_str()));
+        RouteIndex { hosts, keys: keys.collect(), limits_use, shared_scope, table }
     }
 
     /// The route with the longest matching prefix. `host` may have any case and a port.
@@ -49,6 +57,14 @@
         Some((organisation, self.table.organisations.get(organisation)?))
     }
 
+    /// The organisations that may use the cache entries which a request of `organisation` makes. One that
+    /// is not configured any more is isolated, since that is what its last configuration may have asked for.
+    pub fn cache_scope(&self, organisation: &OrganisationId) -> CacheScope {
+        let access = self.table.organisations.get(organisation);
+        let is_shared = access.map_or(organisation.is_empty(), |access| !access.isolated);
+        if is_shared { self.shared_scope.clone() } else { prefix::isolated_scope(organisation) }
+    }
+
     /// Whether callers need API keys on routes that are not anonymous.
     pub fn requires_keys(&self) -> bool {
         !self.table.organisations.is_empty()
