Keep where streams began on the disks of control VMs

If a service has one version only, streams named by their callers were refused for 30 s, since nobody knew that there had been one.

Cause: origins of streams and versions of services were in memory alone. Ruled out: reports that had not left the entries (the streams had run for 3 s), a version that callers could bring back (they bring an id of their own and the server's event id).

Origins need no clock, versions count only while younger than a stream can be, and only once a list names the service.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -12,6 +12,7 @@
 pub mod document_delta;
 pub mod entry_directory;
 pub mod evidence;
+pub mod origin_journal;
 pub mod origin_service;
 pub mod service;
 pub mod stream_origins;
--- a/src/follow/origin_service.rs
+++ b/src/follow/origin_service.rs
@@ -1,20 +1,24 @@
 //! The origins of streams at a control VM.
 
 use {
-    super::stream_origins::{OriginAnswer, OriginReport, OriginTable, StreamKey, StreamOrigin},
+    super::{
+        origin_journal::{JournalBatch, JournalContent, OriginJournal},
+        stream_origins::{OriginAnswer, OriginReport, OriginTable, StreamKey, StreamOrigin},
+    },
     crate::{
         fleet::{FleetSnapshot, watch::FleetView},
         ids::{ServiceId, VmId},
-        policy::software_history::SoftwareHistory,
+        policy::software_history::{STREAM_TIME, SoftwareHistory},
         transport::{PeerMessage, PeerNetwork},
     },
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime},
     },
     tokio::{
         sync::Notify,
+        task::spawn_blocking,
         time::{sleep, timeout},
     },
 };
@@ -25,6 +29,17 @@
 const MAX_PENDING: usize = 16_384;
 /// How often an unchanged list is recorded, so that time passes for the versions of its services.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause between two writes of the journal, each of which syncs the disk. A loss of power loses the
+/// streams that were reported within it.
+const WRITE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a failed write.
+const WRITE_RETRY_PAUSE: Duration = Duration::from_secs(2);
+/// How often the versions of services are written while nothing changes. Records must stay younger than
+/// [`STREAM_TIME`] to count after a restart.
+const VERSIONS_INTERVAL: Duration = Duration::from_secs(5);
+/// Maximum number of streams that wait to be written. If there are more, the journal is rewritten from
+/// the table.
+const MAX_UNWRITTEN: usize = 16_384;
 
 #[derive(Default)]
 struct ServiceState {
@@ -32,6 +47,24 @@
     history: SoftwareHistory,
     /// Streams that entries have reported and that were not copied; at most [`MAX_PENDING`].
     pending: BTreeMap<StreamKey, StreamOrigin>,
+    /// Streams that were reported and are not in the journal; at most [`MAX_UNWRITTEN`].
+    unwritten: BTreeMap<StreamKey, StreamOrigin>,
+    /// Whether streams have been dropped from `unwritten`.
+    is_incomplete: bool,
+    /// Number of the last change of what is known of versions.
+    versions_change: u64,
+}
+
+impl ServiceState {
+    fn take_unwritten(&mut self) -> Vec<OriginReport> {
+        by_origin(std::mem::take(&mut self.unwritten))
+    }
+}
+
+/// What the journal contains of the versions of services.
+struct WrittenVersions {
+    change: u64,
+    at: Instant,
 }
 
 /// Keeps the origins of streams for all entries.
@@ -52,6 +85,11 @@
                 if !is_copy && state.pending.len() < MAX_PENDING {
                     state.pending.insert(stream, origin.clone());
                 }
+                if state.unwritten.len() < MAX_UNWRITTEN {
+                    state.unwritten.insert(stream, origin.clone());
+                } else {
+                    state.is_incomplete = true;
+                }
             }
         }
         drop(state);
@@ -70,7 +108,24 @@
     /// Records the software versions of a server list.
     pub fn record_list(&self, list: &FleetSnapshot) {
         let servers = list.servers.iter().map(|server| (&server.service, &server.software));
-        self.lock().history.record(Instant::now(), servers);
+        let (now, mut state) = (Instant::now(), self.lock());
+        let versions = |state: &ServiceState| state.history.versions();
+        let before = versions(&state);
+        state.history.record(now, servers);
+        if versions(&state) != before {
+            state.versions_change += 1;
+        }
+    }
+
+    /// Restores what a journal contained. Its streams count as reported at `now`.
+    pub fn restore(&self, now: Instant, content: &JournalContent) {
+        let mut state = self.lock();
+        for OriginReport { origin, streams } in &content.streams {
+            streams.iter().for_each(|stream| state.table.record(now, *stream, origin));
+        }
+        if let Some((age, services)) = &content.services {
+            state.history.restore(now, *age, services);
+        }
     }
 
     /// Records the lists of a control VM; never returns.
@@ -93,13 +148,7 @@
         loop {
             self.changed.notified().await;
             let pending = std::mem::take(&mut self.lock().pending);
-            let mut reports: BTreeMap<StreamOrigin, Vec<StreamKey>> = BTreeMap::new();
-            for (stream, origin) in pending {
-                reports.entry(origin).or_default().push(stream);
-            }
-            let reports = reports.into_iter();
-            let origins: Vec<_> =
-                reports.map(|(origin, streams)| OriginReport { origin, streams }).collect();
+            let origins = by_origin(pending);
             if let Some(next) = next().filter(|_| !origins.is_empty()) {
                 network.send(&next, PeerMessage::StreamOrigins { origins, is_copy: true });
             }
@@ -107,11 +156,84 @@
         }
     }
 
+    /// Writes what is reported to a journal; never returns. A disk that does not work costs only what a
+    /// restart of all VMs would need.
+    pub async fn run_journal(self: Arc<Self>, mut journal: OriginJournal) {
+        let mut written: Option<WrittenVersions> = None;
+        let mut rewritten_at = Instant::now();
+        loop {
+            let now = Instant::now();
+            let needs_rewrite =
+                journal.needs_rewrite() || now.duration_since(rewritten_at) >= STREAM_TIME;
+            let (batch, change, is_rewrite) = self.next_batch(now, written.as_ref(), needs_rewrite);
+            let mut pause = WRITE_PAUSE;
+            if is_rewrite || !batch.is_empty() {
+                let has_versions = !batch.services.is_empty();
+                let task = spawn_blocking(move || {
+                    let now = SystemTime::now();
+                    let result = if is_rewrite {
+                        journal.rewrite(now, batch)
+                    } else {
+                        journal.append(now, batch)
+                    };
+                    (journal, result)
+                });
+                let Ok((returned, result)) = task.await else {
+                    log::error!("the journal of stream origins has ended; restart the daemon");
+                    return;
+                };
+                journal = returned;
+                match result {
+                    Ok(()) if has_versions => written = Some(WrittenVersions { change, at: now }),
+                    Ok(()) => {}
+                    Err(error) => {
+                        log::warn!(error:% = error; "stream origins were not written; check the disk");
+                        pause = WRITE_RETRY_PAUSE;
+                    }
+                }
+                if is_rewrite {
+                    rewritten_at = now;
+                }
+            }
+            sleep(pause).await;
+        }
+    }
+
+    /// The next batch of the journal, the last change of versions that it contains, and whether it replaces
+    /// the former content.
+    fn next_batch(
+        &self,
+        now: Instant,
+        written: Option<&WrittenVersions>,
+        needs_rewrite: bool,
+    ) -> (JournalBatch, u64, bool) {
+        let mut state = self.lock();
+        let change = state.versions_change;
+        let is_current = written.is_some_and(|written| {
+            written.change == change && now.duration_since(written.at) < VERSIONS_INTERVAL
+        });
+        let is_rewrite = needs_rewrite || state.is_incomplete;
+        let unwritten = state.take_unwritten();
+        let streams = if is_rewrite { state.table.all(now) } else { unwritten };
+        state.is_incomplete = false;
+        let services =
+            if is_current && !is_rewrite { Vec::new() } else { state.history.records(now) };
+        (JournalBatch { streams, services }, change, is_rewrite)
+    }
+
     fn lock(&self) -> MutexGuard<'_, ServiceState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn by_origin(streams: BTreeMap<StreamKey, StreamOrigin>) -> Vec<OriginReport> {
+    let mut reports: BTreeMap<StreamOrigin, Vec<StreamKey>> = BTreeMap::new();
+    for (stream, origin) in streams {
+        reports.entry(origin).or_default().push(stream);
+    }
+    reports.into_iter().map(|(origin, streams)| OriginReport { origin, streams }).collect()
+}
+
 /// The control VM that gets the copies of `own`: the next one in the order of names.
 pub fn copy_receiver<'a>(own: &VmId, control: &'a [VmId]) -> Option<&'a VmId> {
     let mut others: Vec<&VmId> = control.iter().filter(|vm| *vm != own).collect();
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -84,6 +84,8 @@
 pub const CRASH_CONFIRMED: &str = "crash confirmed";
 /// A server whose connections broke has identified itself, so that it did not crash.
 pub const CRASH_CLEARED: &str = "crash ruled out";
+/// A control VM has read from its disk where streams began, as `streams`, and the versions of `services`.
+pub const ORIGINS_RESTORED: &str = "stream origins restored";
 /// The engines' shared KV cache store is unreachable; prompts are processed without it.
 pub const CACHE_STORE_UNAVAILABLE: &str = "KV cache store lost";
 /// The KV cache store is reachable again; it may be empty.
--- a/tests/software_history.rs
+++ b/tests/software_history.rs
@@ -97,3 +97,65 @@
         }
     }
 }
+
+fn restarted(now: Instant, age: Duration, history: &SoftwareHistory) -> SoftwareHistory {
+    let mut restarted = SoftwareHistory::default();
+    restarted.restore(now + age, age, &history.records(now));
+    restarted
+}
+
+/// Guards against streams that nobody lets go on since all VMs have restarted, although the service has had
+/// one version for long.
+#[test]
+fn one_version_outlasts_restart() {
+    let (mut history, start) = (SoftwareHistory::default(), Instant::now());
+    record(&mut history, start, &["v1"]);
+    let now = start + STREAM_TIME;
+    record(&mut history, now, &["v1"]);
+    let mut restarted = restarted(now, SECOND, &history);
+    let now = now + SECOND;
+    assert_eq!(state(&restarted, now), VersionState::Unknown, "no list names the service");
+    record(&mut restarted, now, &["v1"]);
+    assert_eq!(state(&restarted, now), VersionState::One);
+}
+
+/// Guards against a stream that goes on at a version which has replaced its own while all VMs were down.
+#[test]
+fn version_replaced_during_restart_is_seen() {
+    let (mut history, start) = (SoftwareHistory::default(), Instant::now());
+    record(&mut history, start, &["v1"]);
+    let now = start + STREAM_TIME;
+    record(&mut history, now, &["v1"]);
+    for listed in [&["v2"][..], &["v1", "v2"]] {
+        let mut restarted = restarted(now, SECOND, &history);
+        record(&mut restarted, now + SECOND, listed);
+        assert_eq!(state(&restarted, now + SECOND), VersionState::Several);
+    }
+}
+
+/// Guards against a restart that forgets a version which has left just before, and against one that counts it
+/// for longer than its streams can be resumed.
+#[test]
+fn several_versions_outlast_restart() {
+    let (mut history, start) = (SoftwareHistory::default(), Instant::now());
+    record(&mut history, start, &["v1", "v2"]);
+    let now = start + SECOND;
+    record(&mut history, now, &["v2"]);
+    let mut restarted = restarted(now, SECOND, &history);
+    record(&mut restarted, now + SECOND, &["v2"]);
+    assert_eq!(state(&restarted, now + SECOND), VersionState::Several);
+    assert_eq!(state(&restarted, now + STREAM_TIME), VersionState::One);
+}
+
+/// Guards against versions of another time that count after a long pause, in which others may have come and
+/// gone.
+#[test]
+fn old_record_is_ignored() {
+    let (mut history, start) = (SoftwareHistory::default(), Instant::now());
+    record(&mut history, start, &["v1"]);
+    let now = start + STREAM_TIME;
+    record(&mut history, now, &["v1"]);
+    let mut restarted = restarted(now, STREAM_TIME, &history);
+    record(&mut restarted, now + STREAM_TIME, &["v1"]);
+    assert_eq!(state(&restarted, now + STREAM_TIME), VersionState::Unknown);
+}
