Keep the weights that servers report by model

Cause: the version that a response reports was kept by server, and the higher of it and the listed one was required for whichever model was asked for. The 421 that followed took the server out for all models for a second. A response for one model also took back what had been reported of the others.

Ruled out: requests held back while weights load (servers answer 421, also long after the load).

Change: reported weights are kept by server and model. A 421 of the intended server, which names itself, is about the weights of one model: the entry assumes the newest announced ones and goes on; if these are refused as well, the assumption is dropped and the server is probed, as before.

--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -15,6 +15,7 @@
         view::{ProxyView, qualified_model},
     },
     crate::{
+        fleet::ListedServer,
         follow::stream_origins::StreamOrigin,
         ids::{
             Incarnation, ModelId, OrganisationId, RequestId, ServerId, ServiceId, VmId,
@@ -62,6 +63,15 @@
     pub dispatcher: Arc<DispatcherHandle>,
 }
 
+/// The weights that the responses of a server have reported.
+#[derive(Debug)]
+struct ReportedWeights {
+    /// The incarnation that they belong to.
+    incarnation: Incarnation,
+    /// By model; at most those that the server list names for the server.
+    models: BTreeMap<ModelId, WeightsNumber>,
+}
+
 /// State that is shared by all requests of a proxy process.
 pub struct ProxyCore {
     /// The VM that the process runs on.
@@ -84,8 +94,8 @@
     view: ArcSwap<ProxyView>,
     /// Held while the view is replaced, so that none is replaced by an older one.
     applying: Mutex<()>,
-    /// The weights and the incarnation that responses have reported, by server of the view.
-    reported_weights: Mutex<BTreeMap<ServerId, (u64, WeightsNumber)>>,
+    /// What responses have reported, by server of the view.
+    reported_weights: Mutex<BTreeMap<ServerId, ReportedWeights>>,
     /// The incarnation and the limit of servers of the view that have named one.
     limits: Mutex<BTreeMap<ServerId, (Incarnation, f64)>>,
     /// What servers of the view ask for.
@@ -242,21 +252,18 @@
     pub fn record_response(&self, server: &ServerId, model: Option<&ModelId>, head: &ResponseHead) {
         let view = self.view();
         let Some(listed) = view.servers.get(server) else { return };
-        if let Some(version) = head.weights {
-            self.lock_weights().insert(server.clone(), (listed.incarnation, version));
+        if let (Some(model), Some(version)) = (model, head.weights) {
+            self.set_weights(listed, model, version);
         }
         if let Some(ratio) = head.work_time {
             histogram!(WORK_TIME, "service" => listed.service.clone()).record(ratio);
             self.dispatcher.notify(PolicyInput::WorkTime { server: server.clone(), ratio });
         }
         let Some((running, waiting)) = head.load else { return };
-        let version = self.server_weights(server, &listed.service, model);
-        let weights = listed.weights.iter().map(|(listed_model, listed_version)| {
-            let reported = version.filter(|_| model == Some(listed_model));
-            (
-                qualified_model(&listed.service, listed_model),
-                reported.unwrap_or(*listed_version).to_string(),
-            )
+        let weights = listed.weights.iter().map(|(model, listed_version)| {
+            let version = self.server_weights(server, &listed.service, Some(model));
+            let version = version.unwrap_or(*listed_version);
+            (qualified_model(&listed.service, model), version.to_string())
         });
         self.dispatcher.notify(PolicyInput::Load(LoadReport {
             server: server.clone(),
@@ -519,15 +526,56 @@
     ) -> Option<WeightsNumber> {
         let view = self.view();
         let listed = view.servers.get(server).filter(|listed| listed.service == *service)?;
-        let listed_version = listed.weights.get(model?).copied();
-        let reported = self.lock_weights().get(server).copied();
+        let model = model?;
+        let reported = self.lock_weights();
+        let reported =
+            reported.get(server).filter(|reported| reported.incarnation == listed.incarnation);
+        let reported = reported.and_then(|reported| reported.models.get(model)).copied();
+        listed.weights.get(model).copied().max(reported)
+    }
+
+    /// Records that a server has stated that it runs other weights of `model` than `expected`. Returns whether
+    /// requests may be sent to it nevertheless: it has probably loaded the newest announced weights, which
+    /// the server list does not name yet, and refuses a request again if it has not.
+    pub fn record_other_weights(
+        &self,
+        server: &ServerId,
+        model: Option<&ModelId>,
+        expected: Option<WeightsNumber>,
+    ) -> bool {
+        let view = self.view();
+        let (Some(listed), Some(model)) = (view.servers.get(server), model) else { return false };
+        let newest = view.named.get(model).copied();
+        match newest.filter(|newest| expected.is_some_and(|expected| expected < *newest)) {
+            Some(newest) => {
+                self.set_weights(listed, model, newest);
+                true
+            }
+            None => {
+                if let Some(reported) = self.lock_weights().get_mut(server) {
+                    reported.models.remove(model);
+                }
+                false
+            }
+        }
+    }
+
+    fn set_weights(&self, listed: &ListedServer, model: &ModelId, version: WeightsNumber) {
+        if !listed.weights.contains_key(model) {
+            return;
+        }
+        let incarnation = listed.incarnation;
+        let mut reported = self.lock_weights();
         let reported = reported
-            .filter(|(incarnation, _)| *incarnation == listed.incarnation)
-            .map(|(_, version)| version);
-        listed_version.max(reported)
+            .entry(listed.id.clone())
+            .or_insert_with(|| ReportedWeights { incarnation, models: BTreeMap::new() });
+        if reported.incarnation != incarnation {
+            *reported = ReportedWeights { incarnation, models: BTreeMap::new() };
+        }
+        reported.models.insert(model.clone(), version);
     }
 
-    fn lock_weights(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, (u64, WeightsNumber)>> {
+    fn lock_weights(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, ReportedWeights>> {
         self.reported_weights.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/reverse_proxy/dialect.rs
+++ b/src/reverse_proxy/dialect.rs
@@ -128,7 +128,7 @@
     Executed,
     /// The server states that it did not run the request and never will.
     NotExecuted,
-    /// The server is not the intended one and did not run the request.
+    /// The server is not the intended one, or does not run the required weights. It did not run the request.
     WrongServer,
     /// The response belongs to another request.
     OtherRequest,
@@ -142,6 +142,8 @@
 pub struct ResponseHead {
     /// Whether and where the request has run.
     pub verdict: ResponseVerdict,
+    /// The server that has responded, if it names itself.
+    pub instance: Option<ServerId>,
     /// Numbers of requests that run and that wait at the server.
     pub load: Option<(u32, u32)>,
     /// How long work takes at this moment on the machine of the server, which it shares with others, as a
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -24,7 +24,7 @@
     },
     crate::{
         backend::sse::is_interrupted,
-        ids::{AttemptId, ServerId},
+        ids::{AttemptId, ServerId, WeightsNumber},
         observe::metrics::refusal,
         pipeline::{
             DispatchDirective,
@@ -217,7 +217,8 @@
         }
         self.attempts += 1;
         self.log_send(order);
-        let request = self.backend_request(order, from);
+        let weights = self.required_weights(order, from);
+        let request = self.backend_request(order, from, weights);
         let reuse = self.connection_reuse(order);
         let limit = view.connections(&listed.service);
         let target = BackendTarget { server: &order.server, address: listed.address };
@@ -238,7 +239,7 @@
         let started = match sent {
             Ok((response, mut connection)) => {
                 connection.set_lease(lease);
-                let received = ReceivedHead { response, connection, sent_at };
+                let received = ReceivedHead { response, connection, sent_at, weights };
                 self.handle_head(order, from, received).await
             }
             Err(error) => Err(self.connection_failed(order, from, error)),
@@ -283,14 +284,25 @@
         }
     }
 
-    fn backend_request(&self, order: &SendOrder, from: &ResumePosition) -> Request<Full<Bytes>> {
-        let BufferedRequest { caller, head, body, service, deadline, .. } = &self.request;
+    /// The weights that a server must run to serve the request.
+    fn required_weights(&self, order: &SendOrder, from: &ResumePosition) -> Option<WeightsNumber> {
+        let BufferedRequest { caller, service, .. } = &self.request;
         let model = caller.work.as_ref().map(|work| &work.model);
-        let decided = order.weights.as_ref().and_then(|version| version.parse().ok());
-        let current = self.core.server_weights(&order.server, service, model).or(decided);
-        // Weights and salt use the same version: a stream that was resumed on new weights must
-        // not get cache entries of the former weights.
-        let weights = from.weights.or(current);
+        let current = self.core.server_weights(&order.server, service, model);
+        from.weights.or(current).or_else(|| decided_weights(order))
+    }
+
+    /// Builds the request for a server. Weights and salt use the same version: a stream that was resumed
+    /// on new weights must not get cache entries of the former weights.
+    fn backend_request(
+        &self,
+        order: &SendOrder,
+        from: &ResumePosition,
+        weights: Option<WeightsNumber>,
+    ) -> Request<Full<Bytes>> {
+        let BufferedRequest { caller, head, body, deadline, .. } = &self.request;
+        let model = caller.work.as_ref().map(|work| &work.model);
+        let decided = decided_weights(order);
         // The configuration may have isolated an organisation since the request was placed.
         let view = self.core.view();
         let index = view.index.as_ref();
@@ -436,6 +448,11 @@
     }
 }
 
+/// The weights of the server when the dispatcher chose it.
+fn decided_weights(order: &SendOrder) -> Option<WeightsNumber> {
+    order.weights.as_ref().and_then(|version| version.parse().ok())
+}
+
 /// Waits until the dispatcher withdraws an attempt.
 async fn wait_withdrawn(handle: &mut RequestHandle, attempt: AttemptId) {
     loop {
--- a/src/reverse_proxy/exchange/response_head.rs
+++ b/src/reverse_proxy/exchange/response_head.rs
@@ -3,6 +3,7 @@
 use {
     super::{HttpExchange, ResumePosition, StartedResponse},
     crate::{
+        ids::WeightsNumber,
         observe::events,
         pipeline::counters::{count_mismatched_response, count_unstated_outcome},
         policy::{AttemptFailure, PolicyInput, SendOrder, ServerHealth},
@@ -32,6 +33,8 @@
     pub connection: LeasedConnection,
     /// When the request was sent.
     pub sent_at: Instant,
+    /// The weights that the request required.
+    pub weights: Option<WeightsNumber>,
 }
 
 impl HttpExchange {
@@ -44,7 +47,7 @@
         from: &ResumePosition,
         received: ReceivedHead,
     ) -> Result<StartedResponse, AttemptFailure> {
-        let ReceivedHead { response, mut connection, sent_at } = received;
+        let ReceivedHead { response, mut connection, sent_at, weights } = received;
         let (parts, body) = response.into_parts();
         let body = MeteredBody::new(body, connection.meter().clone());
         let head = self.core.dialect.read_response(&parts, &self.request.caller.id);
@@ -58,11 +61,18 @@
             ResponseVerdict::Executed => self.accept_response(order, from, started).await,
             ResponseVerdict::NotExecuted => Err(self.decline_attempt(order, from, started).await),
             ResponseVerdict::WrongServer => {
-                log::warn!(server = order.server.as_str(), weights = order.weights.as_deref();
-                    "{}", events::SERVER_MISMATCHED);
-                let (server, health) = (order.server.clone(), ServerHealth::Dead);
-                self.handle.notify(PolicyInput::Health { server, health });
-                self.core.recheck_after_refresh(&order.server);
+                log::warn!(server = order.server.as_str(), weights = order.weights.as_deref(),
+                    instance = started.head.instance.as_deref(); "{}", events::SERVER_MISMATCHED);
+                // A server that is the intended one refuses one of its models. The others are not affected.
+                let is_intended = started.head.instance.as_ref() == Some(&order.server);
+                let model = self.request.caller.work.as_ref().map(|work| &work.model);
+                let is_usable =
+                    is_intended && self.core.record_other_weights(&order.server, model, weights);
+                if !is_usable {
+                    let (server, health) = (order.server.clone(), ServerHealth::Dead);
+                    self.handle.notify(PolicyInput::Health { server, health });
+                    self.core.recheck_after_refresh(&order.server);
+                }
                 Err(self.report(order, AttemptFailure::Declined, from, None))
             }
             ResponseVerdict::OtherRequest => {
