Let a server with outdated weights of one model serve the others

Callers would see: requests for a model refused, since the server that runs it has older weights than required of another model, and a third server of the service has these.

Change: kept by both. A server is left alone if all its models are outdated, and otherwise is no server of those that are. named_weights reads the server of each pair; its check is the same.

--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -33,8 +33,8 @@
     pub servers: BTreeMap<ServerId, ListedServer>,
     /// The newest weights that operators have announced, by model.
     pub named: NamedWeights,
-    /// Servers whose weights are too old for new requests while other servers have newer ones.
-    pub outdated: BTreeSet<ServerId>,
+    /// Models of which a server's weights are too old for new requests while other servers have newer ones.
+    pub outdated: BTreeSet<(ServerId, ModelId)>,
     /// Servers that get requests only while no other server can take them, since their slots are leased
     /// to other daemons.
     pub set_aside: BTreeSet<ServerId>,
@@ -185,11 +185,9 @@
             vec![PolicyInput::Configure(view), PolicyInput::PeerFetch { rate, newest }];
         for server in self.servers.values() {
             let known = previous.servers.get(&server.id);
-            let is_same = |former: &BTreeSet<ServerId>, present: &BTreeSet<ServerId>| {
-                former.contains(&server.id) == present.contains(&server.id)
-            };
-            let has_same_use = is_same(&previous.outdated, &self.outdated)
-                && is_same(&previous.set_aside, &self.set_aside);
+            let is_set_aside = |view: &ProxyView| view.set_aside.contains(&server.id);
+            let has_same_use = previous.is_outdated(server) == self.is_outdated(server)
+                && is_set_aside(previous) == is_set_aside(self);
             if known == Some(server) && has_same_use {
                 continue;
             }
@@ -228,10 +226,28 @@
         self.servers.get(server).is_some_and(|listed| listed.software == *software)
     }
 
+    /// Whether the weights of all models of a server are too old for new requests.
+    fn is_outdated(&self, server: &ListedServer) -> bool {
+        !server.weights.is_empty()
+            && server.weights.keys().all(|model| self.is_model_outdated(server, model))
+    }
+
+    fn is_model_outdated(&self, server: &ListedServer, model: &ModelId) -> bool {
+        !self.outdated.is_empty() && self.outdated.contains(&(server.id.clone(), model.clone()))
+    }
+
+    /// The models for which a server gets requests. One that is leaving keeps all of them.
+    fn usable_models(&self, server: &ListedServer) -> Vec<ModelId> {
+        let is_outdated = self.is_outdated(server);
+        let models = server.weights.keys();
+        let usable = models.filter(|model| is_outdated || !self.is_model_outdated(server, model));
+        usable.map(|model| qualified_model(&server.service, model)).collect()
+    }
+
     /// The health of a listed server as an input for the dispatcher.
     pub fn health_input(&self, server: &ListedServer) -> PolicyInput {
         let health = match server.phase {
-            _ if self.outdated.contains(&server.id) => ServerHealth::Leaving,
+            _ if self.is_outdated(server) => ServerHealth::Leaving,
             ServerPhase::Ready if !self.set_aside.contains(&server.id) => {
                 ServerHealth::Alive { incarnation: server.incarnation }
             }
@@ -246,11 +262,10 @@
     fn policy_view(&self, vm: &VmId, objective: DecisionObjective) -> PolicyView {
         let servers = self.servers.values().map(|server| {
             let engine = self.is_engine(&server.service);
-            let models = server.weights.keys().map(|model| qualified_model(&server.service, model));
             let view = ServerView {
                 failure_domain: server.failure_domain.clone(),
                 kind: if engine { ServerKind::Engine } else { ServerKind::Service },
-                models: if engine { models.collect() } else { Vec::new() },
+                models: if engine { self.usable_models(server) } else { Vec::new() },
                 service: (!engine).then(|| server.service.clone()),
                 slots: server.slots.max(1),
                 software: server.software.clone(),
@@ -277,23 +292,24 @@
     }
 }
 
-/// Servers with older weights than the required ones. If no server of a service is up to date, none
-/// counts as outdated, because a response from old weights is better than none.
+/// Models of servers with older weights than the required ones. If no server of a service has newer weights
+/// of a model, none counts as outdated, because a response from old weights is better than none.
 fn outdated(
     servers: &BTreeMap<ServerId, ListedServer>,
     required: &NamedWeights,
-) -> BTreeSet<ServerId> {
-    let is_old = |server: &ListedServer| {
-        let weights = server.weights.iter();
-        weights
-            .into_iter()
-            .any(|(model, version)| required.get(model).is_some_and(|required| version < required))
-    };
-    let current: BTreeSet<&ServiceId> = servers
-        .values()
-        .filter(|server| server.phase == ServerPhase::Ready && !is_old(server))
-        .map(|server| &server.service)
-        .collect();
-    let old = servers.values().filter(|server| is_old(server) && current.contains(&server.service));
-    old.map(|server| server.id.clone()).collect()
+) -> BTreeSet<(ServerId, ModelId)> {
+    let mut current: BTreeSet<(&ServiceId, &ModelId)> = BTreeSet::new();
+    let mut old: Vec<(&ListedServer, &ModelId)> = Vec::new();
+    for server in servers.values() {
+        for (model, version) in &server.weights {
+            if required.get(model).is_some_and(|required| version < required) {
+                old.push((server, model));
+            } else if server.phase == ServerPhase::Ready {
+                current.insert((&server.service, model));
+            }
+        }
+    }
+    let replaced =
+        old.into_iter().filter(|(server, model)| current.contains(&(&server.service, *model)));
+    replaced.map(|(server, model)| (server.id.clone(), model.clone())).collect()
 }
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -244,7 +244,8 @@
     let old = listed("i-1", 2, ServerPhase::Ready);
     let fleet = FleetSnapshot::new(vec![old.clone(), listed("i-2", 3, ServerPhase::Ready)]);
     let view = ProxyView::new(Some(index()), &fleet, &named(3), &named(3), 1);
-    assert_eq!(view.outdated.iter().collect::<Vec<_>>(), ["i-1"]);
+    let outdated: Vec<_> = view.outdated.iter().map(|(server, _)| server).collect();
+    assert_eq!(outdated, ["i-1"]);
     let alone = FleetSnapshot::new(vec![old, listed("i-2", 3, ServerPhase::Draining)]);
     assert!(ProxyView::new(Some(index()), &alone, &named(3), &named(3), 1).outdated.is_empty());
 }
