Refuse requests that a stopping entry could not finish

Cause: the gate admits a request with its head, and nothing was checked when it was sent. Ruled out: requests admitted after the gate is closed (all refused).

Change: the gate knows when the process ends. While it drains, a request that no server has begun to run is refused at once if its deadline is later than that: after its body, in the queue, and after the wait for a lease. The refusal is true, and another entry can serve the caller.

--- a/src/pipeline/drain.rs
+++ b/src/pipeline/drain.rs
@@ -1,9 +1,12 @@
 //! Counts requests in flight, so that a shutdown can wait for them.
 
 use {
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Instant,
     },
     tokio::sync::watch,
 };
@@ -15,6 +18,8 @@
 #[derive(Clone)]
 pub struct DrainGate {
     draining: Arc<AtomicBool>,
+    /// When the requests in flight are cut off, if that is known.
+    ends_at: watch::Sender<Option<Instant>>,
     open: watch::Sender<usize>,
 }
 
@@ -34,7 +39,11 @@
 
 impl Default for DrainGate {
     fn default() -> Self {
-        DrainGate { draining: Arc::default(), open: watch::Sender::new(0) }
+        DrainGate {
+            draining: Arc::default(),
+            ends_at: watch::Sender::new(None),
+            open: watch::Sender::new(0),
+        }
     }
 }
 
@@ -63,6 +72,25 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
+    /// Rejects all further requests. Those that are in flight at `ends_at` are cut off.
+    pub fn begin_drain_until(&self, ends_at: Instant) {
+        self.begin_drain();
+        self.ends_at.send_replace(Some(ends_at));
+    }
+
+    /// Whether a request with this deadline could be cut off by the end of the drain. It must not be sent to a
+    /// server any more.
+    pub fn is_too_late(&self, deadline: Instant) -> bool {
+        self.ends_at.borrow().is_some_and(|ends_at| ends_at < deadline)
+    }
+
+    /// Returns once [`Self::is_too_late`] holds.
+    pub async fn wait_too_late(&self, deadline: Instant) {
+        let mut ends_at = self.ends_at.subscribe();
+        // `self` owns the sender, so that waiting cannot fail.
+        let _ = ends_at.wait_for(|ends_at| ends_at.is_some_and(|at| at < deadline)).await;
+    }
+
     /// Whether [`DrainGate::begin_drain`] was called.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -17,7 +17,7 @@
         read_meter::MeteredBody,
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
-        response::{ProxyResult, ResponseBody, dispatch_refusal},
+        response::{ProxyResult, ResponseBody, STOPPING_RETRY_AFTER, dispatch_refusal},
         response_buffer::BufferError,
         timeout_stream::ConnectionPhase,
         usage_limit::UsageCharge,
@@ -126,7 +126,12 @@
     };
     loop {
         let deadline = exchange.request.deadline;
+        let gate = exchange.core.gate.clone();
         let directive = tokio::select! {
+            biased;
+            () = gate.wait_too_late(deadline), if exchange.runs == 0 => {
+                return Err(exchange.refuse_draining());
+            }
             directive = exchange.handle.next() => directive,
             () = sleep_until(deadline.into()) => return exchange.expire(phase, open),
         };
@@ -164,6 +169,15 @@
         self.refused(RefusalReason::DeadlinePassed, None, did_run, phase, open)
     }
 
+    /// Refuses a request that no server has begun to run, since this process may end before its response.
+    /// Another entry can serve it.
+    fn refuse_draining(mut self) -> ProxyRefusal {
+        count_refusal(refusal::DRAINING);
+        self.log_refusal(refusal::DRAINING, Some(STOPPING_RETRY_AFTER));
+        ProxyRefusal::new(StatusCode::SERVICE_UNAVAILABLE, refusal::DRAINING)
+            .retry_after(STOPPING_RETRY_AFTER)
+    }
+
     fn refused(
         mut self,
         reason: RefusalReason,
@@ -206,6 +220,9 @@
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
         let lease = self.lease_slot(order, from).await?;
+        if self.runs == 0 && self.core.gate.is_too_late(self.request.deadline) {
+            return Err(self.report(order, AttemptFailure::Stale, from, None));
+        }
         // Since the decision the server may have asked not to be used, said that it leaves, or been listed
         // with another software version.
         let is_current = self.core.view().has_version(&order.server, &order.software);
--- a/src/reverse_proxy/listener.rs
+++ b/src/reverse_proxy/listener.rs
@@ -8,7 +8,7 @@
         exchange,
         raw_head::{BodyFraming, RawHead},
         request::{BufferedRequest, read_request},
-        response::ResponseBody,
+        response::{ResponseBody, STOPPING_RETRY_AFTER},
         timeout_stream::{ConnectionPhase, StreamTimeouts, TimeoutStream},
     },
     crate::{
@@ -27,7 +27,7 @@
     hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn},
     log::Level,
     metrics::gauge,
-    std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{convert::Infallible, io, net::SocketAddr, sync::Arc},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore, watch},
@@ -37,8 +37,6 @@
 
 /// Minimum buffer size for a head; the HTTP library accepts no smaller one.
 const MIN_HEAD_BYTES: usize = 8192;
-/// `Retry-After` while this process drains or is full; another one can serve the caller.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// How the listener's connections are handled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/reverse_proxy/response.rs
+++ b/src/reverse_proxy/response.rs
@@ -18,6 +18,9 @@
     },
 };
 
+/// `Retry-After` while this process drains or is full; another one can serve the caller.
+pub const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Default `Retry-After` of refusals: about the time until a restarted server is listed again.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` for a request that crashes servers: the time until the servers have restarted.
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -42,7 +42,7 @@
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{Instant, sleep, sleep_until, timeout},
+        time::{Instant, sleep, sleep_until, timeout_at},
     },
 };
 
@@ -239,10 +239,10 @@
         sleep(ACCEPT_WHILE_STOPPING).await;
         self.listener.close_idle();
         sleep(REFUSE_AFTER - ACCEPT_WHILE_STOPPING).await;
-        self.core.gate.begin_drain();
+        let ends_at = began + self.settings.grace.saturating_sub(FLUSH_TIME);
+        self.core.gate.begin_drain_until(ends_at.into_std());
         let has_shares = self.usage.release();
-        let left = self.settings.grace.saturating_sub(began.elapsed() + FLUSH_TIME);
-        if timeout(left, self.core.gate.wait_empty()).await.is_err() {
+        if timeout_at(ends_at, self.core.gate.wait_empty()).await.is_err() {
             log::error!(cut = self.core.gate.in_flight(); "requests cut off: the grace period is over");
         }
         if has_shares {
