Answer the first request of a connection that a stopping entry accepts

Cause: a new connection was closed as an idle one when it was accepted; whether its request was read first was chance. Change: such a connection ends with the response to its first request, which is the refusal.

Red before: late_requests::late_connection_gets_refusal, the third of 40 connections got nothing.

--- a/src/reverse_proxy/listener.rs
+++ b/src/reverse_proxy/listener.rs
@@ -141,14 +141,17 @@
             listener_phase.clone(),
         )
     });
+    // A connection that is accepted late ends with the response to its first request, so that its caller
+    // learns that the request has not run.
+    let is_late = *phase.borrow() >= ListenerPhase::Ending;
     let mut builder = Builder::new();
-    builder.max_buf_size(head_bytes);
+    builder.max_buf_size(head_bytes).keep_alive(!is_late);
     let connection = builder.serve_connection(limited, service);
     tokio::pin!(connection);
     gauge!(CONNECTIONS).increment(1.0);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = wait_ending(&mut phase) => {
+        () = wait_ending(&mut phase), if !is_late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
