Bound what control VMs read of responses without end

Callers saw, on systems like ours: a machine that ran out of memory, or did nothing else, while a faulty server sent bytes without end. Here entries are bounded; control VMs, and the stack with an asset register, read interim responses, digits of chunk sizes and trailers for as long as they came (66 to 67 MB of one response in 0.6 s), on the one thread that also runs elections.

Cause: the counter of bytes without progress was used by the reverse proxy alone.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -5,6 +5,7 @@
 pub mod cache_key;
 pub mod connection;
 pub mod engine;
+pub mod read_meter;
 pub mod service;
 pub mod sse;
 
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -5,14 +5,16 @@
 //! connect proves that nothing was sent. The cost is one round trip within a failure domain.
 
 use {
-    super::ATTEMPT_HEADER,
+    super::{
+        ATTEMPT_HEADER,
+        read_meter::{MeteredBody, MeteredStream, ReadMeter},
+    },
     crate::{ids::AttemptId, policy::AttemptFailure},
     bytes::Bytes,
     displaydoc::Display,
     http_body_util::Full,
     hyper::{
         Request, Response,
-        body::Incoming,
         client::conn::http1::{Builder, SendRequest},
     },
     hyper_util::rt::TokioIo,
@@ -94,7 +96,7 @@
 /// A response whose head has arrived; dropping it closes the connection.
 pub struct OpenResponse {
     /// The response with its body still unread.
-    pub response: Response<Incoming>,
+    pub response: Response<MeteredBody>,
     connection: JoinHandle<()>,
 }
 
@@ -126,7 +128,7 @@
     request: Request<Full<Bytes>>,
     limits: ExchangeLimits,
 ) -> Result<OpenResponse, BackendError> {
-    let (mut sender, connection) = connect(address).await?;
+    let (mut sender, connection, meter) = connect(address).await?;
     // The process may have been paused since the decision to send, so the deadline is checked
     // directly before sending.
     if Instant::now() >= limits.send_before {
@@ -147,6 +149,7 @@
             return Err(BackendError::TimedOut(wait));
         }
     };
+    let response = response.map(|body| MeteredBody::new(body, meter));
     let open = OpenResponse { response, connection };
     match open.response.headers().get(ATTEMPT_HEADER) {
         Some(echo) if echo.as_bytes() != format_attempt_id(attempt).as_bytes() => {
@@ -163,7 +166,7 @@
 
 async fn connect(
     address: SocketAddr,
-) -> Result<(SendRequest<Full<Bytes>>, JoinHandle<()>), BackendError> {
+) -> Result<(SendRequest<Full<Bytes>>, JoinHandle<()>, ReadMeter), BackendError> {
     let not_connected = |error: std::io::Error| {
         log::debug!(address:% = address, error:% = error; "cannot connect to a backend server");
         BackendError::NotConnected(address)
@@ -174,9 +177,10 @@
         .map_err(not_connected)?;
     // A failure to set the option affects latency only.
     let _ = stream.set_nodelay(true);
+    let meter = ReadMeter::default();
     let (sender, connection) = Builder::new()
         .read_buf_exact_size(Some(READ_BUFFER_BYTES))
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(MeteredStream::new(stream, meter.clone())))
         .await
         .map_err(|_| BackendError::NotConnected(address))?;
     let task = tokio::spawn(async move {
@@ -184,5 +188,5 @@
             log::debug!(error:% = error; "connection to a backend server failed");
         }
     });
-    Ok((sender, task))
+    Ok((sender, task, meter))
 }
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -5,6 +5,7 @@
         ATTEMPT_HEADER, BackendError, OpenResponse,
         cache_key::cache_entry_key,
         connection::{ExchangeLimits, MAX_ERROR_BODY_BYTES, exchange, format_attempt_id},
+        read_meter::MeteredBody,
         sse::{SseEvent, SseParser},
     },
     crate::{
@@ -14,7 +15,7 @@
     bytes::Bytes,
     futures::future::FutureExt,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{HeaderMap, Method, Request, body::Incoming},
+    hyper::{HeaderMap, Method, Request},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::{Value, json},
     std::{collections::VecDeque, net::SocketAddr, time::Duration},
@@ -166,7 +167,7 @@
 }
 
 /// Reads a complete body of at most `limit` bytes within [`CONTROL_TIMEOUT`].
-async fn read_limited(body: &mut Incoming, limit: usize) -> Result<Bytes, BackendError> {
+async fn read_limited(body: &mut MeteredBody, limit: usize) -> Result<Bytes, BackendError> {
     match timeout(CONTROL_TIMEOUT, Limited::new(body, limit).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(_)) => Err(BackendError::Broken),
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -13,7 +13,6 @@
 pub mod listener;
 pub mod pool;
 pub mod raw_head;
-pub mod read_meter;
 pub mod recheck;
 pub mod rejection_limits;
 pub mod relay;
--- a/src/reverse_proxy/dial.rs
+++ b/src/reverse_proxy/dial.rs
@@ -1,10 +1,8 @@
 //! Opens connections to backend servers and hands them to the HTTP library.
 
 use {
-    super::{
-        read_meter::{MeteredStream, ReadMeter},
-        server_link::ByteStream,
-    },
+    super::server_link::ByteStream,
+    crate::backend::read_meter::{MeteredStream, ReadMeter},
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::{Builder, SendRequest},
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -14,7 +14,6 @@
         dialect::{BackendCall, ProxyRefusal, ResponseHead},
         headers::{ResponseFraming, strip_connection},
         pool::{BackendTarget, ConnectionReuse, LeasedConnection, PoolError, broken_attempt},
-        read_meter::MeteredBody,
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, STOPPING_RETRY_AFTER, dispatch_refusal},
@@ -23,7 +22,7 @@
         usage_limit::UsageCharge,
     },
     crate::{
-        backend::sse::is_interrupted,
+        backend::{read_meter::MeteredBody, sse::is_interrupted},
         ids::{AttemptId, ServerId, WeightsNumber},
         observe::metrics::refusal,
         pipeline::{
--- a/src/reverse_proxy/exchange/response_head.rs
+++ b/src/reverse_proxy/exchange/response_head.rs
@@ -3,6 +3,7 @@
 use {
     super::{HttpExchange, ResumePosition, StartedResponse},
     crate::{
+        backend::read_meter::MeteredBody,
         ids::WeightsNumber,
         observe::events,
         pipeline::counters::{count_mismatched_response, count_unstated_outcome},
@@ -11,7 +12,6 @@
             dialect::{ResponseVerdict, guarantees_no_run},
             headers::{ResponseFraming, strip_connection},
             pool::LeasedConnection,
-            read_meter::MeteredBody,
         },
     },
     http::{Response, StatusCode},
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -14,11 +14,11 @@
     self::failure::ConnectError,
     super::{
         dial::{DrivenConnection, RequestSender, drive, open},
-        read_meter::ReadMeter,
         server_link::ServerLinks,
         slot_lease::SlotLease,
     },
     crate::{
+        backend::read_meter::ReadMeter,
         ids::ServerId,
         policy::reachability::{ConnectPurpose, ServerPath},
         transport::TunnelRefusal,
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -11,12 +11,14 @@
         exchange::{HttpExchange, ResumePosition, StartedResponse},
         headers::ResponseFraming,
         pool::{LeasedConnection, broken_attempt},
-        read_meter::MeteredBody,
         request::BufferedRequest,
         response::TruncatedResponse,
     },
     crate::{
-        backend::sse::{EventBuffer, EventScanner, has_data, is_event_stream, is_later},
+        backend::{
+            read_meter::MeteredBody,
+            sse::{EventBuffer, EventScanner, has_data, is_event_stream, is_later},
+        },
         follow::stream_origins::StreamOrigin,
         observe::events,
         pipeline::{DispatchDirective, counters::record_first_token},
