Tell entries when recent weights were named

Cause: an entry counted the time until a version is required from its own start, and heard only of the newest one, so that it knew nothing of the one that was due. Ruled out for these requests: waiting inside servers (they begin within 0.1 s of being sent).

Change: control VMs remember when they learned of recent versions and send their ages with them. The protocol between daemons is release 9.

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -25,17 +25,30 @@
     crate::{
         control::document::{NamedWeights, NumberedDocument},
         fleet::{FleetSnapshot, history::FleetDelta},
-        ids::{DocumentNumber, FailureDomainId, ServiceId, Term, VmId},
+        ids::{DocumentNumber, FailureDomainId, ModelId, ServiceId, Term, VmId, WeightsNumber},
         policy::suspect::CrashReport,
     },
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     xxhash_rust::xxh3::xxh3_64,
 };
 
 /// The longest time that an answer is delayed while nothing changes.
 pub const ANSWER_WAIT: Duration = Duration::from_secs(1);
 
+/// Maximum number of versions of a model whose times are known; the oldest ones are dropped.
+const MAX_VERSIONS: usize = 64;
+
+/// For how long versions of a model's weights have been named.
+pub type VersionAges = BTreeMap<WeightsNumber, Duration>;
+
+/// When versions of a model's weights were named.
+pub type VersionTimes = BTreeMap<WeightsNumber, Instant>;
+
 /// The role of a follower.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FollowerKind {
@@ -101,6 +114,9 @@
     pub document_delta: Option<DocumentDelta>,
     /// All named weights, if they differ.
     pub weights: Option<NamedWeights>,
+    /// For how long the answering VM has known `weights` and the versions before them, at most since it has
+    /// started.
+    pub weights_ages: BTreeMap<ModelId, VersionAges>,
     /// The full server list, if it differs and the follower's is not known here.
     pub fleet: Option<Arc<FleetSnapshot>>,
     /// The delta from the follower's server list, if that is known here.
@@ -138,6 +154,8 @@
     pub document: NumberedDocument,
     /// The named weights.
     pub weights: NamedWeights,
+    /// When `weights` and the versions before them were named, as far as the answering VMs knew.
+    pub weights_named_at: BTreeMap<ModelId, VersionTimes>,
     /// The server list; `None` before the first one.
     pub fleet: Option<Arc<FleetSnapshot>>,
     /// The digest of the list as it was received. `fleet` may retain servers of an earlier list; a
@@ -169,8 +187,8 @@
             self.apply_document_delta(&delta);
         }
         for (model, version) in reply.weights.into_iter().flatten() {
-            let known = self.weights.entry(model).or_default();
-            *known = version.max(*known);
+            let ages = reply.weights_ages.get(&model).cloned().unwrap_or_default();
+            self.apply_weights(model, version, ages);
         }
         if let Some(fleet) = reply.fleet {
             let digest = fleet.digest();
@@ -190,6 +208,22 @@
         *self != before
     }
 
+    /// Of several answers about a version, the one of the VM that has known it for longest counts.
+    fn apply_weights(&mut self, model: ModelId, version: WeightsNumber, ages: VersionAges) {
+        let now = Instant::now();
+        let times = self.weights_named_at.entry(model.clone()).or_default();
+        for (version, age) in ages.into_iter().chain([(version, Duration::ZERO)]) {
+            let named_at = now.checked_sub(age).unwrap_or(now);
+            let known = times.entry(version).or_insert(named_at);
+            *known = named_at.min(*known);
+        }
+        while times.len() > MAX_VERSIONS {
+            times.pop_first();
+        }
+        let known = self.weights.entry(model).or_default();
+        *known = version.max(*known);
+    }
+
     /// Replaces the document by a full one if that is newer; returns whether it is.
     pub fn apply_document(&mut self, document: NumberedDocument) -> bool {
         let is_newer = document.number > self.document.number;
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -59,7 +59,8 @@
                 () = sleep_until(due.into()) => {}
             }
             let state = states.borrow_and_update().clone();
-            let required = requirements.update(StdInstant::now(), &state.weights, state.term);
+            let now = StdInstant::now();
+            let required = requirements.update(now, &state.weights_named_at, state.term);
             let index =
                 routes.index_for(state.document.number, &state.document.body, &*self.parser);
             let fleet = state.fleet.unwrap_or_default();
--- a/src/roles/required_weights.rs
+++ b/src/roles/required_weights.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         control::document::NamedWeights,
+        follow::VersionTimes,
         ids::{ModelId, Term, WeightsNumber},
     },
     std::{
@@ -16,8 +17,8 @@
     },
 };
 
-/// Delay from the moment an entry learns of a version until no request starts on older ones.
-/// Operators allow 8 s from their acknowledgement, and an entry may learn of the version 1.4 s later.
+/// Delay from the moment a version is named until no request starts on older ones. Operators allow 8 s from
+/// their acknowledgement, and requests may wait inside a server.
 pub const REQUIRED_AFTER: Duration = Duration::from_millis(6_000);
 /// The delay from the moment an entry learns of a new leader. A new leader sends no orders for the
 /// first 3 s; the 8 s that operators allow start again 3 s after the previous leader failed, and the
@@ -40,30 +41,28 @@
 }
 
 impl RequiredWeights {
-    /// Adds the named versions and the leader's term, and returns the versions required at `now`.
+    /// Adds the named versions and the leader's term, and returns the versions required at `now`. The time of
+    /// a version counts from when it was named, also for an entry that has just started.
     ///
     /// A leader that fails may not have sent its orders. If its versions became required at the
     /// original time, the first server to load one would get all requests, and callers would wait or
     /// be refused while most servers are idle. A new term therefore postpones all pending versions.
-    pub fn update(&mut self, now: Instant, named: &NamedWeights, term: Term) -> NamedWeights {
+    pub fn update(
+        &mut self,
+        now: Instant,
+        named: &BTreeMap<ModelId, VersionTimes>,
+        term: Term,
+    ) -> NamedWeights {
         if term > self.term {
             if self.term > 0 {
                 self.postpone(now + REQUIRED_AFTER_ELECTION);
             }
             self.term = term;
         }
-        for (model, version) in named {
-            let pending = self.pending.entry(model.clone()).or_default();
-            let newest = pending.last().map(|(newest, _)| *newest);
-            let known = newest.max(self.required.get(model).copied());
-            if known.is_some_and(|known| known >= *version) {
-                continue;
+        for (model, times) in named {
+            for (version, named_at) in times {
+                self.add(model, *version, *named_at + REQUIRED_AFTER);
             }
-            if pending.len() >= MAX_PENDING {
-                pending.pop();
-            }
-            let before = pending.last().map(|(_, due)| *due);
-            pending.push((*version, before.unwrap_or(now).max(now + REQUIRED_AFTER)));
         }
         for (model, pending) in &mut self.pending {
             let count = pending.iter().take_while(|(_, due)| now >= *due).count();
@@ -74,6 +73,21 @@
         self.required.clone()
     }
 
+    /// Adds a version that is required from `due` on, but not before an earlier one.
+    fn add(&mut self, model: &ModelId, version: WeightsNumber, due: Instant) {
+        let pending = self.pending.entry(model.clone()).or_default();
+        let newest = pending.last().map(|(newest, _)| *newest);
+        let known = newest.max(self.required.get(model).copied());
+        if known.is_some_and(|known| known >= version) {
+            return;
+        }
+        if pending.len() >= MAX_PENDING {
+            pending.pop();
+        }
+        let before = pending.last().map(|(_, due)| *due);
+        pending.push((version, before.map_or(due, |before| before.max(due))));
+    }
+
     fn postpone(&mut self, due: Instant) {
         for (_, later) in self.pending.values_mut().flatten() {
             *later = due.max(*later);
--- a/src/transport/tls.rs
+++ b/src/transport/tls.rs
@@ -21,7 +21,7 @@
 /// The ALPN protocol that both ends must support. It changes with the format of frames, and with the
 /// effect of commands in the replicated log: replicas that apply commands differently must not form a
 /// quorum.
-pub(super) const PROTOCOL: &[u8] = b"oleandermount/8";
+pub(super) const PROTOCOL: &[u8] = b"oleandermount/9";
 
 /// TLS settings for dialling and for accepting, made from the same keys.
 pub struct TlsPair {
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -9,6 +9,7 @@
             OrderResult,
         },
         fleet::{FleetSnapshot, ListedServer, ServerPhase},
+        follow::{FollowReply, SharedState, VersionTimes},
         ids::FencingNumber,
         policy::{
             LoadReport,
@@ -28,8 +29,14 @@
     },
 };
 
+const MODEL: &str = "m0";
+
 fn named(version: u64) -> NamedWeights {
-    NamedWeights::from([("m0".to_owned(), version)])
+    NamedWeights::from([(MODEL.to_owned(), version)])
+}
+
+fn named_at(version: u64, at: Instant) -> BTreeMap<String, VersionTimes> {
+    BTreeMap::from([(MODEL.to_owned(), VersionTimes::from([(version, at)]))])
 }
 
 /// Guards against a server that stays on weights that were replaced twice: a version is named while a
@@ -166,12 +173,18 @@
 fn version_becomes_required_after_delay() {
     let mut requirements = RequiredWeights::default();
     let start = Instant::now();
-    assert_eq!(requirements.update(start, &named(2), 4), NamedWeights::new());
+    assert_eq!(requirements.update(start, &named_at(2, start), 4), NamedWeights::new());
     let second = start + Duration::from_secs(3);
-    assert_eq!(requirements.update(second, &named(3), 4), NamedWeights::new());
+    assert_eq!(requirements.update(second, &named_at(3, second), 4), NamedWeights::new());
     assert_eq!(requirements.next_change(), Some(start + REQUIRED_AFTER));
-    assert_eq!(requirements.update(start + REQUIRED_AFTER, &named(3), 4), named(2));
-    assert_eq!(requirements.update(second + REQUIRED_AFTER, &named(3), 4), named(3));
+    assert_eq!(
+        requirements.update(start + REQUIRED_AFTER, &named_at(3, start + REQUIRED_AFTER), 4),
+        named(2)
+    );
+    assert_eq!(
+        requirements.update(second + REQUIRED_AFTER, &named_at(3, second + REQUIRED_AFTER), 4),
+        named(3)
+    );
     assert_eq!(requirements.next_change(), None);
 }
 
@@ -182,20 +195,68 @@
 fn new_leader_postpones_pending_versions() {
     let mut requirements = RequiredWeights::default();
     let start = Instant::now();
-    requirements.update(start, &named(2), 4);
+    requirements.update(start, &named_at(2, start), 4);
     let elected = start + Duration::from_secs(2);
-    assert_eq!(requirements.update(elected, &named(2), 5), NamedWeights::new());
-    assert_eq!(requirements.update(start + REQUIRED_AFTER, &named(2), 5), NamedWeights::new());
+    assert_eq!(requirements.update(elected, &named_at(2, elected), 5), NamedWeights::new());
+    assert_eq!(
+        requirements.update(start + REQUIRED_AFTER, &named_at(2, start + REQUIRED_AFTER), 5),
+        NamedWeights::new()
+    );
     assert_eq!(requirements.next_change(), Some(elected + REQUIRED_AFTER_ELECTION));
     // A version that is named later does not become required before an earlier one.
     let second = elected + Duration::from_secs(1);
-    assert_eq!(requirements.update(second, &named(3), 5), NamedWeights::new());
-    assert_eq!(requirements.update(elected + REQUIRED_AFTER_ELECTION, &named(3), 5), named(3));
+    assert_eq!(requirements.update(second, &named_at(3, second), 5), NamedWeights::new());
+    assert_eq!(
+        requirements.update(
+            elected + REQUIRED_AFTER_ELECTION,
+            &named_at(3, elected + REQUIRED_AFTER_ELECTION),
+            5
+        ),
+        named(3)
+    );
     assert_eq!(requirements.next_change(), None);
     // The first leader that an entry learns of postpones nothing: it may have been elected long ago.
     let mut requirements = RequiredWeights::default();
-    requirements.update(start, &named(2), 0);
-    assert_eq!(requirements.update(start + REQUIRED_AFTER, &named(2), 5), named(2));
+    requirements.update(start, &named_at(2, start), 0);
+    assert_eq!(
+        requirements.update(start + REQUIRED_AFTER, &named_at(2, start + REQUIRED_AFTER), 5),
+        named(2)
+    );
+}
+
+/// Guards against an entry that uses replaced weights for longer than others, since it has just started and
+/// counts from then, or knows nothing of the version before the last one.
+#[test]
+fn started_entry_counts_from_naming() {
+    let now = Instant::now() + 2 * REQUIRED_AFTER;
+    let second = Duration::from_secs(1);
+    let times = [(2, now - REQUIRED_AFTER), (3, now - REQUIRED_AFTER + second)];
+    let times = BTreeMap::from([(MODEL.to_owned(), VersionTimes::from(times))]);
+    let mut requirements = RequiredWeights::default();
+    assert_eq!(requirements.update(now, &times, 4), named(2));
+    assert_eq!(requirements.next_change(), Some(now + second));
+    assert_eq!(requirements.update(now + second, &times, 4), named(3));
+}
+
+/// Guards against an entry that counts from the start of a control VM, although another one has known the
+/// weights for longer.
+#[test]
+fn longest_known_weights_count() {
+    let mut state = SharedState::default();
+    let mut apply = |version: u64, ages: &[(u64, u64)]| {
+        let ages = ages.iter().map(|(version, ms)| (*version, Duration::from_millis(*ms)));
+        let weights_ages = BTreeMap::from([(MODEL.to_owned(), ages.collect())]);
+        let weights = Some(named(version));
+        state.apply(FollowReply { weights, weights_ages, ..FollowReply::default() });
+        let times = state.weights_named_at[MODEL].iter();
+        let elapsed = times.map(|(version, at)| (*version, at.elapsed().as_secs() / 10));
+        (state.weights[MODEL], elapsed.collect::<Vec<_>>())
+    };
+    assert_eq!(apply(2, &[(2, 10_000)]), (2, vec![(2, 1)]));
+    assert_eq!(apply(2, &[(2, 40_000)]), (2, vec![(2, 4)]));
+    assert_eq!(apply(2, &[(2, 20_000)]), (2, vec![(2, 4)]), "the VM has started later");
+    assert_eq!(apply(3, &[(2, 50_000), (3, 0)]), (3, vec![(2, 5), (3, 0)]));
+    assert_eq!(apply(2, &[(2, 60_000)]), (3, vec![(2, 6), (3, 0)]), "the VM is behind");
 }
 
 fn listed(id: &str, version: u64, phase: ServerPhase) -> ListedServer {
