Bound the versions of weights that control VMs remember

Found when the change was read again: a control VM kept each version that was named in the last 30 s, however many, and sent all of them to followers. At most 64 of a model are kept now, as at the entries. The record stands in a module of its own, with a test of the bound and of the version that is required now (named_weights::recent_versions_are_kept; the module did not exist before).

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -19,6 +19,7 @@
 mod suitability;
 pub mod task;
 mod transfer;
+pub mod weights_history;
 
 use {
     self::document_delta::DocumentDelta,
@@ -41,7 +42,7 @@
 pub const ANSWER_WAIT: Duration = Duration::from_secs(1);
 
 /// Maximum number of versions of a model whose times are known; the oldest ones are dropped.
-const MAX_VERSIONS: usize = 64;
+pub const MAX_VERSIONS: usize = 64;
 
 /// For how long versions of a model's weights have been named.
 pub type VersionAges = BTreeMap<WeightsNumber, Duration>;
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -3,11 +3,12 @@
 use {
     super::{
         ANSWER_WAIT, AnswerMode, FollowReply, FollowRequest, FollowerKind, VersionAges,
-        VersionTimes, control_digest,
+        control_digest,
         document_delta::{DocumentChange, DocumentDelta, DocumentHistory},
         entry_directory::EntryDirectory,
         evidence::SharedEvidence,
         origin_service::OriginService,
+        weights_history::WeightsHistory,
     },
     crate::{
         control::{
@@ -42,8 +43,6 @@
 /// How long a service is passed on as one whose servers can reject few requests: followers report it
 /// with each poll, at least once a second.
 const LIMIT_REPORT_TIME: Duration = Duration::from_millis(1_500);
-/// How long the time of a named version is kept: longer than any version is named and not required.
-const VERSION_TIME: Duration = Duration::from_secs(30);
 /// Maximum number of such services.
 const MAX_LIMITED_SERVICES: usize = 256;
 
@@ -66,9 +65,7 @@
     /// The time of each follower's last request and the number of entries that it represents; at
     /// most [`MAX_FOLLOWERS`].
     followers: Mutex<BTreeMap<VmId, (Instant, u32)>>,
-    /// Since when named versions of weights are known, by model; of those that are known for longer than
-    /// [`VERSION_TIME`] the newest one.
-    weights_since: Mutex<BTreeMap<ModelId, VersionTimes>>,
+    weights_history: Mutex<WeightsHistory>,
     /// The total number of entries that the leader last reported.
     total_entries: Mutex<u32>,
 }
@@ -87,7 +84,7 @@
             leader_limits: Mutex::default(),
             documents: Mutex::default(),
             followers: Mutex::default(),
-            weights_since: Mutex::default(),
+            weights_history: Mutex::default(),
             total_entries: Mutex::default(),
         }
     }
@@ -238,19 +235,9 @@
     /// For how long named versions are known. Followers ask at least once a second.
     fn weights_ages(&self, state: &DocumentState) -> BTreeMap<ModelId, VersionAges> {
         let now = StdInstant::now();
-        let mut since = self.weights_since.lock().unwrap_or_else(PoisonError::into_inner);
-        for (model, version) in state.weights() {
-            let times = since.entry(model.clone()).or_default();
-            times.entry(*version).or_insert(now);
-            let is_old = |at: &StdInstant| now.duration_since(*at) >= VERSION_TIME;
-            while times.values().nth(1).is_some_and(is_old) {
-                times.pop_first();
-            }
-        }
-        let ages = |times: &VersionTimes| {
-            times.iter().map(|(version, at)| (*version, now.duration_since(*at))).collect()
-        };
-        since.iter().map(|(model, times)| (model.clone(), ages(times))).collect()
+        let mut history = self.weights_history.lock().unwrap_or_else(PoisonError::into_inner);
+        history.record(now, state.weights());
+        history.ages(now)
     }
 
     /// Completes when there is a change to send.
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -9,7 +9,10 @@
             OrderResult,
         },
         fleet::{FleetSnapshot, ListedServer, ServerPhase},
-        follow::{FollowReply, SharedState, VersionTimes},
+        follow::{
+            FollowReply, MAX_VERSIONS, SharedState, VersionAges, VersionTimes,
+            weights_history::{VERSION_TIME, WeightsHistory},
+        },
         ids::FencingNumber,
         policy::{
             LoadReport,
@@ -259,6 +262,26 @@
     assert_eq!(apply(2, &[(2, 60_000)]), (3, vec![(2, 6), (3, 0)]), "the VM is behind");
 }
 
+/// Guards against a control VM whose record of versions grows with each one that is named, and against one
+/// that forgets the version which is required now.
+#[test]
+fn recent_versions_are_kept() {
+    let (mut history, start) = (WeightsHistory::default(), Instant::now());
+    let second = Duration::from_secs(1);
+    history.record(start, &named(1));
+    history.record(start + second, &named(2));
+    let now = start + VERSION_TIME + 2 * second;
+    history.record(now, &named(3));
+    let ages = |history: &WeightsHistory| history.ages(now)[MODEL].clone();
+    let kept = [(2, VERSION_TIME + second), (3, Duration::ZERO)];
+    assert_eq!(ages(&history), VersionAges::from(kept));
+    for version in 4..1_000 {
+        history.record(now, &named(version));
+    }
+    assert_eq!(ages(&history).len(), MAX_VERSIONS);
+    assert_eq!(ages(&history).last_key_value(), Some((&999, &Duration::ZERO)));
+}
+
 fn listed(id: &str, version: u64, phase: ServerPhase) -> ListedServer {
     ListedServer {
         id: id.to_owned(),
