--- a/tests/origin_journal.rs
+++ b/tests/origin_journal.rs
@@ -18,7 +18,7 @@
         sync::Arc,
         time::{Duration, Instant, SystemTime},
     },
-    tokio::time::{sleep, timeout},
+    tokio::time::{interval, timeout},
 };
 
 const LONG_TIME: Duration = Duration::from_secs(60);
@@ -152,9 +152,10 @@
     let task = tokio::spawn(Arc::clone(&service).run_journal(journal));
     service.record(reports("v1", &[7]), false);
     service.record(reports("v2", &[8]), true);
+    let mut polls = interval(Duration::from_millis(10));
     let is_written = async {
         while streams_of(&open(&files, SystemTime::now()).1).len() < 2 {
-            sleep(Duration::from_millis(10)).await;
+            polls.tick().await;
         }
     };
     timeout(LONG_TIME, is_written).await.expect("reports and copies are written");
