--- a/src/follow/origin_service.rs
+++ b/src/follow/origin_service.rs
@@ -8,11 +8,15 @@
     crate::{
         fleet::{FleetSnapshot, watch::FleetView},
         ids::{ServiceId, VmId},
+        observe::events,
         policy::software_history::{STREAM_TIME, SoftwareHistory},
+        storage::DiskFiles,
         transport::{PeerMessage, PeerNetwork},
     },
     std::{
         collections::BTreeMap,
+        io,
+        path::Path,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant, SystemTime},
     },
@@ -156,6 +160,24 @@
         }
     }
 
+    /// Restores what the journal in `folder` contains. Without a journal, which is logged, streams are known in
+    /// memory alone; that suffices unless all control VMs restart.
+    pub fn open_journal(&self, folder: impl AsRef<Path>) -> Option<OriginJournal> {
+        let opened = DiskFiles::open(folder)
+            .and_then(|files| OriginJournal::open(Box::new(files), SystemTime::now()));
+        let (journal, content) = opened
+            .inspect_err(|error| {
+                log::error!(error:% = error;
+                    "the journal of stream origins cannot be opened; check the data folder");
+            })
+            .ok()?;
+        self.restore(Instant::now(), &content);
+        let streams: usize = content.streams.iter().map(|report| report.streams.len()).sum();
+        let services = content.services.map_or(0, |(_, services)| services.len());
+        log::info!(streams = streams, services = services; "{}", events::ORIGINS_RESTORED);
+        Some(journal)
+    }
+
     /// Writes what is reported to a journal; never returns. A disk that does not work costs only what a
     /// restart of all VMs would need.
     pub async fn run_journal(self: Arc<Self>, mut journal: OriginJournal) {
@@ -169,16 +191,8 @@
             let mut pause = WRITE_PAUSE;
             if is_rewrite || !batch.is_empty() {
                 let has_versions = !batch.services.is_empty();
-                let task = spawn_blocking(move || {
-                    let now = SystemTime::now();
-                    let result = if is_rewrite {
-                        journal.rewrite(now, batch)
-                    } else {
-                        journal.append(now, batch)
-                    };
-                    (journal, result)
-                });
-                let Ok((returned, result)) = task.await else {
+                let written_batch = write_batch(journal, batch, is_rewrite).await;
+                let Some((returned, result)) = written_batch else {
                     log::error!("the journal of stream origins has ended; restart the daemon");
                     return;
                 };
@@ -226,6 +240,21 @@
     }
 }
 
+/// Writes on a thread of its own, since a disk may take seconds. `None` if the thread has panicked.
+async fn write_batch(
+    mut journal: OriginJournal,
+    batch: JournalBatch,
+    is_rewrite: bool,
+) -> Option<(OriginJournal, io::Result<()>)> {
+    let task = spawn_blocking(move || {
+        let now = SystemTime::now();
+        let result =
+            if is_rewrite { journal.rewrite(now, batch) } else { journal.append(now, batch) };
+        (journal, result)
+    });
+    task.await.ok()
+}
+
 fn by_origin(streams: BTreeMap<StreamKey, StreamOrigin>) -> Vec<OriginReport> {
     let mut reports: BTreeMap<StreamOrigin, Vec<StreamKey>> = BTreeMap::new();
     for (stream, origin) in streams {
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -16,6 +16,7 @@
 pub mod recheck;
 pub mod rejection_limits;
 pub mod relay;
+pub mod reported_weights;
 pub mod request;
 pub mod response;
 pub mod response_buffer;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -6,6 +6,7 @@
         pool::ConnectionPool,
         recheck::RecheckList,
         rejection_limits::{LimitChange, RejectionLimits},
+        reported_weights::WeightsReports,
         response_buffer::BufferBudget,
         server_demands::DemandTable,
         shared_machines::SharedMachines,
@@ -15,7 +16,6 @@
         view::{ProxyView, qualified_model},
     },
     crate::{
-        fleet::ListedServer,
         follow::stream_origins::StreamOrigin,
         ids::{
             Incarnation, ModelId, OrganisationId, RequestId, ServerId, ServiceId, VmId,
@@ -63,15 +63,6 @@
     pub dispatcher: Arc<DispatcherHandle>,
 }
 
-/// The weights that the responses of a server have reported.
-#[derive(Debug)]
-struct ReportedWeights {
-    /// The incarnation that they belong to.
-    incarnation: Incarnation,
-    /// By model; at most those that the server list names for the server.
-    models: BTreeMap<ModelId, WeightsNumber>,
-}
-
 /// State that is shared by all requests of a proxy process.
 pub struct ProxyCore {
     /// The VM that the process runs on.
@@ -95,7 +86,7 @@
     /// Held while the view is replaced, so that none is replaced by an older one.
     applying: Mutex<()>,
     /// What responses have reported, by server of the view.
-    reported_weights: Mutex<BTreeMap<ServerId, ReportedWeights>>,
+    reported_weights: WeightsReports,
     /// The incarnation and the limit of servers of the view that have named one.
     limits: Mutex<BTreeMap<ServerId, (Incarnation, f64)>>,
     /// What servers of the view ask for.
@@ -128,7 +119,7 @@
             objective,
             view: ArcSwap::default(),
             applying: Mutex::default(),
-            reported_weights: Mutex::default(),
+            reported_weights: WeightsReports::default(),
             limits: Mutex::default(),
             demands: DemandTable::default(),
             rejection_limits: RejectionLimits::default(),
@@ -175,7 +166,7 @@
         view.set_aside = self.set_aside(&view);
         let inputs = view.inputs(&self.vm, self.objective, &former);
         let used: BTreeSet<_> = view.servers.values().map(|server| server.address).collect();
-        self.lock_weights().retain(|server, _| view.servers.contains_key(server));
+        self.reported_weights.retain(|server| view.servers.contains_key(server));
         self.recheck.retain(|server| view.servers.contains_key(server));
         self.lock_limits().retain(|server, _| view.servers.contains_key(server));
         self.demands.retain(Instant::now(), |server| view.servers.contains_key(server));
@@ -253,7 +244,7 @@
         let view = self.view();
         let Some(listed) = view.servers.get(server) else { return };
         if let (Some(model), Some(version)) = (model, head.weights) {
-            self.set_weights(listed, model, version);
+            self.reported_weights.set(listed, model, version);
         }
         if let Some(ratio) = head.work_time {
             histogram!(WORK_TIME, "service" => listed.service.clone()).record(ratio);
@@ -527,11 +518,7 @@
         let view = self.view();
         let listed = view.servers.get(server).filter(|listed| listed.service == *service)?;
         let model = model?;
-        let reported = self.lock_weights();
-        let reported =
-            reported.get(server).filter(|reported| reported.incarnation == listed.incarnation);
-        let reported = reported.and_then(|reported| reported.models.get(model)).copied();
-        listed.weights.get(model).copied().max(reported)
+        listed.weights.get(model).copied().max(self.reported_weights.get(listed, model))
     }
 
     /// Records that a server has stated that it runs other weights of `model` than `expected`. Returns whether
@@ -548,34 +535,13 @@
         let newest = view.named.get(model).copied();
         match newest.filter(|newest| expected.is_some_and(|expected| expected < *newest)) {
             Some(newest) => {
-                self.set_weights(listed, model, newest);
+                self.reported_weights.set(listed, model, newest);
                 true
             }
             None => {
-                if let Some(reported) = self.lock_weights().get_mut(server) {
-                    reported.models.remove(model);
-                }
+                self.reported_weights.remove(server, model);
                 false
             }
         }
     }
-
-    fn set_weights(&self, listed: &ListedServer, model: &ModelId, version: WeightsNumber) {
-        if !listed.weights.contains_key(model) {
-            return;
-        }
-        let incarnation = listed.incarnation;
-        let mut reported = self.lock_weights();
-        let reported = reported
-            .entry(listed.id.clone())
-            .or_insert_with(|| ReportedWeights { incarnation, models: BTreeMap::new() });
-        if reported.incarnation != incarnation {
-            *reported = ReportedWeights { incarnation, models: BTreeMap::new() };
-        }
-        reported.models.insert(model.clone(), version);
-    }
-
-    fn lock_weights(&self) -> std::sync::MutexGuard<'_, BTreeMap<ServerId, ReportedWeights>> {
-        self.reported_weights.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -23,14 +23,12 @@
         follow::{
             FollowReply, FollowerKind, SharedState,
             evidence::evidence_digest,
-            origin_journal::OriginJournal,
             origin_service::copy_receiver,
             service::{ControlHandler, FollowService, control_vms},
             task::{FollowTask, FollowerPort},
         },
         ids::{FailureDomainId, Incarnation, ServiceId, VmId},
         observe::{events, memory::report_memory, pauses::log_pauses},
-        storage::DiskFiles,
         transport::{PeerMessage, PeerNetwork, UnauthenticatedSettings},
     },
     std::{
@@ -41,7 +39,7 @@
             Arc,
             atomic::{AtomicU64, Ordering},
         },
-        time::{Duration, Instant, SystemTime},
+        time::{Duration, Instant},
     },
     tokio::{
         sync::{mpsc, watch},
@@ -110,7 +108,10 @@
         let fleet_view = Arc::new(FleetView::default());
         let follow_service =
             Arc::new(FollowService::new(settings.failure_domain.clone(), Arc::clone(&fleet_view)));
-        spawn_journal(&settings, &follow_service, &mut tasks);
+        let origins_folder = settings.data_dir.join(ORIGINS_FOLDER);
+        if let Some(journal) = follow_service.origins().open_journal(&origins_folder) {
+            tasks.spawn(Arc::clone(follow_service.origins()).run_journal(journal));
+        }
         let network_settings = UnauthenticatedSettings {
             vm: settings.vm.clone(),
             listen: settings.peer_listen,
@@ -258,29 +259,6 @@
     tasks.spawn(Arc::clone(origins).run_copies(network.clone(), next));
 }
 
-/// Restores the origins of streams from the disk, and keeps them there. Without a journal they are in
-/// memory alone, which suffices unless all control VMs restart.
-fn spawn_journal(
-    settings: &ControlSettings,
-    follow_service: &Arc<FollowService>,
-    tasks: &mut JoinSet<()>,
-) {
-    let opened = DiskFiles::open(settings.data_dir.join(ORIGINS_FOLDER))
-        .and_then(|files| OriginJournal::open(Box::new(files), SystemTime::now()));
-    match opened {
-        Ok((journal, content)) => {
-            let origins = follow_service.origins();
-            origins.restore(Instant::now(), &content);
-            let streams: usize = content.streams.iter().map(|report| report.streams.len()).sum();
-            let services = content.services.map_or(0, |(_, services)| services.len());
-            log::info!(streams = streams, services = services; "{}", events::ORIGINS_RESTORED);
-            tasks.spawn(Arc::clone(origins).run_journal(journal));
-        }
-        Err(error) => log::error!(error:% = error;
-            "the journal of stream origins cannot be opened; check the data folder"),
-    }
-}
-
 fn spawn_orders(
     settings: &ControlSettings,
     replica: &ControlHandle,
