Confirm the founders from a VM that lost its disk before the founding

Cause: a VM that must not found a group leaves itself out of its founders, and the digest with which it confirms the founders was made from that list, so the others never had its confirmation. Class: what a process knows from its own start alone.

Change: the digest includes the VM itself. The first founder, which alone writes the founding membership, may name the new disk: it has its own disk and no group, so there is none.

Ruled out: that the others keep to the disk that is gone (an observation takes the newest incarnation), and that the group exists and lacks a quorum (no replica has a group).

--- a/src/control/replica/formation.rs
+++ b/src/control/replica/formation.rs
@@ -3,7 +3,8 @@
 //! Only the first founder by name writes a founding membership, and only after every founder has
 //! confirmed to its current disk that its own disk is empty. A disk that was lost later meets
 //! founders that are not empty. It founds no group and waits until the leader adds it, so it cannot
-//! elect a leader that lacks committed entries.
+//! elect a leader that lacks committed entries. One that was lost before the founding is confirmed
+//! as empty like the others, unless it is that of the first founder.
 
 use {
     super::{Replica, RoleState},
@@ -190,8 +191,13 @@
         disks.filter(|(vm, disk)| !self.membership().is_member(vm, *disk)).collect()
     }
 
+    /// Digest of the founders. A replica that must not found a group leaves itself out of its
+    /// founders, and confirms the list that contains it nevertheless: the first founder may make it
+    /// a voter, as its disk is empty and nobody else can have founded a group.
     fn founders_digest(&self) -> u64 {
-        let names: Vec<&str> = self.settings.founders.iter().map(String::as_str).collect();
+        let mut founders = self.settings.founders.clone();
+        founders.insert(self.settings.vm.clone());
+        let names: Vec<&str> = founders.iter().map(String::as_str).collect();
         xxhash_rust::xxh3::xxh3_64(names.join("\n").as_bytes())
     }
 }
--- a/tests/fakes/replica_group.rs
+++ b/tests/fakes/replica_group.rs
@@ -145,9 +145,20 @@
     }
 
     pub fn start(&mut self, vm: &str) {
+        self.start_with_founders(vm, self.founders.clone());
+    }
+
+    /// Starts a VM that must not found a group: it leaves itself out of its founders.
+    pub fn start_without_founding(&mut self, vm: &str) {
+        let mut founders = self.founders.clone();
+        founders.remove(vm);
+        self.start_with_founders(vm, founders);
+    }
+
+    fn start_with_founders(&mut self, vm: &str, founders: BTreeSet<VmId>) {
         let settings = ReplicaSettings {
             vm: vm.to_owned(),
-            founders: self.founders.clone(),
+            founders,
             seed: self.seed,
             timing: self.timing,
             limits: self.limits,
--- a/tests/lost_disk.rs
+++ b/tests/lost_disk.rs
@@ -11,7 +11,7 @@
         },
         ids::{Revision, VmId},
     },
-    replica_group::ReplicaGroup,
+    replica_group::{NetworkFaults, ReplicaGroup},
     std::time::Duration,
 };
 
@@ -129,6 +129,39 @@
     assert_eq!(has_group(&group, "a"), founded);
 }
 
+/// A founder that loses its disk before the group is founded, and must not found one since, becomes
+/// a voter with its new disk. If the founding came first, the others have their leader without it.
+#[test]
+fn disk_lost_before_founding() {
+    for seed in 0..100 {
+        let mut group = ReplicaGroup::new(&["a", "b", "c"], seed);
+        group.faults =
+            NetworkFaults { drop: 10, duplicate: 10, delay: Duration::from_millis(1 + seed) };
+        let lost = ["b", "c"][(seed % 2) as usize];
+        let up = Duration::from_millis(group.random_below(400));
+        group.run_for(up);
+        group.crash(lost);
+        group.lose_disk(lost);
+        let down = Duration::from_millis(group.random_below(5000));
+        group.run_for(down);
+        group.start_without_founding(lost);
+        let led = group.run_until(WAIT, |group| group.leader().is_some());
+        assert!(led, "seed {seed}: {lost} lost after {up:?}, back after {down:?}");
+    }
+}
+
+/// The first founder may have founded the group before it lost its disk, so it does not found one
+/// with a new disk that it must not found with.
+#[test]
+fn lost_first_founder_founds_nothing() {
+    let mut group = ReplicaGroup::new(&["a", "b", "c"], 10);
+    group.crash("a");
+    group.lose_disk("a");
+    group.start_without_founding("a");
+    assert!(!group.run_until(WAIT, |group| group.leader().is_some()));
+    assert!(group.nodes.values().all(|node| node.disk.hard_state.group.is_none()));
+}
+
 /// A founder that missed the founding may vote. Two founders form the group and compact its first
 /// entries while the third is partitioned; then one of the two fails. The third has lost nothing,
 /// so it may vote although its log is empty.
