--- a/tests/origin_journal.rs
+++ b/tests/origin_journal.rs
@@ -9,7 +9,7 @@
         follow::{
             origin_journal::{JournalBatch, JournalContent, OriginJournal},
             origin_service::OriginService,
-            stream_origins::{OriginReport, StreamKey, StreamOrigin},
+            stream_origins::{OriginReport, StreamKey, StreamOrigin, stream_key},
         },
         policy::software_history::{STREAM_TIME, ServiceRecord, VersionState},
     },
@@ -22,6 +22,16 @@
 };
 
 const LONG_TIME: Duration = Duration::from_secs(60);
+/// Streams that begin in a second in the largest deployment.
+const STREAM_RATE: usize = 12_000;
+const CONTROL_VMS: usize = 7;
+/// A control VM has the reports of its own followers and copies of those of one other.
+const STREAMS_PER_SECOND: usize = 2 * STREAM_RATE / CONTROL_VMS;
+const BATCHES_PER_SECOND: usize = 5;
+/// The most that a key takes in a record, in bytes.
+const KEY_BYTES: usize = 10;
+/// The most that a record takes beside its keys, in bytes.
+const RECORD_BYTES: usize = 512;
 
 fn origin(software: &str) -> StreamOrigin {
     StreamOrigin { service: "llm".to_owned(), software: software.to_owned() }
@@ -107,6 +117,40 @@
     assert!(!journal.needs_rewrite());
 }
 
+fn size(files: &MemoryFiles) -> usize {
+    files.content().values().map(Vec::len).sum()
+}
+
+/// Guards against a journal whose writes take more of the disk than the keys of the streams need, in the
+/// largest deployment with two versions of each service.
+#[test]
+fn writes_are_small_at_full_rate() {
+    let (files, now) = (MemoryFiles::default(), SystemTime::now());
+    let (mut journal, _) = open(&files, now);
+    let streams = |count: usize| -> Vec<StreamKey> {
+        (0..count).map(|number| stream_key(&format!("request-{number}"))).collect()
+    };
+    let batch = |keys: &[StreamKey]| {
+        let (first, second) = keys.split_at(keys.len() / 2);
+        let streams = [reports("v1", first), reports("v2", second)].concat();
+        JournalBatch { streams, services: vec![record("v1")] }
+    };
+    let all = streams(STREAMS_PER_SECOND * STREAM_TIME.as_secs() as usize);
+    journal.rewrite(now, batch(&all)).expect("the disk works");
+    let rewritten = size(&files);
+    assert!(rewritten <= all.len() * KEY_BYTES + RECORD_BYTES, "{rewritten} bytes rewritten");
+    let mut appended = 0;
+    for keys in all[..STREAMS_PER_SECOND].chunks(STREAMS_PER_SECOND.div_ceil(BATCHES_PER_SECOND)) {
+        journal.append(now, batch(keys)).expect("the disk works");
+        appended += keys.len();
+    }
+    let written = size(&files) - rewritten;
+    let bound = appended * KEY_BYTES + BATCHES_PER_SECOND * RECORD_BYTES;
+    assert!(written <= bound, "{written} bytes appended in a second");
+    assert!(!journal.needs_rewrite());
+    println!("{rewritten} bytes rewritten, {written} bytes appended in a second");
+}
+
 /// Guards against versions that count after a restart although the clock does not tell how old they are.
 #[test]
 fn clock_set_back_hides_versions() {
--- a/tests/slow_suitability.rs
+++ b/tests/slow_suitability.rs
@@ -35,6 +35,8 @@
 const DUE: Duration = Duration::from_secs(2);
 /// How long a slow answer takes.
 const SLOW: Duration = Duration::from_millis(500);
+/// Answers without changes after which an entry has not left a control VM.
+const POLLS: usize = 3;
 /// Longer than any test.
 const NEVER: Duration = Duration::from_secs(3_600);
 const OLD_DOCUMENT: DocumentNumber = 4;
@@ -50,6 +52,7 @@
     document: DocumentNumber,
     delay: Duration,
     suitability_requests: AtomicUsize,
+    polls: watch::Sender<usize>,
 }
 
 impl TimedControl {
@@ -59,8 +62,14 @@
         document: DocumentNumber,
         delay: Duration,
     ) -> Arc<Self> {
-        let suitability_requests = AtomicUsize::default();
-        Arc::new(TimedControl { failure_domain, fresh, document, delay, suitability_requests })
+        Arc::new(TimedControl {
+            failure_domain,
+            fresh,
+            document,
+            delay,
+            suitability_requests: AtomicUsize::default(),
+            polls: watch::Sender::new(0),
+        })
     }
 
     fn reply(&self, request: &FollowRequest) -> FollowReply {
@@ -85,6 +94,8 @@
         let PeerRequest::Follow(request) = request else { unreachable!("only followers ask") };
         if request.mode == AnswerMode::Suitability {
             self.suitability_requests.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.polls.send_modify(|polls| *polls += 1);
         }
         let reply = self.reply(&request);
         let waits = request.mode == AnswerMode::Wait && reply.document.is_none() && reply.fresh;
@@ -200,7 +211,10 @@
     let entry = FollowingEntry::start(&[Arc::clone(&control)]);
     assert!(entry.has_document(NEW_DOCUMENT, DUE).await, "it has heard no control VM");
     let before = control.suitability_requests.load(Ordering::Relaxed);
-    sleep(DUE).await;
+    let mut polls = control.polls.subscribe();
+    let enough = *polls.borrow() + POLLS;
+    let polled = timeout(DUE * 5, polls.wait_for(|polls| *polls >= enough)).await;
+    assert!(polled.is_ok(), "the control VM is not polled any more");
     let requests = control.suitability_requests.load(Ordering::Relaxed) - before;
     assert_eq!(requests, 0, "the control VM was abandoned");
 }
