Let no request begin on weights that were replaced for too long

What callers saw: answers from weights that operators had replaced more than 8 s before.

Cause: an entry stops sending to older weights 6 s after a version is named, and leaves 2 s for the server's queue. All late requests that were traced were sent 3.9 to 6.0 s after the acknowledgement and waited 2.1 to 4.3 s inside their server. The log didn't tell whether the entry had expected that, so `stream answered whole` now has `predicted_ms`: it had not (1.4 to 1.8 s predicted, 2.9 to 3.4 s taken). Ruled out: waits inside the entry (5 to 9 ms), entries that learn late of a version (nothing was sent after 6.0 s).

Change: a version has a second time, until which requests may begin on older weights. The dispatcher places a request at such a server only if it is expected to begin in time, by the prediction and the largest recent error of predictions there, and withdraws an attempt without a first token at the limit. It goes elsewhere if it may run again; if not, the caller gets a 502. Times of versions are computed anew from when they were named, so that 64 versions in a short time keep their own.

--- a/examples/policy_report/fleet_simulation.rs
+++ b/examples/policy_report/fleet_simulation.rs
@@ -407,6 +407,7 @@
             PolicyAction::Probe { server } => self.probe(daemon, server),
             PolicyAction::Publish(digest) => self.publish(daemon, digest),
             PolicyAction::CountRetry { .. } => self.run_metrics.retries += 1,
+            PolicyAction::Withdraw { .. } => unreachable!("no weights are replaced here"),
         }
     }
 
--- a/examples/policy_report/site.rs
+++ b/examples/policy_report/site.rs
@@ -135,6 +135,7 @@
             shares: BTreeMap::new(),
             daemons,
             weights: [(MODEL.into(), WEIGHTS.into())].into(),
+            begin_limits: BTreeMap::new(),
             model_services: BTreeMap::new(),
         }
     }
--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -44,6 +44,8 @@
     Broken,
     /// no response within {0:?}; the backend server may have run the request
     TimedOut(Duration),
+    /// the attempt was withdrawn before its first token, since newer weights are required; the backend server may have begun it
+    Withdrawn,
     /// the response belongs to another attempt; the connection is closed
     MismatchedAttempt,
     /// the backend server responded with status {status}
@@ -75,6 +77,7 @@
         match self {
             BackendError::NotConnected(_) => AttemptFailure::NotConnected,
             BackendError::Stale => AttemptFailure::Stale,
+            BackendError::Withdrawn => AttemptFailure::Withdrawn,
             BackendError::Broken | BackendError::MismatchedAttempt => AttemptFailure::Broken,
             BackendError::TimedOut(_) => AttemptFailure::TimedOut,
             BackendError::Status { status: 409, .. } => AttemptFailure::WrongWeights,
--- a/src/pipeline/core.rs
+++ b/src/pipeline/core.rs
@@ -95,6 +95,7 @@
             .iter()
             .map(|model| (model.id.clone(), model.weights.clone()))
             .collect(),
+        begin_limits: BTreeMap::new(),
         model_services: BTreeMap::new(),
     }
 }
--- a/src/pipeline/dispatch.rs
+++ b/src/pipeline/dispatch.rs
@@ -31,6 +31,8 @@
     Send(Box<SendOrder>),
     /// Abort an attempt.
     Cancel(AttemptId),
+    /// Abort an attempt whose first token has not come, and report that.
+    Withdraw(AttemptId),
     /// Refuse the request.
     Refuse {
         /// The reason, which determines status and message.
@@ -209,6 +211,12 @@
                 }
                 self.enqueue(DispatchTask::Cancel { attempt, server });
             }
+            PolicyAction::Withdraw { attempt } => {
+                if let Some(request) = state.attempt_requests.get(&attempt).cloned() {
+                    self.trace.record(&request, "withdraw: its server has replaced weights");
+                    state.deliver(&request, DispatchDirective::Withdraw(attempt));
+                }
+            }
             PolicyAction::Probe { server } => self.enqueue(DispatchTask::Probe { server }),
             PolicyAction::Publish(digest) => self.enqueue(DispatchTask::Publish(digest)),
         }
--- a/src/pipeline/relay.rs
+++ b/src/pipeline/relay.rs
@@ -134,7 +134,7 @@
             }
         };
         match directive {
-            DispatchDirective::Cancel(_) => {}
+            DispatchDirective::Cancel(_) | DispatchDirective::Withdraw(_) => {}
             DispatchDirective::Refuse { reason, retry_after, did_run } => {
                 let refusal = CallerRefusal::from_policy(reason, did_run, retry_after);
                 task.send_part(ResponsePart::Refused(Box::new(refusal))).await;
@@ -329,9 +329,12 @@
             let event = tokio::select! {
                 event = stream.next_event() => event,
                 () = self.response.closed() => return AttemptOutcome::CallerDisconnected,
-                directive = handle.next() => match end_from(directive, order.attempt) {
-                    Some(outcome) => return outcome,
-                    None => continue,
+                directive = handle.next() => match directive {
+                    DispatchDirective::Withdraw(_) if !first => continue,
+                    directive => match end_from(directive, order.attempt) {
+                        Some(outcome) => return outcome,
+                        None => continue,
+                    },
                 },
             };
             match event {
@@ -405,6 +408,9 @@
         DispatchDirective::Cancel(cancelled) => {
             (cancelled == attempt).then_some(AttemptOutcome::Cancelled)
         }
+        DispatchDirective::Withdraw(withdrawn) => {
+            (withdrawn == attempt).then_some(AttemptOutcome::Failed(BackendError::Withdrawn))
+        }
         DispatchDirective::Refuse { reason, retry_after, did_run } => {
             let refusal = CallerRefusal::from_policy(reason, did_run, retry_after);
             Some(AttemptOutcome::Refused(refusal))
--- a/src/pipeline/service_call.rs
+++ b/src/pipeline/service_call.rs
@@ -54,7 +54,7 @@
     let mut handle = core.dispatcher.submit(ticket(&call, Repeat::Allowed));
     loop {
         match handle.next().await {
-            DispatchDirective::Cancel(_) => {}
+            DispatchDirective::Cancel(_) | DispatchDirective::Withdraw(_) => {}
             DispatchDirective::Refuse { reason, retry_after, did_run } => {
                 return Err(CallerRefusal::from_policy(reason, did_run, retry_after));
             }
@@ -118,7 +118,7 @@
     let mut handle = core.dispatcher.submit(ticket(&call, Repeat::Forbidden));
     loop {
         let order = match handle.next().await {
-            DispatchDirective::Cancel(_) => continue,
+            DispatchDirective::Cancel(_) | DispatchDirective::Withdraw(_) => continue,
             DispatchDirective::Refuse { reason, retry_after, .. } => {
                 // The claim is unused, so that the call has certainly not run, whatever the
                 // dispatcher reports.
--- a/src/policy/action.rs
+++ b/src/policy/action.rs
@@ -19,6 +19,12 @@
         /// The server that runs it.
         server: ServerId,
     },
+    /// End an attempt unless its first token has come, and report it as [`super::AttemptFailure::Withdrawn`],
+    /// or as [`super::AttemptFailure::Stale`] if nothing was sent.
+    Withdraw {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Refuse a request. This is its final outcome.
     Refuse {
         /// The request.
@@ -196,11 +202,13 @@
     NoSlot,
     /// The send order expired while the daemon process was paused.
     Stale,
+    /// The server had not begun it before its weights were replaced for too long.
+    Withdrawn,
 }
 
 impl RetryReason {
     /// All reasons, so that counters can be registered at startup.
-    pub const ALL: [RetryReason; 9] = [
+    pub const ALL: [RetryReason; 10] = [
         RetryReason::NotConnected,
         RetryReason::Refused,
         RetryReason::BrokenBeforeToken,
@@ -210,6 +218,7 @@
         RetryReason::WrongWeights,
         RetryReason::NoSlot,
         RetryReason::Stale,
+        RetryReason::Withdrawn,
     ];
 
     /// Returns the name used in metrics.
@@ -224,6 +233,7 @@
             RetryReason::WrongWeights => "wrong_weights",
             RetryReason::NoSlot => "no_slot",
             RetryReason::Stale => "stale",
+            RetryReason::Withdrawn => "withdrawn",
         }
     }
 }
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -8,6 +8,7 @@
 mod affinity;
 pub mod arrivals;
 pub mod attempts;
+mod begin_limits;
 mod cache_store;
 mod delays;
 pub mod digests;
@@ -117,6 +118,8 @@
     figure_decay: FigureDecay,
     /// When waiting requests are considered again without an input.
     recheck_at: Option<Instant>,
+    /// When the first attempt in flight is withdrawn unless its first token comes before.
+    withdraw_at: Option<Instant>,
     actions: Vec<PolicyAction>,
 }
 
@@ -162,10 +165,21 @@
     /// Whether it had the lease of a slot.
     leased: bool,
     answered: bool,
+    /// The time before which its first token must come, since newer weights than `weights` are named.
+    begin_before: Option<Instant>,
+    /// Whether it was withdrawn, since its first token did not come in time.
+    withdrawn: bool,
     /// The fingerprints, of it and of its parts, for which it runs apart from other such requests.
     suspects: Vec<u64>,
 }
 
+impl AttemptState {
+    /// When it is withdrawn unless its first token comes before; `None` if it is not.
+    fn withdrawal_due(&self) -> Option<Instant> {
+        self.begin_before.filter(|_| !self.answered && !self.withdrawn)
+    }
+}
+
 impl Dispatcher {
     /// Creates a dispatcher without servers; the first `Configure` input adds them.
     pub fn new(settings: DispatcherSettings) -> Self {
@@ -197,6 +211,7 @@
             daemon_count: DaemonCount::default(),
             figure_decay: FigureDecay::default(),
             recheck_at: None,
+            withdraw_at: None,
             actions: Vec::new(),
         }
     }
@@ -236,7 +251,8 @@
         let timer = self.timers.first().map(|(at, _)| *at);
         let probes = self.ejected.iter().map(|index| &self.table.servers[*index].failures);
         let probe = probes.filter_map(|record| record.probe_due()).min();
-        [timer, probe, self.recheck_at, self.peers.publish_at()].into_iter().flatten().min()
+        let others = [self.recheck_at, self.withdraw_at, self.peers.publish_at()];
+        [timer, probe].into_iter().chain(others).flatten().min()
     }
 
     fn apply_input(&mut self, now: Instant, input: PolicyInput) {
@@ -331,7 +347,11 @@
         let prompt_keeps =
             view.servers.values().filter(|server| server.kind == ServerKind::CacheStore);
         self.prompt_keeps = prompt_keeps.count();
+        let has_other_limits = view.begin_limits != self.view.begin_limits;
         self.view = view;
+        if has_other_limits {
+            self.update_begin_limits();
+        }
         self.apply_reachable();
     }
 
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -106,7 +106,9 @@
         };
         server.record_first_token(attempt);
         server.failures.record_success();
-        server.window.record_first_token(now, state.predicted.mul_f64(slower), taken);
+        let predicted = state.predicted.mul_f64(slower);
+        server.window.record_first_token(now, predicted, taken);
+        server.wait_spread.record(now, taken.saturating_sub(predicted));
         server.responded = server.responded.max(Some(state.sent));
         let crash = server.crash_site(state.server).crash;
         self.suspects.refute_crash(now, crash, state.sent);
@@ -132,6 +134,13 @@
         self.mark_dirty(state.server);
     }
 
+    /// Records how long an attempt that ends without a first token has kept its request waiting.
+    pub(super) fn record_unanswered(&mut self, now: Instant, state: &AttemptState) {
+        let taken = now.saturating_duration_since(state.sent);
+        let spread = &mut self.table.servers[state.server].wait_spread;
+        spread.record(now, taken.saturating_sub(state.predicted));
+    }
+
     /// Updates the mean and the highest speed of all pools of a server after a measurement.
     fn update_speeds(&mut self, index: ServerIndex) {
         for pool in self.table.servers[index].pools.clone() {
@@ -218,6 +227,9 @@
 
     pub(super) fn fail(&mut self, now: Instant, attempt: AttemptId, failed: FailedAttempt) {
         let Some(state) = self.end_attempt(attempt) else { return };
+        if failed.failure == AttemptFailure::Withdrawn {
+            self.record_unanswered(now, &state);
+        }
         self.record_server_failure(now, state.server, state.urgency, &failed);
         let Some(RequestEntry { pool, cost, phase }) = self.requests.remove(&state.number) else {
             return;
@@ -421,7 +433,7 @@
     ) {
         let server = &mut self.table.servers[index];
         let fails = match failed.failure {
-            AttemptFailure::Stale => return,
+            AttemptFailure::Stale | AttemptFailure::Withdrawn => return,
             AttemptFailure::NoSlot => {
                 let delay = failed.retry_after.unwrap_or(*FULL_TIME.end());
                 let until = now + delay.clamp(*FULL_TIME.start(), *FULL_TIME.end());
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -362,18 +362,16 @@
                 && self.table.servers[**index].is_within_limit(now)
         };
         let members = &self.table.pools[query.pool].members;
-        let mut found: Vec<Candidate> = candidates
-            .iter()
-            .filter(eligible)
-            .map(|index| self.estimate_candidate(now, query, *index))
-            .collect();
+        let estimate = |servers: &[ServerIndex]| -> Vec<Candidate> {
+            let servers = servers.iter().filter(eligible);
+            let estimated = servers.map(|index| self.estimate_candidate(now, query, *index));
+            let work = &query.request.ticket.work;
+            estimated.filter(|candidate| self.begins_in_time(now, work, candidate)).collect()
+        };
+        let mut found = estimate(candidates);
         if found.is_empty() && members.len() > candidates.len() {
             // Rarely, no candidate is eligible; then the whole pool is evaluated.
-            found = members
-                .iter()
-                .filter(eligible)
-                .map(|index| self.estimate_candidate(now, query, *index))
-                .collect();
+            found = estimate(members);
         }
         let objective = self.view.objective;
         found.into_iter().min_by(|a, b| a.cost.score(objective).total_cmp(&b.cost.score(objective)))
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -41,6 +41,7 @@
         if let RequestWork::Model { levels, .. } = &request.ticket.work {
             self.prefix_table.record(levels, best.server, &self.table.servers[best.server].cache);
         }
+        self.withdraw_at = self.withdraw_at.into_iter().chain(state.withdrawal_due()).min();
         self.attempts.insert(attempt, state);
         if request.ticket.repeatable && request.history.relayed == 0 {
             self.timers.insert((request.ticket.deadline, number));
@@ -87,6 +88,8 @@
             charged_output: output,
             leased: false,
             answered: false,
+            begin_before: self.begin_limit(server, &ticket.work),
+            withdrawn: false,
             suspects: self.suspected(now, ticket),
         }
     }
--- a/src/policy/dispatcher/timers.rs
+++ b/src/policy/dispatcher/timers.rs
@@ -23,6 +23,7 @@
             self.timers.pop_first();
             self.handle_timer(now, number);
         }
+        self.withdraw_late(now);
         if self.recheck_at.is_some_and(|at| at <= now) {
             self.recheck_at = None;
             for pool in &mut self.table.pools {
@@ -52,18 +53,19 @@
             RequestPhase::Running(sent) => {
                 let attempt = sent.attempt();
                 let request = sent.ticket().request.clone();
-                self.abort_attempt(attempt, request);
+                self.abort_attempt(now, attempt, request);
             }
         }
     }
 
     /// Aborts an attempt without a first token whose deadline has passed, to free its slot for
     /// requests that can still be answered in time.
-    fn abort_attempt(&mut self, attempt: AttemptId, request: RequestId) {
+    fn abort_attempt(&mut self, now: Instant, attempt: AttemptId, request: RequestId) {
         if self.attempts.get(&attempt).is_none_or(|state| state.answered) {
             return;
         }
         if let Some(state) = self.end_attempt(attempt) {
+            self.record_unanswered(now, &state);
             self.push_cancel(attempt, state.server);
             self.refuse(request, RefusalReason::DeadlinePassed, None, DidRun::Unknown);
         }
--- a/src/policy/input.rs
+++ b/src/policy/input.rs
@@ -187,6 +187,8 @@
     pub daemons: BTreeMap<FailureDomainId, BTreeMap<VmId, f64>>,
     /// Desired weights by model. Blocks cached under other weights never count as cache hits.
     pub weights: BTreeMap<ModelId, WeightsVersion>,
+    /// The times before which requests must begin on weights that were replaced, by model and by these weights.
+    pub begin_limits: BTreeMap<ModelId, BTreeMap<WeightsVersion, Instant>>,
     /// The services whose servers run the models. A model without one counts as a service of its own.
     pub model_services: BTreeMap<ModelId, ServiceId>,
 }
@@ -292,6 +294,9 @@
     NoSlot,
     /// The daemon process was paused until the send order expired; nothing was sent.
     Stale,
+    /// The daemon withdrew the attempt, since its first token had not come before the server's weights were
+    /// replaced for too long. The server may have begun to run it.
+    Withdrawn,
 }
 
 /// A load report of a backend server.
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -206,6 +206,7 @@
         AttemptFailure::WrongWeights => Some(RetryReason::WrongWeights),
         AttemptFailure::NoSlot => Some(RetryReason::NoSlot),
         AttemptFailure::Stale => Some(RetryReason::Stale),
+        AttemptFailure::Withdrawn => Some(RetryReason::Withdrawn),
         _ if relayed > 0 => Some(RetryReason::StreamResumed),
         AttemptFailure::Broken | AttemptFailure::Unreachable => {
             Some(RetryReason::BrokenBeforeToken)
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -92,6 +92,15 @@
     pub events: u32,
 }
 
+/// How the dispatcher ends an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AttemptEnd {
+    /// The request ends with it.
+    Cancelled,
+    /// The request may go to another server.
+    Withdrawn,
+}
+
 /// How the request continues after an attempt.
 enum AttemptStep {
     Response(Box<Response<ResponseBody>>),
@@ -135,7 +144,7 @@
             () = sleep_until(deadline.into()) => return exchange.expire(phase, open),
         };
         let step = match directive {
-            DispatchDirective::Cancel(_) => AttemptStep::Continue,
+            DispatchDirective::Cancel(_) | DispatchDirective::Withdraw(_) => AttemptStep::Continue,
             DispatchDirective::Refuse { reason, retry_after, did_run } => {
                 return exchange.refused(reason, retry_after, did_run, phase, open);
             }
@@ -238,14 +247,15 @@
         let reuse = self.connection_reuse(order);
         let limit = view.connections(&listed.service);
         let target = BackendTarget { server: &order.server, address: listed.address };
+        // Of other responses nothing tells whether their server has begun.
+        let tells_begin = self.request.caller.route.kind.is_stream();
         let sent_at = Instant::now();
         self.begin_run();
         let sent = tokio::select! {
             sent = self.core.pool.send(target, request, reuse, limit) => sent,
-            () = wait_withdrawn(&mut self.handle, order.attempt) => {
-                // The dispatcher has withdrawn the attempt; its next directive ends the request.
+            end = wait_end(&mut self.handle, order.attempt, tells_begin) => {
                 self.record_run();
-                return Err(AttemptFailure::TimedOut);
+                return Err(self.end_attempt(order, from, end));
             }
             () = sleep_until(self.request.deadline.into()) => {
                 self.record_run();
@@ -264,6 +274,20 @@
         started
     }
 
+    /// Ends an attempt that may have been sent.
+    fn end_attempt(
+        &self,
+        order: &SendOrder,
+        from: &ResumePosition,
+        end: AttemptEnd,
+    ) -> AttemptFailure {
+        match end {
+            // The dispatcher's next directive ends the request.
+            AttemptEnd::Cancelled => AttemptFailure::TimedOut,
+            AttemptEnd::Withdrawn => self.report(order, AttemptFailure::Withdrawn, from, None),
+        }
+    }
+
     /// Records the server of an attempt; returns which kept connections the attempt may use.
     fn connection_reuse(&mut self, order: &SendOrder) -> ConnectionReuse {
         let is_first = self.tried_servers.insert(order.server.clone());
@@ -415,7 +439,7 @@
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
             collected = self.core.buffers.collect(body) => collected,
-            () = wait_withdrawn(&mut self.handle, order.attempt) => return AttemptStep::Continue,
+            _ = wait_end(&mut self.handle, order.attempt, false) => return AttemptStep::Continue,
             () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
         };
         let body = match collected {
@@ -469,13 +493,16 @@
     order.weights.as_ref().and_then(|version| version.parse().ok())
 }
 
-/// Waits until the dispatcher withdraws an attempt.
-async fn wait_withdrawn(handle: &mut RequestHandle, attempt: AttemptId) {
+/// Waits until the dispatcher ends an attempt. One is withdrawn only as long as it has not begun, which is
+/// known only if it `tells_begin`.
+async fn wait_end(handle: &mut RequestHandle, attempt: AttemptId, tells_begin: bool) -> AttemptEnd {
     loop {
-        if let DispatchDirective::Cancel(cancelled) = handle.next().await
-            && cancelled == attempt
-        {
-            return;
+        match handle.next().await {
+            DispatchDirective::Cancel(ended) if ended == attempt => return AttemptEnd::Cancelled,
+            DispatchDirective::Withdraw(ended) if ended == attempt && tells_begin => {
+                return AttemptEnd::Withdrawn;
+            }
+            _ => {}
         }
     }
 }
--- a/src/reverse_proxy/exchange/slot.rs
+++ b/src/reverse_proxy/exchange/slot.rs
@@ -1,7 +1,7 @@
 //! Leases the slot of a server before a request is sent, if the server needs that.
 
 use {
-    super::{HttpExchange, ResumePosition, StartedResponse, wait_withdrawn},
+    super::{AttemptEnd, HttpExchange, ResumePosition, StartedResponse, wait_end},
     crate::{
         inventory::RequestClass,
         policy::{
@@ -111,8 +111,13 @@
         let patience = demand.patience;
         let leased = tokio::select! {
             leased = self.core.lease_slot(&order.server, demand) => leased,
-            () = wait_withdrawn(&mut self.handle, order.attempt) => {
-                return Err(AttemptFailure::TimedOut);
+            end = wait_end(&mut self.handle, order.attempt, true) => {
+                return Err(match end {
+                    AttemptEnd::Cancelled => AttemptFailure::TimedOut,
+                    AttemptEnd::Withdrawn => {
+                        self.report(order, AttemptFailure::Stale, from, None)
+                    }
+                });
             }
             () = sleep_until(self.request.deadline.into()) => {
                 return Err(self.report(order, AttemptFailure::NoSlot, from, None));
--- a/src/reverse_proxy/exchange/stream_start.rs
+++ b/src/reverse_proxy/exchange/stream_start.rs
@@ -1,7 +1,7 @@
 //! Begins to relay a stream, or ends an attempt whose stream does not begin.
 
 use {
-    super::{AttemptStep, HttpExchange, ResumePosition, StartedResponse, wait_withdrawn},
+    super::{AttemptEnd, AttemptStep, HttpExchange, ResumePosition, StartedResponse, wait_end},
     crate::{
         backend::sse::{EventBuffer, EventScanner, MAX_EVENT_BYTES, has_data, is_later},
         policy::{AttemptFailure, SendOrder},
@@ -107,7 +107,12 @@
         let failure = loop {
             let frame = tokio::select! {
                 frame = response.body.frame() => frame,
-                () = wait_withdrawn(&mut self.handle, order.attempt) => return AttemptStep::Continue,
+                end = wait_end(&mut self.handle, order.attempt, true) => {
+                    match end {
+                        AttemptEnd::Cancelled => return AttemptStep::Continue,
+                        AttemptEnd::Withdrawn => break AttemptFailure::Withdrawn,
+                    }
+                }
                 () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
             };
             let begun = match frame {
@@ -130,7 +135,9 @@
                 Err(failure) => break failure,
             }
         };
-        self.core.recheck(&order.server);
+        if failure != AttemptFailure::Withdrawn {
+            self.core.recheck(&order.server);
+        }
         let failure = self.report(order, failure, &ResumePosition::default(), None);
         self.step_after_failure(failure)
     }
--- a/src/reverse_proxy/relay.rs
+++ b/src/reverse_proxy/relay.rs
@@ -261,6 +261,7 @@
             weights = weights.as_deref(),
             sent_to = self.exchange.runs,
             framing = self.framing.as_str(),
+            predicted_ms = self.order.predicted.as_millis() as u64,
             first_event_ms = self.timing.first.as_millis() as u64,
             longest_pause_ms = self.timing.longest_gap.as_millis() as u64,
             total_ms = self.exchange.waited_ms(),
@@ -321,7 +322,7 @@
             };
             match directive {
                 DispatchDirective::Send(order) => return Ok(*order),
-                DispatchDirective::Cancel(_) => {}
+                DispatchDirective::Cancel(_) | DispatchDirective::Withdraw(_) => {}
                 DispatchDirective::Refuse { reason, .. } => {
                     exchange.log_truncated(&self.order, reason, self.position.events);
                     return Err(TruncatedResponse::BackendFailed);
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -4,7 +4,8 @@
     crate::{
         control::document::NamedWeights,
         fleet::{FleetSnapshot, ListedServer, ServerPhase},
-        ids::{ModelId, ServerId, ServiceId, SoftwareVersion, VmId, WeightsVersion},
+        follow::VersionTimes,
+        ids::{ModelId, ServerId, ServiceId, SoftwareVersion, VmId, WeightsNumber, WeightsVersion},
         inventory::{DecisionObjective, ServerKind},
         policy::{LoadReport, PolicyInput, PolicyView, ServerHealth, ServerView},
         routing::RouteIndex,
@@ -13,6 +14,7 @@
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::Arc,
+        time::Instant,
     },
 };
 
@@ -33,6 +35,8 @@
     pub servers: BTreeMap<ServerId, ListedServer>,
     /// The newest weights that operators have announced, by model.
     pub named: NamedWeights,
+    /// Until when requests may begin on older weights than each announced version, by model.
+    pub begin_limits: BTreeMap<ModelId, VersionTimes>,
     /// Models of which a server's weights are too old for new requests while other servers have newer ones.
     pub outdated: BTreeSet<(ServerId, ModelId)>,
     /// Servers that get requests only while no other server can take them, since their slots are leased
@@ -76,12 +80,43 @@
             index: Some(index),
             servers,
             named: named.clone(),
+            begin_limits: BTreeMap::new(),
             outdated,
             set_aside: BTreeSet::new(),
             proxy_count: proxy_count.max(1),
         }
     }
 
+    /// The same view with limits for requests to begin on older weights.
+    pub fn with_begin_limits(self, begin_limits: BTreeMap<ModelId, VersionTimes>) -> Self {
+        ProxyView { begin_limits, ..self }
+    }
+
+    /// Until when requests may begin on weights of a model; `None` if no newer ones are announced.
+    fn begin_limit(&self, model: &ModelId, version: WeightsNumber) -> Option<Instant> {
+        let mut later = self.begin_limits.get(model)?.range(version + 1..);
+        later.next().map(|(_, limit)| *limit)
+    }
+
+    /// The limits of all weights that servers have or may have reported, by qualified model.
+    fn policy_limits(&self) -> BTreeMap<ModelId, BTreeMap<WeightsVersion, Instant>> {
+        let listed = self.servers.values().flat_map(|server| {
+            server.weights.iter().map(|(model, version)| (&server.service, model, *version))
+        });
+        let announced = self.models().into_iter().flat_map(|(service, model)| {
+            let versions = self.begin_limits.get(model).into_iter().flat_map(BTreeMap::keys);
+            versions.map(move |version| (service, model, *version))
+        });
+        let mut limits: BTreeMap<ModelId, BTreeMap<WeightsVersion, Instant>> = BTreeMap::new();
+        for (service, model, version) in listed.chain(announced) {
+            if let Some(limit) = self.begin_limit(model, version) {
+                let known = limits.entry(qualified_model(service, model)).or_default();
+                known.insert(version.to_string(), limit);
+            }
+        }
+        limits
+    }
+
     /// Whether the service's servers run models.
     pub fn is_engine(&self, service: &ServiceId) -> bool {
         let rule = self.index.as_ref().and_then(|index| index.table.services.get(service));
@@ -283,6 +318,7 @@
             daemons: [(String::new(), daemons)].into(),
             // Empty, because each attempt requires the weights that its server reports.
             weights: BTreeMap::new(),
+            begin_limits: self.policy_limits(),
             model_services: self
                 .models()
                 .into_iter()
--- a/src/roles/entry/state_applier.rs
+++ b/src/roles/entry/state_applier.rs
@@ -68,7 +68,8 @@
             let sharing = entry_count.update(StdInstant::now(), entries as usize);
             let retries = *retry_reserve.borrow_and_update() / sharing as f64;
             self.core.dispatcher.notify(PolicyInput::RetryReserve { retries });
-            let view = ProxyView::new(index, &fleet, &state.weights, &required, entries);
+            let view = ProxyView::new(index, &fleet, &state.weights, &required, entries)
+                .with_begin_limits(requirements.begin_limits());
             let arbiters = view.servers.values().filter_map(|server| server.arbiter.as_ref());
             self.directory.set_arbiters(arbiters);
             let memory = |service: &ServiceId| view.engine_memory(service);
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -21,7 +21,10 @@
         reverse_proxy::view::ProxyView,
         roles::{
             fleet_orders::FLEET_TIMING,
-            required_weights::{REQUIRED_AFTER, REQUIRED_AFTER_ELECTION, RequiredWeights},
+            required_weights::{
+                BEGIN_WITHIN, BEGIN_WITHIN_ELECTION, REQUIRED_AFTER, REQUIRED_AFTER_ELECTION,
+                RequiredWeights,
+            },
         },
         routing::{RouteIndex, RouteKind, RouteRule, RouteTable, ServiceRule},
     },
@@ -227,6 +230,52 @@
     );
 }
 
+/// Guards against versions that are named faster than they become required, and share a time.
+#[test]
+fn frequent_versions_keep_their_times() {
+    let start = Instant::now();
+    let step = Duration::from_millis(150);
+    let times: VersionTimes =
+        (1..=MAX_VERSIONS as u64).map(|n| (n, start + step * n as u32)).collect();
+    let named_times = BTreeMap::from([(MODEL.to_owned(), times)]);
+    let mut requirements = RequiredWeights::default();
+    for version in [1, 2, 30, MAX_VERSIONS as u64] {
+        let named_at = start + step * version as u32;
+        assert_eq!(requirements.update(named_at + REQUIRED_AFTER, &named_times, 4), named(version));
+        assert_eq!(requirements.begin_limits()[MODEL][&version], named_at + BEGIN_WITHIN);
+    }
+}
+
+/// Guards against an entry that learns late of a version between two others.
+#[test]
+fn version_learned_later_counts() {
+    let (start, second) = (Instant::now(), Duration::from_secs(1));
+    let mut requirements = RequiredWeights::default();
+    requirements.update(start, &named_at(3, start), 4);
+    let times = VersionTimes::from([(2, start - second), (3, start)]);
+    let all = BTreeMap::from([(MODEL.to_owned(), times)]);
+    assert_eq!(requirements.update(start, &all, 4), NamedWeights::new());
+    assert_eq!(requirements.next_change(), Some(start + REQUIRED_AFTER - second));
+    assert_eq!(requirements.begin_limits()[MODEL][&2], start + BEGIN_WITHIN - second);
+}
+
+/// Requests begin on older weights for some time after the last one is sent, also after an election.
+#[test]
+fn begin_limits_follow_requirements() {
+    let mut requirements = RequiredWeights::default();
+    let start = Instant::now();
+    requirements.update(start, &named_at(2, start), 4);
+    assert_eq!(requirements.begin_limits()[MODEL], VersionTimes::from([(2, start + BEGIN_WITHIN)]));
+    let elected = start + Duration::from_secs(2);
+    requirements.update(elected, &named_at(2, start), 5);
+    let postponed = elected + BEGIN_WITHIN_ELECTION;
+    assert_eq!(requirements.begin_limits()[MODEL], VersionTimes::from([(2, postponed)]));
+    // An election after the version is required changes nothing.
+    let later = elected + REQUIRED_AFTER_ELECTION;
+    assert_eq!(requirements.update(later, &named_at(2, start), 6), named(2));
+    assert_eq!(requirements.begin_limits()[MODEL], VersionTimes::from([(2, postponed)]));
+}
+
 /// Guards against an entry that uses replaced weights for longer than others, since it has just started and
 /// counts from then, or knows nothing of the version before the last one.
 #[test]
