Tell followers how long weights are named when they know the names

What callers may see: an entry that first hears of a version from a control VM that has just started counts its time from then, and sends requests to replaced weights for up to that much longer. The other control VMs name the same version, and ages went only with versions that differ from the follower's; nor did a control VM that starts learn ages from the leader.

A follower takes over earlier times, beyond 50 ms, and control VMs take over those of the leader that they follow.

Tests: named_weights (ages_come_without_weights, restarted_vm_learns_ages).

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -44,6 +44,10 @@
 /// Maximum number of versions of a model whose times are known; the oldest ones are dropped.
 pub const MAX_VERSIONS: usize = 64;
 
+/// Differences between ages that are not applied: answers take some time, and each change is applied to all
+/// servers.
+const AGE_TOLERANCE: Duration = Duration::from_millis(50);
+
 /// For how long versions of a model's weights have been named.
 pub type VersionAges = BTreeMap<WeightsNumber, Duration>;
 
@@ -115,8 +119,8 @@
     pub document_delta: Option<DocumentDelta>,
     /// All named weights, if they differ.
     pub weights: Option<NamedWeights>,
-    /// For how long the answering VM has known `weights` and the versions before them, at most since it has
-    /// started.
+    /// For how long the answering VM has known recently named weights and the versions before them, or that
+    /// others have. Also without `weights`: the follower may know of them from a VM that had just started.
     pub weights_ages: BTreeMap<ModelId, VersionAges>,
     /// The full server list, if it differs and the follower's is not known here.
     pub fleet: Option<Arc<FleetSnapshot>>,
@@ -172,6 +176,21 @@
     pub needs_full: bool,
 }
 
+/// Merges the ages of versions, as known at `now`, into their times: the longest time counts. Of more than
+/// [`MAX_VERSIONS`] the oldest ones are dropped.
+fn merge_ages(times: &mut VersionTimes, now: Instant, ages: VersionAges) {
+    for (version, age) in ages {
+        let named_at = now.checked_sub(age).unwrap_or(now);
+        let known = times.entry(version).or_insert(named_at);
+        if named_at + AGE_TOLERANCE < *known {
+            *known = named_at;
+        }
+    }
+    while times.len() > MAX_VERSIONS {
+        times.pop_first();
+    }
+}
+
 /// The digest of a list of control VMs; 0 for the empty list.
 pub fn control_digest(control: &[VmId]) -> u64 {
     if control.is_empty() { 0 } else { xxh3_64(control.join("\n").as_bytes()).max(1) }
@@ -188,8 +207,14 @@
             self.apply_document_delta(&delta);
         }
         for (model, version) in reply.weights.into_iter().flatten() {
-            let ages = reply.weights_ages.get(&model).cloned().unwrap_or_default();
-            self.apply_weights(model, version, ages);
+            let known = self.weights.entry(model.clone()).or_default();
+            *known = version.max(*known);
+            if !reply.weights_ages.contains_key(&model) {
+                self.apply_ages(model, [(version, Duration::ZERO)].into());
+            }
+        }
+        for (model, ages) in reply.weights_ages {
+            self.apply_ages(model, ages);
         }
         if let Some(fleet) = reply.fleet {
             let digest = fleet.digest();
@@ -210,19 +235,9 @@
     }
 
     /// Of several answers about a version, the one of the VM that has known it for longest counts.
-    fn apply_weights(&mut self, model: ModelId, version: WeightsNumber, ages: VersionAges) {
-        let now = Instant::now();
-        let times = self.weights_named_at.entry(model.clone()).or_default();
-        for (version, age) in ages.into_iter().chain([(version, Duration::ZERO)]) {
-            let named_at = now.checked_sub(age).unwrap_or(now);
-            let known = times.entry(version).or_insert(named_at);
-            *known = named_at.min(*known);
-        }
-        while times.len() > MAX_VERSIONS {
-            times.pop_first();
-        }
-        let known = self.weights.entry(model).or_default();
-        *known = version.max(*known);
+    fn apply_ages(&mut self, model: ModelId, ages: VersionAges) {
+        let times = self.weights_named_at.entry(model).or_default();
+        merge_ages(times, Instant::now(), ages);
     }
 
     /// Replaces the document by a full one if that is newer; returns whether it is.
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -210,8 +210,7 @@
         let documents = replica.documents();
         let state = documents.borrow().clone();
         let mut reply = small_changes(&request, &state, &status);
-        let ages = self.weights_ages(&state);
-        reply.weights_ages = reply.weights.as_ref().map(|_| ages).unwrap_or_default();
+        reply.weights_ages = self.weights_ages(&state, reply.weights.is_some());
         match request.mode {
             AnswerMode::Suitability => {}
             AnswerMode::Now | AnswerMode::Wait => {
@@ -232,12 +231,19 @@
         PeerReply::Followed(Box::new(reply))
     }
 
-    /// For how long named versions are known. Followers ask at least once a second.
-    fn weights_ages(&self, state: &DocumentState) -> BTreeMap<ModelId, VersionAges> {
+    /// For how long named versions are known, or only those of recently named models. Followers ask at least
+    /// once a second.
+    fn weights_ages(&self, state: &DocumentState, all: bool) -> BTreeMap<ModelId, VersionAges> {
         let now = StdInstant::now();
         let mut history = self.weights_history.lock().unwrap_or_else(PoisonError::into_inner);
         history.record(now, state.weights());
-        history.ages(now)
+        if all { history.ages(now) } else { history.recent_ages(now) }
+    }
+
+    /// Records for how long the leader has known named versions, which were named before this VM started.
+    pub fn record_ages(&self, ages: BTreeMap<ModelId, VersionAges>) {
+        let mut history = self.weights_history.lock().unwrap_or_else(PoisonError::into_inner);
+        history.merge(StdInstant::now(), ages);
     }
 
     /// Completes when there is a change to send.
--- a/src/follow/weights_history.rs
+++ b/src/follow/weights_history.rs
@@ -1,7 +1,7 @@
 //! Since when a control VM knows the named versions of weights.
 
 use {
-    super::{MAX_VERSIONS, VersionAges, VersionTimes},
+    super::{MAX_VERSIONS, VersionAges, VersionTimes, merge_ages},
     crate::{control::document::NamedWeights, ids::ModelId},
     std::{
         collections::BTreeMap,
@@ -33,6 +33,25 @@
         }
     }
 
+    /// Merges the ages that another control VM knows at `now`.
+    pub fn merge(&mut self, now: Instant, ages: BTreeMap<ModelId, VersionAges>) {
+        for (model, ages) in ages {
+            // Versions that are not named here yet count from when they are.
+            if let Some(times) = self.models.get_mut(&model) {
+                let newest = times.last_key_value().map(|(version, _)| *version);
+                let named = ages.into_iter().filter(|(version, _)| Some(*version) <= newest);
+                merge_ages(times, now, named.collect());
+            }
+        }
+    }
+
+    /// For how long each version is known at `now`, of models with one that was named recently.
+    pub fn recent_ages(&self, now: Instant) -> BTreeMap<ModelId, VersionAges> {
+        let mut ages = self.ages(now);
+        ages.retain(|_, ages| ages.values().any(|age| *age < VERSION_TIME));
+        ages
+    }
+
     /// For how long each version is known at `now`.
     pub fn ages(&self, now: Instant) -> BTreeMap<ModelId, VersionAges> {
         let ages = |times: &VersionTimes| {
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -478,6 +478,7 @@
             self.evidence.store(evidence_digest(reports), Ordering::Relaxed);
             self.follow_service.evidence().merge(reports);
         }
+        self.follow_service.record_ages(reply.weights_ages.clone());
         self.follow_service.set_leader_limits(reply.limited_services.clone());
         self.follow_service.set_total_entries(reply.entries);
         if reply.list_fresh {
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -311,6 +311,39 @@
     assert_eq!(apply(2, &[(2, 60_000)]), (3, vec![(2, 6), (3, 0)]), "the VM is behind");
 }
 
+/// Guards against an entry that counts from the start of the first control VM that it has asked: the others
+/// name the same weights, and only their ages differ.
+#[test]
+fn ages_come_without_weights() {
+    let mut state = SharedState::default();
+    let mut apply = |weights: Option<NamedWeights>, ages: &[(u64, Duration)]| {
+        let ages = ages.iter().copied().collect();
+        let weights_ages = BTreeMap::from([(MODEL.to_owned(), ages)]);
+        state.apply(FollowReply { weights, weights_ages, ..FollowReply::default() });
+        let mut requirements = RequiredWeights::default();
+        requirements.update(Instant::now(), &state.weights_named_at, 1)
+    };
+    assert_eq!(apply(Some(named(3)), &[(3, Duration::ZERO)]), NamedWeights::new());
+    assert_eq!(apply(None, &[(2, 2 * REQUIRED_AFTER), (3, REQUIRED_AFTER)]), named(3));
+}
+
+/// Guards against control VMs that count from their own start after all of them were restarted in turn.
+#[test]
+fn restarted_vm_learns_ages() {
+    let (mut history, now) = (WeightsHistory::default(), Instant::now());
+    let second = Duration::from_secs(1);
+    history.record(now, &named(3));
+    let known = VersionAges::from([(2, 9 * second), (3, 5 * second), (4, second)]);
+    history.merge(now, BTreeMap::from([(MODEL.to_owned(), known)]));
+    // Version 4 is not named here yet.
+    let expected = VersionAges::from([(2, 9 * second), (3, 5 * second)]);
+    assert_eq!(history.recent_ages(now)[MODEL], expected);
+    assert!(history.recent_ages(now + VERSION_TIME).is_empty());
+    let later = BTreeMap::from([(MODEL.to_owned(), VersionAges::from([(3, second)]))]);
+    history.merge(now, later);
+    assert_eq!(history.ages(now)[MODEL], expected);
+}
+
 /// Guards against a control VM whose record of versions grows with each one that is named, and against one
 /// that forgets the version which is required now.
 #[test]
