Ask servers with expired weights for newer ones

What callers may see: if no server of a service is listed with newer weights, requests go to replaced ones without limit, "because a response from old weights is better than none".

Change: once the last request may have begun on older weights, a server that has them is the last choice, and is asked for the newer ones. One that has loaded them since it was listed serves; else it declines, and the request is refused, with a promise that it has not run. An entry whose list is old is therefore not cut off from its servers. A stream that was begun on expired weights is not continued with them: it ends at once and not at its deadline.

--- a/src/policy/dispatcher/begin_limits.rs
+++ b/src/policy/dispatcher/begin_limits.rs
@@ -20,6 +20,17 @@
         limits.get(server.cache.weights(model)?).copied()
     }
 
+    /// Returns whether requests must not begin on a server's weights any more. The server may have loaded newer
+    /// ones that are not known here, for which it can be asked.
+    pub(super) fn has_expired_weights(
+        &self,
+        now: Instant,
+        server: &ServerState,
+        work: &RequestWork,
+    ) -> bool {
+        self.begin_limit(server, work).is_some_and(|limit| limit <= now)
+    }
+
     /// Returns whether a request is expected to begin at a candidate before the limit of its weights.
     pub(super) fn begins_in_time(
         &self,
@@ -44,7 +55,9 @@
             let RequestWork::Model { model, .. } = work else { return None };
             let known = self.table.servers[state.server].cache.weights(model);
             let limits = self.view.begin_limits.get(model)?;
-            limits.get(state.weights.as_ref().or(known)?).copied()
+            let limit = limits.get(state.weights.as_ref().or(known)?).copied();
+            // After the limit a server is asked for newer weights.
+            limit.filter(|limit| state.sent < *limit)
         };
         let limits: Vec<_> = self.attempts.values().map(limit_of).collect();
         for (state, limit) in self.attempts.values_mut().zip(limits) {
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -244,11 +244,16 @@
         pool: PoolIndex,
     ) -> PlacementDecision {
         let servers = &self.table.servers;
+        // What was generated with expired weights cannot be continued.
+        let may_go_on = |server: &ServerState| {
+            let work = &request.ticket.work;
+            request.history.weights.is_none() || !self.has_expired_weights(now, server, work)
+        };
         let available: Vec<&ServerState> = self.table.pools[pool]
             .members
             .iter()
             .map(|index| &servers[*index])
-            .filter(|server| server.accepts_requests())
+            .filter(|server| server.accepts_requests() && may_go_on(server))
             .collect();
         if let Some(software) = &request.history.software
             && !available.iter().any(|server| server.software == *software)
@@ -405,7 +410,13 @@
         {
             return false;
         }
+        let work = &query.request.ticket.work;
+        let has_expired = self.has_expired_weights(now, server, work);
+        if has_expired && history.weights.is_some() {
+            return false;
+        }
         match tier {
+            _ if has_expired => tier == EligibilityTier::Any,
             EligibilityTier::Usable => {
                 server.is_usable()
                     && !server.is_full(now, query.urgency)
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -88,7 +88,8 @@
             charged_output: output,
             leased: false,
             answered: false,
-            begin_before: self.begin_limit(server, &ticket.work),
+            // After the limit the server is asked for newer weights.
+            begin_before: self.begin_limit(server, &ticket.work).filter(|limit| now < *limit),
             withdrawn: false,
             suspects: self.suspected(now, ticket),
         }
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -324,12 +324,16 @@
         }
     }
 
-    /// The weights that a server must run to serve the request.
+    /// The weights that a server must run to serve the request. If its own were replaced for too long, it is
+    /// asked for newer ones, which it may have loaded since it was listed; else it declines the request.
     fn required_weights(&self, order: &SendOrder, from: &ResumePosition) -> Option<WeightsNumber> {
         let BufferedRequest { caller, service, .. } = &self.request;
         let model = caller.work.as_ref().map(|work| &work.model);
         let current = self.core.server_weights(&order.server, service, model);
-        from.weights.or(current).or_else(|| decided_weights(order))
+        let oldest = model.and_then(|model| self.core.view().oldest_weights(Instant::now(), model));
+        let new =
+            current.or_else(|| decided_weights(order)).map(|version| oldest.max(Some(version)));
+        from.weights.or(new.flatten())
     }
 
     /// Builds the request for a server. Weights and salt use the same version: a stream that was resumed
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -98,6 +98,12 @@
         later.next().map(|(_, limit)| *limit)
     }
 
+    /// The oldest weights on which a request may begin at `now`; `None` if all are allowed.
+    pub fn oldest_weights(&self, now: Instant, model: &ModelId) -> Option<WeightsNumber> {
+        let mut limits = self.begin_limits.get(model)?.iter().rev();
+        limits.find(|(_, limit)| **limit <= now).map(|(version, _)| *version)
+    }
+
     /// The limits of all weights that servers have or may have reported, by qualified model.
     fn policy_limits(&self) -> BTreeMap<ModelId, BTreeMap<WeightsVersion, Instant>> {
         let listed = self.servers.values().flat_map(|server| {
--- a/tests/begin_limits.rs
+++ b/tests/begin_limits.rs
@@ -228,6 +228,41 @@
     assert_eq!(server.as_deref(), Some(NEW));
 }
 
+/// Guards against requests that begin on replaced weights for as long as no server has newer ones.
+#[test]
+fn expired_server_is_asked_last() {
+    let mut case = LimitCase::new();
+    case.limit(Some(case.start + LIMIT));
+    let late = LIMIT + SECOND;
+    let server = sent(&case.submit(late, true)).map(|(server, _)| server);
+    assert_eq!(server.as_deref(), Some(NEW), "a reserved server with newer weights comes first");
+    let gone = PolicyInput::Health { server: NEW.to_owned(), health: ServerHealth::Dead };
+    case.handle(late, gone);
+    let (server, attempt) = sent(&case.submit(late, true)).expect("the request is sent");
+    assert_eq!(server, OLD, "it may have loaded newer weights");
+    case.limit(Some(case.start + LIMIT - SECOND));
+    let withdrawn = case.run_until(late + LIMIT);
+    assert!(withdrawn.iter().all(|(ended, _)| *ended != attempt), "{withdrawn:?}");
+}
+
+/// Guards against a stream that waits until its deadline to be continued with weights that no request may use
+/// any more.
+#[test]
+fn expired_stream_is_not_continued() {
+    let mut case = LimitCase::new();
+    case.limit(Some(case.start + LIMIT));
+    let (_, attempt) = sent(&case.submit(SECOND, true)).expect("the request is sent");
+    case.handle(SECOND, PolicyInput::FirstToken { attempt, cached_tokens: None });
+    let failure = AttemptFailure::ServerError;
+    let failed = PolicyInput::Failed { attempt, failure, relayed_tokens: 3, retry_after: None };
+    let actions = case.handle(LIMIT + SECOND, failed);
+    let refusals = actions.iter().filter_map(|action| match action {
+        PolicyAction::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    });
+    assert_eq!(refusals.collect::<Vec<_>>(), [RefusalReason::NotResumable], "{actions:?}");
+}
+
 /// The largest of the recent errors counts, and each for a few seconds.
 #[test]
 fn spread_is_largest_recent_error() {
