Choose servers before the limit by the predicted time alone

The largest recent error of predictions was added to the predicted begin at servers with older weights. That kept requests from servers that held their prompts, for little: the withdrawal holds the limit.

The prediction itself stays: a request that is known to begin late isn't sent.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,7 +26,6 @@
 pub mod suspect;
 pub mod tunnel_peers;
 pub mod usage_limits;
-pub mod wait_spread;
 pub mod window;
 pub mod work_time;
 
--- a/src/policy/dispatcher/attempts.rs
+++ b/src/policy/dispatcher/attempts.rs
@@ -106,9 +106,7 @@
         };
         server.record_first_token(attempt);
         server.failures.record_success();
-        let predicted = state.predicted.mul_f64(slower);
-        server.window.record_first_token(now, predicted, taken);
-        server.wait_spread.record(now, taken.saturating_sub(predicted));
+        server.window.record_first_token(now, state.predicted.mul_f64(slower), taken);
         server.responded = server.responded.max(Some(state.sent));
         let crash = server.crash_site(state.server).crash;
         self.suspects.refute_crash(now, crash, state.sent);
@@ -134,13 +132,6 @@
         self.mark_dirty(state.server);
     }
 
-    /// Records how long an attempt that ends without a first token has kept its request waiting.
-    pub(super) fn record_unanswered(&mut self, now: Instant, state: &AttemptState) {
-        let taken = now.saturating_duration_since(state.sent);
-        let spread = &mut self.table.servers[state.server].wait_spread;
-        spread.record(now, taken.saturating_sub(state.predicted));
-    }
-
     /// Updates the mean and the highest speed of all pools of a server after a measurement.
     fn update_speeds(&mut self, index: ServerIndex) {
         for pool in self.table.servers[index].pools.clone() {
@@ -227,9 +218,6 @@
 
     pub(super) fn fail(&mut self, now: Instant, attempt: AttemptId, failed: FailedAttempt) {
         let Some(state) = self.end_attempt(attempt) else { return };
-        if failed.failure == AttemptFailure::Withdrawn {
-            self.record_unanswered(now, &state);
-        }
         self.record_server_failure(now, state.server, state.urgency, &failed);
         let Some(RequestEntry { pool, cost, phase }) = self.requests.remove(&state.number) else {
             return;
--- a/src/policy/dispatcher/begin_limits.rs
+++ b/src/policy/dispatcher/begin_limits.rs
@@ -42,10 +42,8 @@
         let Some(limit) = self.begin_limit(server, work).filter(|limit| *limit > now) else {
             return true;
         };
-        let overdue = server.overdue(now, &self.figure_decay);
-        let spread = server.wait_spread.largest(now).max(overdue);
         let predicted = Duration::try_from_secs_f64(candidate.cost.first_token());
-        predicted.is_ok_and(|predicted| now + predicted.saturating_add(spread) < limit)
+        predicted.is_ok_and(|predicted| predicted < limit - now)
     }
 
     /// Applies changed limits to the attempts in flight.
--- a/src/policy/dispatcher/servers.rs
+++ b/src/policy/dispatcher/servers.rs
@@ -18,7 +18,6 @@
             queue_delay::QueueDelay,
             server_rest::ServerRest,
             suspect::CrashSite,
-            wait_spread::WaitSpread,
             window::ServerWindow,
             work_time::{FigureDecay, WorkTimeRecord},
         },
@@ -108,8 +107,6 @@
     pub work_time: WorkTimeRecord,
     /// Delay behind requests of other daemons; measured only while it states its work time.
     pub queue_delay: QueueDelay,
-    /// By how much first tokens come later than predicted.
-    pub wait_spread: WaitSpread,
     /// Failures and ejection.
     pub failures: FailureRecord,
     /// This daemon's attempts in flight.
@@ -171,7 +168,6 @@
             speed: SpeedGauge::default(),
             work_time: WorkTimeRecord::default(),
             queue_delay: QueueDelay::default(),
-            wait_spread: WaitSpread::default(),
             failures: FailureRecord::default(),
             in_flight: 0,
             suspects: 0,
--- a/src/policy/dispatcher/timers.rs
+++ b/src/policy/dispatcher/timers.rs
@@ -53,19 +53,18 @@
             RequestPhase::Running(sent) => {
                 let attempt = sent.attempt();
                 let request = sent.ticket().request.clone();
-                self.abort_attempt(now, attempt, request);
+                self.abort_attempt(attempt, request);
             }
         }
     }
 
     /// Aborts an attempt without a first token whose deadline has passed, to free its slot for
     /// requests that can still be answered in time.
-    fn abort_attempt(&mut self, now: Instant, attempt: AttemptId, request: RequestId) {
+    fn abort_attempt(&mut self, attempt: AttemptId, request: RequestId) {
         if self.attempts.get(&attempt).is_none_or(|state| state.answered) {
             return;
         }
         if let Some(state) = self.end_attempt(attempt) {
-            self.record_unanswered(now, &state);
             self.push_cancel(attempt, state.server);
             self.refuse(request, RefusalReason::DeadlinePassed, None, DidRun::Unknown);
         }
--- a/tests/begin_limits.rs
+++ b/tests/begin_limits.rs
@@ -6,7 +6,7 @@
         policy::{
             AttemptFailure, DidRun, Dispatcher, DispatcherSettings, LoadReport, PolicyAction,
             PolicyInput, PolicyView, RefusalReason, RequestTicket, RequestWork, SafeguardSet,
-            ServerHealth, ServerView, wait_spread::WaitSpread,
+            ServerHealth, ServerView,
         },
     },
     std::{
@@ -202,18 +202,17 @@
     assert_eq!(case.run_until(3 * LIMIT), [(attempt, 2 * LIMIT)]);
 }
 
-/// Guards against requests that are sent to a server with older weights shortly before their limit, although
-/// others have waited there for seconds.
+/// Guards against requests that are sent to a server where they are expected to begin after the limit of its
+/// weights.
 #[test]
-fn slow_starts_shorten_limit() {
+fn overdue_server_gets_no_late_request() {
     let mut case = LimitCase::new();
     case.limit(Some(case.start + LIMIT));
-    let (_, attempt) = sent(&case.submit(Duration::ZERO, true)).expect("the request is sent");
-    case.handle(SECOND, PolicyInput::FirstToken { attempt, cached_tokens: None });
-    case.handle(SECOND, PolicyInput::Finished { attempt, cached_tokens: None, output_tokens: 1 });
-    let early = sent(&case.submit(LIMIT - SECOND * 3 / 2, true));
+    sent(&case.submit(Duration::ZERO, true)).expect("the request is sent");
+    // Its first token does not come, so that other requests are expected to wait as long as it has.
+    let early = sent(&case.submit(LIMIT / 4, true));
     assert_eq!(early.map(|(server, _)| server).as_deref(), Some(OLD));
-    let late = sent(&case.submit(LIMIT - SECOND * 3 / 4, true));
+    let late = sent(&case.submit(LIMIT * 3 / 4, true));
     assert_eq!(late.map(|(server, _)| server).as_deref(), Some(NEW));
 }
 
@@ -262,17 +261,3 @@
     });
     assert_eq!(refusals.collect::<Vec<_>>(), [RefusalReason::NotResumable], "{actions:?}");
 }
-
-/// The largest of the recent errors counts, and each for a few seconds.
-#[test]
-fn spread_is_largest_recent_error() {
-    let (mut spread, start) = (WaitSpread::default(), Instant::now());
-    assert_eq!(spread.largest(start), Duration::ZERO);
-    spread.record(start, 2 * SECOND);
-    spread.record(start + SECOND, SECOND);
-    assert_eq!(spread.largest(start + 2 * SECOND), 2 * SECOND);
-    spread.record(start + 4 * SECOND, SECOND);
-    assert_eq!(spread.largest(start + 5 * SECOND), 2 * SECOND);
-    assert_eq!(spread.largest(start + 8 * SECOND), SECOND);
-    assert_eq!(spread.largest(start + 11 * SECOND), Duration::ZERO);
-}
