Send no request to a server that leaves while its lease is awaited

What callers and operators may see: a request waits for the lease of a slot, its server begins to drain or its weights become too old meanwhile, and the request is sent there nevertheless. After the wait only the software version was compared again. Found by reading.

Change: the last check before sending asks whether the present view still sends new requests to the server, for the request's model.

Test: platform late_starts, leaving_server_gets_no_leased_request; before, the draining server got the second request (2 and 0 requests instead of 1 and 1).

--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -231,10 +231,11 @@
         if self.runs == 0 && self.core.gate.is_too_late(self.request.deadline) {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
-        // Since the decision the server may have asked not to be used, said that it leaves, or been listed
-        // with another software version.
-        let is_current = self.core.view().has_version(&order.server, &order.software);
-        if !is_current || !self.core.accepts_calls(&order.server) {
+        // Since the decision the server may have asked not to be used, said that it leaves, or been listed as
+        // leaving, with outdated weights or with another software version.
+        let model = self.request.caller.work.as_ref().map(|work| &work.model);
+        let takes = self.core.view().takes_requests(&order.server, &order.software, model);
+        if !takes || !self.core.accepts_calls(&order.server) {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
         if self.attempts == 0 {
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -262,9 +262,23 @@
         })
     }
 
-    /// Whether a server is listed with this software version.
-    pub fn has_version(&self, server: &ServerId, software: &SoftwareVersion) -> bool {
-        self.servers.get(server).is_some_and(|listed| listed.software == *software)
+    /// Whether a server is listed with this software version and gets new requests, for `model` if that is given.
+    pub fn takes_requests(
+        &self,
+        server: &ServerId,
+        software: &SoftwareVersion,
+        model: Option<&ModelId>,
+    ) -> bool {
+        let listed = self.servers.get(server).filter(|listed| listed.software == *software);
+        listed.is_some_and(|listed| {
+            !self.is_leaving(listed)
+                && !model.is_some_and(|model| self.is_model_outdated(listed, model))
+        })
+    }
+
+    /// Whether a server gets no new requests, since it drains or the weights of all its models are too old.
+    fn is_leaving(&self, server: &ListedServer) -> bool {
+        server.phase == ServerPhase::Draining || self.is_outdated(server)
     }
 
     /// Whether the weights of all models of a server are too old for new requests.
@@ -288,14 +302,13 @@
     /// The health of a listed server as an input for the dispatcher.
     pub fn health_input(&self, server: &ListedServer) -> PolicyInput {
         let health = match server.phase {
-            _ if self.is_outdated(server) => ServerHealth::Leaving,
+            _ if self.is_leaving(server) => ServerHealth::Leaving,
             ServerPhase::Ready if !self.set_aside.contains(&server.id) => {
                 ServerHealth::Alive { incarnation: server.incarnation }
             }
-            ServerPhase::Ready | ServerPhase::Loading => {
+            ServerPhase::Ready | ServerPhase::Loading | ServerPhase::Draining => {
                 ServerHealth::Reserved { incarnation: server.incarnation }
             }
-            ServerPhase::Draining => ServerHealth::Leaving,
         };
         PolicyInput::Health { server: server.id.clone(), health }
     }
