Report the present listing of a server after a check

Cause: the list was read before the connect, and the health by that list reported after it, over a later report.

Change: after the check the health is reported by the list as it is then, under the lock under which lists are replaced; also if a request is not sent because the list has changed.

Test: platform stale_health, red before: the first request after the check had no response in 30 s.

--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -179,6 +179,16 @@
         self.pool.close_unused(&used);
     }
 
+    /// Reports the health of a server as it is listed now. What was listed before a check of the server must
+    /// not replace a later report.
+    pub(super) fn report_health(&self, server: &ServerId) {
+        let _applying = self.lock_view();
+        let view = self.view();
+        if let Some(listed) = view.servers.get(server) {
+            self.dispatcher.notify(view.health_input(listed));
+        }
+    }
+
     fn lock_view(&self) -> std::sync::MutexGuard<'_, ()> {
         self.applying.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -235,6 +235,9 @@
         // leaving, with outdated weights or with another software version.
         let model = self.request.caller.work.as_ref().map(|work| &work.model);
         let takes = self.core.view().takes_requests(&order.server, &order.software, model);
+        if !takes {
+            self.core.report_health(&order.server);
+        }
         if !takes || !self.core.accepts_calls(&order.server) {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
--- a/src/reverse_proxy/recheck.rs
+++ b/src/reverse_proxy/recheck.rs
@@ -133,7 +133,7 @@
                     log::info!(server = server.as_str(),
                         away_ms = since.elapsed().as_millis() as u64;
                         "{}", events::SERVER_RECOVERED);
-                    self.dispatcher.notify(view.health_input(listed));
+                    self.report_health(&server);
                     break;
                 }
                 ProbeResult::Refused => {
