--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -1,5 +1,6 @@
 //! Runs a request: executes the dispatcher's decisions until there is a response.
 
+mod attempt_end;
 mod logging;
 mod response_head;
 mod resumption;
@@ -8,7 +9,12 @@
 mod usage;
 
 use {
-    self::{response_head::ReceivedHead, resumption::bind_resumption, usage::acquire_usage},
+    self::{
+        attempt_end::{AttemptEnd, wait_end},
+        response_head::ReceivedHead,
+        resumption::bind_resumption,
+        usage::acquire_usage,
+    },
     super::{
         core::ProxyCore,
         dialect::{BackendCall, ProxyRefusal, ResponseHead},
@@ -92,15 +98,6 @@
     pub events: u32,
 }
 
-/// How the dispatcher ends an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AttemptEnd {
-    /// The request ends with it.
-    Cancelled,
-    /// The request may go to another server.
-    Withdrawn,
-}
-
 /// How the request continues after an attempt.
 enum AttemptStep {
     Response(Box<Response<ResponseBody>>),
@@ -231,16 +228,7 @@
         if self.runs == 0 && self.core.gate.is_too_late(self.request.deadline) {
             return Err(self.report(order, AttemptFailure::Stale, from, None));
         }
-        // Since the decision the server may have asked not to be used, said that it leaves, or been listed as
-        // leaving, with outdated weights or with another software version.
-        let model = self.request.caller.work.as_ref().map(|work| &work.model);
-        let takes = self.core.view().takes_requests(&order.server, &order.software, model);
-        if !takes {
-            self.core.report_health(&order.server);
-        }
-        if !takes || !self.core.accepts_calls(&order.server) {
-            return Err(self.report(order, AttemptFailure::Stale, from, None));
-        }
+        self.check_server(order, from)?;
         if self.attempts == 0 {
             record_queue_wait(self.request.caller.class, self.request.arrived.elapsed());
         }
@@ -278,17 +266,17 @@
         started
     }
 
-    /// Ends an attempt that may have been sent.
-    fn end_attempt(
-        &self,
-        order: &SendOrder,
-        from: &ResumePosition,
-        end: AttemptEnd,
-    ) -> AttemptFailure {
-        match end {
-            // The dispatcher's next directive ends the request.
-            AttemptEnd::Cancelled => AttemptFailure::TimedOut,
-            AttemptEnd::Withdrawn => self.report(order, AttemptFailure::Withdrawn, from, None),
+    /// Checks that a server still gets requests. Since the decision it may have asked not to be used, said that
+    /// it leaves, or been listed as leaving, with outdated weights or with another software version.
+    fn check_server(&self, order: &SendOrder, from: &ResumePosition) -> Result<(), AttemptFailure> {
+        let model = self.request.caller.work.as_ref().map(|work| &work.model);
+        let takes = self.core.view().takes_requests(&order.server, &order.software, model);
+        if !takes {
+            self.core.report_health(&order.server);
+        }
+        match takes && self.core.accepts_calls(&order.server) {
+            true => Ok(()),
+            false => Err(self.report(order, AttemptFailure::Stale, from, None)),
         }
     }
 
@@ -501,20 +489,6 @@
     order.weights.as_ref().and_then(|version| version.parse().ok())
 }
 
-/// Waits until the dispatcher ends an attempt. One is withdrawn only as long as it has not begun, which is
-/// known only if it `tells_begin`.
-async fn wait_end(handle: &mut RequestHandle, attempt: AttemptId, tells_begin: bool) -> AttemptEnd {
-    loop {
-        match handle.next().await {
-            DispatchDirective::Cancel(ended) if ended == attempt => return AttemptEnd::Cancelled,
-            DispatchDirective::Withdraw(ended) if ended == attempt && tells_begin => {
-                return AttemptEnd::Withdrawn;
-            }
-            _ => {}
-        }
-    }
-}
-
 /// Reduces a URI to path and query, as used in requests to origin servers.
 fn origin_form(uri: &http::Uri) -> http::Uri {
     uri.path_and_query()
--- a/src/reverse_proxy/view.rs
+++ b/src/reverse_proxy/view.rs
@@ -13,6 +13,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
+        ops::Bound::{Excluded, Unbounded},
         sync::Arc,
         time::Instant,
     },
@@ -94,7 +95,7 @@
 
     /// Until when requests may begin on weights of a model; `None` if no newer ones are announced.
     fn begin_limit(&self, model: &ModelId, version: WeightsNumber) -> Option<Instant> {
-        let mut later = self.begin_limits.get(model)?.range(version + 1..);
+        let mut later = self.begin_limits.get(model)?.range((Excluded(version), Unbounded));
         later.next().map(|(_, limit)| *limit)
     }
 
@@ -271,16 +272,11 @@
     ) -> bool {
         let listed = self.servers.get(server).filter(|listed| listed.software == *software);
         listed.is_some_and(|listed| {
-            !self.is_leaving(listed)
-                && !model.is_some_and(|model| self.is_model_outdated(listed, model))
+            let is_outdated = model.is_some_and(|model| self.is_model_outdated(listed, model));
+            listed.phase != ServerPhase::Draining && !is_outdated
         })
     }
 
-    /// Whether a server gets no new requests, since it drains or the weights of all its models are too old.
-    fn is_leaving(&self, server: &ListedServer) -> bool {
-        server.phase == ServerPhase::Draining || self.is_outdated(server)
-    }
-
     /// Whether the weights of all models of a server are too old for new requests.
     fn is_outdated(&self, server: &ListedServer) -> bool {
         !server.weights.is_empty()
@@ -302,13 +298,14 @@
     /// The health of a listed server as an input for the dispatcher.
     pub fn health_input(&self, server: &ListedServer) -> PolicyInput {
         let health = match server.phase {
-            _ if self.is_leaving(server) => ServerHealth::Leaving,
+            _ if self.is_outdated(server) => ServerHealth::Leaving,
             ServerPhase::Ready if !self.set_aside.contains(&server.id) => {
                 ServerHealth::Alive { incarnation: server.incarnation }
             }
-            ServerPhase::Ready | ServerPhase::Loading | ServerPhase::Draining => {
+            ServerPhase::Ready | ServerPhase::Loading => {
                 ServerHealth::Reserved { incarnation: server.incarnation }
             }
+            ServerPhase::Draining => ServerHealth::Leaving,
         };
         PolicyInput::Health { server: server.id.clone(), health }
     }
