Test that crowds of misbehaving clients leave processes alive

The tests start the system's processes on loopback, name little memory and few descriptors in their settings, and let a crowd loose on one port: 64 clients with bodies of 4 MiB, whole, held by their server, one byte short, in pieces, in large and small chunks, and far over the limit; 600 with heads or bodies that hardly come. Checked are memory (with unread bytes of sockets), descriptors, that the process lives, one ordinary request beside the crowd and the longest one after it; no times, no shares.

--- a/tests/fakes/daemon_process.rs
+++ b/tests/fakes/daemon_process.rs
@@ -33,6 +33,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         fs, io,
+        net::SocketAddr,
         process::{Child, Command, Stdio},
         sync::{Arc, Mutex, atomic::Ordering},
         thread,
@@ -105,6 +106,8 @@
     daemons: BTreeMap<String, DaemonProcess>,
     engines: BTreeMap<String, FakeEngine>,
     services: BTreeMap<String, FakeService>,
+    /// Environment variables of the daemons.
+    variables: BTreeMap<String, String>,
 }
 
 impl DaemonGroup {
@@ -112,6 +115,11 @@
     /// each daemon has the register and the rules, which are revision 2, and reports its servers as
     /// alive.
     pub async fn start(vms: &[&str]) -> Self {
+        Self::start_with(vms, BTreeMap::new()).await
+    }
+
+    /// Starts daemons like [`Self::start`], with these environment variables.
+    pub async fn start_with(vms: &[&str], variables: BTreeMap<String, String>) -> Self {
         let (mut engines, mut services) = (BTreeMap::new(), BTreeMap::new());
         for domain in vms.iter().map(|vm| domain_of(vm)) {
             let behaviour = EngineBehaviour { token: TOKEN_TIME, ..EngineBehaviour::default() };
@@ -130,6 +138,7 @@
             daemons: BTreeMap::new(),
             engines,
             services,
+            variables,
         };
         for vm in vms {
             group.launch(vm).await;
@@ -144,7 +153,11 @@
 
     async fn launch(&mut self, vm: &str) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_oleandermountd"));
-        command.args(self.arguments(vm)).stdin(Stdio::null()).stdout(Stdio::null());
+        command
+            .args(self.arguments(vm))
+            .envs(&self.variables)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null());
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the daemon is executable");
         let tail = LogTail::default();
         let (ports, serving) = oneshot::channel();
@@ -190,6 +203,17 @@
         pairs.into_iter().flat_map(|(option, value)| [option.to_owned(), value]).collect()
     }
 
+    /// Returns the process id of a daemon.
+    pub fn process_id(&self, vm: &str) -> u32 {
+        self.daemons[vm].child.id()
+    }
+
+    /// Returns the address for callers and the one for operators of a daemon.
+    pub fn addresses(&self, vm: &str) -> (SocketAddr, SocketAddr) {
+        let ports = &self.daemons[vm].ports;
+        (ports.callers, ports.operators)
+    }
+
     /// Kills a daemon, even a paused one, and removes it from the group.
     pub fn kill(&mut self, vm: &str) {
         self.daemons.remove(vm).expect("the daemon runs");
