Bound what a process holds for its callers by one budget in bytes

What callers saw: the process ended (out of memory), or new connections got no answer while 600 clients sent a byte now and then.

Cause: every limit was one of a single request, and nothing had a sum. A body was kept as long as a byte came within the idle timeout, took its connection before it had come, and only the port of callers had a limit of connections.

Change: policy::caller_memory decides who may hold what, without network and clock, and pipeline::caller_budget carries it out for the ports of callers, readiness checks and metrics: two fifths of memoryMb, taken as bytes arrive and released when the last copy is dropped. When it is short, stalled clients are closed and others wait up to 2.5 s; if all wait, the one with the least left goes on. The buffer of responses takes from the same budget (8 MiB of its own before). Refusals are 503 no_memory with Retry-After, true since nothing was sent; what the client still sends is discarded for a second, so that it can read them. A body has to be complete by the request's deadline. docs/decisions/0070.

A draft chose clients to make room and did not tell them when they did not make enough of it; guarded by caller_memory::chosen_clients_are_told.

--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -7,6 +7,9 @@
 
 /// A request was refused. `reason` has the same values as the label of the refusal metric.
 pub const REQUEST_REFUSED: &str = "request refused";
+/// Connections of clients were closed to make room for others; at most one record a second. `closed` is their
+/// number since the last one.
+pub const CLIENTS_CLOSED: &str = "clients closed to make room";
 /// A request was sent to a backend server; the fields give the inputs of the decision.
 pub const REQUEST_SENT: &str = "request sent";
 /// One attempt of a request failed; `failure` is the type of failure.
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -47,6 +47,12 @@
 pub const IN_FLIGHT: &str = "oleandermount_in_flight_requests";
 /// Servers of which this daemon is the arbiter and does not lease all slots yet, since they have just started.
 pub const PACED_SERVERS: &str = "oleandermount_paced_servers";
+/// Bytes that this daemon holds for its clients: connections, requests and responses.
+pub const HELD_FOR_CLIENTS: &str = "oleandermount_held_for_clients_bytes";
+/// The most bytes that this daemon has held for its clients.
+pub const MOST_HELD_FOR_CLIENTS: &str = "oleandermount_held_for_clients_peak_bytes";
+/// Connections of clients that were closed to make room for others.
+pub const CLOSED_CLIENTS: &str = "oleandermount_closed_clients_total";
 /// Active configuration revision of this daemon.
 pub const CONFIG_REVISION: &str = "oleandermount_config_revision";
 /// Seconds since an up-to-date control VM last responded to this daemon; 0 while one responds.
@@ -116,6 +122,8 @@
     pub const HEAD_TIMEOUT: &str = "head_timeout";
     /// The request body was not received in time.
     pub const BODY_TIMEOUT: &str = "body_timeout";
+    /// This daemon holds as much for its clients as its memory allows.
+    pub const NO_MEMORY: &str = "no_memory";
 
     /// The ledger of non-repeatable calls is full.
     pub const LEDGER_FULL: &str = "ledger_full";
@@ -130,7 +138,7 @@
     pub const NO_ROUTES: &str = "no_routes";
 
     /// All reasons; their counters are initialised at startup.
-    pub const ALL: [&str; 18] = [
+    pub const ALL: [&str; 19] = [
         BAD_REQUEST,
         NO_KEY,
         UNKNOWN_KEY,
@@ -144,6 +152,7 @@
         DRAINING,
         HEAD_TIMEOUT,
         BODY_TIMEOUT,
+        NO_MEMORY,
         LEDGER_FULL,
         TOO_MANY_OPEN,
         BACKEND_FAILED,
@@ -251,6 +260,9 @@
     describe_gauge!(QUEUE, "Requests queued in this daemon.");
     describe_gauge!(IN_FLIGHT, "Requests in flight from this daemon, by server.");
     describe_gauge!(PACED_SERVERS, "Started servers that this daemon does not lease fully yet.");
+    describe_gauge!(HELD_FOR_CLIENTS, "Bytes held for clients.");
+    describe_gauge!(MOST_HELD_FOR_CLIENTS, "The most bytes held for clients so far.");
+    describe_counter!(CLOSED_CLIENTS, "Connections of clients closed to make room for others.");
     describe_gauge!(CONFIG_REVISION, "Active configuration revision of this daemon.");
     describe_gauge!(CONFIG_UNCONFIRMED, "Seconds since an up-to-date control VM last responded.");
     describe_counter!(FOLLOW_DOCUMENTS, "Documents sent to followers, by kind.");
--- a/src/operator_client/explain_log.rs
+++ b/src/operator_client/explain_log.rs
@@ -252,7 +252,7 @@
         (RefusalReason::ServersResting, "all its servers had asked not to be used for a while"),
         (RefusalReason::NotResumable, "its server failed, and no other server could resume it"),
     ];
-    const FILTERS: [(&str, &str); 12] = [
+    const FILTERS: [(&str, &str); 13] = [
         (refusal::BAD_REQUEST, "the request is malformed"),
         (refusal::NO_KEY, "it has no API key"),
         (refusal::UNKNOWN_KEY, "its API key belongs to no organisation of the configuration"),
@@ -261,6 +261,7 @@
         (refusal::DRAINING, "this daemon was shutting down"),
         (refusal::HEAD_TIMEOUT, "its head was not received in time"),
         (refusal::BODY_TIMEOUT, "its body was not received in time"),
+        (refusal::NO_MEMORY, "load: this daemon held as much for its clients as it can"),
         (refusal::TOO_MANY_OPEN, "this daemon had reached its limit of open requests"),
         (refusal::BACKEND_FAILED, "its server failed, and it may not be repeated"),
         (refusal::USAGE_LIMIT, "its organisation was beyond its usage limit"),
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -3,6 +3,7 @@
 //! Each stage is one module. A stage that rejects a request ends the processing with a
 //! [`CallerRefusal`], which states whether the request may have run.
 
+pub mod caller_budget;
 pub mod core;
 pub mod counters;
 pub mod deduplicate;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 
 pub mod action;
 pub mod admission;
+pub mod caller_memory;
 pub mod dispatcher;
 pub mod fairness;
 pub mod input;
--- a/src/reverse_proxy.rs
+++ b/src/reverse_proxy.rs
@@ -5,6 +5,7 @@
 //! headers of a deployment.
 
 pub mod accept;
+pub mod body_reader;
 pub mod core;
 pub mod dial;
 pub mod dialect;
--- a/src/reverse_proxy/core.rs
+++ b/src/reverse_proxy/core.rs
@@ -7,7 +7,6 @@
         recheck::RecheckList,
         rejection_limits::{LimitChange, RejectionLimits},
         reported_weights::WeightsReports,
-        response_buffer::BufferBudget,
         server_demands::DemandTable,
         shared_machines::SharedMachines,
         slot_lease::{LeaseFailure, SlotDemand, SlotLease, SlotLeaser},
@@ -23,7 +22,7 @@
         },
         inventory::DecisionObjective,
         observe::{events, metrics::WORK_TIME},
-        pipeline::{DispatcherHandle, DrainGate},
+        pipeline::{DispatcherHandle, DrainGate, caller_budget::CallerBudget},
         policy::{
             LoadReport, PolicyInput,
             pacing::ServerPace,
@@ -61,6 +60,8 @@
     pub dialect: Arc<dyn WireDialect>,
     /// The dispatcher that places requests on backend servers.
     pub dispatcher: Arc<DispatcherHandle>,
+    /// What the process holds for its callers.
+    pub budget: CallerBudget,
 }
 
 /// State that is shared by all requests of a proxy process.
@@ -73,8 +74,8 @@
     pub dispatcher: Arc<DispatcherHandle>,
     /// Pooled connections to backend servers.
     pub pool: ConnectionPool,
-    /// Memory for responses that are buffered until they are complete.
-    pub buffers: BufferBudget,
+    /// What the process holds for its callers.
+    pub budget: CallerBudget,
     /// Admits requests until the process drains.
     pub gate: DrainGate,
     /// Servers that are being probed after a connection failure.
@@ -106,13 +107,13 @@
 impl ProxyCore {
     /// Creates a core with an empty view.
     pub fn new(dependencies: ProxyDependencies) -> Arc<Self> {
-        let ProxyDependencies { vm, objective, dialect, dispatcher } = dependencies;
+        let ProxyDependencies { vm, objective, dialect, dispatcher, budget } = dependencies;
         Arc::new(ProxyCore {
             vm,
             dialect,
             dispatcher,
             pool: ConnectionPool::default(),
-            buffers: BufferBudget::default(),
+            budget,
             gate: DrainGate::default(),
             recheck: RecheckList::default(),
             reachable_stores: Mutex::default(),
--- a/src/reverse_proxy/exchange.rs
+++ b/src/reverse_proxy/exchange.rs
@@ -23,7 +23,7 @@
         relay::{RelayedStream, StreamStart},
         request::BufferedRequest,
         response::{ProxyResult, ResponseBody, STOPPING_RETRY_AFTER, dispatch_refusal},
-        response_buffer::BufferError,
+        response_buffer::{BufferError, collect_response},
         timeout_stream::ConnectionPhase,
         usage_limit::UsageCharge,
     },
@@ -434,7 +434,7 @@
         let StartedResponse { mut parts, head, framing, body, mut connection, sent_at } = response;
         let from_start = ResumePosition::default();
         let collected = tokio::select! {
-            collected = self.core.buffers.collect(body) => collected,
+            collected = collect_response(&self.request.hold, body) => collected,
             _ = wait_end(&mut self.handle, order.attempt, false) => return AttemptStep::Continue,
             () = sleep_until(self.request.deadline.into()) => return AttemptStep::Continue,
         };
--- a/src/reverse_proxy/listener.rs
+++ b/src/reverse_proxy/listener.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        accept::accept_connection,
+        accept::ClientPort,
         core::ProxyCore,
         dialect::ProxyRefusal,
         exchange,
@@ -17,9 +17,11 @@
             metrics::{CONNECTIONS, refusal},
         },
         pipeline::{
+            caller_budget::{ClientConnection, ClientHold},
             counters::count_refusal,
             drain::{GateClosed, OpenRequest},
         },
+        policy::caller_memory::PortKind,
         routing::CallerLimits,
     },
     bytes::Bytes,
@@ -28,11 +30,7 @@
     log::Level,
     metrics::gauge,
     std::{convert::Infallible, io, net::SocketAddr, sync::Arc},
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::{OwnedSemaphorePermit, Semaphore, watch},
-        task::JoinHandle,
-    },
+    tokio::{net::TcpStream, sync::watch, task::JoinHandle},
 };
 
 /// Minimum buffer size for a head; the HTTP library accepts no smaller one.
@@ -57,24 +55,15 @@
 }
 
 impl CallerListener {
-    /// Listens on `address` and keeps at most `connections` connections open.
+    /// Listens on `address`, within the budget of `core`.
     ///
     /// # Errors
     /// The error of binding the address.
-    pub async fn start(
-        address: SocketAddr,
-        core: Arc<ProxyCore>,
-        connections: usize,
-    ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
+    pub async fn start(address: SocketAddr, core: Arc<ProxyCore>) -> io::Result<Self> {
+        let port = ClientPort::bind(address, core.budget.clone(), PortKind::Callers).await?;
+        let address = port.local_address()?;
         let (phase, listener_phase) = watch::channel(ListenerPhase::Serving);
-        let task = tokio::spawn(accept(
-            listener,
-            core,
-            listener_phase,
-            Arc::new(Semaphore::new(connections)),
-        ));
+        let task = tokio::spawn(accept(port, core, listener_phase));
         Ok(CallerListener { address, phase, task })
     }
 
@@ -100,16 +89,10 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    core: Arc<ProxyCore>,
-    phase: watch::Receiver<ListenerPhase>,
-    permits: Arc<Semaphore>,
-) {
+async fn accept(port: ClientPort, core: Arc<ProxyCore>, phase: watch::Receiver<ListenerPhase>) {
     loop {
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
-        let stream = accept_connection(&listener).await;
-        tokio::spawn(serve(stream, Arc::clone(&core), phase.clone(), permit));
+        let (stream, client) = port.accept().await;
+        tokio::spawn(serve(stream, Arc::clone(&core), phase.clone(), client));
     }
 }
 
@@ -117,12 +100,13 @@
     stream: TcpStream,
     core: Arc<ProxyCore>,
     mut phase: watch::Receiver<ListenerPhase>,
-    _permit: OwnedSemaphorePermit,
+    client: ClientConnection,
 ) {
     // Events are small writes, which Nagle's algorithm would delay. A failure only costs latency.
     let _ = stream.set_nodelay(true);
     let limits = core.view().index.as_ref().map(|index| index.table.limits).unwrap_or_default();
-    let connection_phase = ConnectionPhase::default();
+    let hold = client.hold().clone();
+    let connection_phase = ConnectionPhase::new(hold.clone());
     let head_bytes = limits.head_bytes.max(MIN_HEAD_BYTES);
     let timeouts = StreamTimeouts { head: limits.head_time, idle: limits.idle_time, head_bytes };
     let raw_head = RawHead::default();
@@ -132,7 +116,7 @@
         connection_phase.begin_request();
         let (head, body) = request.into_parts();
         let framing = raw_head.body_framing(&head);
-        let arrived = ArrivedRequest { head, body, framing };
+        let arrived = ArrivedRequest { head, body, framing, hold: hold.clone() };
         respond(
             Arc::clone(&core),
             arrived,
@@ -187,6 +171,7 @@
     head: request::Parts,
     body: Incoming,
     framing: BodyFraming,
+    hold: ClientHold,
 }
 
 async fn respond(
@@ -196,11 +181,10 @@
     connection_phase: ConnectionPhase,
     phase: watch::Receiver<ListenerPhase>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let ArrivedRequest { head, body, framing } = arrived;
-    let id = core.dialect.request_id(&head.headers).to_owned();
-    let version = head.version;
+    let id = core.dialect.request_id(&arrived.head.headers).to_owned();
+    let (version, framing) = (arrived.head.version, arrived.framing);
     let result = async {
-        let admitted = admit(&core, head, body, framing, limits).await;
+        let admitted = admit(&core, arrived, limits).await;
         let (buffered, open) = admitted.inspect_err(|refusal| {
             count_refusal(refusal.code);
             // Client errors are logged at a lower level, so that a misbehaving caller cannot crowd
@@ -209,6 +193,7 @@
             log::log!(level, request_id = id, reason = refusal.code,
                 status = refusal.status.as_u16(), sent_to = 0; "{}", events::REQUEST_REFUSED);
         })?;
+        connection_phase.begin_run();
         exchange::run(Arc::clone(&core), buffered, connection_phase.clone(), open).await
     };
     let mut response =
@@ -229,11 +214,10 @@
 /// Admits a request and buffers its body. Nothing has been sent to a backend server if it fails.
 async fn admit(
     core: &ProxyCore,
-    head: request::Parts,
-    body: Incoming,
-    framing: BodyFraming,
+    arrived: ArrivedRequest,
     limits: CallerLimits,
 ) -> Result<(BufferedRequest, OpenRequest), ProxyRefusal> {
+    let ArrivedRequest { head, body, framing, hold } = arrived;
     if framing == BodyFraming::Conflicting {
         return Err(ProxyRefusal::new(StatusCode::BAD_REQUEST, refusal::BAD_REQUEST));
     }
@@ -241,7 +225,7 @@
         GateClosed::Draining => unavailable(refusal::DRAINING),
         GateClosed::Full => unavailable(refusal::TOO_MANY_OPEN),
     })?;
-    Ok((read_request(core, head, body, limits).await?, open))
+    Ok((read_request(core, head, body, limits, &hold).await?, open))
 }
 
 fn unavailable(code: &'static str) -> ProxyRefusal {
@@ -255,7 +239,10 @@
 ) -> Response<ResponseBody> {
     let response = core.dialect.refusal(refusal);
     let (mut parts, text) = response.into_parts();
-    if matches!(refusal.status.as_u16(), 400 | 408 | 413) {
+    // The caller may still be sending the body.
+    connection_phase.linger_at_end();
+    let is_unread = matches!(refusal.status.as_u16(), 400 | 408 | 413);
+    if is_unread || refusal.code == refusal::NO_MEMORY {
         // The rest of the request must not be interpreted as the next request.
         parts.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/src/reverse_proxy/raw_head.rs
+++ b/src/reverse_proxy/raw_head.rs
@@ -37,6 +37,21 @@
         kept.extend_from_slice(&bytes[..bytes.len().min(room)]);
     }
 
+    /// Number of bytes that are kept.
+    pub fn len(&self) -> usize {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    /// Whether no bytes are kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Drops the kept bytes.
+    pub fn clear(&self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     /// Determines the framing of the request that the library parsed from these bytes, and clears
     /// them.
     pub fn body_framing(&self, head: &request::Parts) -> BodyFraming {
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        body_reader::{BodyError, BodyLimits, read_body},
         core::ProxyCore,
         dialect::{CallerRequest, PromptWork, ProxyRefusal},
         view::qualified_model,
@@ -9,6 +10,7 @@
     crate::{
         ids::{DocumentNumber, ServiceId, SoftwareVersion},
         observe::metrics::refusal,
+        pipeline::caller_budget::ClientHold,
         policy::{
             PrefixLevel, RequestTicket, RequestWork,
             prefix::{self, CacheScope, PromptSegment},
@@ -17,18 +19,16 @@
         },
         routing::CallerLimits,
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http::{Method, StatusCode, request},
-    http_body_util::BodyExt,
-    hyper::body::{Body, Incoming},
+    hyper::body::Incoming,
     std::time::{Duration, Instant},
-    tokio::time::timeout,
 };
 
 /// `Retry-After` while no routes are known: a restarted proxy receives them within this time.
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Maximum buffer size that is allocated for a declared body length before any bytes arrive.
-const MAX_INITIAL_CAPACITY: u64 = 64 * 1024;
+/// `Retry-After` while this process holds as much for its callers as it can.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request with a buffered body.
 pub struct BufferedRequest {
@@ -38,6 +38,8 @@
     pub head: request::Parts,
     /// The complete body.
     pub body: Bytes,
+    /// What the process holds for the caller.
+    pub hold: ClientHold,
     /// The service that the request is forwarded to.
     pub service: ServiceId,
     /// The software version that the servers must have, if the request resumes a stream.
@@ -62,6 +64,7 @@
     head: request::Parts,
     body: Incoming,
     limits: CallerLimits,
+    hold: &ClientHold,
 ) -> Result<BufferedRequest, ProxyRefusal> {
     let arrived = Instant::now();
     let view = core.view();
@@ -83,49 +86,40 @@
     if !view.is_engine(&service) {
         caller.work = None;
     }
-    let body = read_body(body, limits).await?;
     let time_limit = caller.time_left.unwrap_or(caller.route.timeout).min(caller.route.timeout);
+    let deadline = arrived + time_limit;
+    // A request whose body arrives later cannot be served any more.
+    let body_limits =
+        BodyLimits { bytes: limits.body_bytes, idle: limits.idle_time, deadline: deadline.into() };
+    let body = read_body(body, hold, body_limits).await.map_err(body_refusal)?;
     let document = index.table.number;
     let placed_scope = index.cache_scope(&caller.organisation);
     Ok(BufferedRequest {
         caller,
         head,
         body,
+        hold: hold.clone(),
         service,
         software: None,
         document,
         placed_scope,
         arrived,
-        deadline: arrived + time_limit,
+        deadline,
     })
 }
 
-async fn read_body(mut body: Incoming, limits: CallerLimits) -> Result<Bytes, ProxyRefusal> {
-    let too_large = || ProxyRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, refusal::TOO_LARGE);
-    let declared_length = body.size_hint().lower();
-    if declared_length > limits.body_bytes as u64 {
-        return Err(too_large());
-    }
-    let mut bytes = BytesMut::with_capacity(declared_length.min(MAX_INITIAL_CAPACITY) as usize);
-    loop {
-        let frame = match timeout(limits.idle_time, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return Ok(bytes.freeze()),
-            // The body is shorter than declared or malformed, so the connection cannot be reused.
-            Ok(Some(Err(error))) => {
-                log::debug!(error:% = error; "failed to read a request body");
-                return Err(ProxyRefusal::new(StatusCode::BAD_REQUEST, refusal::BAD_REQUEST));
-            }
-            Err(_elapsed) => {
-                return Err(ProxyRefusal::new(StatusCode::REQUEST_TIMEOUT, refusal::BODY_TIMEOUT));
-            }
-        };
-        let Ok(data) = frame.into_data() else { continue };
-        if bytes.len() + data.len() > limits.body_bytes {
-            return Err(too_large());
+fn body_refusal(error: BodyError) -> ProxyRefusal {
+    let (status, code) = match error {
+        BodyError::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, refusal::TOO_LARGE),
+        // The body is shorter than declared or malformed, so the connection cannot be reused.
+        BodyError::Broken => (StatusCode::BAD_REQUEST, refusal::BAD_REQUEST),
+        BodyError::TimedOut => (StatusCode::REQUEST_TIMEOUT, refusal::BODY_TIMEOUT),
+        BodyError::NoMemory => {
+            let refusal = ProxyRefusal::new(StatusCode::SERVICE_UNAVAILABLE, refusal::NO_MEMORY);
+            return refusal.retry_after(NO_MEMORY_RETRY_AFTER);
         }
-        bytes.extend_from_slice(&data);
-    }
+    };
+    ProxyRefusal::new(status, code)
 }
 
 impl BufferedRequest {
--- a/src/reverse_proxy/timeout_stream.rs
+++ b/src/reverse_proxy/timeout_stream.rs
@@ -9,7 +9,8 @@
     super::raw_head::RawHead,
     crate::{
         observe::{events, metrics::refusal},
-        pipeline::counters::count_refusal,
+        pipeline::{caller_budget::ClientHold, counters::count_refusal},
+        policy::caller_memory::{CONNECTION_BYTES, HoldPhase},
     },
     hyper_util::rt::TokioIo,
     socket2::SockRef,
@@ -21,7 +22,7 @@
             Arc,
             atomic::{AtomicBool, AtomicU32, Ordering},
         },
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
@@ -35,6 +36,19 @@
 const HEAD_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
+/// Response to a head for which the process has no memory.
+const NO_MEMORY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    content-length: 0\r\nconnection: close\r\n\r\n";
+/// Part of a connection's share of memory that a head may take.
+const HEAD_SHARE: usize = CONNECTION_BYTES / 4;
+/// How long a connection is kept to read what the caller still sends after the response. Unread bytes
+/// would reset the connection, and the caller would not get the response.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// The most that is read and discarded: about the longest body.
+const LINGER_BYTES: usize = 4 << 20;
+/// Size of the pieces in which bytes are read and discarded.
+const DISCARD_BYTES: usize = 8 << 10;
+
 const IDLE: u32 = 0;
 const HEAD: u32 = 1;
 const BUSY: u32 = 2;
@@ -54,14 +68,40 @@
     phase: AtomicU32,
     /// Whether the connection is reset when it ends.
     is_reset: AtomicBool,
+    /// Whether the caller may still be sending when the connection ends.
+    lingers: AtomicBool,
+    /// What the process holds for the client; `None` if it does not count.
+    hold: Option<ClientHold>,
 }
 
 impl ConnectionPhase {
-    /// Marks that a complete head has arrived.
+    /// The phase of a new connection of a client.
+    pub fn new(hold: ClientHold) -> Self {
+        ConnectionPhase(Arc::new(PhaseCells { hold: Some(hold), ..PhaseCells::default() }))
+    }
+
+    /// What the process holds for the client.
+    pub fn hold(&self) -> Option<&ClientHold> {
+        self.0.hold.as_ref()
+    }
+
+    /// Marks that a complete head has arrived. The body may follow.
     pub fn begin_request(&self) {
         self.change(BUSY);
     }
 
+    /// Marks that the body of a request has arrived.
+    pub fn begin_run(&self) {
+        if let Some(hold) = self.hold() {
+            hold.set_phase(HoldPhase::Running);
+        }
+    }
+
+    /// Marks that the caller may still be sending when the connection ends.
+    pub fn linger_at_end(&self) {
+        self.0.lingers.store(true, Ordering::Relaxed);
+    }
+
     /// Marks that the response has been sent.
     pub fn end_request(&self) {
         self.change(IDLE);
@@ -79,6 +119,9 @@
     }
 
     fn change(&self, phase: u32) {
+        if let Some(hold) = self.hold() {
+            hold.set_phase(if phase == IDLE { HoldPhase::Idle } else { HoldPhase::Receiving });
+        }
         let changes = (self.get() >> PHASE_BITS).wrapping_add(1);
         self.0.phase.store((changes << PHASE_BITS) | phase, Ordering::Relaxed);
     }
@@ -112,6 +155,12 @@
     timer: Option<Pin<Box<Sleep>>>,
     /// Whether the socket is set to reset the connection when it is closed.
     is_reset: bool,
+    /// Bytes of heads that count against the memory for clients.
+    head_held: usize,
+    /// Runs while the rest of what the caller sends is discarded.
+    linger: Option<Pin<Box<Sleep>>>,
+    /// Bytes that were discarded.
+    discarded: usize,
 }
 
 impl TimeoutStream {
@@ -123,8 +172,70 @@
         limits: StreamTimeouts,
     ) -> TokioIo<TimeoutStream> {
         let observed = (IDLE, Instant::now());
-        let (timer, is_reset) = (None, false);
-        TokioIo::new(TimeoutStream { stream, phase, raw, limits, observed, timer, is_reset })
+        TokioIo::new(TimeoutStream {
+            stream,
+            phase,
+            raw,
+            limits,
+            observed,
+            timer: None,
+            is_reset: false,
+            head_held: 0,
+            linger: None,
+            discarded: 0,
+        })
+    }
+
+    /// Counts bytes that have arrived; returns whether there is memory for the head that they belong to.
+    fn hold_arrived(&mut self, bytes: usize, is_head: bool) -> bool {
+        let Some(hold) = self.phase.hold() else { return true };
+        hold.record_progress(bytes);
+        if !is_head {
+            return true;
+        }
+        // Besides the raw bytes the HTTP library holds them in a buffer.
+        let needed = (2 * self.raw.len()).saturating_sub(HEAD_SHARE);
+        let missing = needed.saturating_sub(self.head_held);
+        self.head_held += missing;
+        missing == 0 || hold.add_head(missing).is_ok()
+    }
+
+    /// Ends a connection that waits for a head and is closed to make room for others.
+    fn end_to_make_room(&mut self, phase: u32) {
+        if phase & PHASE_MASK == HEAD {
+            count_refusal(refusal::NO_MEMORY);
+            log::info!(reason = refusal::NO_MEMORY, status = 503, sent_to = 0;
+                "{}", events::REQUEST_REFUSED);
+            // As with a head that is too slow.
+            let _ = self.stream.try_write(NO_MEMORY_RESPONSE);
+        }
+    }
+
+    /// Reads and discards what the caller still sends, until it closes the connection, for [`LINGER_TIME`]
+    /// or up to [`LINGER_BYTES`].
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if !self.phase.0.lingers.load(Ordering::Relaxed) {
+            return Poll::Ready(());
+        }
+        let is_closing =
+            self.phase.hold().is_some_and(|hold| hold.poll_closing(context).is_ready());
+        let linger =
+            self.linger.get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + LINGER_TIME)));
+        loop {
+            let is_over = is_closing || self.discarded >= LINGER_BYTES;
+            if is_over || linger.as_mut().poll(context).is_ready() {
+                return Poll::Ready(());
+            }
+            let mut bytes = [0; DISCARD_BYTES];
+            let mut buffer = ReadBuf::new(&mut bytes);
+            match Pin::new(&mut self.stream).poll_read(context, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
+                    self.discarded += buffer.filled().len();
+                }
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
     }
 
     fn stream(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
@@ -166,9 +277,20 @@
                 }
                 this.raw.push(arrived, this.limits.head_bytes);
             }
+            let (bytes, phase) = (arrived.len(), this.phase.get());
+            if !this.hold_arrived(bytes, phase & PHASE_MASK == HEAD) {
+                this.end_to_make_room(phase);
+                buffer.set_filled(before);
+            }
             return Poll::Ready(result);
         }
         let phase = this.phase.get();
+        let is_closing =
+            this.phase.hold().is_some_and(|hold| hold.poll_closing(context).is_ready());
+        if is_closing && phase & PHASE_MASK != BUSY {
+            this.end_to_make_room(phase);
+            return Poll::Ready(Ok(()));
+        }
         if this.observed.0 != phase {
             this.observed = (phase, Instant::now());
             this.timer = None;
@@ -204,7 +326,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.set_linger();
-        self.stream().poll_write(context, bytes)
+        let phase = self.phase.clone();
+        let written = self.stream().poll_write(context, bytes);
+        check_written(&phase, context, written)
     }
 
     fn poll_write_vectored(
@@ -213,7 +337,9 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.set_linger();
-        self.stream().poll_write_vectored(context, buffers)
+        let phase = self.phase.clone();
+        let written = self.stream().poll_write_vectored(context, buffers);
+        check_written(&phase, context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -226,6 +352,30 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.set_linger();
-        self.stream().poll_shutdown(context)
+        let this = self.get_mut();
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(context))?;
+        }
+        this.poll_discard(context).map(Ok)
+    }
+}
+
+/// Records the progress of a response; ends a connection that is closed to make room while its caller does
+/// not read the response.
+fn check_written(
+    phase: &ConnectionPhase,
+    context: &mut Context<'_>,
+    written: Poll<io::Result<usize>>,
+) -> Poll<io::Result<usize>> {
+    let Some(hold) = phase.hold() else { return written };
+    match written {
+        Poll::Ready(Ok(bytes)) => hold.record_progress(bytes),
+        Poll::Pending
+            if phase.get() & PHASE_MASK == IDLE && hold.poll_closing(context).is_ready() =>
+        {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        Poll::Ready(Err(_)) | Poll::Pending => {}
     }
+    written
 }
--- a/src/roles/entry.rs
+++ b/src/roles/entry.rs
@@ -20,7 +20,9 @@
         ids::{FailureDomainId, ServiceId, VmId},
         inventory::DecisionObjective,
         observe::pauses::log_pauses,
-        pipeline::{DispatcherHandle, TraceLog, dispatch::DispatchTask},
+        pipeline::{
+            DispatcherHandle, TraceLog, caller_budget::CallerBudget, dispatch::DispatchTask,
+        },
         policy::{Dispatcher, DispatcherSettings, PolicyInput, PolicySafeguard, SafeguardSet},
         reverse_proxy::{
             CallerListener, ProxyCore, WireDialect, core::ProxyDependencies,
@@ -94,8 +96,8 @@
     pub readiness_path: String,
     /// The UDP address for other daemons.
     pub peer_listen: SocketAddr,
-    /// The maximum number of concurrent connections of callers.
-    pub max_connections: usize,
+    /// What the process holds for its callers, over all of its ports.
+    pub budget: CallerBudget,
     /// Burst of retries that all entries together may make in excess of the retry ratio.
     pub retry_reserve: f64,
     /// Time from the stop signal until the process is killed.
@@ -113,6 +115,7 @@
             failure_domain: self.failure_domain.clone(),
             objective: self.objective,
             disabled: self.disabled.clone(),
+            budget: self.budget.clone(),
         }
     }
 }
@@ -128,6 +131,8 @@
     pub objective: DecisionObjective,
     /// See [`EntrySettings::disabled`].
     pub disabled: SafeguardSet,
+    /// See [`EntrySettings::budget`].
+    pub budget: CallerBudget,
 }
 
 /// Settings that a running entry applies when they are reloaded.
@@ -196,17 +201,13 @@
         tasks.spawn(applier.run(states, reserve_watch));
         let stopping = Arc::new(AtomicBool::new(false));
         tasks.spawn(serve_readiness(&settings, Arc::clone(&core), Arc::clone(&stopping)).await?);
-        let listener = CallerListener::start(
-            settings.caller_listen,
-            Arc::clone(&core),
-            settings.max_connections,
-        )
-        .await
-        .map_err(|reason| NodeError::Listen {
-            purpose: "callers",
-            address: settings.caller_listen,
-            reason,
-        })?;
+        let listener = CallerListener::start(settings.caller_listen, Arc::clone(&core))
+            .await
+            .map_err(|reason| NodeError::Listen {
+                purpose: "callers",
+                address: settings.caller_listen,
+                reason,
+            })?;
         log::info!(vm = settings.vm.as_str(), callers:% = settings.caller_listen; "entry started");
         Ok(EntryNode {
             settings,
@@ -411,7 +412,7 @@
     dialect: Arc<dyn WireDialect>,
     tasks: &mut JoinSet<()>,
 ) -> Arc<ProxyCore> {
-    let CoreSettings { vm, failure_domain, objective, disabled } = settings;
+    let CoreSettings { vm, failure_domain, objective, disabled, budget } = settings;
     let dispatcher = Dispatcher::new(DispatcherSettings {
         daemon: vm.clone(),
         failure_domain,
@@ -425,6 +426,7 @@
         objective,
         dialect,
         dispatcher: Arc::clone(&handle),
+        budget,
     });
     let links_handle = Arc::clone(&handle);
     core.pool.links().set_failure_handler(move |failure| {
@@ -461,7 +463,8 @@
     stopping: Arc<AtomicBool>,
 ) -> Result<impl Future<Output = ()> + use<>, NodeError> {
     let path = settings.readiness_path.clone();
-    let server = serve_health_page(settings.readiness_listen, move |request| {
+    let budget = settings.budget.clone();
+    let server = serve_health_page(settings.readiness_listen, budget, move |request| {
         if request.uri().path() != path || request.method() != Method::GET {
             return (StatusCode::NOT_FOUND, "unknown path; use the readiness path\n".to_owned());
         }
