--- a/src/reverse_proxy/accept.rs
+++ b/src/reverse_proxy/accept.rs
@@ -59,7 +59,7 @@
 }
 
 /// Waits for the next connection; retries failed accepts.
-pub async fn accept_connection(listener: &TcpListener) -> TcpStream {
+async fn accept_connection(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => return stream,
