Bound what a daemon of the product holds for its clients by the same budget

What callers saw: a daemon that grows to 374 MiB of 96 with 64 clients.

Cause: as at the other ports; bodies of callers and operators were collected piece by piece, without a sum, behind 40,000 connections.

Change: the HTTP server takes connections from the process's budget, and bodies are read like those of the reverse proxy.

--- a/src/daemon/lifecycle.rs
+++ b/src/daemon/lifecycle.rs
@@ -32,10 +32,12 @@
         options::{DaemonOptions, DaemonRole},
         pipeline::{
             CoreDependencies, DispatcherHandle, DrainGate, PipelineCore, TraceLog,
+            caller_budget::{CallerBudget, hold_limits},
             deduplicate::{announce_incarnation, report_attempt_floor},
             dispatch::DispatchTask,
         },
-        policy::{Dispatcher, DispatcherSettings},
+        policy::{Dispatcher, DispatcherSettings, caller_memory::PortKind},
+        reverse_proxy::accept::ClientPort,
         transport::{NetworkSettings, PeerMessage, PeerNetwork, TransportError},
     },
     displaydoc::Display,
@@ -138,9 +140,12 @@
         };
         let operators = operator::router(operator_state(&options, &connected, metrics));
         let addresses = &options.network;
-        let callers = listen("--listen", addresses.listen, callers, &options).await?;
+        let budget = CallerBudget::new(hold_limits(options.limits.max_memory_bytes, usize::MAX));
+        let port = ClientPort::bind(addresses.listen, budget.clone(), PortKind::Callers).await;
+        let callers = listen("--listen", addresses.listen, port, callers, &options)?;
+        let port = ClientPort::bind(addresses.admin_listen, budget, PortKind::Operators).await;
         let operators =
-            listen("--admin-listen", addresses.admin_listen, operators, &options).await?;
+            listen("--admin-listen", addresses.admin_listen, port, operators, &options)?;
         log::info!(
             vm = options.identity.vm.as_str(),
             callers:% = callers.address(),
@@ -405,13 +410,13 @@
     WeightOrders::new(Arc::new(replica), Arc::new(orders), config, desired).run().await;
 }
 
-async fn listen(
+fn listen(
     option: &'static str,
     address: SocketAddr,
+    port: io::Result<ClientPort>,
     router: Router,
     options: &DaemonOptions,
 ) -> Result<HttpServer, DaemonError> {
-    HttpServer::start(address, router, options.limits.clone())
-        .await
+    port.and_then(|port| HttpServer::start_at(port, router, options.limits.clone()))
         .map_err(|reason| DaemonError::Listen { option, address, reason })
 }
--- a/src/http_api.rs
+++ b/src/http_api.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod completion;
+pub mod held_connection;
 pub mod operator;
 pub mod response;
 pub mod server;
--- a/src/http_api/caller.rs
+++ b/src/http_api/caller.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         completion::collect_completion,
+        held_connection::read_held_body,
         response::{body_response, json_response, refusal_response, stream_response},
     },
     crate::{
@@ -24,15 +25,15 @@
             service_call::{ServiceCall, deadline_refusal, run_once, run_repeatable},
         },
         policy::DidRun,
+        reverse_proxy::body_reader::{BodyError, BodyLimits},
     },
     bytes::Bytes,
-    http_body_util::{BodyExt, LengthLimitError, Limited},
     serde_json::json,
     std::{
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::mpsc, time::timeout},
+    tokio::sync::mpsc,
     viz::{
         Request, RequestExt, Response, Result, Router,
         header::{self, HeaderMap},
@@ -46,6 +47,8 @@
 /// The `Retry-After` delay while this daemon drains. It is short, since the load balancer can use
 /// other daemons.
 const DRAIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The `Retry-After` delay while this daemon holds as much for its callers as it can.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Caller headers that are forwarded to plain services.
 const FORWARDED_HEADERS: [&str; 4] = ["accept", "accept-language", "content-type", KEY_HEADER];
 
@@ -235,23 +238,38 @@
 }
 
 async fn read_body(limits: &RequestLimits, request: Request) -> Result<Bytes, CallerRefusal> {
-    let reading = Limited::new(request.into_body(), limits.max_body_bytes).collect();
-    match timeout(limits.body_timeout, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let (head, body) = request.into_parts();
+    let body_limits = BodyLimits {
+        bytes: limits.max_body_bytes,
+        idle: limits.body_timeout,
+        deadline: (Instant::now() + limits.body_timeout).into(),
+    };
+    let read = read_held_body(&head.extensions, body, body_limits).await;
+    read.map_err(|error| body_refusal(error, limits))
+}
+
+fn body_refusal(error: BodyError, limits: &RequestLimits) -> CallerRefusal {
+    let (status, code, message) = match error {
+        BodyError::TooLong => {
             let message = format!("the body exceeds {} bytes; shorten it", limits.max_body_bytes);
-            Err(CallerRefusal::before_run(413, refusal::TOO_LARGE, message))
+            (413, refusal::TOO_LARGE, message)
         }
-        Ok(Err(_)) => {
+        BodyError::Broken => {
             let message = "the body ended early; send as many bytes as Content-Length announces";
-            Err(CallerRefusal::before_run(400, refusal::BAD_REQUEST, message))
+            (400, refusal::BAD_REQUEST, message.to_owned())
         }
-        Err(_) => {
+        BodyError::TimedOut => {
             let message =
                 format!("the body took longer than {:?}; send it faster", limits.body_timeout);
-            Err(CallerRefusal::before_run(408, refusal::BODY_TIMEOUT, message))
+            (408, refusal::BODY_TIMEOUT, message)
         }
-    }
+        BodyError::NoMemory => {
+            let message = "this daemon holds as much for its callers as it can; use another daemon";
+            return CallerRefusal::before_run(503, refusal::NO_MEMORY, message.to_owned())
+                .retry_after(NO_MEMORY_RETRY_AFTER);
+        }
+    };
+    CallerRefusal::before_run(status, code, message)
 }
 
 async fn run_model_request(api: &CallerApi, request: ModelRequest, open: OpenRequest) -> Response {
--- a/src/http_api/operator/response.rs
+++ b/src/http_api/operator/response.rs
@@ -2,12 +2,18 @@
 
 use {
     super::{
+        super::held_connection::read_held_body,
         BODY_TIMEOUT, OperatorState, SourceError,
         wire::{ErrorBody, OperatorError},
     },
-    crate::{control::ProposeError, inventory::validate::InventoryFault},
-    http_body_util::{BodyExt, LengthLimitError, Limited},
+    crate::{
+        control::ProposeError,
+        inventory::validate::InventoryFault,
+        observe::metrics::refusal,
+        reverse_proxy::body_reader::{BodyError, BodyLimits},
+    },
     serde::{Serialize, de::DeserializeOwned},
+    tokio::time::Instant,
     viz::{Body, Error, Request, RequestExt, Response, StatusCode, header},
 };
 
@@ -108,23 +114,35 @@
     request: &mut Request,
     limit: usize,
 ) -> Result<T, ErrorResponse> {
-    let body = Limited::new(request.body_mut(), limit).collect();
-    let collected = tokio::time::timeout(BODY_TIMEOUT, body).await.map_err(|_| {
-        let message = "the body did not arrive in time; send it again over a faster link";
-        ErrorResponse::did_not_happen(StatusCode::REQUEST_TIMEOUT, "body_timeout", message)
-    })?;
-    let bytes = collected.map_err(|error| body_error(error, limit))?.to_bytes();
+    let deadline = Instant::now() + BODY_TIMEOUT;
+    let limits = BodyLimits { bytes: limit, idle: BODY_TIMEOUT, deadline };
+    let extensions = request.extensions().clone();
+    let read = read_held_body(&extensions, request.body_mut(), limits).await;
+    let bytes = read.map_err(|error| body_error(error, limit))?;
     serde_json::from_slice(&bytes).map_err(|error| {
         let message = format!("the body is not valid JSON for this path: {error}; correct it");
         ErrorResponse::did_not_happen(StatusCode::BAD_REQUEST, "bad_request", message)
     })
 }
 
-fn body_error(error: Box<dyn std::error::Error + Send + Sync>, limit: usize) -> ErrorResponse {
-    if error.is::<LengthLimitError>() {
-        let message = format!("the body exceeds {limit} bytes; send a smaller one");
-        return ErrorResponse::did_not_happen(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message);
-    }
-    let message = "the body ended early; send it again";
-    ErrorResponse::did_not_happen(StatusCode::BAD_REQUEST, "bad_request", message)
+fn body_error(error: BodyError, limit: usize) -> ErrorResponse {
+    let (status, code, message) = match error {
+        BodyError::TooLong => {
+            let message = format!("the body exceeds {limit} bytes; send a smaller one");
+            (StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+        }
+        BodyError::Broken => {
+            let message = "the body ended early; send it again".to_owned();
+            (StatusCode::BAD_REQUEST, "bad_request", message)
+        }
+        BodyError::TimedOut => {
+            let message = "the body did not arrive in time; send it again over a faster link";
+            (StatusCode::REQUEST_TIMEOUT, "body_timeout", message.to_owned())
+        }
+        BodyError::NoMemory => {
+            let message = "this daemon holds as much for its clients as it can; send it again";
+            (StatusCode::SERVICE_UNAVAILABLE, refusal::NO_MEMORY, message.to_owned())
+        }
+    };
+    ErrorResponse::did_not_happen(status, code, message)
 }
--- a/src/http_api/server.rs
+++ b/src/http_api/server.rs
@@ -1,36 +1,27 @@
 //! HTTP server that limits connections and the size of request headers.
 
 use {
+    super::held_connection::{ClientService, hold_stream},
     crate::{
         observe::metrics::{CONNECTIONS, REFUSALS, refusal},
         options::RequestLimits,
+        pipeline::caller_budget::{CallerBudget, ClientConnection, hold_limits},
+        policy::caller_memory::PortKind,
+        reverse_proxy::accept::ClientPort,
     },
     hyper::server::conn::http1::Builder,
-    hyper_util::{
-        rt::{TokioIo, TokioTimer},
-        server::graceful::GracefulShutdown,
-    },
+    hyper_util::{rt::TokioTimer, server::graceful::GracefulShutdown},
     metrics::{counter, gauge},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::{OwnedSemaphorePermit, Semaphore, watch},
-        task::JoinHandle,
-        time::{sleep, timeout},
-    },
+    tokio::{net::TcpStream, sync::watch, task::JoinHandle, time::timeout},
     viz::{Responder, Router, Tree},
 };
 
-/// The maximum number of open connections of one port; further connections wait in the kernel's
-/// accept queue.
-const MAX_CONNECTIONS: usize = 40_000;
 /// The parser accepts this many times the header limits, so that the pipeline can refuse a request
 /// with a message that names the remedy; beyond it the library answers 431 without a message.
 const PARSER_LIMIT_FACTOR: usize = 2;
 /// How long a graceful shutdown waits for open connections to send their last bytes.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
-/// Delay after a failed accept, for example when the process has no file descriptors left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// An HTTP server on one port.
 pub struct HttpServer {
@@ -46,7 +37,7 @@
 }
 
 impl HttpServer {
-    /// Binds `address` and serves `router`.
+    /// Binds `address` and serves `router`, as the only port of the process.
     ///
     /// # Errors
     /// When the address cannot be bound.
@@ -55,16 +46,25 @@
         router: Router,
         limits: RequestLimits,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
+        let budget = CallerBudget::new(hold_limits(limits.max_memory_bytes, usize::MAX));
+        let port = ClientPort::bind(address, budget, PortKind::Callers).await?;
+        Self::start_at(port, router, limits)
+    }
+
+    /// Serves `router` at a port.
+    ///
+    /// # Errors
+    /// The error of the operating system.
+    pub fn start_at(port: ClientPort, router: Router, limits: RequestLimits) -> io::Result<Self> {
+        let address = port.local_address()?;
         let (stop, phase) = watch::channel(ServerPhase::Accepting);
         let acceptor = Acceptor {
             tree: Arc::new(router.into()),
             builder: connection_builder(&limits),
-            permits: Arc::new(Semaphore::new(MAX_CONNECTIONS)),
+            max_head_bytes: limits.max_head_bytes.saturating_mul(PARSER_LIMIT_FACTOR),
             graceful: GracefulShutdown::new(),
         };
-        let task = tokio::spawn(acceptor.run(listener, phase));
+        let task = tokio::spawn(acceptor.run(port, phase));
         Ok(HttpServer { address, stop, task })
     }
 
@@ -96,26 +96,21 @@
 struct Acceptor {
     tree: Arc<Tree>,
     builder: Builder,
-    permits: Arc<Semaphore>,
+    /// The longest head that the parser accepts.
+    max_head_bytes: usize,
     graceful: GracefulShutdown,
 }
 
 impl Acceptor {
-    async fn run(self, listener: TcpListener, mut phase: watch::Receiver<ServerPhase>) {
+    async fn run(self, port: ClientPort, mut phase: watch::Receiver<ServerPhase>) {
         loop {
-            let accepted = tokio::select! {
-                accepted = self.accept(&listener) => accepted,
+            let (stream, client) = tokio::select! {
+                accepted = port.accept() => accepted,
                 _ = phase.wait_for(|phase| *phase == ServerPhase::Stopping) => break,
             };
-            match accepted {
-                Ok((stream, peer, permit)) => self.serve(stream, peer, permit),
-                Err(error) => {
-                    log::warn!(error:% = error; "accepting a connection failed; retrying");
-                    sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
+            self.serve(stream, client);
         }
-        drop(listener);
+        drop(port);
         if timeout(SHUTDOWN_TIMEOUT, self.graceful.shutdown()).await.is_err() {
             log::warn!(
                 "connections closed at shutdown: their peers did not read the last bytes in time"
@@ -123,23 +118,15 @@
         }
     }
 
-    async fn accept(
-        &self,
-        listener: &TcpListener,
-    ) -> io::Result<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
-        let permit = Arc::clone(&self.permits)
-            .acquire_owned()
-            .await
-            .map_err(|_| io::Error::other("the connection semaphore is closed"))?;
-        let (stream, peer) = listener.accept().await?;
-        Ok((stream, peer, permit))
-    }
-
-    fn serve(&self, stream: TcpStream, peer: SocketAddr, permit: OwnedSemaphorePermit) {
+    fn serve(&self, stream: TcpStream, client: ClientConnection) {
+        // The peer of a connection that is closed already is unknown; nothing is sent to it either.
+        let Ok(peer) = stream.peer_addr() else { return };
         // Tokens are small writes, which Nagle's algorithm would delay. A failure only costs latency.
         let _ = stream.set_nodelay(true);
         let responder = Responder::new(Arc::clone(&self.tree), Some(Arc::new(peer)));
-        let connection = self.builder.serve_connection(TokioIo::new(stream), responder);
+        let (stream, held) = hold_stream(stream, &client, self.max_head_bytes);
+        let service = ClientService::new(responder, held);
+        let connection = self.builder.serve_connection(stream, service);
         let connection = self.graceful.watch(connection);
         tokio::spawn(async move {
             gauge!(CONNECTIONS).increment(1.0);
@@ -150,7 +137,7 @@
                 log::debug!(error:% = error; "connection failed");
             }
             gauge!(CONNECTIONS).decrement(1.0);
-            drop(permit);
+            drop(client);
         });
     }
 }
--- a/src/options/limits.rs
+++ b/src/options/limits.rs
@@ -17,6 +17,8 @@
 const DEFAULT_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Requests of common clients have fewer than 30 headers.
 const DEFAULT_HEADERS: usize = 100;
+/// Memory of a small VM.
+const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
 /// A head fits in a few packets, so a slower sender only occupies a connection.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The largest body takes about half a minute at 2 Mbit/s.
@@ -29,6 +31,8 @@
     pub max_head_bytes: usize,
     /// Maximum bytes of the body.
     pub max_body_bytes: usize,
+    /// Memory of the process in bytes, of which two fifths may be held for clients.
+    pub max_memory_bytes: usize,
     /// Maximum number of headers.
     pub max_headers: usize,
     /// Maximum time from the connection, or from the end of the previous request, to the end of the
@@ -43,6 +47,7 @@
         RequestLimits {
             max_head_bytes: DEFAULT_HEAD_BYTES,
             max_body_bytes: DEFAULT_BODY_BYTES,
+            max_memory_bytes: DEFAULT_MEMORY_BYTES,
             max_headers: DEFAULT_HEADERS,
             head_timeout: DEFAULT_HEAD_TIMEOUT,
             body_timeout: DEFAULT_BODY_TIMEOUT,
@@ -54,6 +59,7 @@
 pub(super) struct RawLimits {
     max_head_bytes: Option<String>,
     max_body_bytes: Option<String>,
+    max_memory_bytes: Option<String>,
     max_headers: Option<String>,
     head_timeout: Option<String>,
     body_timeout: Option<String>,
@@ -72,6 +78,12 @@
         "BYTES",
         "Maximum bytes of a request body (default 8388608)",
     );
+    let max_memory_bytes = text(
+        "max-memory-bytes",
+        "OLEANDERMOUNT_MAX_MEMORY_BYTES",
+        "BYTES",
+        "Memory of the process, of which two fifths may be held for clients (default 268435456)",
+    );
     let max_headers = text(
         "max-headers",
         "OLEANDERMOUNT_MAX_HEADERS",
@@ -93,6 +105,7 @@
     construct!(RawLimits {
         max_head_bytes,
         max_body_bytes,
+        max_memory_bytes,
         max_headers,
         head_timeout,
         body_timeout
@@ -117,6 +130,13 @@
             default.max_body_bytes,
             1024..=1 << 30,
         ),
+        max_memory_bytes: count(
+            faults,
+            "--max-memory-bytes",
+            raw.max_memory_bytes,
+            default.max_memory_bytes,
+            32 << 20..=1 << 40,
+        ),
         max_headers: count(faults, "--max-headers", raw.max_headers, default.max_headers, 8..=1000),
         head_timeout: duration(
             faults,
