Keep the connection of a request that was complete before its client was told to make room

What a caller could see: a 502, or a response that breaks off, for a request that a server had run.

Cause: a client that is chosen to make room is told by a signal. If its body was complete before it noticed, the request was passed on, and its response then got no memory over 64 KiB, since the connection counted as one that closes.

--- a/src/pipeline/caller_budget.rs
+++ b/src/pipeline/caller_budget.rs
@@ -232,9 +232,14 @@
 pub struct ClientHold(Arc<HoldState>);
 
 impl ClientHold {
-    /// Records what the connection is doing.
+    /// Records what the connection is doing. One whose request is complete is not closed, even if it was
+    /// chosen before.
     pub fn set_phase(&self, phase: HoldPhase) {
-        self.0.budget.lock().ledger.set_phase(self.0.holder, phase, Instant::now());
+        let mut state = self.0.budget.lock();
+        state.ledger.set_phase(self.0.holder, phase, Instant::now());
+        if phase == HoldPhase::Running {
+            self.0.signal.is_set.store(false, Ordering::SeqCst);
+        }
     }
 
     /// Records bytes that the client has sent or read.
--- a/src/policy/caller_memory.rs
+++ b/src/policy/caller_memory.rs
@@ -363,7 +363,8 @@
         self.first = self.first.filter(|first| *first != holder);
     }
 
-    /// Records what a connection is doing.
+    /// Records what a connection is doing. One whose request is complete is not closed, even if it was chosen
+    /// before.
     pub fn set_phase(&mut self, holder: HolderId, phase: HoldPhase, now: Instant) {
         if let Some(record) = self.holders.get_mut(&holder).filter(|record| record.phase != phase) {
             record.phase = phase;
@@ -372,6 +373,9 @@
             record.moved = (0, 0);
             record.remaining = 0;
             record.awaited = None;
+            if phase == HoldPhase::Running && std::mem::take(&mut record.is_closing) {
+                self.closing -= record.bytes;
+            }
         }
     }
 
--- a/tests/caller_memory.rs
+++ b/tests/caller_memory.rs
@@ -175,6 +175,25 @@
     assert!(play.closed.contains(&slower), "it has stalled and makes room");
 }
 
+/// Guards against a response that is lost, since its caller was chosen to make room just before its request
+/// was complete.
+#[test]
+fn complete_requests_stay() {
+    let mut play = LedgerPlay::new();
+    let caller = play.caller();
+    assert!(play.receive(caller, BODY_BYTES));
+    play.step(Duration::from_secs(3));
+    let others: Vec<HolderId> = (0..8).map(|_| play.caller()).collect();
+    let body = BodyLength { longest: BODY_BYTES, remaining: 0 };
+    let chosen = others.iter().any(|other| {
+        let outcome = play.ledger.grow(*other, HoldPurpose::Request, BODY_BYTES, body, play.now);
+        matches!(outcome, HoldOutcome::Short(closing) if closing.contains(&caller))
+    });
+    assert!(chosen, "the stalled caller is chosen");
+    play.ledger.set_phase(caller, HoldPhase::Running, play.now);
+    assert!(play.grow(caller, HoldPurpose::Response, PIECE_BYTES));
+}
+
 /// Guards against short requests that are refused because long ones take all memory, also of requests that
 /// servers hold.
 #[test]
