Read bodies by the limits of the configuration in force, also on open connections

Cause: the limits of a body were taken once, when the connection was accepted. Those of heads still are, since the HTTP library sizes its buffer by them.

--- a/src/reverse_proxy/listener.rs
+++ b/src/reverse_proxy/listener.rs
@@ -22,7 +22,6 @@
             drain::{GateClosed, OpenRequest},
         },
         policy::caller_memory::PortKind,
-        routing::CallerLimits,
     },
     bytes::Bytes,
     http::{HeaderValue, Request, Response, StatusCode, Version, header, request},
@@ -117,13 +116,7 @@
         let (head, body) = request.into_parts();
         let framing = raw_head.body_framing(&head);
         let arrived = ArrivedRequest { head, body, framing, hold: hold.clone() };
-        respond(
-            Arc::clone(&core),
-            arrived,
-            limits,
-            connection_phase.clone(),
-            listener_phase.clone(),
-        )
+        respond(Arc::clone(&core), arrived, connection_phase.clone(), listener_phase.clone())
     });
     // A connection that is accepted late ends with the response to its first request, so that its caller
     // learns that the request has not run.
@@ -177,14 +170,13 @@
 async fn respond(
     core: Arc<ProxyCore>,
     arrived: ArrivedRequest,
-    limits: CallerLimits,
     connection_phase: ConnectionPhase,
     phase: watch::Receiver<ListenerPhase>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let id = core.dialect.request_id(&arrived.head.headers).to_owned();
     let (version, framing) = (arrived.head.version, arrived.framing);
     let result = async {
-        let admitted = admit(&core, arrived, limits).await;
+        let admitted = admit(&core, arrived).await;
         let (buffered, open) = admitted.inspect_err(|refusal| {
             count_refusal(refusal.code);
             // Client errors are logged at a lower level, so that a misbehaving caller cannot crowd
@@ -215,7 +207,6 @@
 async fn admit(
     core: &ProxyCore,
     arrived: ArrivedRequest,
-    limits: CallerLimits,
 ) -> Result<(BufferedRequest, OpenRequest), ProxyRefusal> {
     let ArrivedRequest { head, body, framing, hold } = arrived;
     if framing == BodyFraming::Conflicting {
@@ -225,7 +216,7 @@
         GateClosed::Draining => unavailable(refusal::DRAINING),
         GateClosed::Full => unavailable(refusal::TOO_MANY_OPEN),
     })?;
-    Ok((read_request(core, head, body, limits, &hold).await?, open))
+    Ok((read_request(core, head, body, &hold).await?, open))
 }
 
 fn unavailable(code: &'static str) -> ProxyRefusal {
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -17,7 +17,6 @@
             slot_leases::MemoryDemand,
             suspect,
         },
-        routing::CallerLimits,
     },
     bytes::Bytes,
     http::{Method, StatusCode, request},
@@ -63,7 +62,6 @@
     core: &ProxyCore,
     head: request::Parts,
     body: Incoming,
-    limits: CallerLimits,
     hold: &ClientHold,
 ) -> Result<BufferedRequest, ProxyRefusal> {
     let arrived = Instant::now();
@@ -88,6 +86,8 @@
     }
     let time_limit = caller.time_left.unwrap_or(caller.route.timeout).min(caller.route.timeout);
     let deadline = arrived + time_limit;
+    // Those of the connection may be of an earlier configuration.
+    let limits = index.table.limits;
     // A request whose body arrives later cannot be served any more.
     let body_limits =
         BodyLimits { bytes: limits.body_bytes, idle: limits.idle_time, deadline: deadline.into() };
