Let refused clients return in turn, and log why a body has no pages

Change: Retry-After is 0.5 to 1.4 s in ten steps, by the number of the connection, also for heads and operators. Found by reading.

An error of the operating system for the pages of a body was dropped; it is logged now.

--- a/src/pipeline/caller_budget.rs
+++ b/src/pipeline/caller_budget.rs
@@ -8,7 +8,7 @@
         },
         policy::caller_memory::{
             BodyLength, CONNECTION_BYTES, CallerLedger, HoldLimits, HoldOutcome, HoldPhase,
-            HoldPurpose, HolderId, PortKind, STALL_DETECTION_TIME,
+            HoldPurpose, HolderId, PortKind, STALL_DETECTION_TIME, retry_delay,
         },
     },
     bytes::Bytes,
@@ -247,6 +247,11 @@
         self.0.budget.lock().ledger.record_progress(self.0.holder, bytes, Instant::now());
     }
 
+    /// The `Retry-After` of a refusal for want of memory.
+    pub fn retry_after(&self) -> Duration {
+        retry_delay(self.0.holder)
+    }
+
     /// Whether the connection is to be closed.
     pub fn is_closing(&self) -> bool {
         self.0.signal.is_set.load(Ordering::SeqCst)
@@ -402,7 +407,10 @@
                 bytes.extend_from_slice(data);
                 return Ok(());
             }
-            let mut pages = MmapMut::map_anon(longest).map_err(|_error| BudgetShort)?;
+            let mut pages = MmapMut::map_anon(longest).map_err(|error| {
+                log::warn!(bytes = longest, error:% = error; "no pages for a body");
+                BudgetShort
+            })?;
             let length = bytes.len();
             pages[..length].copy_from_slice(bytes);
             self.bytes = BufferStorage::Long { pages, length };
--- a/src/policy/caller_memory.rs
+++ b/src/policy/caller_memory.rs
@@ -16,6 +16,19 @@
 /// Number of a connection of a client within a process.
 pub type HolderId = u64;
 
+/// The shortest time after which a refused client is to return.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// The number of different times at which clients that are refused together return.
+const RETRY_STEPS: u64 = 10;
+/// Time between two of them.
+const RETRY_STEP: Duration = Duration::from_millis(100);
+
+/// When a refused client is to return. Clients of a crowd are refused together, and must not all return at
+/// one moment.
+pub fn retry_delay(holder: HolderId) -> Duration {
+    MIN_RETRY_DELAY + RETRY_STEP * (holder % RETRY_STEPS) as u32
+}
+
 /// What each connection holds at least: its task, and buffers of the HTTP library for short heads and
 /// bodies.
 pub const CONNECTION_BYTES: usize = 16 << 10;
--- a/src/reverse_proxy/request.rs
+++ b/src/reverse_proxy/request.rs
@@ -26,8 +26,6 @@
 
 /// `Retry-After` while no routes are known: a restarted proxy receives them within this time.
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// `Retry-After` while this process holds as much for its callers as it can.
-const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request with a buffered body.
 pub struct BufferedRequest {
@@ -91,7 +89,8 @@
     // A request whose body arrives later cannot be served any more.
     let body_limits =
         BodyLimits { bytes: limits.body_bytes, idle: limits.idle_time, deadline: deadline.into() };
-    let body = read_body(body, hold, body_limits).await.map_err(body_refusal)?;
+    let body = read_body(body, hold, body_limits).await;
+    let body = body.map_err(|error| body_refusal(error, hold))?;
     let document = index.table.number;
     let placed_scope = index.cache_scope(&caller.organisation);
     Ok(BufferedRequest {
@@ -108,7 +107,7 @@
     })
 }
 
-fn body_refusal(error: BodyError) -> ProxyRefusal {
+fn body_refusal(error: BodyError, hold: &ClientHold) -> ProxyRefusal {
     let (status, code) = match error {
         BodyError::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, refusal::TOO_LARGE),
         // The body is shorter than declared or malformed, so the connection cannot be reused.
@@ -116,7 +115,7 @@
         BodyError::TimedOut => (StatusCode::REQUEST_TIMEOUT, refusal::BODY_TIMEOUT),
         BodyError::NoMemory => {
             let refusal = ProxyRefusal::new(StatusCode::SERVICE_UNAVAILABLE, refusal::NO_MEMORY);
-            return refusal.retry_after(NO_MEMORY_RETRY_AFTER);
+            return refusal.retry_after(hold.retry_after());
         }
     };
     ProxyRefusal::new(status, code)
--- a/src/reverse_proxy/timeout_stream.rs
+++ b/src/reverse_proxy/timeout_stream.rs
@@ -36,9 +36,6 @@
 const HEAD_TIMEOUT_RESPONSE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
-/// Response to a head for which the process has no memory.
-const NO_MEMORY_RESPONSE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
-    content-length: 0\r\nconnection: close\r\n\r\n";
 /// Part of a connection's share of memory that a head may take.
 const HEAD_SHARE: usize = CONNECTION_BYTES / 4;
 /// How long a connection is kept to read what the caller still sends after the response. Unread bytes
@@ -207,7 +204,7 @@
             log::info!(reason = refusal::NO_MEMORY, status = 503, sent_to = 0;
                 "{}", events::REQUEST_REFUSED);
             // As with a head that is too slow.
-            let _ = self.stream.try_write(NO_MEMORY_RESPONSE);
+            let _ = self.stream.try_write(no_memory_response(self.phase.hold()).as_bytes());
         }
     }
 
@@ -360,6 +357,15 @@
     }
 }
 
+/// Response to a head for which the process has no memory.
+fn no_memory_response(hold: Option<&ClientHold>) -> String {
+    let delay = hold.map(ClientHold::retry_after).unwrap_or_default().as_secs_f64();
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nretry-after: {delay}\r\ncontent-length: 0\r\n\
+         connection: close\r\n\r\n"
+    )
+}
+
 /// Records the progress of a response; ends a connection that is closed to make room while its caller does
 /// not read the response.
 fn check_written(
--- a/tests/caller_memory.rs
+++ b/tests/caller_memory.rs
@@ -3,7 +3,7 @@
 use {
     oleandermount::policy::caller_memory::{
         BodyLength, CONNECTION_BYTES, CallerLedger, HoldLimits, HoldOutcome, HoldPhase,
-        HoldPurpose, HolderId, PortKind,
+        HoldPurpose, HolderId, PortKind, retry_delay,
     },
     quickcheck::{TestResult, quickcheck},
     std::{
@@ -264,6 +264,16 @@
     assert!(running.iter().all(|caller| !play.closed.contains(caller)));
 }
 
+/// Guards against a crowd that is refused together and returns at one moment.
+#[test]
+fn refused_clients_return_in_turn() {
+    let mut returning: BTreeMap<Duration, usize> = BTreeMap::new();
+    for holder in 0..64 {
+        *returning.entry(retry_delay(holder)).or_default() += 1;
+    }
+    assert!(returning.values().all(|count| *count <= 7), "{returning:?}");
+}
+
 /// Guards against callers that take the connections of health checks.
 #[test]
 fn ports_have_connections_of_their_own() {
