--- a/review/stand_ins_2/rig.py
+++ b/review/stand_ins_2/rig.py
@@ -210,7 +210,7 @@
 
     ZONES = ["ernakulam", "calicut", "trivandrum"]
 
-    def __init__(self, entries=2, servers=3, answer=None, config=None, grace_s=8):
+    def __init__(self, entries=2, servers=3, answer=None, config=None, grace_s=8, extra=None):
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("the program is not built: %s" % PROGRAM)
         self.record, self.runs, self.lock = Record(), {}, threading.Lock()
@@ -225,6 +225,10 @@
                             for number in range(servers)]
             self.list.entries = [server.entry(self.ZONES[number % 3])
                                  for number, server in enumerate(self.servers)]
+            # Further servers, made by a function of the rig.
+            for number, server in enumerate(extra(self) if extra else []):
+                self.servers.append(server)
+                self.list.entries.append(server.entry(self.ZONES[number % 3]))
             controls = [self.address(11 + number) for number in range(3)]
             self.seeds = ["%s:%d" % (ip, CONTROL) for ip in controls]
             self.controls = [self.start("control", ip, number) for number, ip in enumerate(controls)]
