--- a/review/stand_ins_2/engines.py
+++ b/review/stand_ins_2/engines.py
@@ -29,7 +29,9 @@
             return self.send(channel, "200 OK", [("Instance-Id", self.name)], b"")
         if path == "/v1/report":
             return self.report(channel)
-        echo = [("Request-Id", headers.get("request-id", ""))]
+        if not headers.get("request-id"):
+            return self.send(channel, "400 Bad Request", [("Not-Executed", "1")], b"")
+        echo = [("Request-Id", headers["request-id"])]
         if headers.get("expect-instance", self.name) != self.name:
             return self.send(channel, "421 Misdirected Request", echo, b"")
         if headers.get("expect-version", "1") != "1":
--- a/review/stand_ins_2/rig.py
+++ b/review/stand_ins_2/rig.py
@@ -210,7 +210,8 @@
 
     ZONES = ["ernakulam", "calicut", "trivandrum"]
 
-    def __init__(self, entries=2, servers=3, answer=None, config=None, grace_s=8, extra=None):
+    def __init__(self, entries=2, servers=3, answer=None, config=None, grace_s=8, extra=None,
+                 first_start=None, ack_s=20):
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("the program is not built: %s" % PROGRAM)
         self.record, self.runs, self.lock = Record(), {}, threading.Lock()
@@ -232,9 +233,11 @@
             controls = [self.address(11 + number) for number in range(3)]
             self.seeds = ["%s:%d" % (ip, CONTROL) for ip in controls]
             self.controls = [self.start("control", ip, number) for number, ip in enumerate(controls)]
+            if first_start:
+                first_start(self)
             self.entries = [self.start("entry", self.address(31 + number), number)
                             for number in range(entries)]
-            self.put_config(config or default_config())
+            self.put_config(config or default_config(), ack_s)
             for entry in self.entries:
                 self.wait_ready(entry)
         except BaseException:
