Require keys also when the configuration lists no organisation

Cause: `requires_keys` asked whether the parsed table has organisations, and the parser made the same table of an empty list and of none. Evidence: the stored document keeps the list (GET /v1/config), the requests run without a Tenant, so that entries had applied the new document; a tenant without keys keeps the routes closed. Ruled out: an entry that still used the former document (the dropped key would have had its Tenant), a route that became anonymous.

Change: the table states who is admitted (`CallerAccess::Open` or `Keyed`) and can't be built without it; `RouteTable` and `RouteIndex` have no default any more. `null` stays no list.

--- a/src/roles/usage_client.rs
+++ b/src/roles/usage_client.rs
@@ -74,7 +74,7 @@
     /// Applies the caps and the arbiters of a view; `entries` is the number of entries that share the caps.
     pub fn configure(&self, view: &ProxyView, entries: usize) {
         let Some(table) = view.index.as_ref().map(|index| &index.table) else { return };
-        let is_used = table.organisations.values().any(|access| access.cap.is_some());
+        let is_used = table.access.organisations().any(|(_, access)| access.cap.is_some());
         if !is_used && !*self.has_caps.borrow() {
             return;
         }
@@ -84,7 +84,7 @@
         if state.settings == settings || state.is_released {
             return;
         }
-        let organisations = table.organisations.iter();
+        let organisations = table.access.organisations();
         let caps: BTreeMap<OrganisationId, UsageLimit> =
             organisations.filter_map(|(name, access)| Some((name.clone(), access.cap?))).collect();
         let (now, arbiters) = (Instant::now(), settings.arbiters.clone());
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -4,16 +4,20 @@
 //! model or a service. [`RouteTable::check`] validates a table; [`RouteIndex`] looks up routes
 //! and API keys in it.
 
+pub mod access;
 pub mod fault;
 pub mod index;
 
-pub use self::{fault::RouteFault, index::RouteIndex};
+pub use self::{
+    access::{CallerAccess, OrganisationAccess, OrganisationTable},
+    fault::RouteFault,
+    index::RouteIndex,
+};
 
 use {
     crate::{
-        ids::{DocumentNumber, FailureDomainId, ModelId, OrganisationId, ServiceId},
+        ids::{DocumentNumber, FailureDomainId, ModelId, ServiceId},
         inventory::RequestClass,
-        policy::usage_limits::UsageLimit,
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -144,21 +148,8 @@
     }
 }
 
-/// API keys and request settings of an organisation.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct OrganisationAccess {
-    /// API keys; no two organisations share a key.
-    pub keys: BTreeSet<String>,
-    /// Priority class of its requests; overrides the class of the route.
-    pub class: Option<RequestClass>,
-    /// Whether its cached prompts are shared with no other organisation.
-    pub isolated: bool,
-    /// What it may use, over all daemons together; `None` if that is not limited.
-    pub cap: Option<UsageLimit>,
-}
-
 /// The complete routing configuration, under one document number.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RouteTable {
     /// Document number assigned by the operator, from 1.
     pub number: DocumentNumber,
@@ -168,51 +159,8 @@
     pub services: BTreeMap<ServiceId, ServiceRule>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
-    /// Organisations that may send requests; if empty, no API key is required.
-    pub organisations: BTreeMap<OrganisationId, OrganisationAccess>,
-}
-
-impl RouteTable {
-    /// Adds a record of an organisation. A name may have several records, whose keys are all accepted.
-    /// The class of the first record that has one applies, and the cached prompts are shared only if
-    /// all records allow it. Of several caps the lowest rate and the lowest burst apply.
-    ///
-    /// # Errors
-    /// [`RouteFault::SharedKey`] if an earlier record of the name has one of its keys, and
-    /// [`RouteFault::InvalidCap`] if their caps have different units, of which the first applies; the
-    /// record is added nevertheless. [`RouteTable::check`] finds keys that are shared by different names.
-    pub fn add_organisation(
-        &mut self,
-        name: OrganisationId,
-        access: OrganisationAccess,
-    ) -> Result<(), RouteFault> {
-        let merged = self.organisations.entry(name.clone()).or_default();
-        let is_shared = !merged.keys.is_disjoint(&access.keys);
-        merged.keys.extend(access.keys);
-        merged.class = merged.class.or(access.class);
-        merged.isolated |= access.isolated;
-        let caps = merge_caps(merged.cap, access.cap);
-        merged.cap = caps.or(merged.cap);
-        if is_shared {
-            return Err(RouteFault::SharedKey { first: name.clone(), second: name });
-        }
-        if caps.is_none() && access.cap.is_some() {
-            let reason = "its records count by different units; use the same one".to_owned();
-            return Err(RouteFault::InvalidCap { organisation: name, reason });
-        }
-        Ok(())
-    }
-}
-
-/// The cap that keeps both caps; `None` if there is none or if they have different units.
-fn merge_caps(first: Option<UsageLimit>, second: Option<UsageLimit>) -> Option<UsageLimit> {
-    let (Some(first), Some(second)) = (first, second) else { return first.or(second) };
-    (first.unit == second.unit).then(|| UsageLimit {
-        rate: first.rate.min(second.rate),
-        burst: first.burst.min(second.burst),
-        unit: first.unit,
-        plain_tokens: first.plain_tokens.max(second.plain_tokens),
-    })
+    /// The callers that may use routes that are not anonymous.
+    pub access: CallerAccess,
 }
 
 /// A table that was read from a document.
--- a/src/routing/fault.rs
+++ b/src/routing/fault.rs
@@ -116,7 +116,7 @@
 
     fn check_keys(&self) -> Result<(), RouteFault> {
         let mut owners = BTreeMap::new();
-        for (organisation, access) in &self.organisations {
+        for (organisation, access) in self.access.organisations() {
             let keys: BTreeSet<&str> = access.keys.iter().map(String::as_str).collect();
             for key in keys {
                 if let Some(first) = owners.insert(key, organisation) {
--- a/src/routing/index.rs
+++ b/src/routing/index.rs
@@ -10,7 +10,7 @@
 };
 
 /// A route table with indexes by host and by API key.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RouteIndex {
     /// The indexed table.
     pub table: Arc<RouteTable>,
@@ -34,13 +34,11 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        let organisations = table.organisations.iter();
-        let keys = organisations.flat_map(|(organisation, access)| {
+        let keys = table.access.organisations().flat_map(|(organisation, access)| {
             access.keys.iter().map(|key| (key.clone(), organisation.clone()))
         });
-        let limits_use = table.organisations.values().any(|access| access.cap.is_some());
-        let organisations = table.organisations.iter();
-        let isolated = organisations.filter(|(_, access)| access.isolated);
+        let limits_use = table.access.organisations().any(|(_, access)| access.cap.is_some());
+        let isolated = table.access.organisations().filter(|(_, access)| access.isolated);
         let shared_scope = prefix::shared_scope(isolated.map(|(name, _)| name.as_str()));
         RouteIndex { hosts, keys: keys.collect(), limits_use, shared_scope, table }
     }
@@ -54,20 +52,20 @@
     /// The organisation that an API key belongs to.
     pub fn organisation(&self, key: &str) -> Option<(&OrganisationId, &OrganisationAccess)> {
         let organisation = self.keys.get(key)?;
-        Some((organisation, self.table.organisations.get(organisation)?))
+        Some((organisation, self.table.access.organisation(organisation)?))
     }
 
     /// The organisations that may use the cache entries which a request of `organisation` makes. One that
     /// is not configured any more is isolated, since that is what its last configuration may have asked for.
     pub fn cache_scope(&self, organisation: &OrganisationId) -> CacheScope {
-        let access = self.table.organisations.get(organisation);
+        let access = self.table.access.organisation(organisation);
         let is_shared = access.map_or(organisation.is_empty(), |access| !access.isolated);
         if is_shared { self.shared_scope.clone() } else { prefix::isolated_scope(organisation) }
     }
 
     /// Whether callers need API keys on routes that are not anonymous.
     pub fn requires_keys(&self) -> bool {
-        !self.table.organisations.is_empty()
+        self.table.access.requires_keys()
     }
 }
 
--- a/tests/cache_scopes.rs
+++ b/tests/cache_scopes.rs
@@ -4,7 +4,10 @@
     oleandermount::{
         ids::OrganisationId,
         policy::prefix::{CacheScope, isolated_scope, shared_scope},
-        routing::{OrganisationAccess, RouteIndex, RouteTable},
+        routing::{
+            CallerAccess, CallerLimits, OrganisationAccess, OrganisationTable, RouteIndex,
+            RouteTable,
+        },
     },
     quickcheck::{TestResult, quickcheck},
     std::{
@@ -36,16 +39,22 @@
 }
 
 fn index_of(configuration: u8) -> RouteIndex {
-    let mut table = RouteTable::default();
+    let mut table = OrganisationTable::default();
     for organisation in 0..ORGANISATIONS {
         let access = access_of(configuration, organisation);
         if access != Access::Removed {
             let isolated = access == Access::Isolated;
             let access = OrganisationAccess { isolated, ..OrganisationAccess::default() };
-            assert!(table.add_organisation(name_of(organisation), access).is_ok());
+            assert!(table.add(name_of(organisation), access).is_ok());
         }
     }
-    RouteIndex::new(Arc::new(table))
+    RouteIndex::new(Arc::new(RouteTable {
+        number: 1,
+        routes: Vec::new(),
+        services: BTreeMap::new(),
+        limits: CallerLimits::default(),
+        access: CallerAccess::Keyed(table),
+    }))
 }
 
 quickcheck! {
--- a/tests/named_weights.rs
+++ b/tests/named_weights.rs
@@ -26,7 +26,9 @@
                 RequiredWeights,
             },
         },
-        routing::{RouteIndex, RouteKind, RouteRule, RouteTable, ServiceRule},
+        routing::{
+            CallerAccess, CallerLimits, RouteIndex, RouteKind, RouteRule, RouteTable, ServiceRule,
+        },
     },
     std::{
         collections::BTreeMap,
@@ -398,7 +400,8 @@
         number: 1,
         routes: vec![route],
         services,
-        ..RouteTable::default()
+        limits: CallerLimits::default(),
+        access: CallerAccess::Open,
     })))
 }
 
