Pass on a server list without servers

Callers saw: when the platform's list named no server any more, entries went on sending requests to all of the former ones, for as long as the list was empty.

Cause: an empty list had the digest of no list, and `FleetHistory::change_since` sent nothing for it. A control VM that has just started has no list, and must not take the servers away from entries, so that the two have to be told apart.

Change: a control VM's list is `None` until it was read or received, and nothing is sent then; an empty list has a digest of its own and is sent like any other. A follower without a list gets an empty one with its next answer and is not woken for it, so that one of an older release does not ask again at once.

Red before: platform empty_lists::empty_server_list_reaches_entries (timed out after 90 s). Green with it: it, fleet_list (9, of which empty_list_is_passed_on and unread_list_is_not_passed_on are new) and document_transfer (13). fleet_list::changes_are_batched changed with the type of the published list.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -102,12 +102,9 @@
         }
     }
 
-    /// Digest that identifies the snapshot. It is the same on every daemon and 0 for an empty
-    /// snapshot.
+    /// Digest that identifies the snapshot. It is the same on every daemon and never 0, which stands for
+    /// no snapshot.
     pub fn digest(&self) -> u64 {
-        if self.servers.is_empty() {
-            return 0;
-        }
         let bytes = postcard::to_stdvec(self).expect("a snapshot always encodes");
         xxh3_64(&bytes).max(1)
     }
--- a/src/fleet/history.rs
+++ b/src/fleet/history.rs
@@ -41,6 +41,13 @@
     Full(Arc<FleetSnapshot>),
 }
 
+impl FleetChange {
+    /// Whether it is a full list without servers.
+    pub fn is_empty(&self) -> bool {
+        matches!(self, FleetChange::Full(list) if list.servers.is_empty())
+    }
+}
+
 /// Published lists by their digests.
 #[derive(Debug, Default)]
 pub struct FleetHistory {
@@ -52,11 +59,11 @@
 }
 
 impl FleetHistory {
-    /// Returns the update from the list with digest `held` to the list `current`; `None` if the
-    /// lists are equal.
+    /// Returns the update from the list with digest `held`, 0 for none, to the list `current`; `None`
+    /// if the lists are equal.
     pub fn change_since(&mut self, held: u64, current: &Arc<FleetSnapshot>) -> Option<FleetChange> {
         let digest = self.record_list(current);
-        if digest == 0 || digest == held {
+        if digest == held {
             return None;
         }
         if let Some(delta) = self.deltas.get(&held) {
--- a/src/fleet/watch.rs
+++ b/src/fleet/watch.rs
@@ -52,16 +52,18 @@
 
 /// Current list on a control VM, including the servers that the leader holds back.
 pub struct FleetView {
-    merged: watch::Sender<Arc<FleetSnapshot>>,
+    /// `None` until a list was read or received; an empty list is one.
+    merged: watch::Sender<Option<Arc<FleetSnapshot>>>,
     /// Merged list as published to followers, with a short delay.
-    published: watch::Sender<Arc<FleetSnapshot>>,
+    published: watch::Sender<Option<Arc<FleetSnapshot>>>,
     state: Mutex<ViewState>,
     history: Mutex<FleetHistory>,
 }
 
 #[derive(Default)]
 struct ViewState {
-    listed: Arc<FleetSnapshot>,
+    /// `None` until a list was read or received.
+    listed: Option<Arc<FleetSnapshot>>,
     confirmed: Option<Instant>,
     /// Servers that are held back, with the start times; only servers of the list.
     held: BTreeMap<ServerId, Instant>,
@@ -74,8 +76,8 @@
 impl Default for FleetView {
     fn default() -> Self {
         FleetView {
-            merged: watch::channel(Arc::default()).0,
-            published: watch::channel(Arc::default()).0,
+            merged: watch::channel(None).0,
+            published: watch::channel(None).0,
             state: Mutex::default(),
             history: Mutex::default(),
         }
@@ -83,20 +85,20 @@
 }
 
 impl FleetView {
-    /// Subscribes to the current list.
-    pub fn subscribe(&self) -> watch::Receiver<Arc<FleetSnapshot>> {
+    /// Subscribes to the current list, which is `None` until one was read or received.
+    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<FleetSnapshot>>> {
         self.merged.subscribe()
     }
 
-    /// Subscribes to the list that is published to followers.
-    pub fn subscribe_published(&self) -> watch::Receiver<Arc<FleetSnapshot>> {
+    /// Subscribes to the list that is published to followers, which is `None` before the first one.
+    pub fn subscribe_published(&self) -> watch::Receiver<Option<Arc<FleetSnapshot>>> {
         self.published.subscribe()
     }
 
-    /// Returns the update from the list with digest `held` to the published list; `None` if the
-    /// lists are equal.
+    /// Returns the update from the list with digest `held`, 0 for none, to the published list; `None`
+    /// if the lists are equal or none is published.
     pub fn change_since(&self, held: u64) -> Option<FleetChange> {
-        let current = self.published.borrow().clone();
+        let current = self.published.borrow().clone()?;
         let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
         history.change_since(held, &current)
     }
@@ -110,7 +112,7 @@
     pub fn apply_reading(&self, mut snapshot: FleetSnapshot) {
         let mut state = self.lock();
         state.arbiters.assign(Instant::now(), &mut snapshot);
-        state.listed = Arc::new(snapshot);
+        state.listed = Some(Arc::new(snapshot));
         state.confirmed = Some(Instant::now());
         self.update_merged(&mut state);
     }
@@ -121,10 +123,10 @@
         let mut state = self.lock();
         state.confirmed = Some(Instant::now());
         if let Some(snapshot) = snapshot
-            && !Arc::ptr_eq(&snapshot, &state.listed)
+            && !state.listed.as_ref().is_some_and(|listed| Arc::ptr_eq(&snapshot, listed))
         {
             state.held.clear();
-            state.listed = snapshot;
+            state.listed = Some(snapshot);
             self.update_merged(&mut state);
         }
     }
@@ -166,7 +168,8 @@
 
     fn update_merged(&self, state: &mut ViewState) {
         state.held.retain(|_, since| since.elapsed() < HOLD_LIMIT);
-        let mut merged = FleetSnapshot::clone(&state.listed);
+        let Some(listed) = &state.listed else { return };
+        let mut merged = FleetSnapshot::clone(listed);
         let listed: BTreeSet<&ServerId> = merged.servers.iter().map(|server| &server.id).collect();
         state.reported.retain(|server, _| listed.contains(server));
         for server in &mut merged.servers {
@@ -182,9 +185,9 @@
             }
         }
         self.merged.send_if_modified(|current| {
-            let changed = **current != merged;
+            let changed = current.as_deref() != Some(&merged);
             if changed {
-                *current = Arc::new(merged);
+                *current = Some(Arc::new(merged));
             }
             changed
         });
@@ -200,9 +203,9 @@
     let mut merged = view.subscribe();
     merged.mark_changed();
     while merged.changed().await.is_ok() {
-        let list = merged.borrow_and_update().clone();
+        let Some(list) = merged.borrow_and_update().clone() else { continue };
         let count = u32::try_from(list.servers.len()).unwrap_or(u32::MAX);
-        view.published.send_replace(list);
+        view.published.send_replace(Some(list));
         sleep(PUBLISH_INTERVAL_PER_SERVER.saturating_mul(count).min(PUBLISH_INTERVAL)).await;
     }
 }
@@ -248,7 +251,7 @@
         view.record_entries(entries());
         if leads() || !view.is_fresh(LEADER_TIMEOUT) {
             let reading = source.read().await;
-            let known = view.subscribe().borrow().servers.len();
+            let known = view.subscribe().borrow().as_ref().map_or(0, |list| list.servers.len());
             let servers = reading.as_ref().map_or(known, |snapshot| snapshot.servers.len());
             monitor.record_confirmation(reading.is_some(), servers);
             reading.into_iter().for_each(|snapshot| view.apply_reading(snapshot));
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -87,7 +87,7 @@
     pub document: DocumentNumber,
     /// Its named weights, in full, since there are few.
     pub weights: NamedWeights,
-    /// The digest of its server list.
+    /// The digest of its server list; 0 if it has none.
     pub fleet: u64,
     /// The digest of the control VMs that it knows; see [`control_digest`].
     pub control: u64,
--- a/src/follow/origin_service.rs
+++ b/src/follow/origin_service.rs
@@ -136,7 +136,7 @@
     pub async fn run_lists(self: Arc<Self>, view: Arc<FleetView>) {
         let mut lists = view.subscribe_published();
         loop {
-            let list = lists.borrow_and_update().clone();
+            let list = lists.borrow_and_update().clone().unwrap_or_default();
             self.record_list(&list);
             // Without a change the same list is recorded again.
             let _ = timeout(LIST_INTERVAL, lists.changed()).await;
--- a/src/follow/service.rs
+++ b/src/follow/service.rs
@@ -254,7 +254,10 @@
         let mut status = replica.status_watch();
         loop {
             fleet_watch.mark_unchanged();
-            let list_changed = self.fleet.change_since(request.fleet).is_some();
+            let list_changed = self.fleet.change_since(request.fleet).is_some_and(|change| {
+                // A follower without a list gets an empty one with its next answer.
+                request.fleet != 0 || !change.is_empty()
+            });
             let changed = {
                 let state = documents.borrow_and_update();
                 is_outdated(request, &state) || has_other_weights(request, &state)
--- a/src/roles/fleet_orders.rs
+++ b/src/roles/fleet_orders.rs
@@ -98,15 +98,15 @@
 /// Updates the plan with each change of the server list or of the named weights. `fenced` is whether
 /// engines refuse orders whose fencing number is lower than one that they have seen.
 pub async fn update_plan(
-    mut fleet: watch::Receiver<Arc<FleetSnapshot>>,
+    mut fleet: watch::Receiver<Option<Arc<FleetSnapshot>>>,
     mut documents: watch::Receiver<Arc<DocumentState>>,
     plan: watch::Sender<Arc<ActiveConfig>>,
     fenced: bool,
 ) {
     for revision in 1.. {
         let config = {
-            let (fleet, documents) = (fleet.borrow_and_update(), documents.borrow_and_update());
-            build_plan(revision, &fleet, &documents, fenced)
+            let fleet = fleet.borrow_and_update().clone().unwrap_or_default();
+            build_plan(revision, &fleet, &documents.borrow_and_update(), fenced)
         };
         plan.send_if_modified(|current| {
             let changed = current.register != config.register;
@@ -154,7 +154,7 @@
     }
 
     fn hold(&self, server: &ServerId) {
-        let listed = self.fleet_view.subscribe().borrow().clone();
+        let listed = self.fleet_view.subscribe().borrow().clone().unwrap_or_default();
         let listed = listed.servers.iter().find(|listed| listed.id == *server);
         let weights = listed.map(|listed| {
             let weights = listed.weights.iter();
--- a/tests/fleet_list.rs
+++ b/tests/fleet_list.rs
@@ -169,7 +169,7 @@
     tokio::spawn(publish_list(Arc::clone(&view)));
     let first = timeout(Duration::from_secs(1), published.changed()).await;
     assert!(first.is_ok(), "a list is published");
-    assert_eq!(*published.borrow_and_update(), ready, "the earlier reading is published");
+    assert_eq!(*published.borrow_and_update(), Some(ready), "the earlier reading is published");
     let mut times = 0;
     let mut ticks = interval(Duration::from_millis(10));
     for number in 0..100 {
@@ -183,6 +183,67 @@
         0..100 => ServerPhase::Loading,
         _ => ServerPhase::Ready,
     });
-    let seen = timeout(Duration::from_secs(1), published.wait_for(|list| **list == *last)).await;
+    let is_last = |list: &Option<Arc<FleetSnapshot>>| list.as_deref() == Some(&*last);
+    let seen = timeout(Duration::from_secs(1), published.wait_for(is_last)).await;
     assert!(seen.is_ok(), "the last list is published");
 }
+
+/// Applies a change to what a follower holds.
+fn follow(state: &mut SharedState, change: FleetChange) {
+    let (fleet, fleet_delta) = match change {
+        FleetChange::Full(fleet) => (Some(fleet), None),
+        FleetChange::Delta(delta) => (None, Some(FleetDelta::clone(&delta))),
+    };
+    state.apply(FollowReply { fleet, fleet_delta, ..FollowReply::default() });
+}
+
+async fn published_list(view: &FleetView, is_expected: impl Fn(&FleetSnapshot) -> bool) {
+    let mut published = view.subscribe_published();
+    let seen = published.wait_for(|list| list.as_deref().is_some_and(&is_expected));
+    assert!(timeout(Duration::from_secs(1), seen).await.is_ok(), "the list is published");
+}
+
+/// Guards against new work for servers that are all gone: a list without servers is passed on like any other,
+/// to followers that hold the list before it, another one, or none.
+#[tokio::test(start_paused = true)]
+async fn empty_list_is_passed_on() {
+    let view = Arc::new(FleetView::default());
+    tokio::spawn(publish_list(Arc::clone(&view)));
+    view.apply_reading(FleetSnapshot::clone(&fleet_of(3, |_| ServerPhase::Ready)));
+    published_list(&view, |list| list.servers.len() == 3).await;
+    let (mut current, mut fresh) = (SharedState::default(), SharedState::default());
+    follow(&mut current, view.change_since(0).expect("it has no list"));
+    let mut other = SharedState::default();
+    phase_after(&mut other, fleet_with(ServerPhase::Ready, 1));
+    view.apply_reading(FleetSnapshot::default());
+    published_list(&view, |list| list.servers.is_empty()).await;
+    for state in [&mut current, &mut other, &mut fresh] {
+        follow(state, view.change_since(state.fleet_digest).expect("its list is another one"));
+        assert_eq!(state.fleet.as_deref(), Some(&FleetSnapshot::default()));
+        assert_eq!(view.change_since(state.fleet_digest), None, "it is sent once");
+    }
+    // Another control VM follows this one.
+    let second = Arc::new(FleetView::default());
+    tokio::spawn(publish_list(Arc::clone(&second)));
+    second.apply_leader_list(current.fleet.clone());
+    published_list(&second, |list| list.servers.is_empty()).await;
+    view.apply_reading(FleetSnapshot::clone(&fleet_of(2, |_| ServerPhase::Ready)));
+    published_list(&view, |list| list.servers.len() == 2).await;
+    let change = view.change_since(current.fleet_digest).expect("it changed");
+    follow(&mut current, change);
+    assert_eq!(current.fleet, Some(fleet_of(2, |_| ServerPhase::Ready)));
+}
+
+/// Guards against servers that get no work since a control VM which has just started passes on that it knows
+/// none.
+#[tokio::test(start_paused = true)]
+async fn unread_list_is_not_passed_on() {
+    let view = Arc::new(FleetView::default());
+    tokio::spawn(publish_list(Arc::clone(&view)));
+    view.apply_leader_list(None);
+    view.report_weights(&"i-1".to_owned(), 1, BTreeMap::new());
+    view.hold(&"i-1".to_owned());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let held = fleet_of(3, |_| ServerPhase::Ready).digest();
+    assert_eq!((view.change_since(0), view.change_since(held)), (None, None));
+}
