End the servers of cut responses with their cases

Where a process may open 20,000 files, platform broken_heads failed on the untouched sources: 3 of 6 and 5 of 6 tests in two runs, "Too many open files". The listener of each of some ten thousand cases stayed open until the process ended. A server is now dropped with its case. The cases, forms and checks are the same.

--- a/tests/broken_heads.rs
+++ b/tests/broken_heads.rs
@@ -98,8 +98,8 @@
     let taken = stream::iter(cases).map(|(part, end)| {
         let is_taken = &is_taken;
         async move {
-            let address = start_cut_server(part.clone(), end).await;
-            is_taken(address).await.then_some((part, end))
+            let server = start_cut_server(part.clone(), end).await;
+            is_taken(server.address).await.then_some((part, end))
         }
     });
     (number, taken.buffer_unordered(PARALLEL).filter_map(async |case| case).collect().await)
@@ -159,12 +159,14 @@
 #[tokio::test]
 async fn complete_responses_are_taken() {
     for form in marked_forms("Content-Type: application/json\r\n", REPORT) {
-        let address = start_cut_server(form.clone(), CutEnd::Close).await;
+        let server = start_cut_server(form.clone(), CutEnd::Close).await;
+        let address = server.address;
         assert!(calls_service(address).await && calls_engine(address).await, "{form}");
         assert!(queries_operator(address).await, "{form}");
     }
     for form in marked_forms("", EVENTS) {
-        let address = start_cut_server(form.clone(), CutEnd::Close).await;
+        let server = start_cut_server(form.clone(), CutEnd::Close).await;
+        let address = server.address;
         assert!(generates(address).await, "{form}");
     }
 }
--- a/tests/fakes/cut_server.rs
+++ b/tests/fakes/cut_server.rs
@@ -8,6 +8,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        task::JoinSet,
     },
 };
 
@@ -47,16 +48,23 @@
         .collect()
 }
 
+/// A server that cuts its responses, until it is dropped: tests start thousands of them.
+pub struct CutServer {
+    pub address: SocketAddr,
+    _tasks: JoinSet<()>,
+}
+
 /// Starts a server that responds to each request with `part` and then does no more.
-pub async fn start_cut_server(part: String, end: CutEnd) -> SocketAddr {
+pub async fn start_cut_server(part: String, end: CutEnd) -> CutServer {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(serve(stream, part.clone(), end));
         }
     });
-    address
+    CutServer { address, _tasks: tasks }
 }
 
 async fn serve(mut stream: TcpStream, part: String, end: CutEnd) {
--- a/tests/server_tunnels.rs
+++ b/tests/server_tunnels.rs
@@ -286,8 +286,9 @@
         for (part, end) in
             cuts(&form).flat_map(|part| [(part.clone(), CutEnd::Close), (part, CutEnd::Reset)])
         {
-            let server = start_cut_server(part.clone(), end).await.to_string();
-            let tunnel = caller.open_tunnel(&"peer".to_owned(), server, TEST_TIMEOUT).await;
+            let server = start_cut_server(part.clone(), end).await;
+            let address = server.address.to_string();
+            let tunnel = caller.open_tunnel(&"peer".to_owned(), address, TEST_TIMEOUT).await;
             let mut tunnel = tunnel.ok().unwrap();
             tunnel.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
             let mut received = Vec::new();
