Keep a reset of a server's connection that a tunnel's upload has met

Cause: the system reports a reset once. The entry that serves the tunnel copies both directions; where the copy of the request met the reset, it took the error away, and the copy of the response read an end and passed the tunnel's end on as the server's own.

Change: a failed write that is no broken pipe is remembered, and an end that is read after it is passed on as a break. A broken pipe comes after the server's own end, which stays one (`end_during_upload_stays_end`).

--- a/src/transport/tunnel.rs
+++ b/src/transport/tunnel.rs
@@ -17,6 +17,7 @@
         any::Any,
         io,
         pin::Pin,
+        sync::atomic::{AtomicBool, Ordering},
         task::{Context, Poll},
     },
     tokio::{
@@ -59,12 +60,13 @@
     let Some(TunnelTarget { stream, guard }) = target else { return };
     let (from_server, to_server) = stream.into_split();
     let responses = ResponseStream { sender, is_ended: false };
+    let has_broken = AtomicBool::new(false);
     // Noticed also while the server reads and sends nothing.
     let abandoned = responses.sender.stopped();
     tokio::select! {
         _ = abandoned => {}
-        () = copy_requests(receiver, to_server) => {}
-        () = copy_responses(from_server, responses) => {}
+        () = copy_requests(receiver, to_server, &has_broken) => {}
+        () = copy_responses(from_server, responses, &has_broken) => {}
     }
     drop(guard);
 }
@@ -99,10 +101,18 @@
     }
 }
 
-/// Copies until the peer ends its side, which it does only when it needs the connection no longer.
-async fn copy_requests(mut receiver: RecvStream, mut server: impl AsyncWrite + Unpin) {
+/// Copies until the peer ends its side, which it does only when it needs the connection no longer. Sets
+/// `has_broken` if the server's connection breaks.
+async fn copy_requests(
+    mut receiver: RecvStream,
+    mut server: impl AsyncWrite + Unpin,
+    has_broken: &AtomicBool,
+) {
     while let Ok(Some(chunk)) = receiver.read_chunk(BUFFER_BYTES, true).await {
-        if server.write_all(&chunk.bytes).await.is_err() {
+        if let Err(error) = server.write_all(&chunk.bytes).await {
+            // The system reports a reset once, so that a read after this one sees an end. A broken pipe means
+            // that the server had ended its side before.
+            has_broken.store(error.kind() != io::ErrorKind::BrokenPipe, Ordering::Relaxed);
             // What the server has sent before is still read; its end ends the tunnel.
             return std::future::pending().await;
         }
@@ -110,10 +120,18 @@
 }
 
 /// Copies until the server ends its side. An end and a break stay distinct for the peer.
-async fn copy_responses(mut server: impl AsyncRead + Unpin, mut responses: ResponseStream) {
+async fn copy_responses(
+    mut server: impl AsyncRead + Unpin,
+    mut responses: ResponseStream,
+    has_broken: &AtomicBool,
+) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         match server.read(&mut buffer).await {
+            Ok(0) if has_broken.load(Ordering::Relaxed) => {
+                log::debug!("a server's connection in a tunnel broke while a request was sent");
+                return responses.reset(SERVER_BROKE);
+            }
             Ok(0) => return responses.finish().await,
             Ok(length) => {
                 if responses.sender.write_all(&buffer[..length]).await.is_err() {
--- a/tests/server_tunnels.rs
+++ b/tests/server_tunnels.rs
@@ -33,6 +33,10 @@
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longer than a loopback connection takes to fill its buffers.
 const BLOCKED_TIME: Duration = Duration::from_millis(500);
+/// Time in which an upload fills most buffers of a tunnel.
+const FILL_TIME: Duration = Duration::from_millis(60);
+/// Uploads that are answered early, since it varies what meets a reset first.
+const UPLOADS: usize = 24;
 /// Tunnels that are open when their daemon stops.
 const TUNNELS: usize = 32;
 
@@ -141,6 +145,43 @@
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
 }
 
+/// Guards against a response that was reset while its request was still sent, and looks complete because the
+/// write that met the reset took the error away.
+#[tokio::test]
+async fn reset_during_upload_stays_reset() {
+    for _ in 0..UPLOADS {
+        let test = TunnelTest::start().await;
+        let (mut tunnel, mut server) = test.open().await;
+        // More than all buffers hold, so that the peer is writing when the reset arrives.
+        let sent = vec![0; 16 << 20];
+        timeout(FILL_TIME, tunnel.write_all(&sent)).await.unwrap_err();
+        server.write_all(b"a part").await.unwrap();
+        let mut part = [0; 6];
+        tunnel.read_exact(&mut part).await.unwrap();
+        SockRef::from(&server).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(server);
+        let ended = timeout(TEST_TIMEOUT, tunnel.read(&mut part)).await.unwrap();
+        assert_eq!(ended.map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset));
+    }
+}
+
+/// Guards against a server's own end that looks like a break because the server reads no more of its request.
+#[tokio::test]
+async fn end_during_upload_stays_end() {
+    for _ in 0..UPLOADS {
+        let test = TunnelTest::start().await;
+        let (mut tunnel, mut server) = test.open().await;
+        let sent = vec![0; 16 << 20];
+        timeout(FILL_TIME, tunnel.write_all(&sent)).await.unwrap_err();
+        server.write_all(b"a whole").await.unwrap();
+        server.shutdown().await.unwrap();
+        let mut received = Vec::new();
+        timeout(TEST_TIMEOUT, tunnel.read_to_end(&mut received)).await.unwrap().unwrap();
+        assert_eq!(received, b"a whole");
+        drop(server);
+    }
+}
+
 /// Guards against a part of a response that looks complete because its tunnel ended before the server's
 /// connection did.
 #[tokio::test]
