Keep a reset that a write has met in all connections to backend servers

The class of the tunnel's fault: who writes a request and reads its response on one socket has to keep the error of the write. Direct connections relied on the HTTP library for that, which ends a response at a failed write. The stream below the library now gives that error to every read that would return an end, so that it holds by design, for the entry, the product's own clients and the client of the list and of orders.

--- a/src/backend/read_meter.rs
+++ b/src/backend/read_meter.rs
@@ -40,16 +40,39 @@
     }
 }
 
-/// The bytes of a connection, counted by a meter.
+/// The bytes of a connection, counted by a meter. A reset that a write has met is an error to the reads
+/// after it.
 pub struct MeteredStream<S> {
     stream: S,
     meter: ReadMeter,
+    /// The first failure of a write. The system reports a reset once, so that a read after that write sees an
+    /// end.
+    write_failure: Option<io::ErrorKind>,
 }
 
 impl<S> MeteredStream<S> {
     /// Counts what is read from `stream`.
     pub fn new(stream: S, meter: ReadMeter) -> Self {
-        MeteredStream { stream, meter }
+        MeteredStream { stream, meter, write_failure: None }
+    }
+
+    fn record_write<T>(&mut self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if let Poll::Ready(Err(error)) = &written {
+            self.write_failure.get_or_insert(error.kind());
+        }
+        written
+    }
+
+    /// Whether an end that is read is the other side's own.
+    ///
+    /// # Errors
+    /// The failure that broke the connection before. A broken pipe means that the other side had ended its
+    /// side.
+    fn check_end(&self) -> io::Result<()> {
+        match self.write_failure {
+            None | Some(io::ErrorKind::BrokenPipe) => Ok(()),
+            Some(failure) => Err(failure.into()),
+        }
     }
 }
 
@@ -61,7 +84,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        match self.meter.count(buffer.filled().len() - before) {
+        let length = buffer.filled().len() - before;
+        if length == 0 && buffer.remaining() > 0 {
+            self.check_end()?;
+        }
+        match self.meter.count(length) {
             true => Poll::Ready(Ok(())),
             false => Poll::Ready(Err(io::Error::new(
                 io::ErrorKind::InvalidData,
@@ -77,7 +104,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(written)
     }
 
     fn poll_write_vectored(
@@ -85,7 +113,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -93,7 +122,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        self.record_write(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
