Take no response with a status that no final response has

Cause: the HTTP library accepts three-digit codes up to 999, and 101 as the end of a request; nothing checked them. Since such bytes are no response, nothing in them is believed, Not-Executed included: the request may have run. It is repeated where that is allowed, else it ends with 502.

The same in the product's own stack (`backend::connection::exchange`), whose callers got 101 and 600 to 999 of services too. Looked at: the list, orders and reports take 200 (and 202) alone, the operators' client 200 alone; the check of other links takes any status, and an odd one tells that the link works.

--- a/src/backend/connection.rs
+++ b/src/backend/connection.rs
@@ -14,7 +14,7 @@
     displaydoc::Display,
     http_body_util::Full,
     hyper::{
-        Request, Response,
+        Request, Response, StatusCode,
         client::conn::http1::{Builder, SendRequest},
     },
     hyper_util::rt::TokioIo,
@@ -48,6 +48,8 @@
     Withdrawn,
     /// the response belongs to another attempt; the connection is closed
     MismatchedAttempt,
+    /// the response has status {0}, which no final response has; the backend server may have run the request
+    InvalidStatus(u16),
     /// the backend server responded with status {status}
     Status {
         /// HTTP status.
@@ -78,7 +80,9 @@
             BackendError::NotConnected(_) => AttemptFailure::NotConnected,
             BackendError::Stale => AttemptFailure::Stale,
             BackendError::Withdrawn => AttemptFailure::Withdrawn,
-            BackendError::Broken | BackendError::MismatchedAttempt => AttemptFailure::Broken,
+            BackendError::Broken
+            | BackendError::MismatchedAttempt
+            | BackendError::InvalidStatus(_) => AttemptFailure::Broken,
             BackendError::TimedOut(_) => AttemptFailure::TimedOut,
             BackendError::Status { status: 409, .. } => AttemptFailure::WrongWeights,
             BackendError::Status { status: 429 | 503, .. } => AttemptFailure::Refused,
@@ -123,8 +127,8 @@
 ///
 /// # Errors
 /// `NotConnected` and `Stale` guarantee that nothing was sent; after any other error the server may
-/// have run the request. Errors come from the connection and from a response that carries another
-/// attempt id.
+/// have run the request. Errors come from the connection, and from a response that carries another
+/// attempt id or no final status.
 pub async fn exchange(
     address: SocketAddr,
     attempt: AttemptId,
@@ -158,10 +162,19 @@
         Some(echo) if echo.as_bytes() != format_attempt_id(attempt).as_bytes() => {
             Err(BackendError::MismatchedAttempt)
         }
+        _ if !is_final_status(open.response.status()) => {
+            Err(BackendError::InvalidStatus(open.response.status().as_u16()))
+        }
         _ => Ok(open),
     }
 }
 
+/// Whether a final response may have this status (RFC 9110, section 15). The HTTP library also accepts codes
+/// from 600 to 999, and 101 although no client here asks for another protocol.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Formats an attempt id as it is sent to backend servers: 32 hexadecimal digits.
 pub fn format_attempt_id(attempt: AttemptId) -> String {
     format!("{attempt:032x}")
--- a/src/observe/events.rs
+++ b/src/observe/events.rs
@@ -49,6 +49,8 @@
 pub const SERVER_MISMATCHED: &str = "backend server is not as listed";
 /// A success without the server's proof that it is its own was not passed on.
 pub const RESPONSE_UNPROVEN: &str = "backend server's success carries no proof";
+/// A response was not passed on, since no final response of HTTP has its `status`.
+pub const STATUS_INVALID: &str = "backend server's response has no final status";
 /// The responses of a server say that it leaves.
 pub const SERVER_LEAVES: &str = "backend server leaves";
 /// The responses of a server do not say any more that it leaves.
--- a/src/reverse_proxy/exchange/logging.rs
+++ b/src/reverse_proxy/exchange/logging.rs
@@ -145,6 +145,16 @@
         );
     }
 
+    /// Logs a response that is not passed on, because no final response has its status.
+    pub(super) fn log_invalid_status(&self, order: &SendOrder, status: StatusCode) {
+        log::warn!(
+            request_id = self.request.caller.id.as_str(),
+            server = order.server.as_str(),
+            status = status.as_u16();
+            "{}", events::STATUS_INVALID
+        );
+    }
+
     /// Logs a failed attempt, after which `events` events were relayed.
     pub(super) fn log_attempt_failure(
         &self,
--- a/src/reverse_proxy/exchange/response_head.rs
+++ b/src/reverse_proxy/exchange/response_head.rs
@@ -3,7 +3,7 @@
 use {
     super::{HttpExchange, ResumePosition, StartedResponse},
     crate::{
-        backend::read_meter::MeteredBody,
+        backend::{connection::is_final_status, read_meter::MeteredBody},
         ids::WeightsNumber,
         observe::events,
         pipeline::counters::{count_mismatched_response, count_unstated_outcome},
@@ -57,6 +57,12 @@
         let (framing, status, verdict) =
             (ResponseFraming::read(&parts), parts.status, head.verdict);
         let started = StartedResponse { parts, head, framing, body, connection, sent_at };
+        if !is_final_status(status) {
+            self.log_invalid_status(order, status);
+            self.record_run();
+            self.core.recheck(&order.server);
+            return Err(self.report(order, AttemptFailure::Broken, from, None));
+        }
         match verdict {
             ResponseVerdict::Executed => self.accept_response(order, from, started).await,
             ResponseVerdict::NotExecuted => Err(self.decline_attempt(order, from, started).await),
