Limit what a client's prompt parts say to the prompt that it states

Cause: the tokens of the affinity level, which the client states, were subtracted from the tokens to compute without a limit, and `Duration::from_secs_f64` panics at the negative time that came of it, in the dispatcher, while it serves another request; a second panic while unwinding aborts the process. Evidence: the panic message (value is negative) and its place, with one such request to an idle entry.

Change: the parts count for the prompt at most, and seconds that are computed from stated numbers become a duration in one place, `bounded_time::bounded`, which can't panic. The other conversions in the dispatcher that depend on such numbers use it too.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 
 pub mod action;
 pub mod admission;
+pub mod bounded_time;
 pub mod caller_memory;
 pub mod dispatcher;
 pub mod fairness;
--- a/src/policy/dispatcher/arrivals.rs
+++ b/src/policy/dispatcher/arrivals.rs
@@ -12,6 +12,7 @@
         policy::{
             DidRun, PolicyAction, PolicySafeguard, RefusalReason, RequestTicket, RequestWork,
             admission::{self, AdmissionDecision, MAX_WAITING},
+            bounded_time::bounded,
             fairness::{MIN_COST, OUTPUT_TOKEN_COST, QueuePosition, QueuedWork},
             prefix::ServerIndex,
         },
@@ -22,6 +23,9 @@
 /// Suggested retry delay if no server offers the model: about the restart time of an engine.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Longest time to a first token that is estimated for an idle server.
+const MAX_FIRST_TOKEN: Duration = Duration::from_secs(3_600);
+
 /// Assumed output tokens of a response before any measurement.
 const INITIAL_OUTPUT: f64 = 128.0;
 
@@ -133,7 +137,7 @@
         let state = &self.table.pools[pool];
         let ahead = state.queue.cost_ahead(&ticket.organisation, ticket.class, cost);
         let wait = state.drain.time_for(ahead);
-        let run = Duration::from_secs_f64(self.min_first_token(pool, &ticket.work));
+        let run = bounded(self.min_first_token(pool, &ticket.work), MAX_FIRST_TOKEN);
         match admission::evaluate(ticket.class, now, ticket.deadline, wait, run) {
             AdmissionDecision::Admit => None,
             AdmissionDecision::Refuse { retry_after } => Some(retry_after),
--- a/src/policy/dispatcher/selection.rs
+++ b/src/policy/dispatcher/selection.rs
@@ -10,6 +10,7 @@
     },
     crate::policy::{
         PolicySafeguard, PrefixLevel, RefusalReason, RequestWork, admission,
+        bounded_time::bounded,
         fairness::QueuedWork,
         placement::{CandidateCost, SMALL_POOL},
         prefix::ServerIndex,
@@ -41,9 +42,8 @@
 /// cache hits.
 const LONG_PREFILL: f64 = 1.0;
 
-/// Longest work, in seconds, of which the time is predicted from the moment; longer work takes the
-/// mean.
-const MAX_WORK_LENGTH: f64 = 3_600.0;
+/// Longest work of which the time is predicted from the moment; longer work takes the mean.
+const MAX_WORK_LENGTH: Duration = Duration::from_secs(3_600);
 
 /// An evaluated server for one request.
 pub(super) struct Candidate {
@@ -484,7 +484,7 @@
     /// Returns the multiple of the usual time expected for work of `length` usual seconds, if the
     /// server states one.
     fn work_time(&self, now: Instant, server: &ServerState, length: f64) -> Option<f64> {
-        let length = Duration::from_secs_f64(length.clamp(0.0, MAX_WORK_LENGTH));
+        let length = bounded(length, MAX_WORK_LENGTH);
         server.work_time.expected(now, length, &self.figure_decay)
     }
 
@@ -511,7 +511,9 @@
         if let Some(ratio) = candidate.work_time.filter(|_| !is_kept) {
             candidate.cost.queue_wait += server.queue_delay.expected() * ratio;
         }
-        candidate.affinity_tokens = if has_affinity { query.affinity.tokens } else { 0 };
+        // Nothing but the client's word makes the parts of a prompt add up to it.
+        let affinity_tokens = query.affinity.tokens.min(prompt_tokens);
+        candidate.affinity_tokens = if has_affinity { affinity_tokens } else { 0 };
         // Prefixes that other daemons have sent to this affinity server are held there with the
         // measured hit ratio.
         let likely =
--- a/src/policy/dispatcher/submission.rs
+++ b/src/policy/dispatcher/submission.rs
@@ -7,7 +7,7 @@
         selection::Candidate,
         servers::PoolIndex,
     },
-    crate::policy::{PolicyAction, RequestWork, SendOrder},
+    crate::policy::{PolicyAction, RequestWork, SendOrder, bounded_time::bounded},
     rand_core::RngCore,
     std::time::{Duration, Instant},
 };
@@ -15,6 +15,8 @@
 /// Validity of a send order: longer than its delivery to the driver's task takes on a busy VM,
 /// shorter than any membership change that callers could notice.
 const SEND_WITHIN: Duration = Duration::from_secs(1);
+/// Longest time to a first token that is predicted.
+const MAX_PREDICTED: Duration = Duration::from_secs(3_600);
 
 impl Dispatcher {
     pub(super) fn send(&mut self, now: Instant, number: u64, best: Candidate) {
@@ -74,7 +76,7 @@
             number,
             server: best.server,
             sent: now,
-            predicted: Duration::from_secs_f64(best.cost.first_token().min(3_600.0)),
+            predicted: bounded(best.cost.first_token(), MAX_PREDICTED),
             work_time: best.work_time,
             computed: best.computed,
             tokens_ahead: server.tokens_ahead(now, best.urgency),
