Believe idle timeouts, delays and loads of servers only within limits

Cause: the stated time was added to the present one, which panics. The same at Retry-After beside a rejection (src/policy/window.rs), and sums of Server-Load and of an engine's token counts that wrap in release builds.

--- a/src/http_api/response.rs
+++ b/src/http_api/response.rs
@@ -141,7 +141,7 @@
     json!({
         "prompt_tokens": usage.prompt_tokens,
         "completion_tokens": usage.completion_tokens,
-        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens.saturating_add(usage.completion_tokens),
         "prompt_tokens_details": { "cached_tokens": usage.cached_tokens.unwrap_or(0) },
     })
 }
--- a/src/policy/window.rs
+++ b/src/policy/window.rs
@@ -47,6 +47,9 @@
 /// seconds, slowly enough not to oscillate with late reports.
 const RECOVERY: f64 = 0.5;
 
+/// Longest time between two decreases, whatever delay a server asks for.
+const MAX_DECREASE_INTERVAL: Duration = Duration::from_secs(3_600);
+
 /// Maximum age of a report from which the requests of other daemons are derived.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
@@ -147,11 +150,12 @@
 
     /// Adapts the window to a load report received while this daemon has `own` requests in flight.
     pub fn record_report(&mut self, now: Instant, running: u32, waiting: u32, own: u32) {
-        self.others = Some(((running + waiting).saturating_sub(own), now));
+        let present = running.saturating_add(waiting);
+        self.others = Some((present.saturating_sub(own), now));
         let slots = f64::from(self.slots);
         let room = slots * (1.0 + QUEUED_FRACTION);
-        if f64::from(running + waiting) > room {
-            let excess = room / f64::from(running + waiting);
+        if f64::from(present) > room {
+            let excess = room / f64::from(present);
             let used = self.limit.min(f64::from(own).max(MIN_LIMIT));
             self.limit = (used * excess.min(1.0)).max(MIN_LIMIT);
             return;
@@ -182,7 +186,7 @@
     fn decrease(&mut self, now: Instant, interval: Duration) {
         if self.next_decrease_at.is_none_or(|until| now >= until) {
             self.limit = (self.limit * DECREASE).max(MIN_LIMIT);
-            self.next_decrease_at = Some(now + interval);
+            self.next_decrease_at = Some(now + interval.min(MAX_DECREASE_INTERVAL));
         }
     }
 
--- a/src/reverse_proxy/pool.rs
+++ b/src/reverse_proxy/pool.rs
@@ -46,6 +46,8 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum idle time of connections to servers that do not report their idle timeout.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(2);
+/// Longest idle timeout of a server that is believed.
+const MAX_IDLE_LIMIT: Duration = Duration::from_secs(3_600);
 /// Time before the end of a server's idle timeout from which a connection is no longer used,
 /// because the server may already be closing it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -156,8 +158,8 @@
     /// end.
     pub fn return_to_pool(mut self, idle_limit: Option<Duration>) {
         self.lease = None;
-        let limit =
-            idle_limit.map_or(DEFAULT_IDLE_LIMIT, |limit| limit.saturating_sub(IDLE_MARGIN));
+        let stated = idle_limit.map(|limit| limit.min(MAX_IDLE_LIMIT).saturating_sub(IDLE_MARGIN));
+        let limit = stated.unwrap_or(DEFAULT_IDLE_LIMIT);
         if self.sender.is_closed() || limit.is_zero() || self.is_tunnelled {
             return;
         }
