Keep a request open until the socket has taken its response

Cause: a request counted as open until the HTTP library had taken the body; a buffered response is one piece, so that up to 4 MiB were unsent when the entry found nothing open. Evidence: 0 requests in flight while a caller has read the head alone (`unsent_response_keeps_request_open`).

Change: the connection keeps the request open until the library has written all of its bytes to the socket, which it shows by a flush, or until the connection has ended. It holds for the last bytes of streams as well.

--- a/src/pipeline/drain.rs
+++ b/src/pipeline/drain.rs
@@ -24,6 +24,7 @@
 }
 
 /// Counts one request as in flight until it is dropped.
+#[derive(Debug)]
 pub struct OpenRequest {
     open: watch::Sender<usize>,
 }
--- a/src/reverse_proxy/response.rs
+++ b/src/reverse_proxy/response.rs
@@ -43,20 +43,21 @@
     Stream(BoxStream<'static, Result<Bytes, TruncatedResponse>>),
 }
 
-/// The body of a response. The request counts as open until the body is sent or dropped.
+/// The body of a response. The request counts as open until the connection has taken all bytes of the body, or
+/// has ended.
 pub struct ResponseBody {
     bytes: BodySource,
     phase: ConnectionPhase,
     /// Whether the body ends with its connection, as streams do for HTTP/1.0 callers.
     ends_with_connection: bool,
-    _open: Option<OpenRequest>,
+    open: Option<OpenRequest>,
 }
 
 impl ResponseBody {
     /// Creates a body from bytes that are already complete.
     pub fn full(bytes: Bytes, phase: ConnectionPhase, open: Option<OpenRequest>) -> Self {
         let bytes = BodySource::Full(Some(bytes));
-        ResponseBody { bytes, phase, ends_with_connection: false, _open: open }
+        ResponseBody { bytes, phase, ends_with_connection: false, open }
     }
 
     /// Creates a body from a stream of chunks.
@@ -66,7 +67,7 @@
         open: Option<OpenRequest>,
     ) -> Self {
         let bytes = BodySource::Stream(chunks);
-        ResponseBody { bytes, phase, ends_with_connection: false, _open: open }
+        ResponseBody { bytes, phase, ends_with_connection: false, open }
     }
 
     /// Marks that the body ends with its connection if its length is unknown. The connection is then
@@ -81,13 +82,17 @@
     /// Attaches the request that the body keeps open, and the connection whose phase it ends.
     pub fn with_request(mut self, phase: ConnectionPhase, open: OpenRequest) -> Self {
         self.phase = phase;
-        self._open = Some(open);
+        self.open = Some(open);
         self
     }
 }
 
 impl Drop for ResponseBody {
     fn drop(&mut self) {
+        // The HTTP library may still hold all of its bytes.
+        if let Some(open) = self.open.take() {
+            self.phase.keep_until_sent(open);
+        }
         self.phase.end_request();
     }
 }
--- a/src/reverse_proxy/timeout_stream.rs
+++ b/src/reverse_proxy/timeout_stream.rs
@@ -9,7 +9,7 @@
     super::raw_head::RawHead,
     crate::{
         observe::{events, metrics::refusal},
-        pipeline::{caller_budget::ClientHold, counters::count_refusal},
+        pipeline::{caller_budget::ClientHold, counters::count_refusal, drain::OpenRequest},
         policy::caller_memory::{CONNECTION_BYTES, HoldPhase},
     },
     hyper_util::rt::TokioIo,
@@ -19,7 +19,7 @@
         io,
         pin::Pin,
         sync::{
-            Arc,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU32, Ordering},
         },
         task::{Context, Poll, ready},
@@ -67,6 +67,8 @@
     is_reset: AtomicBool,
     /// Whether the caller may still be sending when the connection ends.
     lingers: AtomicBool,
+    /// The request whose response the HTTP library has taken and the socket has not.
+    unsent: Mutex<Option<OpenRequest>>,
     /// What the process holds for the client; `None` if it does not count.
     hold: Option<ClientHold>,
 }
@@ -99,11 +101,27 @@
         self.0.lingers.store(true, Ordering::Relaxed);
     }
 
-    /// Marks that the response has been sent.
+    /// Marks that the HTTP library has taken the response.
     pub fn end_request(&self) {
         self.change(IDLE);
     }
 
+    /// Keeps a request open until the socket has taken all bytes of its response, or the connection has
+    /// ended.
+    pub fn keep_until_sent(&self, open: OpenRequest) {
+        // An earlier response is sent before this one.
+        self.lock_unsent().replace(open);
+    }
+
+    /// Marks that the socket has taken all bytes that the HTTP library had.
+    fn record_sent(&self) {
+        drop(self.lock_unsent().take());
+    }
+
+    fn lock_unsent(&self) -> MutexGuard<'_, Option<OpenRequest>> {
+        self.0.unsent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Marks that the connection is reset when it ends. A body that ends with its connection would
     /// look complete if the connection were closed.
     pub fn reset_at_end(&self) {
@@ -254,6 +272,7 @@
 impl Drop for TimeoutStream {
     fn drop(&mut self) {
         self.set_linger();
+        self.phase.record_sent();
     }
 }
 
@@ -343,8 +362,11 @@
         self.stream.is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream().poll_flush(context)
+    /// The HTTP library calls this when it has written all of its bytes.
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = ready!(Pin::new(&mut self.stream).poll_flush(context));
+        self.phase.record_sent();
+        Poll::Ready(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
