Let control VMs that were killed at their first start found their group

Cause: a VM that starts again has `bootstrap` false and left itself out of the founders, since an empty disk may have been lost after it had founded a group. A disk that was made at the first start and has lost nothing looked the same. Evidence: the logs show no founding, and each VM reaches the others.

Change: at the first start a disk records the founders, bound to its incarnation and synced before the replica sends anything. At a later start a disk without a group that has this record founds with those founders, and with no others, since a second list could make a second group. A disk that was lost, or whose log was moved aside as damaged, has no record that counts. What is safe about it is as before: the first founder alone writes the founding membership, and syncs it before it sends it, so that with this disk it knows of every group it founded.

--- a/src/daemon/control_driver.rs
+++ b/src/daemon/control_driver.rs
@@ -26,7 +26,7 @@
         ids::VmId,
         inventory::ActiveConfig,
         observe::memory::{MemoryPart, set_amount},
-        storage::{DiskFiles, FileSystem},
+        storage::{DiskFiles, FileSystem, OpenedStore, StorageError},
     },
     displaydoc::Display,
     futures::future::BoxFuture,
@@ -59,6 +59,18 @@
 /// The maximum number of accepted changes in the history for operators.
 const MAX_HISTORY_CHANGES: usize = 200;
 
+/// When a replica whose disk has no group may found one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FoundingRule {
+    /// At every start.
+    Always,
+    /// At this start, which is the first one of the deployment. The disk remembers that.
+    FirstStart,
+    /// Only with a disk that remembers the first start: it has lost nothing since, so that it knows of every
+    /// group that it has founded.
+    LaterStart,
+}
+
 /// Settings of a control driver.
 #[derive(Clone, Debug)]
 pub struct DriverSettings {
@@ -66,6 +78,8 @@
     pub vm: VmId,
     /// The VMs of the initial group; each of them must have the same list.
     pub founders: Vec<VmId>,
+    /// When this replica may found the group.
+    pub founding: FoundingRule,
     /// The data folder; nothing else may use it.
     pub data_dir: PathBuf,
     /// Seed of the random election timeouts.
@@ -84,6 +98,7 @@
         DriverSettings {
             vm,
             founders,
+            founding: FoundingRule::Always,
             data_dir: data_dir.into(),
             seed,
             timing: ReplicaTiming::default(),
@@ -138,8 +153,12 @@
         outbound: mpsc::Sender<(VmId, ReplicaMessage)>,
     ) -> Result<ControlHandle, DriverError> {
         let mut folder = ReplicaFolder::new(opener, settings.reopen_after);
-        let opened = folder.open().map_err(|reason: String| storage_error(&settings, &reason))?;
+        let mut settings = settings;
+        let mut opened =
+            folder.open().map_err(|reason: String| storage_error(&settings, &reason))?;
         log_quarantine(&settings.vm, opened.quarantined.as_deref());
+        settings.founders = present_founders(&settings, &mut opened)
+            .map_err(|error| storage_error(&settings, &error.to_string()))?;
         let replica = open_replica(&settings, opened.state)?;
         let (inputs, queue) = mpsc::channel(INPUT_QUEUE_LENGTH);
         let (batches, batch_queue) = mpsc::channel(BATCH_QUEUE_LENGTH);
@@ -163,6 +182,36 @@
     }
 }
 
+/// The founders that the replica uses. One that must not found a group is left out of its own list.
+fn present_founders(
+    settings: &DriverSettings,
+    opened: &mut OpenedStore,
+) -> Result<Vec<VmId>, StorageError> {
+    let DriverSettings { vm, founders, founding, .. } = settings;
+    let store = &mut opened.store;
+    let has_group = opened.state.hard_state.group.is_some();
+    match founding {
+        FoundingRule::Always => Ok(founders.clone()),
+        FoundingRule::FirstStart if has_group => Ok(founders.clone()),
+        FoundingRule::FirstStart => match store.founders()? {
+            Some(recorded) => Ok(recorded),
+            None => {
+                store.record_founders(founders.clone())?;
+                Ok(founders.clone())
+            }
+        },
+        // Other founders than those of the first start could found a second group.
+        FoundingRule::LaterStart => match store.founders()?.filter(|_| !has_group) {
+            Some(recorded) => {
+                log::info!(vm = vm.as_str(), founders = recorded.len();
+                    "the disk remembers the first start; the group may still be founded");
+                Ok(recorded)
+            }
+            None => Ok(founders.iter().filter(|founder| *founder != vm).cloned().collect()),
+        },
+    }
+}
+
 fn open_replica(settings: &DriverSettings, saved: SavedState) -> Result<Replica, DriverError> {
     let replica_settings = ReplicaSettings {
         vm: settings.vm.clone(),
--- a/src/roles/control.rs
+++ b/src/roles/control.rs
@@ -16,7 +16,7 @@
             replica::ReplicaStatus,
         },
         daemon::{
-            control_driver::{ControlDriver, ControlHandle, DriverSettings},
+            control_driver::{ControlDriver, ControlHandle, DriverSettings, FoundingRule},
             weight_orders::WeightOrders,
         },
         fleet::watch::{FleetSource, FleetView, publish_list, read_list},
@@ -76,8 +76,9 @@
     pub data_dir: PathBuf,
     /// The control VMs that form the group, or are known to belong to it, with their addresses.
     pub founders: BTreeMap<VmId, SocketAddr>,
-    /// Whether this VM may form a new group. Set it only for the first start of a deployment: a
-    /// replica with an empty disk that forms a group later would lose acknowledged changes.
+    /// Whether this VM may form a new group although its disk does not remember the first start. Set
+    /// it only for the first start of a deployment: a replica with an empty disk that forms a group later
+    /// would lose acknowledged changes.
     pub may_found: bool,
     /// Whether engines refuse orders whose fencing number is lower than one that they have seen.
     pub engines_check_fencing: bool,
@@ -189,15 +190,16 @@
     tasks: &mut JoinSet<()>,
 ) -> Result<ControlHandle, NodeError> {
     let (outbound, mut messages) = mpsc::channel(OUTBOUND_QUEUE_LENGTH);
-    // Without `may_found` this VM is left out of the founders, so that its replica forms no group.
-    let is_founder = |vm: &&VmId| settings.may_found || **vm != settings.vm;
-    let founders = settings.founders.keys().filter(is_founder).cloned().collect();
-    let driver = DriverSettings::new(
-        settings.vm.clone(),
-        founders,
-        settings.data_dir.clone(),
-        random_seed(),
-    );
+    let founding = match settings.may_found {
+        true => FoundingRule::FirstStart,
+        false => FoundingRule::LaterStart,
+    };
+    let founders = settings.founders.keys().cloned().collect();
+    let data_dir = settings.data_dir.clone();
+    let driver = DriverSettings {
+        founding,
+        ..DriverSettings::new(settings.vm.clone(), founders, data_dir, random_seed())
+    };
     let handle = ControlDriver::start(driver, outbound).map_err(NodeError::Replica)?;
     let network = network.clone();
     tasks.spawn(async move {
--- a/src/storage.rs
+++ b/src/storage.rs
@@ -7,6 +7,7 @@
 //! removed afterwards.
 
 pub mod files;
+mod founders_record;
 pub mod frame;
 pub mod log_store;
 
--- a/src/storage/log_store.rs
+++ b/src/storage/log_store.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         control::entry::{DurableWrite, SavedSnapshot, SavedState},
-        ids::Incarnation,
+        ids::{Incarnation, VmId},
         storage::{
             files::{FileSystem, LogFile},
+            founders_record::{read_founders, write_founders},
             frame::{FrameRead, encode_frame, read_frame},
         },
     },
@@ -130,6 +131,22 @@
         self.incarnation
     }
 
+    /// The founders that this disk has recorded; `None` if it has not, or was damaged since.
+    ///
+    /// # Errors
+    /// Returns an error if the record cannot be read.
+    pub fn founders(&self) -> Result<Option<Vec<VmId>>, StorageError> {
+        read_founders(self.files.as_ref(), self.incarnation)
+    }
+
+    /// Records the founders; they are durable when this function returns.
+    ///
+    /// # Errors
+    /// Returns an error if the record cannot be written.
+    pub fn record_founders(&mut self, founders: Vec<VmId>) -> Result<(), StorageError> {
+        write_founders(self.files.as_mut(), self.incarnation, founders)
+    }
+
     /// Writes changes and syncs them. They are durable when this function returns.
     ///
     /// # Errors
@@ -170,7 +187,7 @@
     }
 }
 
-fn files_error(action: &'static str) -> impl Fn(io::Error) -> StorageError {
+pub(super) fn files_error(action: &'static str) -> impl Fn(io::Error) -> StorageError {
     move |error| StorageError::Files { action, error }
 }
 
@@ -225,7 +242,7 @@
     writes
 }
 
-fn write_named(
+pub(super) fn write_named(
     files: &mut dyn FileSystem,
     name: &str,
     content: &[u8],
