Give slow readers the grace period of a stopping daemon

The cause of the lost responses of stopping entries on a related path: the product's daemon waited 5 s for its connections after the last request had ended for it, whatever was left of its grace period, so that a response that takes longer to read was cut. Its port now gets what is left of the grace period, 5 s at least as before; a second signal ends the wait.

--- a/examples/fakes/engine.rs
+++ b/examples/fakes/engine.rs
@@ -142,7 +142,7 @@
 
     /// Stops the engine after its open streams have ended.
     pub async fn stop(self) {
-        self.server.stop().await;
+        self.server.stop(Duration::ZERO).await;
     }
 }
 
--- a/src/daemon/lifecycle.rs
+++ b/src/daemon/lifecycle.rs
@@ -47,7 +47,7 @@
         io,
         net::SocketAddr,
         sync::Arc,
-        time::{Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     tokio::{sync::mpsc, task::JoinSet, time::sleep},
     viz::Router,
@@ -283,17 +283,23 @@
     /// `abort` completes, then stops.
     pub async fn finish(self, abort: impl Future<Output = ()>) -> DrainReport {
         let RunningComponents { core, network, callers, operators, mut tasks } = self.state.0;
-        let ended = tokio::select! {
-            () = core.gate.wait_empty() => DrainReport { cut: 0 },
-            () = abort => DrainReport { cut: core.gate.in_flight() },
-            () = sleep(self.options.runtime.grace) => DrainReport { cut: core.gate.in_flight() },
+        let (began, grace) = (Instant::now(), self.options.runtime.grace);
+        tokio::pin!(abort);
+        let (ended, is_aborted) = tokio::select! {
+            () = core.gate.wait_empty() => (DrainReport { cut: 0 }, false),
+            () = abort.as_mut() => (DrainReport { cut: core.gate.in_flight() }, true),
+            () = sleep(grace) => (DrainReport { cut: core.gate.in_flight() }, false),
         };
         if ended.cut > 0 {
             metrics::counter!(measures::ABORTED_REQUESTS).increment(ended.cut as u64);
             log::error!(cut = ended.cut; "requests aborted during shutdown");
         }
-        callers.stop().await;
-        operators.stop().await;
+        // The HTTP library may still hold responses to slow readers.
+        tokio::select! {
+            () = callers.stop(grace.saturating_sub(began.elapsed())) => {}
+            () = abort, if !is_aborted => {}
+        }
+        operators.stop(Duration::ZERO).await;
         tasks.shutdown().await;
         network.close().await;
         log::info!(cut = ended.cut; "stopped");
--- a/src/http_api/server.rs
+++ b/src/http_api/server.rs
@@ -20,8 +20,8 @@
 /// The parser accepts this many times the header limits, so that the pipeline can refuse a request
 /// with a message that names the remedy; beyond it the library answers 431 without a message.
 const PARSER_LIMIT_FACTOR: usize = 2;
-/// How long a graceful shutdown waits for open connections to send their last bytes.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a graceful shutdown waits at least for open connections to send their last bytes.
+const MIN_SHUTDOWN_TIME: Duration = Duration::from_secs(5);
 
 /// An HTTP server on one port.
 pub struct HttpServer {
@@ -33,7 +33,8 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum ServerPhase {
     Accepting,
-    Stopping,
+    /// Open connections end in this time.
+    Stopping(Duration),
 }
 
 impl HttpServer {
@@ -73,10 +74,10 @@
         self.address
     }
 
-    /// Closes the port and idle connections, and waits a few seconds at most until open requests have
-    /// been answered.
-    pub async fn stop(self) {
-        self.stop.send_replace(ServerPhase::Stopping);
+    /// Closes the port and idle connections, and waits until the clients have received the responses to
+    /// open requests, for `time` or a few seconds at most, whichever is longer.
+    pub async fn stop(self, time: Duration) {
+        self.stop.send_replace(ServerPhase::Stopping(time.max(MIN_SHUTDOWN_TIME)));
         if self.task.await.is_err() {
             log::error!("the HTTP server task panicked");
         }
@@ -93,6 +94,16 @@
     builder
 }
 
+/// Waits until the server stops; returns how long its connections may take.
+async fn shutdown_time(phase: &mut watch::Receiver<ServerPhase>) -> Duration {
+    let stopped = phase.wait_for(|phase| *phase != ServerPhase::Accepting).await;
+    match stopped.as_deref() {
+        Ok(ServerPhase::Stopping(time)) => *time,
+        // The server was dropped.
+        _ => MIN_SHUTDOWN_TIME,
+    }
+}
+
 struct Acceptor {
     tree: Arc<Tree>,
     builder: Builder,
@@ -103,15 +114,15 @@
 
 impl Acceptor {
     async fn run(self, port: ClientPort, mut phase: watch::Receiver<ServerPhase>) {
-        loop {
+        let time = loop {
             let (stream, client) = tokio::select! {
                 accepted = port.accept() => accepted,
-                _ = phase.wait_for(|phase| *phase == ServerPhase::Stopping) => break,
+                time = shutdown_time(&mut phase) => break time,
             };
             self.serve(stream, client);
-        }
+        };
         drop(port);
-        if timeout(SHUTDOWN_TIMEOUT, self.graceful.shutdown()).await.is_err() {
+        if timeout(time, self.graceful.shutdown()).await.is_err() {
             log::warn!(
                 "connections closed at shutdown: their peers did not read the last bytes in time"
             );
